--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -6,7 +6,7 @@
 	"fmt"
 	"os"
 
-	"wardshift.example/wardshift/internal/wire"
+	"cherryrelay/internal/wire"
 )
 
 func main() {
--- a/control/example_test.go
+++ b/control/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"wardshift.example/wardshift/control"
+	"cherryrelay/control"
 )
 
 // A node takes a call, sends it where the controller says, and tells it that the call stands.
--- a/internal/wire/serve.go
+++ b/internal/wire/serve.go
@@ -9,7 +9,7 @@
 	"io"
 	"time"
 
-	"wardshift.example/wardshift/control"
+	"cherryrelay/control"
 )
 
 // instance is one access node: its decision module and the names its settings gave to classes and
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -6,7 +6,7 @@
 	"fmt"
 	"time"
 
-	"wardshift.example/wardshift/control"
+	"cherryrelay/control"
 )
 
 // Batch is one line of input.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"wardshift.example/wardshift/control"
+	"cherryrelay/control"
 )
 
 const facts = `{"caps":{"maxRetryAfterUs":2000000,"mayCancel":true,"mayProbe":true,"retryAfter":true,"sendCap":4},
