--- /dev/null
+++ b/Makefile
@@ -0,0 +1,14 @@
+.PHONY: build test lint run fuzz
+
+build:
+	mkdir -p bin && go build -o bin/ ./cmd/...
+
+test:
+	go test -race -count=1 ./...
+
+lint:
+	test -z "$$(gofmt -l $$(git ls-files '*.go' ':!journal/**'))"
+	go vet ./...
+
+run: build
+	LB_CONFIG=$${LB_CONFIG:-example/config.json} bin/cherryrelay
--- /dev/null
+++ b/internal/call/call.go
@@ -0,0 +1,87 @@
+// Package call holds the calls of a call controller: what was asked, which attempts were made and how they came
+// out. It drives the decision module, keeps its timers and sees to it that each caller gets one final answer. It
+// knows no wire: callers' fronts, dispatchers and server lists meet it through the interfaces below.
+package call
+
+import (
+	"time"
+
+	"cherryrelay/control"
+)
+
+// Causes of releases, as Q.850 numbers them.
+const (
+	CauseNormal     = 16  // the call has come to its end, or its set-up is given up
+	CauseTemporary  = 41  // failed, or a call that was cut
+	CauseCongestion = 42  // refused: trying again is harmless
+	CauseBadField   = 100 // failed: the set-up cannot be understood
+)
+
+// Request is a set-up that a caller has sent.
+type Request struct {
+	ID          string
+	Class       string
+	Called      string
+	FirstCell   int
+	Again       bool // a call that was cut and comes again, or a marked redial
+	Description string
+	Deadline    time.Time // when the caller gives up
+	Caller      Caller
+}
+
+// End tells a caller that its call is refused, has failed or is over.
+type End struct {
+	Cause   int
+	HoldOff time.Duration // refused: how long to keep away; 0 for no advice
+}
+
+// Caller is where a call came from: one connection of a front.
+type Caller interface {
+	// Answer tells that the call stands.
+	Answer(id, description string)
+	// End is the final answer to a call that does not stand.
+	End(id string, end End)
+	// Over tells that a call that stood has ended. No connection owns it: if this one has closed since, another
+	// one carries the news.
+	Over(id string, end End)
+}
+
+// Front is a way in for callers.
+type Front interface {
+	// Release passes on the end of a call that no connection is known for, as after a restart.
+	Release(id string, end End)
+}
+
+// SetUp is an attempt at a dispatcher.
+type SetUp struct {
+	ID          string
+	Attempt     int
+	Class       string
+	Called      string
+	Description string
+	Limit       time.Duration // how long the call controller will wait
+}
+
+// Dispatchers places attempts. What becomes of them comes back through the methods of Core.
+type Dispatchers interface {
+	// Update takes in changes of the list of dispatchers.
+	Update(Update)
+	SetUp(control.ServerID, SetUp)
+	// Withdraw gives up an attempt.
+	Withdraw(server control.ServerID, id string, attempt int)
+	// Release cuts a call that stands; an empty server stands for all of them.
+	Release(server control.ServerID, id string, cause int)
+	Probe(control.ServerID)
+}
+
+// Server is a line of the list of dispatchers.
+type Server struct {
+	control.ServerEntry
+	Address string
+}
+
+// Update is the list of dispatchers, or changes to it.
+type Update struct {
+	Servers []Server
+	Whole   bool // dispatchers that are not named are gone
+}
--- /dev/null
+++ b/internal/call/core.go
@@ -0,0 +1,507 @@
+package call
+
+import (
+	"fmt"
+	"log/slog"
+	"slices"
+	"time"
+
+	"cherryrelay/control"
+	"cherryrelay/internal/settings"
+)
+
+const (
+	// early is how long before a caller's limit the last attempt is withdrawn and the answer given, so that the
+	// answer is not overtaken by the limit.
+	early = 20 * time.Millisecond
+	// remember is how long an ended call is known, so that what comes late or twice is not passed on.
+	remember = 20 * time.Second
+	// lateArrivals is how long after SIGTERM new set-ups may still arrive.
+	lateArrivals = 700 * time.Millisecond
+	// serveOut is how long after SIGTERM what was taken may take to its answer: SIGKILL comes 3.7 s after at the
+	// soonest.
+	serveOut = 3200 * time.Millisecond
+	// turns bounds how often the module is asked in one round of the loop for what its own actions led to.
+	turns = 8
+)
+
+type state int
+
+const (
+	open   state = iota // owed a final answer
+	stands              // answered
+	over
+)
+
+// record is what is known of one call.
+type record struct {
+	Request
+	state    state
+	attempts int
+	out      bool // an attempt is under way
+	server   control.ServerID
+	sentAt   time.Time
+	timer    *Timer // of the attempt
+	limit    *Timer // of the caller
+	overAt   time.Time
+}
+
+// Core is the call controller without any wire. Its methods run on its loop.
+type Core struct {
+	loop        *Loop
+	log         *slog.Logger
+	settings    *settings.Settings
+	decisions   control.Settings
+	module      *control.Controller
+	dispatchers Dispatchers
+	fronts      []Front
+	flush       []func()
+	calls       map[string]*record
+	ended       []*record // in the order of their ends
+	owed        int
+	events      []control.Event
+	status      map[control.ServerID]control.ServerStatus
+	epoch       time.Time
+	listed      bool
+	wake        *Timer
+	draining    time.Time
+}
+
+// New returns a Core on the loop.
+func New(loop *Loop, log *slog.Logger, s *settings.Settings, seed uint64) (*Core, error) {
+	decisions, err := s.Control()
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	module, err := control.New(decisions, seed)
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	c := &Core{
+		loop: loop, log: log, settings: s, decisions: decisions, module: module, calls: map[string]*record{},
+		status: map[control.ServerID]control.ServerStatus{}, epoch: time.Now(),
+	}
+	loop.turn = c.turn
+	return c, nil
+}
+
+// Loop is the loop that owns the core.
+func (c *Core) Loop() *Loop { return c.loop }
+
+// Log is the core's log.
+func (c *Core) Log() *slog.Logger { return c.log }
+
+// Serve names where calls are placed; it comes before the first list.
+func (c *Core) Serve(d Dispatchers) { c.dispatchers = d }
+
+// AddFront names a way in for callers.
+func (c *Core) AddFront(f Front) { c.fronts = append(c.fronts, f) }
+
+// OnFlush has f run at the end of each round, to send what was written in it.
+func (c *Core) OnFlush(f func()) { c.flush = append(c.flush, f) }
+
+// Ready reports whether callers can be served: a list has come and no restart is under way.
+func (c *Core) Ready() bool { return c.listed && c.draining.IsZero() }
+
+func (c *Core) tell(e control.Event) { c.events = append(c.events, e) }
+
+// --- Callers ---
+
+// Offer takes in a set-up.
+func (c *Core) Offer(r Request) {
+	if old := c.calls[r.ID]; old != nil {
+		// An id is never used again; answering it twice would break the call.
+		c.log.Warn("set-up with a known id", "id", r.ID)
+		return
+	}
+	now := time.Now()
+	k := &record{Request: r}
+	class := slices.IndexFunc(c.decisions.Classes, func(class control.Class) bool { return class.Name == r.Class })
+	switch {
+	case class < 0:
+		c.log.Warn("set-up of an unknown class", "id", r.ID, "class", r.Class)
+		r.Caller.End(r.ID, End{Cause: CauseBadField})
+		return
+	case !r.Deadline.After(now):
+		c.log.Debug("set-up past its time", "id", r.ID)
+		r.Caller.End(r.ID, End{Cause: CauseTemporary})
+		return
+	case !c.draining.IsZero() && now.Sub(c.draining) > lateArrivals:
+		r.Caller.End(r.ID, End{Cause: CauseCongestion, HoldOff: c.holdOff()})
+		return
+	}
+	c.calls[r.ID] = k
+	c.owed++
+	// The module answers by itself. This is for what it could miss: a call must never be left without an answer.
+	k.limit = c.loop.After(r.Deadline.Sub(now)-early/2, func() {
+		c.log.Warn("call without an answer at its limit", "id", k.ID)
+		c.abandon(k)
+		c.final(k, End{Cause: CauseTemporary})
+	})
+	c.tell(control.CallOffered{
+		ID: control.CallID(r.ID), Class: class, Budget: r.Deadline.Sub(now), Called: r.Called,
+		FirstCell: r.FirstCell, Redial: r.Again,
+	})
+}
+
+func (c *Core) holdOff() time.Duration {
+	if !c.decisions.HoldOff {
+		return 0
+	}
+	return c.decisions.MaxHoldOff
+}
+
+// GiveUp is a caller's release: of a set-up that it no longer waits for, or of a call that stands.
+func (c *Core) GiveUp(id string, cause int) {
+	k := c.calls[id]
+	switch {
+	case k == nil:
+		// A call that stood before a restart: whichever dispatcher has it releases it. A set-up that was lost
+		// with the restart has nothing to release.
+		if cause != CauseNormal {
+			c.dispatchers.Release("", id, cause)
+		}
+	case k.state == open:
+		c.abandon(k)
+		c.close(k)
+	case k.state == stands:
+		c.dispatchers.Release(k.server, id, cause)
+		c.tell(control.AttemptEnded{ID: control.CallID(id), Server: k.server, Attempt: k.attempts - 1,
+			Outcome: control.Cancelled, CallOver: true})
+		c.close(k)
+	}
+}
+
+// CallerClosed ends the set-ups of a connection that has closed: no answer is owed for them. Calls that stand go
+// on.
+func (c *Core) CallerClosed(caller Caller) {
+	for _, id := range c.openOf(caller) {
+		c.GiveUp(id, CauseNormal)
+	}
+}
+
+// CallerBroke answers the set-ups of a connection that is about to be closed for a fault of its peer.
+func (c *Core) CallerBroke(caller Caller) {
+	for _, id := range c.openOf(caller) {
+		k := c.calls[id]
+		c.abandon(k)
+		c.final(k, End{Cause: CauseTemporary})
+	}
+}
+
+func (c *Core) openOf(caller Caller) []string {
+	var ids []string
+	for id, k := range c.calls {
+		if k.state == open && k.Caller == caller {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// abandon withdraws what is out for a call that its caller waits for no longer, and has the module forget it.
+func (c *Core) abandon(k *record) {
+	c.tell(control.CallerLeft{ID: control.CallID(k.ID)})
+	if k.out {
+		c.withdraw(k, control.Cancelled, true)
+	}
+}
+
+// final gives a call its final answer.
+func (c *Core) final(k *record, end End) {
+	if k.state != open {
+		return
+	}
+	caller := k.Caller
+	c.close(k)
+	caller.End(k.ID, end)
+}
+
+// close ends the record of a call.
+func (c *Core) close(k *record) {
+	if k.state == open {
+		c.owed--
+	}
+	c.stopTimers(k)
+	k.state, k.out, k.overAt = over, false, time.Now()
+	k.Caller, k.Description = nil, ""
+	c.ended = append(c.ended, k)
+	for len(c.ended) > 0 && time.Since(c.ended[0].overAt) > remember {
+		delete(c.calls, c.ended[0].ID)
+		c.ended = c.ended[1:]
+	}
+}
+
+func (c *Core) stopTimers(k *record) {
+	c.loop.Stop(k.timer)
+	c.loop.Stop(k.limit)
+}
+
+// --- Dispatchers ---
+
+// Answered tells that a dispatcher says that a call stands. Nobody waits for it if the attempt was withdrawn or
+// the caller has left; then the dispatcher's call is released.
+func (c *Core) Answered(server control.ServerID, id string, attempt int, description string) {
+	k := c.calls[id]
+	if k != nil && k.state == stands && k.server == server {
+		return // said twice
+	}
+	if k == nil || !k.out || k.server != server || attempt >= 0 && attempt != k.attempts-1 {
+		c.dispatchers.Release(server, id, CauseNormal)
+		return
+	}
+	c.stopTimers(k)
+	c.owed--
+	k.out, k.state = false, stands
+	k.Caller.Answer(id, description)
+	k.Description = ""
+	c.tell(control.CallStands{ID: control.CallID(id), Server: server, Attempt: k.attempts - 1,
+		Elapsed: time.Since(k.sentAt)})
+}
+
+// Ended tells the outcome of an attempt that does not stand. The outcome of one that was withdrawn has been told
+// already, so only its report counts.
+func (c *Core) Ended(server control.ServerID, id string, attempt int, o control.Outcome, noLine bool, report []float64) {
+	k := c.calls[id]
+	if k == nil || !k.out || k.server != server || attempt >= 0 && attempt != k.attempts-1 {
+		c.Reported(server, report)
+		return
+	}
+	c.loop.Stop(k.timer)
+	k.out = false
+	c.tell(control.AttemptEnded{ID: control.CallID(id), Server: server, Attempt: k.attempts - 1, Outcome: o,
+		Elapsed: time.Since(k.sentAt), NoLine: noLine, Report: report})
+}
+
+// Released tells that a dispatcher has released a call that stood.
+func (c *Core) Released(server control.ServerID, id string, cause int, report []float64) {
+	k := c.calls[id]
+	switch {
+	case k == nil:
+		// A call from before a restart: its caller still has to hear of it.
+		c.calls[id] = &record{Request: Request{ID: id}, state: stands}
+		c.close(c.calls[id])
+		for _, f := range c.fronts {
+			f.Release(id, End{Cause: cause})
+		}
+	case k.state == stands && k.server == server:
+		c.finish(k, cause, report)
+	case k.out && k.server == server:
+		c.Ended(server, id, -1, control.Reset, false, report)
+	}
+}
+
+// finish ends a call that stood.
+func (c *Core) finish(k *record, cause int, report []float64) {
+	outcome := control.Completed
+	if cause != CauseNormal {
+		outcome = control.Reset
+	}
+	c.tell(control.AttemptEnded{ID: control.CallID(k.ID), Server: k.server, Attempt: k.attempts - 1, Outcome: outcome,
+		Elapsed: time.Since(k.sentAt), CallOver: true, Report: report})
+	caller := k.Caller
+	c.close(k)
+	caller.Over(k.ID, End{Cause: cause})
+}
+
+// Reported brings a load report outside an attempt.
+func (c *Core) Reported(server control.ServerID, report []float64) {
+	if len(report) > 0 {
+		c.tell(control.ReportReceived{Server: server, OK: true, Report: report})
+	}
+}
+
+// Died tells that a dispatcher is no more. Its calls were cut, and it can't say so itself.
+func (c *Core) Died(server control.ServerID) {
+	var cut []string
+	for id, k := range c.calls {
+		if k.state == stands && k.server == server {
+			cut = append(cut, id)
+		}
+	}
+	slices.Sort(cut)
+	for _, id := range cut {
+		c.finish(c.calls[id], CauseTemporary, nil)
+	}
+	if len(cut) > 0 {
+		c.log.Warn("dispatcher died with calls", "server", server, "calls", len(cut))
+	}
+}
+
+// Standing is the number of calls that stand at a dispatcher.
+func (c *Core) Standing(server control.ServerID) int {
+	n := 0
+	for _, k := range c.calls {
+		if k.state == stands && k.server == server {
+			n++
+		}
+	}
+	return n
+}
+
+// --- Lists ---
+
+// Update takes in the list of dispatchers, or changes to it.
+func (c *Core) Update(u Update) {
+	named := map[control.ServerID]bool{}
+	entries := make([]control.ServerEntry, 0, len(u.Servers))
+	for _, s := range u.Servers {
+		named[s.ID] = true
+		entries = append(entries, s.ServerEntry)
+		c.setStatus(s.ID, s.Status)
+	}
+	if u.Whole {
+		var gone []control.ServerID
+		for id := range c.status {
+			if !named[id] {
+				gone = append(gone, id)
+			}
+		}
+		slices.Sort(gone)
+		for _, id := range gone {
+			c.setStatus(id, control.Removed)
+		}
+		c.listed = true
+	}
+	c.dispatchers.Update(u)
+	c.tell(control.ListReceived{Entries: entries, Whole: u.Whole})
+}
+
+func (c *Core) setStatus(id control.ServerID, status control.ServerStatus) {
+	if old, ok := c.status[id]; !ok || old != status {
+		c.log.Info("dispatcher", "server", id, "status", int(status))
+	}
+	c.status[id] = status
+}
+
+// --- Turns ---
+
+// now is the Unix clock, as it was at the start and has run since: a clock that is set back would leave the module
+// waiting for a turn that it has been given already.
+func (c *Core) now() time.Duration { return time.Duration(c.epoch.UnixNano()) + time.Since(c.epoch) }
+
+// turn gives the module all that the round brought, and does what it says.
+func (c *Core) turn() {
+	for range turns {
+		if len(c.events) == 0 {
+			break
+		}
+		events := c.events
+		c.events = nil
+		for _, a := range c.module.Step(c.now(), events) {
+			c.do(a)
+		}
+	}
+	if len(c.events) > 0 {
+		c.loop.Post(func() {})
+	}
+	for _, f := range c.flush {
+		f()
+	}
+	c.leave()
+}
+
+func (c *Core) do(a control.Action) {
+	switch a := a.(type) {
+	case control.SetUp:
+		c.setUp(a)
+	case control.Cancel:
+		if k := c.calls[string(a.ID)]; k != nil && k.out && a.Attempt == k.attempts-1 {
+			c.withdraw(k, control.Cancelled, false)
+		}
+	case control.Refuse:
+		if k := c.calls[string(a.ID)]; k != nil {
+			c.final(k, End{Cause: CauseCongestion, HoldOff: a.HoldOff})
+		}
+	case control.Fail:
+		if k := c.calls[string(a.ID)]; k != nil {
+			c.final(k, End{Cause: CauseTemporary})
+		}
+	case control.Probe:
+		c.dispatchers.Probe(a.Server)
+	case control.Wake:
+		c.loop.Stop(c.wake)
+		c.wake = c.loop.After(a.After, func() { c.tell(control.Woken{}) })
+	case control.Log:
+		c.log.Info("module", "text", a.Text)
+	case control.Subscribe: // the lists here come unasked
+	}
+}
+
+// setUp starts an attempt. One that can't be is told to the module as never sent: the rules hold whatever it asks.
+func (c *Core) setUp(a control.SetUp) {
+	k := c.calls[string(a.ID)]
+	if k == nil || k.state != open || k.out || c.status[a.Server] != control.Active {
+		c.log.Error("attempt that must not be made", "id", a.ID, "server", a.Server)
+		if k != nil && k.state == open && !k.out {
+			k.attempts++
+			c.tell(control.AttemptEnded{ID: a.ID, Server: a.Server, Attempt: k.attempts - 1, Outcome: control.NotSent})
+		}
+		return
+	}
+	now := time.Now()
+	limit := k.Deadline.Sub(now) - early
+	if a.Limit > 0 {
+		limit = min(limit, a.Limit)
+	}
+	limit = max(limit, time.Millisecond)
+	k.out, k.server, k.sentAt = true, a.Server, now
+	k.attempts++
+	attempt := k.attempts - 1
+	k.timer = c.loop.After(limit, func() {
+		if k.out && k.attempts-1 == attempt {
+			c.withdraw(k, control.TimedOut, false)
+		}
+	})
+	c.dispatchers.SetUp(a.Server, SetUp{ID: k.ID, Attempt: attempt, Class: k.Class, Called: k.Called,
+		Description: k.Description, Limit: limit})
+}
+
+// withdraw gives up the attempt that is out. Its outcome is told at once; what the dispatcher still says of it is
+// late.
+func (c *Core) withdraw(k *record, o control.Outcome, callOver bool) {
+	c.loop.Stop(k.timer)
+	k.out = false
+	c.dispatchers.Withdraw(k.server, k.ID, k.attempts-1)
+	c.tell(control.AttemptEnded{ID: control.CallID(k.ID), Server: k.server, Attempt: k.attempts - 1, Outcome: o,
+		Elapsed: time.Since(k.sentAt), CallOver: callOver})
+}
+
+// --- Planned restarts ---
+
+// Drain serves out what was taken and then ends the loop.
+func (c *Core) Drain() {
+	if !c.draining.IsZero() {
+		return
+	}
+	c.draining = time.Now()
+	c.log.Info("draining", "open", c.owed)
+	c.loop.After(lateArrivals+50*time.Millisecond, func() {})
+	c.loop.After(serveOut, func() {
+		for _, id := range c.allOpen() {
+			k := c.calls[id]
+			c.abandon(k)
+			c.final(k, End{Cause: CauseCongestion, HoldOff: c.holdOff()})
+		}
+	})
+}
+
+func (c *Core) allOpen() []string {
+	var ids []string
+	for id, k := range c.calls {
+		if k.state == open {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// leave ends the loop of a controller that drains once nothing is owed and nothing new can arrive.
+func (c *Core) leave() {
+	if !c.draining.IsZero() && c.owed == 0 && time.Since(c.draining) > lateArrivals {
+		c.log.Info("served out")
+		c.loop.Quit()
+	}
+}
--- /dev/null
+++ b/internal/call/loop.go
@@ -0,0 +1,138 @@
+package call
+
+import (
+	"container/heap"
+	"sync"
+	"time"
+)
+
+// Loop is the event loop that owns the module and all call state. Everything that touches them runs in a
+// function given to Post or After.
+type Loop struct {
+	mu     sync.Mutex
+	queue  []func()
+	wake   chan struct{}
+	quit   chan struct{}
+	once   sync.Once
+	timers timers
+	turn   func()
+}
+
+// NewLoop returns a Loop that calls turn at the end of each round, when all that was ready has been taken in.
+func NewLoop() *Loop {
+	return &Loop{wake: make(chan struct{}, 1), quit: make(chan struct{})}
+}
+
+// Post has f run on the loop; any goroutine may call it.
+func (l *Loop) Post(f func()) {
+	l.mu.Lock()
+	l.queue = append(l.queue, f)
+	l.mu.Unlock()
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Timer is a function that is due at some time.
+type Timer struct {
+	at    time.Time
+	f     func()
+	index int
+}
+
+// After has f run on the loop after d; only the loop may call it.
+func (l *Loop) After(d time.Duration, f func()) *Timer {
+	t := &Timer{at: time.Now().Add(d), f: f}
+	heap.Push(&l.timers, t)
+	return t
+}
+
+// Stop drops a timer that has not run; only the loop may call it.
+func (l *Loop) Stop(t *Timer) {
+	if t != nil && t.index >= 0 {
+		heap.Remove(&l.timers, t.index)
+	}
+}
+
+// Quit ends Run after the round under way.
+func (l *Loop) Quit() { l.once.Do(func() { close(l.quit) }) }
+
+// Run serves the loop until Quit.
+func (l *Loop) Run() {
+	idle := time.NewTimer(time.Hour)
+	defer idle.Stop()
+	for {
+		for l.round() {
+		}
+		wait := time.Hour
+		if len(l.timers) > 0 {
+			wait = time.Until(l.timers[0].at)
+		}
+		if wait > 0 {
+			idle.Reset(wait)
+			select {
+			case <-l.quit:
+				return
+			case <-l.wake:
+			case <-idle.C:
+			}
+		}
+		select {
+		case <-l.quit:
+			return
+		default:
+		}
+	}
+}
+
+// round takes in all that is ready, then gives the core its turn. It reports whether there was anything.
+func (l *Loop) round() bool {
+	l.mu.Lock()
+	queue := l.queue
+	l.queue = nil
+	l.mu.Unlock()
+	for _, f := range queue {
+		f()
+	}
+	now, due := time.Now(), 0
+	for len(l.timers) > 0 && !l.timers[0].at.After(now) {
+		t, ok := heap.Pop(&l.timers).(*Timer)
+		if ok {
+			t.f()
+		}
+		due++
+	}
+	if len(queue) == 0 && due == 0 {
+		return false
+	}
+	if l.turn != nil {
+		l.turn()
+	}
+	return true
+}
+
+type timers []*Timer
+
+func (t timers) Len() int           { return len(t) }
+func (t timers) Less(i, j int) bool { return t[i].at.Before(t[j].at) }
+func (t timers) Swap(i, j int) {
+	t[i], t[j] = t[j], t[i]
+	t[i].index, t[j].index = i, j
+}
+
+func (t *timers) Push(x any) {
+	if timer, ok := x.(*Timer); ok {
+		timer.index = len(*t)
+		*t = append(*t, timer)
+	}
+}
+
+func (t *timers) Pop() any {
+	last := len(*t) - 1
+	timer := (*t)[last]
+	(*t)[last] = nil
+	*t = (*t)[:last]
+	timer.index = -1
+	return timer
+}
--- /dev/null
+++ b/internal/conn/conn.go
@@ -0,0 +1,332 @@
+// Package conn wraps a netpoll connection as an object with callbacks and one ring buffer a direction.
+//
+// netpoll's single poller fills the inbound ring; the event loop empties it. Everything but that filling
+// happens on the event loop, so the callbacks need no locks.
+package conn
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cloudwego/netpoll"
+
+	"cherryrelay/internal/ring"
+)
+
+const (
+	// inSize holds the largest message (16 KiB) and the next one's beginning.
+	inSize = 32 << 10
+	// outSize is what a peer that reads slowly may leave unread before it is dropped.
+	outSize = 64 << 10
+	// retryAfter is the pause before a full socket is tried again.
+	retryAfter = 5 * time.Millisecond
+)
+
+// ErrSlowReader closes a connection whose peer leaves too much unread.
+var ErrSlowReader = errors.New("peer reads too slowly")
+
+// ErrClosedHere is the reason of a connection that this side closed without a fault.
+var ErrClosedHere = errors.New("closed by this side")
+
+func init() {
+	// One poller, and its callbacks run on it: they only copy bytes, so no goroutine is started for one.
+	err := netpoll.Configure(netpoll.Config{
+		PollerNum: 1,
+		Runner:    func(_ context.Context, f func()) { f() },
+	})
+	if err != nil {
+		panic(err)
+	}
+}
+
+// Poster runs functions on the event loop.
+type Poster interface{ Post(func()) }
+
+// Handler has the callbacks of a connection; all run on the event loop.
+type Handler interface {
+	// Data tells that the ring has new bytes. An error closes the connection with that reason.
+	Data(in *ring.Buffer, at time.Time) error
+	// Closed comes once, last.
+	Closed(reason error)
+}
+
+// Conn is one connection.
+type Conn struct {
+	loop    Poster
+	nc      netpoll.Connection
+	handler Handler
+	in, out *ring.Buffer
+
+	mu      sync.Mutex // guards the fields below, and the socket against a write after its close
+	posted  bool
+	at      time.Time // arrival of the oldest bytes that the loop has not looked at
+	ended   bool      // netpoll closes or has closed the socket
+	reason  error
+	space   chan struct{}
+	retries bool // event loop only
+	told    bool // event loop only
+}
+
+func wrap(loop Poster, nc netpoll.Connection) *Conn {
+	return &Conn{loop: loop, nc: nc, in: ring.New(inSize), out: ring.New(outSize), space: make(chan struct{}, 1)}
+}
+
+// start begins to read what a dialled connection brings. It must not run on the loop: if more has come already
+// than the ring holds, it waits for the loop.
+func (c *Conn) start() error {
+	if err := c.nc.AddCloseCallback(func(netpoll.Connection) error { c.hup(); return nil }); err != nil {
+		return err
+	}
+	err := c.nc.SetOnRequest(func(_ context.Context, nc netpoll.Connection) error { return c.fill(nc.Reader()) })
+	if !c.nc.IsActive() {
+		c.hup() // it closed before netpoll knew whom to tell
+	}
+	return err
+}
+
+// fill runs on the poller. It moves what came into the ring and waits while that is full: the loop empties
+// every ring each turn, so the wait is short, and what is not read stays in the sockets. netpoll itself
+// would read on without bound.
+func (c *Conn) fill(r netpoll.Reader) error {
+	for n := r.Len(); n > 0; n = r.Len() {
+		free := c.in.Free()
+		if free == 0 {
+			c.notify()
+			<-c.space
+			if c.isEnded() {
+				return io.EOF
+			}
+			continue
+		}
+		p, err := r.Next(min(n, free))
+		if err != nil {
+			return fmt.Errorf("reading: %w", err)
+		}
+		c.in.Write(p)
+		if err := r.Release(); err != nil {
+			return fmt.Errorf("reading: %w", err)
+		}
+	}
+	c.notify()
+	return nil
+}
+
+func (c *Conn) notify() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.posted {
+		c.posted, c.at = true, time.Now()
+		c.loop.Post(c.read)
+	}
+}
+
+func (c *Conn) read() {
+	c.mu.Lock()
+	at := c.at
+	c.posted = false
+	c.mu.Unlock()
+	if c.told {
+		return
+	}
+	err := c.handler.Data(c.in, at)
+	select {
+	case c.space <- struct{}{}:
+	default:
+	}
+	if err != nil {
+		c.Close(err)
+	}
+}
+
+func (c *Conn) isEnded() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ended
+}
+
+// hup runs when netpoll closes the connection, whoever asked for it.
+func (c *Conn) hup() {
+	c.mu.Lock()
+	if c.reason == nil {
+		c.reason = io.EOF
+	}
+	c.ended = true
+	c.mu.Unlock()
+	c.loop.Post(c.tell)
+}
+
+func (c *Conn) tell() {
+	if c.told {
+		return
+	}
+	c.read() // what came before the close still counts
+	if c.told {
+		return
+	}
+	c.told = true
+	c.handler.Closed(c.reason)
+}
+
+// Write queues a whole message for Flush. The connection is closed if the peer has left too much unread.
+func (c *Conn) Write(p []byte) {
+	if c.told {
+		return
+	}
+	if c.out.Free() < len(p) {
+		c.Flush()
+	}
+	if c.out.Free() < len(p) {
+		c.Close(ErrSlowReader)
+		return
+	}
+	c.out.Write(p)
+}
+
+// Flush writes what is queued as far as the socket takes it. netpoll's own Flush waits for the peer to read;
+// here one slow reader would hold up every call, so the socket is written without waiting and tried again.
+func (c *Conn) Flush() {
+	if c.told || c.out.Len() == 0 {
+		return
+	}
+	for c.out.Len() > 0 {
+		n, err := c.write()
+		c.out.Discard(max(n, 0))
+		switch {
+		case err == nil || errors.Is(err, syscall.EINTR):
+		case errors.Is(err, syscall.EAGAIN):
+			if !c.retries {
+				c.retries = true
+				time.AfterFunc(retryAfter, func() { c.loop.Post(func() { c.retries = false; c.Flush() }) })
+			}
+			return
+		default:
+			c.Close(fmt.Errorf("writing: %w", err))
+			return
+		}
+	}
+}
+
+func (c *Conn) write() (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	fd, ok := c.nc.(netpoll.Conn)
+	if c.ended || !ok {
+		return 0, net.ErrClosed
+	}
+	first, _ := c.out.Parts()
+	return syscall.Write(fd.Fd(), first)
+}
+
+// Unsent is the number of bytes that wait for the socket.
+func (c *Conn) Unsent() int { return c.out.Len() }
+
+// Close ends the connection; the handler is told the reason on this or a later turn of the loop.
+func (c *Conn) Close(reason error) {
+	c.mu.Lock()
+	if c.ended {
+		c.mu.Unlock()
+		return
+	}
+	if fd, ok := c.nc.(netpoll.Conn); ok && c.out.Len() > 0 { // last words, as far as the socket takes them
+		first, _ := c.out.Parts()
+		if n, err := syscall.Write(fd.Fd(), first); err == nil {
+			c.out.Discard(n)
+			if first, _ = c.out.Parts(); len(first) > 0 {
+				_, _ = syscall.Write(fd.Fd(), first)
+			}
+		}
+	}
+	c.reason, c.ended = reason, true
+	c.mu.Unlock()
+	select {
+	case c.space <- struct{}{}: // let a waiting poller go, or closing would wait for it
+	default:
+	}
+	if err := c.nc.Close(); err != nil {
+		slog.Debug("closing a connection", "err", err)
+	}
+	c.loop.Post(c.tell)
+}
+
+// Remote is the peer's address.
+func (c *Conn) Remote() string { return c.nc.RemoteAddr().String() }
+
+// Dial connects without holding up the loop. Once the connection is up, handler makes what takes its callbacks;
+// then, or if it does not come up in time, done is called. Both run on the loop.
+func Dial(loop Poster, address string, timeout time.Duration, handler func(*Conn) Handler, done func(error)) {
+	go func() {
+		nc, err := netpoll.DialConnection("tcp", address, timeout)
+		if err != nil {
+			loop.Post(func() { done(fmt.Errorf("dialing %s: %w", address, err)) })
+			return
+		}
+		c := wrap(loop, nc)
+		loop.Post(func() {
+			c.handler = handler(c)
+			done(nil)
+		})
+		if err := c.start(); err != nil {
+			c.loop.Post(func() { c.Close(err) })
+		}
+	}()
+}
+
+// Listener accepts connections.
+type Listener struct {
+	ln    net.Listener
+	serve netpoll.EventLoop
+}
+
+// Listen accepts connections at the address until Close; handler is called on the loop for each one.
+func Listen(loop Poster, address string, handler func(*Conn) Handler) (*Listener, error) {
+	ln, err := netpoll.CreateListener("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("listening at %s: %w", address, err)
+	}
+	type key struct{}
+	prepare := func(nc netpoll.Connection) context.Context {
+		c := wrap(loop, nc)
+		loop.Post(func() { c.handler = handler(c) })
+		if err := nc.AddCloseCallback(func(netpoll.Connection) error { c.hup(); return nil }); err != nil {
+			slog.Warn("accepting a connection", "err", err)
+		}
+		return context.WithValue(context.Background(), key{}, c)
+	}
+	fill := func(ctx context.Context, nc netpoll.Connection) error {
+		c, ok := ctx.Value(key{}).(*Conn)
+		if !ok {
+			return errors.New("connection without its object")
+		}
+		return c.fill(nc.Reader())
+	}
+	serve, err := netpoll.NewEventLoop(fill, netpoll.WithOnPrepare(prepare))
+	if err != nil {
+		return nil, fmt.Errorf("listening at %s: %w", address, err)
+	}
+	go func() {
+		if err := serve.Serve(ln); err != nil {
+			slog.Error("accepting connections ended", "address", address, "err", err)
+		}
+	}()
+	return &Listener{ln: ln, serve: serve}, nil
+}
+
+// Address is where the listener listens.
+func (l *Listener) Address() string { return l.ln.Addr().String() }
+
+// Close stops accepting; open connections end too.
+func (l *Listener) Close() error {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	if err := l.serve.Shutdown(ctx); err != nil {
+		return fmt.Errorf("closing the listener: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/coordinator/coordinator.go
@@ -0,0 +1,205 @@
+// Package coordinator follows the platform's list of dispatchers: server-sent events over HTTP.
+package coordinator
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	jsoniter "github.com/json-iterator/go"
+
+	"cherryrelay/control"
+	"cherryrelay/internal/call"
+	"cherryrelay/internal/settings"
+)
+
+const (
+	connectWithin = 500 * time.Millisecond
+	// quiet is how long the stream may say nothing; a comment comes each second.
+	quiet = 2500 * time.Millisecond
+	// retryLeast and retryMost bound the pause before the stream is asked for again, which doubles. What it has to
+	// tell counts as told after 7 s, so it must not grow long.
+	retryLeast, retryMost = 50 * time.Millisecond, 500 * time.Millisecond
+	// maxEvent bounds one line of the stream.
+	maxEvent = 1 << 20
+)
+
+// Event is one numbered change of the list.
+type Event struct {
+	Index     int64 `json:"index"`
+	Endpoints *struct {
+		Snapshot  bool       `json:"snapshot"`
+		Endpoints []Endpoint `json:"endpoints"`
+	} `json:"endpoints"`
+}
+
+// Endpoint is one dispatcher.
+type Endpoint struct {
+	Name    string `json:"name"`
+	Address string `json:"address"`
+	Zone    string `json:"zone"`
+	Group   int    `json:"group"`
+	Status  string `json:"status"`
+	SinceMs int64  `json:"since_ms"`
+}
+
+// Update translates an event; whole is for the first one.
+func (e *Event) Update() (call.Update, error) {
+	var u call.Update
+	if e.Endpoints == nil {
+		return u, nil
+	}
+	u.Whole = e.Endpoints.Snapshot
+	for _, p := range e.Endpoints.Endpoints {
+		s, err := p.Server()
+		if err != nil {
+			return u, err
+		}
+		u.Servers = append(u.Servers, s)
+	}
+	return u, nil
+}
+
+// Server translates one dispatcher.
+func (p *Endpoint) Server() (call.Server, error) {
+	status, err := settings.Status(p.Status)
+	if err != nil {
+		return call.Server{}, fmt.Errorf("dispatcher %q: %w", p.Name, err)
+	}
+	if p.Name == "" {
+		return call.Server{}, errors.New("dispatcher without a name")
+	}
+	return call.Server{
+		ServerEntry: control.ServerEntry{
+			ID: control.ServerID(p.Name), Status: status, Cell: p.Group, Zone: p.Zone,
+			StartedAt: time.Duration(p.SinceMs) * time.Millisecond,
+		},
+		Address: p.Address,
+	}, nil
+}
+
+// Stream follows the coordinator.
+type Stream struct {
+	url    string
+	log    *slog.Logger
+	client *http.Client
+	last   int64
+	take   func(call.Update) // called in order, by one goroutine
+}
+
+// New returns a Stream that goes on after the event of number last.
+func New(address string, last int64, log *slog.Logger, take func(call.Update)) *Stream {
+	dialer := &net.Dialer{Timeout: connectWithin}
+	return &Stream{
+		url: "http://" + address + "/v2/stream", log: log, last: last, take: take,
+		client: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableCompression: true}},
+	}
+}
+
+// Run follows the stream until the context ends, and asks again whenever it breaks off.
+func (s *Stream) Run(ctx context.Context) {
+	pause := retryLeast
+	for ctx.Err() == nil {
+		heard, err := s.follow(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		s.log.Info("coordinator's stream ended", "last", s.last, "err", err)
+		if pause = min(2*pause, retryMost); heard {
+			pause = retryLeast
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause):
+		}
+	}
+}
+
+// follow reads one stream. A coordinator that falls silent is left: its machine may be gone, and the connection
+// would stay open for ever.
+func (s *Stream) follow(ctx context.Context) (heard bool, err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var silent atomic.Bool
+	watchdog := time.AfterFunc(quiet, func() { silent.Store(true); cancel() })
+	defer watchdog.Stop()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, s.url, nil)
+	if err != nil {
+		return false, fmt.Errorf("coordinator: %w", err)
+	}
+	req.Header.Set("Accept", "text/event-stream")
+	req.Header.Set("Last-Event-ID", strconv.FormatInt(s.last, 10))
+	resp, err := s.client.Do(req)
+	if err != nil {
+		return false, fmt.Errorf("coordinator: %w", err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return false, fmt.Errorf("coordinator answers %s", resp.Status)
+	}
+	lines := bufio.NewScanner(resp.Body)
+	lines.Buffer(make([]byte, 4096), maxEvent)
+	var id string
+	var data []byte
+	for lines.Scan() {
+		watchdog.Reset(quiet)
+		heard = true
+		line := lines.Bytes()
+		if len(line) == 0 {
+			if len(data) > 0 {
+				s.event(id, data)
+			}
+			id, data = "", nil
+			continue
+		}
+		name, value, _ := bytes.Cut(line, []byte(":"))
+		value = bytes.TrimPrefix(value, []byte(" "))
+		switch string(name) {
+		case "id":
+			id = string(value)
+		case "data":
+			if len(data) > 0 {
+				data = append(data, '\n')
+			}
+			data = append(data, value...)
+		}
+	}
+	switch err := lines.Err(); {
+	case silent.Load():
+		return heard, errors.New("coordinator: silent")
+	case err != nil:
+		return heard, fmt.Errorf("coordinator: %w", err)
+	}
+	return heard, nil
+}
+
+func (s *Stream) event(id string, data []byte) {
+	number, err := strconv.ParseInt(strings.TrimSpace(id), 10, 64)
+	if err == nil && number <= s.last {
+		return // known already
+	}
+	var e Event
+	if err := jsoniter.ConfigDefault.Unmarshal(data, &e); err != nil {
+		s.log.Error("event that cannot be read", "id", id, "err", err)
+		return
+	}
+	if err != nil {
+		number = e.Index
+	}
+	s.last = max(s.last, number)
+	u, err := e.Update()
+	if err != nil {
+		s.log.Error("event that cannot be used", "id", id, "err", err)
+		return
+	}
+	s.take(u)
+}
--- /dev/null
+++ b/internal/dispatchers/dispatchers.go
@@ -0,0 +1,343 @@
+// Package dispatchers keeps the connections to dispatchers and places attempts over them.
+package dispatchers
+
+import (
+	"errors"
+	"log/slog"
+	"slices"
+	"syscall"
+	"time"
+
+	"cherryrelay/control"
+	"cherryrelay/internal/call"
+	"cherryrelay/internal/conn"
+)
+
+const (
+	// maxLinks is how many connections a dispatcher is given; it takes four.
+	maxLinks = 3
+	// checkEvery is the pace of the look at every dispatcher.
+	checkEvery = 250 * time.Millisecond
+	// silence without a word where calls are held has a new connection tried: a machine that has vanished leaves
+	// the old ones open.
+	silence = 2500 * time.Millisecond
+	// deadAfter is the silence after which, with no new connection coming up, calls are held no more. A call's end
+	// may stay untold for 8 s.
+	deadAfter = 5 * time.Second
+	// forgetAfter is how long a withdrawn attempt is kept for the answer that its dispatcher may still send.
+	forgetAfter = 10 * time.Second
+	// redialMost bounds the pause between tries to connect, which doubles.
+	redialLeast, redialMost = 100 * time.Millisecond, time.Second
+)
+
+// Core is what the connections report to; *call.Core is one.
+type Core interface {
+	Answered(server control.ServerID, id string, attempt int, description string)
+	Ended(server control.ServerID, id string, attempt int, o control.Outcome, noLine bool, report []float64)
+	Released(server control.ServerID, id string, cause int, report []float64)
+	Reported(server control.ServerID, report []float64)
+	Died(server control.ServerID)
+	Standing(server control.ServerID) int
+}
+
+// Options are the settings of a Pool.
+type Options struct {
+	ConnectTimeout time.Duration
+	Fields         []string // of load reports
+	Log            *slog.Logger
+	Wire           func(fields []string) Wire // makes the form that one connection speaks
+}
+
+// Pool is all dispatchers.
+type Pool struct {
+	Options
+	core    Core
+	loop    *call.Loop
+	servers map[control.ServerID]*server
+	order   []*server
+}
+
+// New returns an empty Pool.
+func New(loop *call.Loop, core Core, o Options) *Pool {
+	p := &Pool{Options: o, core: core, loop: loop, servers: map[control.ServerID]*server{}}
+	p.check()
+	return p
+}
+
+// server is one dispatcher and the connections to it.
+type server struct {
+	call.Server
+	pool       *Pool
+	links      []*link
+	dialing    bool
+	redialAt   time.Time
+	redial     time.Duration
+	waiting    []waiting
+	heardAt    time.Time
+	unanswered bool // the last connection tried did not come up in time
+	replaced   bool // another dispatcher has its address now
+	releases   []release
+}
+
+// waiting is an attempt for which there is no connection yet.
+type waiting struct {
+	call.SetUp
+	until time.Time
+}
+
+// release is one that no connection was open for.
+type release struct {
+	id    string
+	cause int
+}
+
+// Update takes in changes of the list.
+func (p *Pool) Update(u call.Update) {
+	now := time.Now()
+	named := map[control.ServerID]bool{}
+	for _, entry := range u.Servers {
+		named[entry.ID] = true
+		s := p.servers[entry.ID]
+		if s == nil {
+			s = &server{Server: entry, pool: p, heardAt: now}
+			p.servers[entry.ID] = s
+			p.order = append(p.order, s)
+		}
+		restarted := entry.StartedAt != 0 && entry.StartedAt != s.StartedAt
+		moved := entry.Address != "" && entry.Address != s.Address
+		if entry.Address == "" {
+			entry.Address = s.Address
+		}
+		if s.Status == control.Removed && entry.Status != control.Removed {
+			s.heardAt = now
+		}
+		s.Server = entry
+		if restarted || moved {
+			// Its calls went with the old process, and old connections may look open still.
+			p.Log.Info("dispatcher began anew", "server", s.ID)
+			s.drop(errors.New("dispatcher began anew"))
+			p.core.Died(s.ID)
+		}
+		if entry.Status != control.Removed {
+			for _, o := range p.order { // a new dispatcher may have the address of one that has gone
+				o.replaced = o.replaced || o != s && o.Address == s.Address
+			}
+			s.replaced = false
+			s.connect()
+		}
+	}
+	for _, s := range p.order {
+		if u.Whole && !named[s.ID] {
+			s.Status = control.Removed
+		}
+	}
+}
+
+// check runs at a steady pace.
+func (p *Pool) check() {
+	for _, s := range p.order {
+		s.check(time.Now())
+	}
+	p.order = slices.DeleteFunc(p.order, func(s *server) bool {
+		forget := s.Status == control.Removed && len(s.links) == 0 && !s.dialing
+		if forget {
+			delete(p.servers, s.ID)
+		}
+		return forget
+	})
+	p.loop.After(checkEvery, p.check)
+}
+
+func (s *server) check(now time.Time) {
+	silent := now.Sub(s.heardAt)
+	switch {
+	case s.Status == control.Removed || s.replaced:
+		// The register may be ahead of the process: it is let go when it is quiet.
+		if len(s.links) == 0 || silent > silence {
+			s.drop(errors.New("dispatcher is gone"))
+			s.pool.core.Died(s.ID)
+		}
+		return
+	case len(s.links) == 0:
+		s.connect()
+	case silent > silence && (s.openSetUps() > 0 || s.pool.core.Standing(s.ID) > 0):
+		if silent > deadAfter && s.unanswered {
+			s.pool.Log.Warn("dispatcher is silent", "server", s.ID, "for", silent)
+			s.drop(errors.New("dispatcher is silent"))
+			s.pool.core.Died(s.ID)
+			return
+		}
+		s.connect()
+	}
+	for _, l := range slices.Clone(s.links) {
+		for id, i := range l.invites {
+			if !i.withdrawn.IsZero() && now.Sub(i.withdrawn) > forgetAfter {
+				delete(l.invites, id) // its dispatcher will say nothing more of it
+			}
+		}
+		if len(l.invites) == 0 && s.heardAt.Sub(l.heardAt) > deadAfter {
+			l.conn.Close(conn.ErrClosedHere) // the others are alive, and this one has nothing to do
+		}
+	}
+	s.expire(now)
+}
+
+// expire tells of attempts that no connection came up for: they never ran.
+func (s *server) expire(now time.Time) {
+	for len(s.waiting) > 0 && (now.After(s.waiting[0].until) || now.IsZero()) {
+		w := s.waiting[0]
+		s.waiting = s.waiting[1:]
+		s.pool.core.Ended(s.ID, w.ID, w.Attempt, control.Unreachable, false, nil)
+	}
+}
+
+func (s *server) openSetUps() int {
+	n := 0
+	for _, l := range s.links {
+		for _, i := range l.invites {
+			if i.withdrawn.IsZero() {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// connect opens one more connection if that is allowed now.
+func (s *server) connect() {
+	now := time.Now()
+	if s.dialing || s.replaced || s.Status == control.Removed || now.Before(s.redialAt) || len(s.links) >= maxLinks {
+		return
+	}
+	s.dialing = true
+	address := s.Address
+	var l *link
+	make := func(c *conn.Conn) conn.Handler {
+		l = &link{server: s, conn: c, wire: s.pool.Wire(s.pool.Fields), invites: map[string]*invite{}, heardAt: time.Now()}
+		return l
+	}
+	conn.Dial(s.pool.loop, address, s.pool.ConnectTimeout, make, func(err error) {
+		s.dialing = false
+		if err != nil {
+			s.refused(err)
+			return
+		}
+		if s.Address != address || s.replaced || s.Status == control.Removed {
+			l.conn.Close(conn.ErrClosedHere)
+			return
+		}
+		s.opened(l)
+	})
+}
+
+func (s *server) refused(err error) {
+	s.redial = min(max(2*s.redial, redialLeast), redialMost)
+	s.redialAt = time.Now().Add(s.redial)
+	s.unanswered = !errors.Is(err, syscall.ECONNREFUSED)
+	s.pool.Log.Info("no connection", "server", s.ID, "err", err)
+	if len(s.links) > 0 {
+		return
+	}
+	s.expire(time.Time{})
+	if !s.unanswered {
+		s.pool.core.Died(s.ID) // nothing listens and every connection is gone: the process is, and its calls with it
+	}
+}
+
+func (s *server) opened(l *link) {
+	s.redial, s.unanswered = 0, false
+	s.links = append(s.links, l)
+	l.send(l.wire.Hello(s.Address))
+	for _, w := range s.waiting {
+		l.setUp(w.SetUp)
+	}
+	s.waiting = nil
+	for _, r := range s.releases {
+		l.send(l.wire.Release(r.id, r.cause))
+	}
+	s.releases = nil
+	l.conn.Flush()
+}
+
+// drop closes all connections and ends what was under way.
+func (s *server) drop(reason error) {
+	for _, l := range slices.Clone(s.links) {
+		l.conn.Close(reason)
+		l.Closed(reason)
+	}
+	s.expire(time.Time{})
+	s.releases = nil
+}
+
+// best is the connection that was heard from last.
+func (s *server) best() *link {
+	var best *link
+	for _, l := range s.links {
+		if l.ready() && (best == nil || l.heardAt.After(best.heardAt)) {
+			best = l
+		}
+	}
+	return best
+}
+
+// SetUp places an attempt.
+func (p *Pool) SetUp(id control.ServerID, a call.SetUp) {
+	s := p.servers[id]
+	if s == nil || s.replaced {
+		p.core.Ended(id, a.ID, a.Attempt, control.Unreachable, false, nil)
+		return
+	}
+	if l := s.best(); l != nil {
+		l.setUp(a)
+		return
+	}
+	s.waiting = append(s.waiting, waiting{a, time.Now().Add(p.ConnectTimeout)})
+	s.connect()
+}
+
+// Withdraw gives up an attempt.
+func (p *Pool) Withdraw(id control.ServerID, callID string, attempt int) {
+	s := p.servers[id]
+	if s == nil {
+		return
+	}
+	s.waiting = slices.DeleteFunc(s.waiting, func(w waiting) bool { return w.ID == callID })
+	for _, l := range s.links {
+		if i := l.invites[callID]; i != nil && i.attempt == attempt && i.withdrawn.IsZero() {
+			i.withdrawn = time.Now()
+			l.send(l.wire.Cancel(callID, attempt, i.called))
+		}
+	}
+}
+
+// Release cuts a call that stands.
+func (p *Pool) Release(id control.ServerID, callID string, cause int) {
+	for _, s := range p.order {
+		if id != "" && s.ID != id || s.Status == control.Removed && len(s.links) == 0 {
+			continue
+		}
+		if l := s.best(); l != nil {
+			l.send(l.wire.Release(callID, cause))
+		} else {
+			s.releases = append(s.releases, release{callID, cause})
+		}
+	}
+}
+
+// Probe asks a dispatcher for a report.
+func (p *Pool) Probe(id control.ServerID) {
+	if s := p.servers[id]; s != nil {
+		if l := s.best(); l != nil {
+			l.send(l.wire.Probe())
+		}
+	}
+}
+
+// Flush sends what was written since the last time.
+func (p *Pool) Flush() {
+	for _, s := range p.order {
+		for _, l := range s.links {
+			l.conn.Flush()
+		}
+	}
+}
--- /dev/null
+++ b/internal/dispatchers/link.go
@@ -0,0 +1,170 @@
+package dispatchers
+
+import (
+	"errors"
+	"io"
+	"slices"
+	"time"
+
+	"cherryrelay/control"
+	"cherryrelay/internal/call"
+	"cherryrelay/internal/conn"
+	"cherryrelay/internal/ring"
+)
+
+// kind says what a dispatcher's message means.
+type kind int
+
+const (
+	nothing kind = iota // progress, or what wants no more than its reply
+	hello               // the connection may be used now
+	answer
+	refusal
+	released
+	report
+)
+
+// Message is what a dispatcher says, whatever the wire.
+type Message struct {
+	kind        kind
+	id          string
+	attempt     int // -1 if the wire does not tell
+	description string
+	outcome     control.Outcome
+	noLine      bool
+	cause       int
+	report      []float64
+	reply       func(called string) []byte // what the wire owes for it; nil for nothing
+	final       bool                       // nothing more comes for the set-up
+}
+
+// Wire is the form in which one connection speaks to a dispatcher.
+type Wire interface {
+	// Hello opens the conversation; nil if the wire has no such thing and is ready at once.
+	Hello(address string) []byte
+	SetUp(call.SetUp) []byte
+	Cancel(id string, attempt int, called string) []byte
+	Release(id string, cause int) []byte
+	Probe() []byte
+	// Next takes one message off the ring; nil if none is whole yet.
+	Next(*ring.Buffer) (*Message, error)
+	// Bye are the last words before the connection is closed for an error.
+	Bye(err error) []byte
+}
+
+// invite is a set-up on a connection that has had no final answer there.
+type invite struct {
+	attempt   int
+	called    string
+	withdrawn time.Time // when it was given up, if it was
+}
+
+// link is one connection to a dispatcher.
+type link struct {
+	server  *server
+	conn    *conn.Conn
+	wire    Wire
+	greeted bool // by the other side, where the wire has that
+	closed  bool
+	heardAt time.Time
+	invites map[string]*invite
+}
+
+func (l *link) ready() bool { return !l.closed && (l.greeted || l.wire.Hello("") == nil) }
+
+func (l *link) send(p []byte) {
+	if len(p) > 0 {
+		l.conn.Write(p)
+	}
+}
+
+func (l *link) setUp(a call.SetUp) {
+	l.invites[a.ID] = &invite{attempt: a.Attempt, called: a.Called}
+	l.send(l.wire.SetUp(a))
+}
+
+// Data takes in what a dispatcher has sent.
+func (l *link) Data(in *ring.Buffer, at time.Time) error {
+	if l.closed {
+		in.Discard(in.Len())
+		return nil
+	}
+	l.heardAt = at
+	if at.After(l.server.heardAt) {
+		l.server.heardAt = at
+	}
+	for {
+		m, err := l.wire.Next(in)
+		if err != nil {
+			l.send(l.wire.Bye(err))
+			return err
+		}
+		if m == nil {
+			return nil
+		}
+		l.take(m)
+	}
+}
+
+func (l *link) take(m *Message) {
+	s, core := l.server, l.server.pool.core
+	i := l.invites[m.id]
+	if m.reply != nil {
+		called := ""
+		if i != nil {
+			called = i.called
+		}
+		l.send(m.reply(called))
+	}
+	current := i != nil && (m.attempt < 0 || m.attempt == i.attempt)
+	if m.final && current {
+		delete(l.invites, m.id)
+	}
+	attempt := m.attempt
+	if attempt < 0 && current {
+		attempt = i.attempt
+	}
+	switch m.kind {
+	case hello:
+		l.greeted = true
+		for _, w := range s.waiting {
+			l.setUp(w.SetUp)
+		}
+		s.waiting = nil
+	case answer:
+		core.Answered(s.ID, m.id, attempt, m.description)
+	case refusal:
+		core.Ended(s.ID, m.id, attempt, m.outcome, m.noLine, m.report)
+	case released:
+		core.Released(s.ID, m.id, m.cause, m.report)
+	case report:
+		core.Reported(s.ID, m.report)
+	}
+}
+
+// Closed ends the set-ups that were open on the connection.
+func (l *link) Closed(reason error) {
+	if l.closed {
+		return
+	}
+	l.closed = true
+	s := l.server
+	if !errors.Is(reason, io.EOF) && !errors.Is(reason, conn.ErrClosedHere) {
+		s.pool.Log.Warn("connection to dispatcher closed", "server", s.ID, "reason", reason)
+	}
+	s.links = slices.DeleteFunc(s.links, func(o *link) bool { return o == l })
+	ids := make([]string, 0, len(l.invites))
+	for id := range l.invites {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	for _, id := range ids {
+		if i := l.invites[id]; i.withdrawn.IsZero() {
+			s.pool.core.Ended(s.ID, id, i.attempt, control.Reset, false, nil)
+		}
+	}
+	l.invites = nil
+	if len(s.links) == 0 {
+		s.connect()
+	}
+}
--- /dev/null
+++ b/internal/dispatchers/sip.go
@@ -0,0 +1,138 @@
+package dispatchers
+
+import (
+	"strconv"
+	"strings"
+
+	"cherryrelay/control"
+	"cherryrelay/internal/call"
+	"cherryrelay/internal/ring"
+	"cherryrelay/internal/settings"
+	"cherryrelay/internal/sip"
+)
+
+// byeSeq is the CSeq number of releases, beyond those of attempts.
+const byeSeq = 100
+
+// SIP speaks the platform's SIP over TCP.
+type SIP struct {
+	fields []string
+	dec    sip.Decoder
+	probes uint32
+}
+
+// NewSIP returns the form for one connection.
+func NewSIP(fields []string) Wire { return &SIP{fields: fields} }
+
+// Hello is not needed.
+func (w *SIP) Hello(string) []byte { return nil }
+
+// Bye has no form.
+func (w *SIP) Bye(error) []byte { return nil }
+
+func uri(called string) string { return "sip:" + called + "@net" }
+
+// SetUp is an INVITE. Its CSeq numbers the attempt, so that a late answer is known for what it is.
+func (w *SIP) SetUp(a call.SetUp) []byte {
+	return sip.Append(nil, &sip.Message{
+		Method: "INVITE", URI: uri(a.Called), CallID: a.ID, Seq: uint32(a.Attempt) + 1, SeqOf: "INVITE",
+		Headers: []sip.Header{
+			{Name: "P-Kind", Value: a.Class},
+			{Name: "P-Time-Left", Value: strconv.FormatInt(a.Limit.Milliseconds(), 10)},
+		},
+		Body: []byte(a.Description),
+	})
+}
+
+// Cancel is a CANCEL.
+func (w *SIP) Cancel(id string, attempt int, called string) []byte {
+	return sip.Append(nil, &sip.Message{
+		Method: "CANCEL", URI: uri(called), CallID: id, Seq: uint32(attempt) + 1, SeqOf: "CANCEL"})
+}
+
+// Release is a BYE.
+func (w *SIP) Release(id string, cause int) []byte {
+	return sip.Append(nil, &sip.Message{
+		Method: "BYE", URI: uri("call"), CallID: id, Seq: byeSeq, SeqOf: "BYE",
+		Headers: []sip.Header{{Name: "Reason", Value: "Q.850;cause=" + strconv.Itoa(cause)}},
+	})
+}
+
+// Probe is OPTIONS.
+func (w *SIP) Probe() []byte {
+	w.probes++
+	return sip.Append(nil, &sip.Message{
+		Method: "OPTIONS", URI: uri("load"), CallID: "probe-" + strconv.Itoa(int(w.probes)), Seq: w.probes, SeqOf: "OPTIONS"})
+}
+
+// Next reads a message.
+func (w *SIP) Next(in *ring.Buffer) (*Message, error) {
+	m, err := w.dec.Next(in)
+	if m == nil || err != nil {
+		return nil, err
+	}
+	got := &Message{id: m.CallID, attempt: -1}
+	if text := m.Get("P-Report"); text != "" {
+		got.kind, got.report = report, settings.ParseReport(text, w.fields)
+	}
+	switch {
+	case m.Method == "BYE":
+		got.kind, got.cause = released, cause(m.Get("Reason"))
+		got.reply = respond(m)
+	case m.Method == "NOTIFY" || m.Method == "ACK":
+	case m.Method != "":
+		got.reply = respond(m)
+	case m.SeqOf != "INVITE":
+	case m.Status >= 200:
+		w.finalAnswer(m, got)
+	default:
+		got.kind = nothing
+	}
+	return got, nil
+}
+
+// finalAnswer reads a final answer to INVITE. The ACK follows any of them: without it the dispatcher repeats itself.
+func (w *SIP) finalAnswer(m *sip.Message, got *Message) {
+	got.final = true
+	if m.Seq > 0 {
+		got.attempt = int(m.Seq) - 1
+	}
+	got.reply = func(called string) []byte {
+		return sip.Append(nil, &sip.Message{Method: "ACK", URI: uri(called), CallID: m.CallID, Seq: m.Seq, SeqOf: "ACK"})
+	}
+	if m.Status < 300 {
+		got.kind, got.description = answer, string(m.Body)
+		return
+	}
+	got.kind = refusal
+	switch m.Status {
+	case 503:
+		got.outcome, got.noLine = control.Full, m.Get("P-Reason") == "all_trunks_busy"
+	case 480:
+		got.outcome = control.NotSent
+	case 487:
+		got.outcome = control.Cancelled
+	case 504:
+		got.outcome = control.Reset
+	default:
+		got.outcome = control.Failed
+	}
+}
+
+func respond(m *sip.Message) func(string) []byte {
+	return func(string) []byte {
+		return sip.Append(nil, &sip.Message{Status: 200, Phrase: "OK", CallID: m.CallID, Seq: m.Seq, SeqOf: m.SeqOf})
+	}
+}
+
+// cause reads "Q.850;cause=N"; a release that does not say why is a plain one.
+func cause(reason string) int {
+	for part := range strings.SplitSeq(reason, ";") {
+		if text, ok := strings.CutPrefix(strings.TrimSpace(part), "cause="); ok {
+			if n, err := strconv.Atoi(text); err == nil {
+				return n
+			}
+		}
+	}
+	return call.CauseNormal
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,201 @@
+// Package settings owns the settings of a call controller and what they mean to the decision module.
+package settings
+
+import (
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+	"time"
+
+	"cherryrelay/control"
+)
+
+// Settings is the object that a call controller is given at its start. Keys that are not named here are passed
+// over.
+type Settings struct {
+	Caps struct {
+		ConnIdleUs       int64 `json:"connIdleUs"`
+		ConnectTimeoutUs int64 `json:"connectTimeoutUs"`
+		MaxRetryAfterUs  int64 `json:"maxRetryAfterUs"`
+		MayCancel        bool  `json:"mayCancel"`
+		RetryAfter       bool  `json:"retryAfter"`
+		SendCap          int   `json:"sendCap"`
+	} `json:"caps"`
+	FamilyInfo struct {
+		AllowedPools [][]int `json:"allowedPools"`
+		GuardUs      int64   `json:"guardUs"`
+		Layout       string  `json:"layout"`
+		ThisNode     int     `json:"thisNode"`
+	} `json:"familyInfo"`
+	MembershipMode string `json:"membershipMode"`
+	Report         struct {
+		Fields []string `json:"fields"`
+	} `json:"report"`
+	RequestClasses []struct {
+		AimUs      int64   `json:"aimUs"`
+		DeadlineUs int64   `json:"deadlineUs"`
+		Group      string  `json:"group"`
+		LateValue  float64 `json:"lateValue"`
+		Name       string  `json:"name"`
+		Semantics  string  `json:"semantics"`
+		WindowUs   int64   `json:"windowUs"`
+		Worth      float64 `json:"worth"`
+	} `json:"requestClasses"`
+	PeersTotal   int   `json:"peersTotal"`
+	ResolutionUs int64 `json:"resolutionUs"`
+	Rules        struct {
+		ColdUs          int64   `json:"coldUs"`
+		GraceToAnswerUs int64   `json:"graceToAnswerUs"`
+		StartCapacity   float64 `json:"startCapacity"`
+		TipMultiple     float64 `json:"tipMultiple"`
+	} `json:"rules"`
+}
+
+func micros(us int64) time.Duration { return time.Duration(us) * time.Microsecond }
+
+// word translates a settings word, or names the one that is not known.
+func word[T any](kind, text string, words map[string]T) (T, error) {
+	v, ok := words[text]
+	if !ok {
+		return v, fmt.Errorf("facts: unknown %s %q", kind, text)
+	}
+	return v, nil
+}
+
+var (
+	effects = map[string]control.Effect{
+		"read_like":       control.Safe,
+		"idempotency_key": control.Keyed,
+		"non_idempotent":  control.Unsafe,
+	}
+	scopes = map[string]control.Scope{
+		"":     control.ScopeAll,
+		"all":  control.ScopeAll,
+		"zone": control.ScopeZone,
+		"cell": control.ScopeCell,
+	}
+	layouts  = map[string]control.Layout{"skills": control.Pools, "network": control.Network}
+	modes    = map[string]bool{"pushed": false, "on_request": true}
+	statuses = map[string]control.ServerStatus{
+		"active":  control.Active,
+		"leaving": control.Draining,
+		"left":    control.Removed,
+	}
+	// words has the names of figures that reports on sockets use for those of the settings.
+	words = map[string]string{
+		"x0": "idle", "x1": "circuits", "util": "cpu", "queue": "waiting", "inflight": "active",
+		"latency_ms": "avg_ms", "qps": "max_rate", "eps": "reduce",
+	}
+	figures = map[string]control.ReportField{
+		"idle":     control.FreeLines,
+		"circuits": control.Lines,
+		"cpu":      control.Utilisation,
+		"waiting":  control.Queue,
+		"avg_ms":   control.Wait,
+	}
+)
+
+// Control translates the settings for the decision module.
+func (f *Settings) Control() (control.Settings, error) {
+	s := control.Settings{
+		Peers:        f.PeersTotal,
+		OwnCell:      f.FamilyInfo.ThisNode,
+		Tick:         micros(f.ResolutionUs),
+		ReleaseGuard: micros(f.FamilyInfo.GuardUs),
+		AnswerGrace:  micros(f.Rules.GraceToAnswerUs),
+		StartShare:   f.Rules.StartCapacity,
+		ColdFor:      micros(f.Rules.ColdUs),
+		TipMultiple:  f.Rules.TipMultiple,
+		MaxAttempts:  f.Caps.SendCap,
+		HoldOff:      f.Caps.RetryAfter,
+		MaxHoldOff:   micros(f.Caps.MaxRetryAfterUs),
+		MayCancel:    f.Caps.MayCancel,
+	}
+	var err error
+	if s.Layout, err = word("layout", f.FamilyInfo.Layout, layouts); err != nil {
+		return s, err
+	}
+	if s.ListOnDemand, err = word("membershipMode", f.MembershipMode, modes); err != nil {
+		return s, err
+	}
+	for _, name := range f.Report.Fields {
+		if w, ok := words[name]; ok {
+			name = w
+		}
+		s.Report = append(s.Report, figures[name])
+	}
+	for k, c := range f.RequestClasses {
+		class := control.Class{
+			Name:      c.Name,
+			Aim:       micros(c.AimUs),
+			Deadline:  micros(c.DeadlineUs),
+			Worth:     c.Worth,
+			LateShare: c.LateValue,
+			Window:    micros(c.WindowUs),
+		}
+		if class.Effect, err = word("semantics", c.Semantics, effects); err != nil {
+			return s, err
+		}
+		if class.Scope, err = word("group", c.Group, scopes); err != nil {
+			return s, err
+		}
+		if k < len(f.FamilyInfo.AllowedPools) {
+			class.Cells = f.FamilyInfo.AllowedPools[k]
+		}
+		s.Classes = append(s.Classes, class)
+	}
+	return s, nil
+}
+
+// Report puts named figures into the order of the settings.
+func Report(stats map[string]float64, fields []string) []float64 {
+	if len(stats) == 0 {
+		return nil
+	}
+	figures := make([]float64, len(fields))
+	for k, name := range fields {
+		v, ok := stats[name]
+		if !ok {
+			v = -1
+		}
+		figures[k] = v
+	}
+	return figures
+}
+
+// ParseReport reads a report as it comes on sockets, "x0:12;x1:40", into the order of the settings. What cannot be
+// read is left out.
+func ParseReport(text string, fields []string) []float64 {
+	stats := map[string]float64{}
+	for part := range strings.SplitSeq(text, ";") {
+		name, value, _ := strings.Cut(strings.TrimSpace(part), ":")
+		if v, err := strconv.ParseFloat(strings.TrimSpace(value), 64); err == nil && !math.IsNaN(v) {
+			stats[name] = v
+			if w, ok := words[name]; ok {
+				stats[w] = v
+			}
+		}
+	}
+	for name, w := range words { // the settings may use either name
+		if v, ok := stats[w]; ok {
+			stats[name] = v
+		}
+	}
+	return Report(stats, fields)
+}
+
+// Status translates the state of a server, in the words that the bench and the register share.
+func Status(name string) (control.ServerStatus, error) {
+	status, ok := statuses[name]
+	if !ok {
+		return 0, fmt.Errorf("unknown status %q", name)
+	}
+	return status, nil
+}
+
+// ConnectTimeout is how long a connection to a server may take to come up.
+func (f *Settings) ConnectTimeout() time.Duration { return micros(f.Caps.ConnectTimeoutUs) }
+
+// IdleTimeout is how long a connection without calls is kept.
+func (f *Settings) IdleTimeout() time.Duration { return micros(f.Caps.ConnIdleUs) }
--- a/internal/wire/serve.go
+++ b/internal/wire/serve.go
@@ -183,16 +183,16 @@
 }
 
 func start(m *Init) (*instance, error) {
-	settings, err := m.Facts.Settings()
+	decisions, err := m.Facts.Control()
 	if err != nil {
 		return nil, err
 	}
-	module, err := control.New(settings, m.Prng)
+	module, err := control.New(decisions, m.Prng)
 	if err != nil {
 		return nil, err
 	}
 	inst := &instance{module: module, fields: m.Facts.Report.Fields}
-	for _, c := range settings.Classes {
+	for _, c := range decisions.Classes {
 		inst.classes = append(inst.classes, c.Name)
 	}
 	return inst, nil
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"cherryrelay/control"
+	"cherryrelay/internal/settings"
 )
 
 // Batch is one line of input.
@@ -37,9 +38,9 @@
 
 // Init starts an instance.
 type Init struct {
-	I     string `json:"i"`
-	Prng  uint64 `json:"prng"`
-	Facts *Facts `json:"facts"`
+	I     string             `json:"i"`
+	Prng  uint64             `json:"prng"`
+	Facts *settings.Settings `json:"facts"`
 }
 
 // DefineList carries a numbered server list.
@@ -125,44 +126,6 @@
 	RequestID string `json:"requestId"`
 }
 
-// Facts are an instance's settings. Keys that are not named here are passed over.
-type Facts struct {
-	Caps struct {
-		MaxRetryAfterUs int64 `json:"maxRetryAfterUs"`
-		MayCancel       bool  `json:"mayCancel"`
-		RetryAfter      bool  `json:"retryAfter"`
-		SendCap         int   `json:"sendCap"`
-	} `json:"caps"`
-	FamilyInfo struct {
-		AllowedPools [][]int `json:"allowedPools"`
-		GuardUs      int64   `json:"guardUs"`
-		Layout       string  `json:"layout"`
-		ThisNode     int     `json:"thisNode"`
-	} `json:"familyInfo"`
-	MembershipMode string `json:"membershipMode"`
-	Report         struct {
-		Fields []string `json:"fields"`
-	} `json:"report"`
-	RequestClasses []struct {
-		AimUs      int64   `json:"aimUs"`
-		DeadlineUs int64   `json:"deadlineUs"`
-		Group      string  `json:"group"`
-		LateValue  float64 `json:"lateValue"`
-		Name       string  `json:"name"`
-		Semantics  string  `json:"semantics"`
-		WindowUs   int64   `json:"windowUs"`
-		Worth      float64 `json:"worth"`
-	} `json:"requestClasses"`
-	PeersTotal   int   `json:"peersTotal"`
-	ResolutionUs int64 `json:"resolutionUs"`
-	Rules        struct {
-		ColdUs          int64   `json:"coldUs"`
-		GraceToAnswerUs int64   `json:"graceToAnswerUs"`
-		StartCapacity   float64 `json:"startCapacity"`
-		TipMultiple     float64 `json:"tipMultiple"`
-	} `json:"rules"`
-}
-
 // Reply is one line of output.
 type Reply struct {
 	Output []map[string]any `json:"output"`
@@ -253,109 +216,24 @@
 
 func micros(us int64) time.Duration { return time.Duration(us) * time.Microsecond }
 
-// word translates a settings word, or names the one that is not known.
-func word[T any](kind, text string, words map[string]T) (T, error) {
-	v, ok := words[text]
-	if !ok {
-		return v, fmt.Errorf("facts: unknown %s %q", kind, text)
-	}
-	return v, nil
-}
-
-var (
-	effects = map[string]control.Effect{
-		"read_like":       control.Safe,
-		"idempotency_key": control.Keyed,
-		"non_idempotent":  control.Unsafe,
-	}
-	scopes = map[string]control.Scope{
-		"":     control.ScopeAll,
-		"all":  control.ScopeAll,
-		"zone": control.ScopeZone,
-		"cell": control.ScopeCell,
-	}
-	layouts  = map[string]control.Layout{"skills": control.Pools, "network": control.Network}
-	modes    = map[string]bool{"pushed": false, "on_request": true}
-	statuses = map[string]control.ServerStatus{
-		"active":  control.Active,
-		"leaving": control.Draining,
-		"left":    control.Removed,
-	}
-	figures = map[string]control.ReportField{
-		"idle":     control.FreeLines,
-		"circuits": control.Lines,
-		"cpu":      control.Utilisation,
-		"waiting":  control.Queue,
-		"avg_ms":   control.Wait,
-	}
-	outcomes = map[int]control.Outcome{
-		0: control.Failed,
-		1: control.Completed,
-		2: control.Full,
-		3: control.TimedOut,
-		4: control.Unreachable,
-		5: control.Reset,
-		6: control.Cancelled,
-		7: control.NotSent,
-	}
-)
-
-// Settings translates an instance's settings.
-func (f *Facts) Settings() (control.Settings, error) {
-	s := control.Settings{
-		Peers:        f.PeersTotal,
-		OwnCell:      f.FamilyInfo.ThisNode,
-		Tick:         micros(f.ResolutionUs),
-		ReleaseGuard: micros(f.FamilyInfo.GuardUs),
-		AnswerGrace:  micros(f.Rules.GraceToAnswerUs),
-		StartShare:   f.Rules.StartCapacity,
-		ColdFor:      micros(f.Rules.ColdUs),
-		TipMultiple:  f.Rules.TipMultiple,
-		MaxAttempts:  f.Caps.SendCap,
-		HoldOff:      f.Caps.RetryAfter,
-		MaxHoldOff:   micros(f.Caps.MaxRetryAfterUs),
-		MayCancel:    f.Caps.MayCancel,
-	}
-	var err error
-	if s.Layout, err = word("layout", f.FamilyInfo.Layout, layouts); err != nil {
-		return s, err
-	}
-	if s.ListOnDemand, err = word("membershipMode", f.MembershipMode, modes); err != nil {
-		return s, err
-	}
-	for _, name := range f.Report.Fields {
-		s.Report = append(s.Report, figures[name])
-	}
-	for k, c := range f.RequestClasses {
-		class := control.Class{
-			Name:      c.Name,
-			Aim:       micros(c.AimUs),
-			Deadline:  micros(c.DeadlineUs),
-			Worth:     c.Worth,
-			LateShare: c.LateValue,
-			Window:    micros(c.WindowUs),
-		}
-		if class.Effect, err = word("semantics", c.Semantics, effects); err != nil {
-			return s, err
-		}
-		if class.Scope, err = word("group", c.Group, scopes); err != nil {
-			return s, err
-		}
-		if k < len(f.FamilyInfo.AllowedPools) {
-			class.Cells = f.FamilyInfo.AllowedPools[k]
-		}
-		s.Classes = append(s.Classes, class)
-	}
-	return s, nil
+var outcomes = map[int]control.Outcome{
+	0: control.Failed,
+	1: control.Completed,
+	2: control.Full,
+	3: control.TimedOut,
+	4: control.Unreachable,
+	5: control.Reset,
+	6: control.Cancelled,
+	7: control.NotSent,
 }
 
 // Entries translates the rows of a list.
 func Entries(rows []Row) ([]control.ServerEntry, error) {
 	entries := make([]control.ServerEntry, 0, len(rows))
 	for _, r := range rows {
-		status, ok := statuses[r.Status]
-		if !ok {
-			return nil, fmt.Errorf("list: unknown status %q of server %q", r.Status, r.Server)
+		status, err := settings.Status(r.Status)
+		if err != nil {
+			return nil, fmt.Errorf("list: server %q: %w", r.Server, err)
 		}
 		e := control.ServerEntry{ID: control.ServerID(r.Server), Status: status, Cell: r.Cell, Zone: r.Hall}
 		if r.BootTimeUs != nil {
@@ -366,22 +244,6 @@
 	return entries, nil
 }
 
-// report puts named figures into the order of the settings.
-func report(stats map[string]float64, fields []string) []float64 {
-	if len(stats) == 0 {
-		return nil
-	}
-	figures := make([]float64, len(fields))
-	for k, name := range fields {
-		v, ok := stats[name]
-		if !ok {
-			v = -1
-		}
-		figures[k] = v
-	}
-	return figures
-}
-
 // Offered translates a call; classes are the names of the classes in order.
 func (a *Accept) Offered(classes []string) (control.CallOffered, error) {
 	for k, name := range classes {
@@ -416,7 +278,7 @@
 	}
 	return control.AttemptEnded{
 		ID: control.CallID(r.RequestID), Server: control.ServerID(r.Server), Attempt: r.SeqNo, Outcome: o,
-		NoLine: r.Note%16 == noteNoLine, Elapsed: micros(r.RttUs), CallOver: r.Over, Report: report(r.Stats, fields),
+		NoLine: r.Note%16 == noteNoLine, Elapsed: micros(r.RttUs), CallOver: r.Over, Report: settings.Report(r.Stats, fields),
 	}, nil
 }
 
@@ -427,7 +289,7 @@
 		return control.ReportReceived{}, fmt.Errorf("PingResult: %w", err)
 	}
 	return control.ReportReceived{
-		Server: control.ServerID(p.Server), OK: o == control.Completed, Report: report(p.Stats, fields),
+		Server: control.ServerID(p.Server), OK: o == control.Completed, Report: settings.Report(p.Stats, fields),
 	}, nil
 }
 
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"cherryrelay/control"
+	"cherryrelay/internal/settings"
 )
 
 const facts = `{"caps":{"maxRetryAfterUs":2000000,"mayCancel":true,"mayProbe":true,"retryAfter":true,"sendCap":4},
@@ -48,11 +49,11 @@
 }
 
 func TestSettings(t *testing.T) {
-	var f Facts
+	var f settings.Settings
 	if err := json.Unmarshal([]byte(facts), &f); err != nil {
 		t.Fatal(err)
 	}
-	got, err := f.Settings()
+	got, err := f.Control()
 	if err != nil {
 		t.Fatal(err)
 	}
