Match dispatchers' answers by call and connection, not by their CSeq number

Both dispatchers answered within 100 ms throughout, yet a fifth of the calls was refused from 10 s on.

Checked: the log (LB_LOG=debug, added for this) shows every second attempt, after a dispatcher had no free line, without an answer until its limit. Each such silence made the module doubt a healthy dispatcher and close its window. Ruled out: lost messages (first attempts on the same connection are answered) and a jam (reported waits of a few ms).

At fault: finalAnswer in internal/dispatchers/sip.go took CSeq's number for the attempt's. Dispatchers answer under number 1 whatever the attempt; the answer was taken for a withdrawn attempt's and the call was released.

--- a/cmd/cherryrelay/main.go
+++ b/cmd/cherryrelay/main.go
@@ -1,5 +1,5 @@
 // Command cherryrelay is a call controller on sockets. It takes its configuration from LB_CONFIG, LB_NAME and
-// LB_LISTEN, logs to standard error, and serves out what it has taken when it gets SIGTERM.
+// LB_LISTEN, logs to standard error (with LB_LOG=debug all that the decision module is told and says), and serves out what it has taken when it gets SIGTERM.
 package main
 
 import (
@@ -33,7 +33,11 @@
 	if c.Limits.MemoryMB > 0 {
 		debug.SetMemoryLimit(c.Limits.MemoryMB << 20 / 2) // the collector works harder well before the limit
 	}
-	log := slog.New(slog.NewTextHandler(os.Stderr, nil)).With("name", c.Name)
+	options := &slog.HandlerOptions{}
+	if os.Getenv("LB_LOG") == "debug" {
+		options.Level = slog.LevelDebug
+	}
+	log := slog.New(slog.NewTextHandler(os.Stderr, options)).With("name", c.Name)
 	slog.SetDefault(log)
 	seed, err := c.SeedNumber()
 	if err != nil {
--- a/internal/call/core.go
+++ b/internal/call/core.go
@@ -1,6 +1,7 @@
 package call
 
 import (
+	"context"
 	"fmt"
 	"log/slog"
 	"slices"
@@ -389,7 +390,12 @@
 		}
 		events := c.events
 		c.events = nil
-		for _, a := range c.module.Step(c.now(), events) {
+		now := c.now()
+		actions := c.module.Step(now, events)
+		if c.log.Enabled(context.Background(), slog.LevelDebug) {
+			c.trace(now, events, actions)
+		}
+		for _, a := range actions {
 			c.do(a)
 		}
 	}
@@ -402,6 +408,20 @@
 	c.leave()
 }
 
+// trace logs what the module was told and what it said.
+func (c *Core) trace(now time.Duration, events []control.Event, actions []control.Action) {
+	for _, e := range events {
+		if _, idle := e.(control.Woken); !idle {
+			c.log.Debug("told", "now", now, "event", fmt.Sprintf("%T%+v", e, e))
+		}
+	}
+	for _, a := range actions {
+		if _, idle := a.(control.Wake); !idle {
+			c.log.Debug("says", "now", now, "action", fmt.Sprintf("%T%+v", a, a))
+		}
+	}
+}
+
 func (c *Core) do(a control.Action) {
 	switch a := a.(type) {
 	case control.SetUp:
--- a/internal/dispatchers/link.go
+++ b/internal/dispatchers/link.go
@@ -28,7 +28,6 @@
 type Message struct {
 	kind        kind
 	id          string
-	attempt     int // -1 if the wire does not tell
 	description string
 	outcome     control.Outcome
 	noLine      bool
@@ -116,14 +115,13 @@
 		}
 		l.send(m.reply(called))
 	}
-	current := i != nil && (m.attempt < 0 || m.attempt == i.attempt)
-	if m.final && current {
-		delete(l.invites, m.id)
-	}
-	attempt := m.attempt
-	if attempt < 0 && current {
+	attempt := -1
+	if i != nil {
 		attempt = i.attempt
 	}
+	if m.final {
+		delete(l.invites, m.id)
+	}
 	switch m.kind {
 	case hello:
 		l.greeted = true
--- a/internal/dispatchers/sip.go
+++ b/internal/dispatchers/sip.go
@@ -32,7 +32,8 @@
 
 func uri(called string) string { return "sip:" + called + "@net" }
 
-// SetUp is an INVITE. Its CSeq numbers the attempt, so that a late answer is known for what it is.
+// SetUp is an INVITE. Its CSeq numbers the attempt, but answers are not matched by that number: dispatchers answer
+// a second attempt under the number 1 as well.
 func (w *SIP) SetUp(a call.SetUp) []byte {
 	return sip.Append(nil, &sip.Message{
 		Method: "INVITE", URI: uri(a.Called), CallID: a.ID, Seq: uint32(a.Attempt) + 1, SeqOf: "INVITE",
@@ -71,7 +72,7 @@
 	if m == nil || err != nil {
 		return nil, err
 	}
-	got := &Message{id: m.CallID, attempt: -1}
+	got := &Message{id: m.CallID}
 	if text := m.Get("P-Report"); text != "" {
 		got.kind, got.report = report, settings.ParseReport(text, w.fields)
 	}
@@ -94,9 +95,6 @@
 // finalAnswer reads a final answer to INVITE. The ACK follows any of them: without it the dispatcher repeats itself.
 func (w *SIP) finalAnswer(m *sip.Message, got *Message) {
 	got.final = true
-	if m.Seq > 0 {
-		got.attempt = int(m.Seq) - 1
-	}
 	got.reply = func(called string) []byte {
 		return sip.Append(nil, &sip.Message{Method: "ACK", URI: uri(called), CallID: m.CallID, Seq: m.Seq, SeqOf: "ACK"})
 	}
