Take and place calls over WebSocket, follow a list in etcd, and test it all by stories

The call-control API (RFC 6455, one JSON message a text frame) is a second framing of the callers' front and a second form for dispatchers, so the core is the same. An operator's file (LB_OPERATOR) switches it and the etcd list on; the platform's configuration cannot.

The stories in cmd/cherryrelay run unchanged over all four mixes of TCP and WebSocket and compare what the peers saw.

--- /dev/null
+++ b/cmd/cherryrelay/stories_test.go
@@ -0,0 +1,353 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"cherryrelay/control"
+	"cherryrelay/internal/call"
+	"cherryrelay/internal/config"
+	"cherryrelay/internal/jsonl"
+	"cherryrelay/internal/peer"
+	"cherryrelay/internal/websocket"
+)
+
+// world is a node between two scripted dispatchers and callers, over one pair of transports.
+type world struct {
+	*testing.T
+	node        *node
+	transport   string // of callers
+	dispatchers [2]*peer.Dispatcher
+	done        chan error
+	said        []string // what the peers saw, in order
+}
+
+// transports has every mix of a caller's and a dispatcher's.
+var transports = [][2]string{{"tcp", "tcp"}, {"ws", "ws"}, {"ws", "tcp"}, {"tcp", "ws"}}
+
+// story plays a script over each mix of transports; what the peers see must be the same on all of them.
+func story(t *testing.T, want []string, script func(w *world)) {
+	t.Helper()
+	for _, mix := range transports {
+		t.Run(mix[0]+" to "+mix[1], func(t *testing.T) {
+			t.Parallel()
+			w := newWorld(t, mix[0], mix[1])
+			script(w)
+			if diff := cmp.Diff(want, w.said); diff != "" {
+				t.Errorf("what the peers saw (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+func newWorld(t *testing.T, callers, dispatchers string) *world {
+	c := new(config.Config)
+	c.Listen, c.Seed = "127.0.0.1:0", "1"
+	c.WebSocket = &config.WebSocket{Listen: "127.0.0.1:0", Path: peer.Path}
+	c.Settings = testSettings(t)
+	n, err := start(c, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	w := &world{T: t, node: n, transport: callers, done: make(chan error, 1)}
+	go func() { w.done <- n.run() }()
+	var u call.Update
+	for i := range w.dispatchers {
+		d, err := peer.Dispatch(dispatchers, "127.0.0.1:0", "x0:40;x1:40")
+		w.must(err)
+		w.dispatchers[i] = d
+		u.Servers = append(u.Servers, call.Server{
+			ServerEntry: control.ServerEntry{ID: control.ServerID(fmt.Sprint("d", i)), Cell: i}, Address: d.Address()})
+	}
+	u.Whole = true
+	n.loop.Post(func() { n.core.Update(u) })
+	t.Cleanup(func() {
+		n.loop.Quit()
+		for _, d := range w.dispatchers {
+			d.Die()
+		}
+	})
+	return w
+}
+
+func (w *world) must(err error) {
+	w.Helper()
+	if err != nil {
+		w.Fatal(err)
+	}
+}
+
+func (w *world) say(format string, args ...any) {
+	w.said = append(w.said, fmt.Sprintf(format, args...))
+}
+
+// caller connects; it has passed the test before it calls.
+func (w *world) caller() *peer.Caller {
+	w.Helper()
+	c := w.connect()
+	for passed := 0; passed == 0; {
+		w.must(c.Send(jsonl.Message{Type: "ping", ID: id(0)}))
+		m, err := c.Next()
+		w.must(err)
+		passed = m.CauseOr(0)
+	}
+	return c
+}
+
+// connect connects and says nothing.
+func (w *world) connect() *peer.Caller {
+	w.Helper()
+	address := w.node.lines.Address()
+	if w.transport == "ws" {
+		address = w.node.api.Address()
+	}
+	c, err := peer.Call(w.transport, address)
+	w.must(err)
+	w.Cleanup(func() { _ = c.Close() })
+	return c
+}
+
+// hears notes the next thing that a caller is told.
+func (w *world) hears(c *peer.Caller) {
+	w.Helper()
+	m, err := c.Next()
+	w.must(err)
+	text := m.Description()
+	if m.Cause != nil {
+		text = fmt.Sprint(*m.Cause)
+	}
+	if m.Fields["wait"] != "" {
+		text += " wait " + string(m.Fields["wait"])
+	}
+	w.say("caller: %s %s %s", m.Type, strings.TrimLeft(m.ID, "0"), text)
+}
+
+// gets notes the next thing that a dispatcher is told.
+func (w *world) gets(d int) peer.Event {
+	w.Helper()
+	e, err := w.dispatchers[d].Next()
+	w.must(err)
+	text := e.Description
+	if e.Kind == "release" {
+		text = fmt.Sprint(e.Cause)
+	}
+	w.say("d%d: %s %s %s", d, e.Kind, strings.TrimLeft(e.ID, "0"), text)
+	return e
+}
+
+// acked waits for the ACK of a final answer, where the transport has that.
+func (w *world) acked(d int) {
+	w.Helper()
+	if !strings.HasPrefix(w.dispatchers[d].Address(), "ws") {
+		select {
+		case <-w.dispatchers[d].Acks:
+		case <-time.After(peer.Patience):
+			w.Fatal("no ACK")
+		}
+	}
+}
+
+// id is the n-th id.
+func id(n int) string { return fmt.Sprintf("%016x", n) }
+
+const long = 60 * time.Second
+
+func TestACallStandsAndEnds(t *testing.T) {
+	sdp := "9d41c07a5be2f318\r\nc=IN IP4 10.4.7.9 \"ü\" <&>\r\n"
+	story(t, []string{
+		"d1: setup 1 " + sdp, "caller: answer 1 " + sdp, "caller: release 1 16",
+		"d0: setup 2 x", "caller: answer 2 y", "d0: release 2 31",
+		"d0: setup 3 x", "caller: answer 3 y", "caller: release 3 41",
+	}, func(w *world) {
+		c := w.caller()
+		w.must(c.SetUp(id(1), long, 1, sdp))
+		e := w.gets(1)
+		if e.Class != "send-setup" || e.Key != "k"+id(1) || e.Left <= 0 || e.Left > long {
+			t.Errorf("set-up arrived as %+v", e)
+		}
+		w.must(e.Answer(sdp))
+		w.hears(c)
+		w.acked(1)
+		w.must(w.dispatchers[1].Release(id(1), 16))
+		w.hears(c)
+		// The caller ends this one.
+		w.must(c.SetUp(id(2), long, 0, "x"))
+		w.must(w.gets(0).Answer("y"))
+		w.hears(c)
+		w.must(c.Release(id(2), 31))
+		w.gets(0)
+		// This one is cut.
+		w.must(c.SetUp(id(3), long, 0, "x"))
+		w.must(w.gets(0).Answer("y"))
+		w.hears(c)
+		w.must(w.dispatchers[0].Release(id(3), 41))
+		w.hears(c)
+	})
+}
+
+func TestARefusedAttemptGoesElsewhere(t *testing.T) {
+	// Dispatchers number every answer 1. Taken for the first attempt's, the answer to a second one was thrown away and
+	// its dispatcher doubted: a calm day lost a fifth of its calls.
+	story(t, []string{"d0: setup 1 x", "d1: setup 1 x", "caller: answer 1 y", "caller: release 1 16"}, func(w *world) {
+		c := w.caller()
+		w.must(c.SetUp(id(1), long, 0, "x"))
+		w.must(w.gets(0).Refuse(peer.NoLine))
+		w.acked(0)
+		w.must(w.gets(1).Answer("y"))
+		w.hears(c)
+		w.acked(1)
+		w.must(w.dispatchers[1].Release(id(1), 16))
+		w.hears(c)
+	})
+}
+
+func TestASilentDispatcherIsWithdrawnFromAtTheDeadline(t *testing.T) {
+	story(t, []string{"d0: setup 1 x", "d0: release 1 16", "caller: release", "d0: release 1 16"}, func(w *world) {
+		c := w.caller()
+		w.must(c.SetUp(id(1), 400*time.Millisecond, 0, "x"))
+		e := w.gets(0)
+		w.gets(0)
+		m, err := c.Next()
+		w.must(err)
+		w.say("caller: %s", m.Type) // refused or failed, as the time left at the withdrawal has it
+		w.must(e.Answer("y"))       // too late: the dispatcher's call is released
+		w.acked(0)
+		w.gets(0)
+	})
+}
+
+func TestAnAnswerAfterTheCallerHasLeftIsReleased(t *testing.T) {
+	story(t, []string{"d0: setup 1 x", "d0: release 1 16", "d0: release 1 16", "caller: pong  1"}, func(w *world) {
+		c := w.caller()
+		w.must(c.SetUp(id(1), long, 0, "x"))
+		e := w.gets(0)
+		w.must(c.Release(id(1), 16))
+		w.gets(0)
+		w.must(e.Answer("y")) // it crosses the withdrawal
+		w.gets(0)
+		w.must(c.Send(jsonl.Message{Type: "ping", ID: id(0)}))
+		w.hears(c) // and nothing else comes for the call
+	})
+}
+
+func TestAConnectionThatClosesInsideAMessage(t *testing.T) {
+	story(t, []string{"d0: setup 1 x", "d0: release 1 16", "d1: setup 2 x", "caller: answer 2 y"}, func(w *world) {
+		other, c := w.caller(), w.caller()
+		w.must(c.SetUp(id(1), long, 0, "x"))
+		w.gets(0)
+		whole := c.Frame([]byte(`{"type":"setup","id":"` + id(3) + `"}`))
+		w.must(c.SendRaw(whole[:len(whole)/2]))
+		w.must(c.Close())
+		w.gets(0)
+		w.must(other.SetUp(id(2), long, 1, "x"))
+		w.must(w.gets(1).Answer("y"))
+		w.hears(other)
+	})
+}
+
+func TestAnIllegalMessageClosesItsConnectionAlone(t *testing.T) {
+	for name, text := range map[string]string{
+		"unreadable": `{"type":"setup",`, "oversized": strings.Repeat("x", jsonl.MaxMessage+1),
+	} {
+		t.Run(name, func(t *testing.T) {
+			story(t, []string{"d0: setup 1 x", "caller: release 1 41", "d0: release 1 16", "d1: setup 2 x", "caller: answer 2 y"},
+				func(w *world) {
+					other, c := w.caller(), w.caller()
+					w.must(c.SetUp(id(1), long, 0, "x"))
+					w.gets(0)
+					w.must(c.SendRaw(c.Frame([]byte(text))))
+					w.hears(c)
+					_, err := c.Next()
+					var closed *websocket.Error
+					if errors.As(err, &closed) && closed.Code != websocket.BadData && closed.Code != websocket.TooBig {
+						t.Errorf("closed with %v", closed)
+					}
+					if err == nil {
+						t.Error("the connection stays open")
+					}
+					w.gets(0)
+					w.must(other.SetUp(id(2), long, 1, "x"))
+					w.must(w.gets(1).Answer("y"))
+					w.hears(other)
+				})
+		})
+	}
+}
+
+func TestBadFieldsFailTheirSetUpAlone(t *testing.T) {
+	story(t, []string{"caller: release 1 100", "caller: release 2 100", "caller: release 3 100", "caller: release 4 41",
+		"d0: setup 5 x", "caller: answer 5 y"}, func(w *world) {
+		c := w.caller()
+		for i, fields := range []string{`"class":"send-setup","left":"soon"`, `"left":"900"`,
+			`"class":"send-setup","left":900,"extras":"dest:none"`, `"class":"send-setup","left":0`} {
+			w.must(c.SendRaw(c.Frame([]byte(`{"type":"setup","id":"` + id(i+1) + `","fields":{` + fields + `}}`))))
+			w.hears(c)
+		}
+		w.must(c.SetUp(id(5), long, 0, "x"))
+		w.must(w.gets(0).Answer("y"))
+		w.hears(c)
+	})
+}
+
+func TestCallsOfADispatcherThatDiesAreReleased(t *testing.T) {
+	story(t, []string{"d0: setup 1 x", "caller: answer 1 y", "caller: release 1 41"}, func(w *world) {
+		c := w.caller()
+		w.must(c.SetUp(id(1), long, 0, "x"))
+		w.must(w.gets(0).Answer("y"))
+		w.hears(c)
+		w.dispatchers[0].Die()
+		w.hears(c)
+	})
+}
+
+func TestACallOutlivesItsConnections(t *testing.T) {
+	// No connection owns a call that stands: its end comes in on a new one and goes out on a new one. That holds for a
+	// call from before a restart, too.
+	story(t, []string{"d0: setup 1 x", "caller: answer 1 y", "caller: release 1 16", "caller: release 77 41"}, func(w *world) {
+		c := w.caller()
+		w.must(c.SetUp(id(1), long, 0, "x"))
+		w.must(w.gets(0).Answer("y"))
+		w.hears(c)
+		w.must(c.Close())
+		w.dispatchers[0].Cut()
+		for w.dispatchers[0].Release(id(1), 16) != nil {
+			time.Sleep(10 * time.Millisecond) // until the node has connected again
+		}
+		c = w.connect()
+		w.hears(c)
+		w.must(w.dispatchers[0].Release(id(0x77), 41))
+		w.hears(c)
+		w.must(w.dispatchers[0].Release(id(0x77), 41)) // said twice, passed on once
+	})
+}
+
+func TestAPlannedRestartIsServedOut(t *testing.T) {
+	story(t, []string{"d0: setup 1 x", "d1: setup 2 x", "caller: answer 1 y", "caller: answer 2 y"}, func(w *world) {
+		c := w.caller()
+		w.must(c.SetUp(id(1), long, 0, "x"))
+		e := w.gets(0)
+		w.node.drain()
+		w.must(c.SetUp(id(2), long, 1, "x")) // still on its way when the signal came
+		f := w.gets(1)
+		w.must(e.Answer("y"))
+		w.hears(c)
+		w.must(f.Answer("y"))
+		w.hears(c)
+		select {
+		case err := <-w.done:
+			w.must(err)
+		case <-time.After(peer.Patience):
+			w.Fatal("the node does not end")
+		}
+		if _, err := c.Next(); !errors.Is(err, io.EOF) && err == nil {
+			t.Error("the node's connection stays open")
+		}
+	})
+}
--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -29,9 +29,28 @@
 	Caller      Caller
 }
 
+// Reason names what became of a call, in the words of the call-control API.
+type Reason string
+
+// The reasons; docs/api.md says what a caller may make of each.
+const (
+	ReasonEnded      Reason = "ended"       // the call stood and has come to its end
+	ReasonCut        Reason = "cut"         // the call stood and was cut
+	ReasonRefused    Reason = "refused"     // the decisions have given it up
+	ReasonFailed     Reason = "failed"      // its attempts came to nothing
+	ReasonDeadline   Reason = "deadline"    // its time ran out
+	ReasonDraining   Reason = "draining"    // this controller is about to restart
+	ReasonBadRequest Reason = "bad-request" // the set-up makes no sense
+	ReasonBadStream  Reason = "bad-stream"  // its connection is closed for an illegal message
+)
+
+// BadRequest is the end of a set-up with fields that make no sense.
+var BadRequest = End{Cause: CauseBadField, Reason: ReasonBadRequest}
+
 // End tells a caller that its call is refused, has failed or is over.
 type End struct {
 	Cause   int
+	Reason  Reason
 	HoldOff time.Duration // refused: how long to keep away; 0 for no advice
 }
 
--- a/internal/call/core.go
+++ b/internal/call/core.go
@@ -14,7 +14,9 @@
 const (
 	// early is how long before a caller's limit the last attempt is withdrawn and the answer given, so that the
 	// answer is not overtaken by the limit.
-	early = 20 * time.Millisecond
+	early = 25 * time.Millisecond
+	// last is how long before that limit a call is answered come what may.
+	last = 3 * time.Millisecond
 	// remember is how long an ended call is known, so that what comes late or twice is not passed on.
 	remember = 20 * time.Second
 	// lateArrivals is how long after SIGTERM new set-ups may still arrive.
@@ -121,23 +123,23 @@
 	switch {
 	case class < 0:
 		c.log.Warn("set-up of an unknown class", "id", r.ID, "class", r.Class)
-		r.Caller.End(r.ID, End{Cause: CauseBadField})
+		r.Caller.End(r.ID, BadRequest)
 		return
 	case !r.Deadline.After(now):
 		c.log.Debug("set-up past its time", "id", r.ID)
-		r.Caller.End(r.ID, End{Cause: CauseTemporary})
+		r.Caller.End(r.ID, End{Cause: CauseTemporary, Reason: ReasonDeadline})
 		return
 	case !c.draining.IsZero() && now.Sub(c.draining) > lateArrivals:
-		r.Caller.End(r.ID, End{Cause: CauseCongestion, HoldOff: c.holdOff()})
+		r.Caller.End(r.ID, End{Cause: CauseCongestion, Reason: ReasonDraining, HoldOff: c.holdOff()})
 		return
 	}
 	c.calls[r.ID] = k
 	c.owed++
 	// The module answers by itself. This is for what it could miss: a call must never be left without an answer.
-	k.limit = c.loop.After(r.Deadline.Sub(now)-early/2, func() {
+	k.limit = c.loop.After(r.Deadline.Sub(now)-last, func() {
 		c.log.Warn("call without an answer at its limit", "id", k.ID)
 		c.abandon(k)
-		c.final(k, End{Cause: CauseTemporary})
+		c.final(k, End{Cause: CauseCongestion, Reason: ReasonDeadline, HoldOff: c.holdOff()})
 	})
 	c.tell(control.CallOffered{
 		ID: control.CallID(r.ID), Class: class, Budget: r.Deadline.Sub(now), Called: r.Called,
@@ -186,7 +188,7 @@
 	for _, id := range c.openOf(caller) {
 		k := c.calls[id]
 		c.abandon(k)
-		c.final(k, End{Cause: CauseTemporary})
+		c.final(k, End{Cause: CauseTemporary, Reason: ReasonBadStream})
 	}
 }
 
@@ -284,7 +286,7 @@
 		c.calls[id] = &record{Request: Request{ID: id}, state: stands}
 		c.close(c.calls[id])
 		for _, f := range c.fronts {
-			f.Release(id, End{Cause: cause})
+			f.Release(id, endOf(cause))
 		}
 	case k.state == stands && k.server == server:
 		c.finish(k, cause, report)
@@ -303,7 +305,15 @@
 		Elapsed: time.Since(k.sentAt), CallOver: true, Report: report})
 	caller := k.Caller
 	c.close(k)
-	caller.Over(k.ID, End{Cause: cause})
+	caller.Over(k.ID, endOf(cause))
+}
+
+// endOf is the end of a call that stood.
+func endOf(cause int) End {
+	if cause == CauseNormal {
+		return End{Cause: cause, Reason: ReasonEnded}
+	}
+	return End{Cause: cause, Reason: ReasonCut}
 }
 
 // Reported brings a load report outside an attempt.
@@ -432,11 +442,11 @@
 		}
 	case control.Refuse:
 		if k := c.calls[string(a.ID)]; k != nil {
-			c.final(k, End{Cause: CauseCongestion, HoldOff: a.HoldOff})
+			c.final(k, End{Cause: CauseCongestion, Reason: ReasonRefused, HoldOff: a.HoldOff})
 		}
 	case control.Fail:
 		if k := c.calls[string(a.ID)]; k != nil {
-			c.final(k, End{Cause: CauseTemporary})
+			c.final(k, End{Cause: CauseTemporary, Reason: failure(k)})
 		}
 	case control.Probe:
 		c.dispatchers.Probe(a.Server)
@@ -449,6 +459,14 @@
 	}
 }
 
+// failure says why the module failed a call.
+func failure(k *record) Reason {
+	if time.Until(k.Deadline) <= 2*early {
+		return ReasonDeadline
+	}
+	return ReasonFailed
+}
+
 // setUp starts an attempt. One that can't be is told to the module as never sent: the rules hold whatever it asks.
 func (c *Core) setUp(a control.SetUp) {
 	k := c.calls[string(a.ID)]
@@ -502,7 +520,7 @@
 		for _, id := range c.allOpen() {
 			k := c.calls[id]
 			c.abandon(k)
-			c.final(k, End{Cause: CauseCongestion, HoldOff: c.holdOff()})
+			c.final(k, End{Cause: CauseCongestion, Reason: ReasonDraining, HoldOff: c.holdOff()})
 		}
 	})
 }
--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -37,8 +37,12 @@
 type Format interface {
 	// Next takes a message off the ring; it is nil if none is whole yet. What it says itself goes to write.
 	Next(in *ring.Buffer, write func([]byte)) (*jsonl.Message, error)
+	// Open reports whether messages can be sent.
+	Open() bool
 	// Frame puts a message in its frame.
 	Frame(text []byte) []byte
+	// NamesErrors says whether releases name the API's error beside the cause.
+	NamesErrors() bool
 	// Bye are the last words before the connection is closed for err.
 	Bye(err error) []byte
 }
@@ -49,12 +53,18 @@
 // Next reads a line.
 func (l *Lines) Next(in *ring.Buffer, _ func([]byte)) (*jsonl.Message, error) { return l.dec.Next(in) }
 
+// Open is always so.
+func (l *Lines) Open() bool { return true }
+
 // Frame ends the line.
 func (l *Lines) Frame(text []byte) []byte { return append(text, '\n') }
 
 // Bye has no form.
 func (l *Lines) Bye(error) []byte { return nil }
 
+// NamesErrors is not the platform's way.
+func (l *Lines) NamesErrors() bool { return false }
+
 // Front is one listener and the connections from callers that it took.
 type Front struct {
 	core     Core
@@ -90,15 +100,25 @@
 
 func (f *Front) accept(c *conn.Conn) conn.Handler {
 	cc := &Conn{front: f, conn: c, format: f.format()}
-	f.open = append(f.open, cc)
+	cc.join()
+	return cc
+}
+
+// join counts the connection among the open ones once it can be written to, and gives it what has waited for one.
+func (c *Conn) join() {
+	f := c.front
+	if c.joined || !c.format.Open() {
+		return
+	}
+	c.joined = true
+	f.open = append(f.open, c)
 	pending := f.pending
 	f.pending = nil
 	for _, r := range pending {
 		if time.Since(r.at) < keep {
-			cc.release(r)
+			c.release(r)
 		}
 	}
-	return cc
 }
 
 // Flush sends what was written since the last time.
@@ -114,6 +134,7 @@
 // release sends the end of a call that stood on the connection that was used last, as no connection owns the call.
 func (f *Front) release(r release) {
 	if len(f.open) == 0 {
+		f.pending = slices.DeleteFunc(f.pending, func(o release) bool { return time.Since(o.at) > keep })
 		f.pending = append(f.pending, r)
 		return
 	}
@@ -126,6 +147,7 @@
 	front  *Front
 	conn   *conn.Conn
 	format Format
+	joined bool
 	closed bool
 	usedAt time.Time
 	sent   []release // lately, of calls that stood
@@ -140,12 +162,16 @@
 	c.usedAt = at
 	for {
 		m, err := c.format.Next(in, c.conn.Write)
+		if errors.Is(err, io.EOF) {
+			return conn.ErrClosedHere // closed in good order; what was open is given up
+		}
 		if err != nil {
 			// Its set-ups are answered before the connection goes; nobody else is touched.
 			c.front.core.CallerBroke(c)
 			c.conn.Write(c.format.Bye(err))
 			return err
 		}
+		c.join()
 		if m == nil {
 			return nil
 		}
@@ -197,7 +223,7 @@
 	}
 	if err != nil {
 		c.front.log.Warn("set-up with bad fields", "id", m.ID, "err", err)
-		c.End(m.ID, call.End{Cause: call.CauseBadField})
+		c.End(m.ID, call.BadRequest)
 		return
 	}
 	c.front.core.Offer(call.Request{
@@ -247,9 +273,12 @@
 }
 
 func (c *Conn) writeRelease(r release) {
-	m := jsonl.Message{Type: "release", ID: r.id, Cause: &r.end.Cause}
+	m := jsonl.Message{Type: "release", ID: r.id, Cause: &r.end.Cause, Fields: map[string]jsonl.Value{}}
 	if r.end.HoldOff > 0 {
-		m.Fields = map[string]jsonl.Value{"wait": jsonl.Value(strconv.FormatInt(r.end.HoldOff.Milliseconds(), 10))}
+		m.Fields["wait"] = jsonl.Value(strconv.FormatInt(r.end.HoldOff.Milliseconds(), 10))
+	}
+	if c.format.NamesErrors() {
+		m.Fields["error"] = jsonl.Value(r.end.Reason)
 	}
 	c.write(m)
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -2,19 +2,24 @@
 package config
 
 import (
+	"crypto/rand"
+	"encoding/binary"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"strconv"
+	"strings"
 
 	jsoniter "github.com/json-iterator/go"
 
 	"cherryrelay/internal/coordinator"
+	"cherryrelay/internal/etcd"
 	"cherryrelay/internal/settings"
 )
 
-// Config is the object in the file that LB_CONFIG names.
+// Config is the object in the file that LB_CONFIG names, with what the operator's file adds to it.
 type Config struct {
 	Name   string `json:"name"`
 	Listen string `json:"listen"`
@@ -29,21 +34,46 @@
 		Updates []coordinator.Event `json:"updates"`
 	} `json:"known"`
 	Settings *settings.Settings `json:"settings"`
+	Operator
 }
 
-// Read takes the configuration from the environment, as os.Getenv gives it, and the files it names.
+// Operator is what only an operator's file can switch on.
+type Operator struct {
+	WebSocket *WebSocket    `json:"websocket"`
+	Etcd      *etcd.Options `json:"etcd"`
+}
+
+// WebSocket is the front for the call-control API.
+type WebSocket struct {
+	Listen string `json:"listen"`
+	Path   string `json:"path"`
+}
+
+var (
+	api = jsoniter.ConfigCompatibleWithStandardLibrary
+	// strict is for the operator's file, which people write: a mistyped key must not go unnoticed.
+	strict = jsoniter.Config{DisallowUnknownFields: true}.Froze()
+)
+
+// Read takes the configuration from the environment, as os.Getenv gives it, and the files it names: LB_CONFIG the
+// platform's, LB_OPERATOR an operator's, of which one is enough.
 func Read(getenv func(string) string) (*Config, error) {
-	path := getenv("LB_CONFIG")
-	if path == "" {
-		return nil, errors.New("LB_CONFIG names no configuration file")
+	c := new(Config)
+	path, operator := getenv("LB_CONFIG"), getenv("LB_OPERATOR")
+	if path == "" && operator == "" {
+		return nil, errors.New("neither LB_CONFIG nor LB_OPERATOR names a configuration file")
 	}
-	text, err := os.ReadFile(path)
-	if err != nil {
-		return nil, fmt.Errorf("configuration: %w", err)
+	if path != "" {
+		if err := decode(api, path, c); err != nil {
+			return nil, err
+		}
+		c.Operator = Operator{} // the second front is off on the platform
 	}
-	c := new(Config)
-	if err := jsoniter.ConfigCompatibleWithStandardLibrary.Unmarshal(text, c); err != nil {
-		return nil, fmt.Errorf("configuration %s: %w", path, err)
+	if operator != "" {
+		path = operator
+		if err := decode(strict, path, c); err != nil {
+			return nil, err
+		}
 	}
 	if name := getenv("LB_NAME"); name != "" {
 		c.Name = name
@@ -57,9 +87,37 @@
 	return c, nil
 }
 
+func decode(api jsoniter.API, path string, into *Config) error {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return fmt.Errorf("configuration: %w", err)
+	}
+	d := api.NewDecoder(strings.NewReader(string(text)))
+	if err := d.Decode(into); err != nil {
+		return fmt.Errorf("configuration %s: %s", path, oneLine(err))
+	}
+	if err := d.Decode(new(any)); !errors.Is(err, io.EOF) {
+		return fmt.Errorf("configuration %s: more than one object", path)
+	}
+	return nil
+}
+
+// oneLine cuts the decoder's excerpt of the file, which may run over lines.
+func oneLine(err error) string {
+	text, _, _ := strings.Cut(err.Error(), ", error found in")
+	return strings.Join(strings.Fields(text), " ")
+}
+
+func address(key, value string) error {
+	if _, port, err := net.SplitHostPort(value); err != nil || port == "" {
+		return fmt.Errorf("%s: %q is no host:port", key, value)
+	}
+	return nil
+}
+
 func (c *Config) check() error {
-	if _, _, err := net.SplitHostPort(c.Listen); err != nil {
-		return fmt.Errorf("listen %q: %w", c.Listen, err)
+	if err := address("listen", c.Listen); err != nil {
+		return err
 	}
 	if c.Settings == nil {
 		return errors.New("settings are missing")
@@ -70,22 +128,44 @@
 	if c.Settings.Caps.ConnectTimeoutUs <= 0 {
 		return errors.New("settings: caps.connectTimeoutUs must be above 0")
 	}
+	if c.Limits.MemoryMB < 0 || c.Limits.Sockets < 0 {
+		return errors.New("limits: a limit is below 0")
+	}
 	if c.Coordinator != "" {
-		if _, _, err := net.SplitHostPort(c.Coordinator); err != nil {
-			return fmt.Errorf("coordinator %q: %w", c.Coordinator, err)
+		if err := address("coordinator", c.Coordinator); err != nil {
+			return err
 		}
 	}
-	if _, err := c.SeedNumber(); err != nil {
-		return err
+	if c.WebSocket != nil {
+		if err := address("websocket.listen", c.WebSocket.Listen); err != nil {
+			return err
+		}
+		if !strings.HasPrefix(c.WebSocket.Path, "/") {
+			return fmt.Errorf("websocket.path: %q does not begin with a slash", c.WebSocket.Path)
+		}
 	}
-	return nil
+	if c.Etcd != nil {
+		if c.Coordinator != "" {
+			return errors.New("both a coordinator and etcd are named: there can be one list")
+		}
+		if err := c.Etcd.Check(); err != nil {
+			return err
+		}
+	}
+	_, err := c.SeedNumber()
+	return err
 }
 
-// SeedNumber is the seed, written in hex.
+// SeedNumber is the seed, written in hex; without one it is drawn.
 func (c *Config) SeedNumber() (uint64, error) {
+	if c.Seed == "" {
+		var raw [8]byte
+		_, _ = rand.Read(raw[:]) // it never fails: crypto/rand ends the program instead
+		return binary.BigEndian.Uint64(raw[:]), nil
+	}
 	n, err := strconv.ParseUint(c.Seed, 16, 64)
 	if err != nil {
-		return 0, fmt.Errorf("seed %q is no hex number of 64 bits", c.Seed)
+		return 0, fmt.Errorf("seed: %q is no hex number of 64 bits", c.Seed)
 	}
 	return n, nil
 }
--- a/internal/conn/conn.go
+++ b/internal/conn/conn.go
@@ -32,6 +32,9 @@
 // ErrSlowReader closes a connection whose peer leaves too much unread.
 var ErrSlowReader = errors.New("peer reads too slowly")
 
+// ErrRefused is the reason of a dial that the other machine has turned down: nothing listens there.
+var ErrRefused = errors.New("connection refused")
+
 // ErrClosedHere is the reason of a connection that this side closed without a fault.
 var ErrClosedHere = errors.New("closed by this side")
 
@@ -263,6 +266,9 @@
 func Dial(loop Poster, address string, timeout time.Duration, handler func(*Conn) Handler, done func(error)) {
 	go func() {
 		nc, err := netpoll.DialConnection("tcp", address, timeout)
+		if errors.Is(err, netpoll.ErrConnClosed) || errors.Is(err, syscall.ECONNREFUSED) {
+			err = ErrRefused // netpoll tells a refusal as a close by the peer
+		}
 		if err != nil {
 			loop.Post(func() { done(fmt.Errorf("dialing %s: %w", address, err)) })
 			return
--- a/internal/dispatchers/dispatchers.go
+++ b/internal/dispatchers/dispatchers.go
@@ -5,7 +5,6 @@
 	"errors"
 	"log/slog"
 	"slices"
-	"syscall"
 	"time"
 
 	"cherryrelay/control"
@@ -45,7 +44,6 @@
 	ConnectTimeout time.Duration
 	Fields         []string // of load reports
 	Log            *slog.Logger
-	Wire           func(fields []string) Wire // makes the form that one connection speaks
 }
 
 // Pool is all dispatchers.
@@ -211,12 +209,13 @@
 	}
 	s.dialing = true
 	address := s.Address
+	dial, wire := Place(address, s.pool.Fields)
 	var l *link
-	make := func(c *conn.Conn) conn.Handler {
-		l = &link{server: s, conn: c, wire: s.pool.Wire(s.pool.Fields), invites: map[string]*invite{}, heardAt: time.Now()}
+	handler := func(c *conn.Conn) conn.Handler {
+		l = &link{server: s, conn: c, wire: wire, invites: map[string]*invite{}, heardAt: time.Now()}
 		return l
 	}
-	conn.Dial(s.pool.loop, address, s.pool.ConnectTimeout, make, func(err error) {
+	conn.Dial(s.pool.loop, dial, s.pool.ConnectTimeout, handler, func(err error) {
 		s.dialing = false
 		if err != nil {
 			s.refused(err)
@@ -233,7 +232,7 @@
 func (s *server) refused(err error) {
 	s.redial = min(max(2*s.redial, redialLeast), redialMost)
 	s.redialAt = time.Now().Add(s.redial)
-	s.unanswered = !errors.Is(err, syscall.ECONNREFUSED)
+	s.unanswered = !errors.Is(err, conn.ErrRefused)
 	s.pool.Log.Info("no connection", "server", s.ID, "err", err)
 	if len(s.links) > 0 {
 		return
@@ -247,7 +246,15 @@
 func (s *server) opened(l *link) {
 	s.redial, s.unanswered = 0, false
 	s.links = append(s.links, l)
-	l.send(l.wire.Hello(s.Address))
+	l.send(l.wire.Hello())
+	if l.ready() {
+		s.ready(l)
+	}
+	l.conn.Flush()
+}
+
+// ready sends what has waited for a connection.
+func (s *server) ready(l *link) {
 	for _, w := range s.waiting {
 		l.setUp(w.SetUp)
 	}
@@ -256,7 +263,6 @@
 		l.send(l.wire.Release(r.id, r.cause))
 	}
 	s.releases = nil
-	l.conn.Flush()
 }
 
 // drop closes all connections and ends what was under way.
--- a/internal/dispatchers/link.go
+++ b/internal/dispatchers/link.go
@@ -21,6 +21,7 @@
 	answer
 	refusal
 	released
+	ended // a refusal if the set-up is open, else the end of a call that stood
 	report
 )
 
@@ -39,8 +40,10 @@
 
 // Wire is the form in which one connection speaks to a dispatcher.
 type Wire interface {
-	// Hello opens the conversation; nil if the wire has no such thing and is ready at once.
-	Hello(address string) []byte
+	// Hello opens the conversation; nil if the wire has no such thing.
+	Hello() []byte
+	// Greeted reports whether calls can be placed.
+	Greeted() bool
 	SetUp(call.SetUp) []byte
 	Cancel(id string, attempt int, called string) []byte
 	Release(id string, cause int) []byte
@@ -63,13 +66,12 @@
 	server  *server
 	conn    *conn.Conn
 	wire    Wire
-	greeted bool // by the other side, where the wire has that
 	closed  bool
 	heardAt time.Time
 	invites map[string]*invite
 }
 
-func (l *link) ready() bool { return !l.closed && (l.greeted || l.wire.Hello("") == nil) }
+func (l *link) ready() bool { return !l.closed && l.wire.Greeted() }
 
 func (l *link) send(p []byte) {
 	if len(p) > 0 {
@@ -94,6 +96,9 @@
 	}
 	for {
 		m, err := l.wire.Next(in)
+		if errors.Is(err, io.EOF) {
+			return conn.ErrClosedHere // closed in good order
+		}
 		if err != nil {
 			l.send(l.wire.Bye(err))
 			return err
@@ -119,16 +124,18 @@
 	if i != nil {
 		attempt = i.attempt
 	}
+	if m.kind == ended {
+		m.kind = refusal
+		if i == nil {
+			m.kind = released
+		}
+	}
 	if m.final {
 		delete(l.invites, m.id)
 	}
 	switch m.kind {
 	case hello:
-		l.greeted = true
-		for _, w := range s.waiting {
-			l.setUp(w.SetUp)
-		}
-		s.waiting = nil
+		s.ready(l)
 	case answer:
 		core.Answered(s.ID, m.id, attempt, m.description)
 	case refusal:
--- a/internal/dispatchers/sip.go
+++ b/internal/dispatchers/sip.go
@@ -21,11 +21,11 @@
 	probes uint32
 }
 
-// NewSIP returns the form for one connection.
-func NewSIP(fields []string) Wire { return &SIP{fields: fields} }
-
 // Hello is not needed.
-func (w *SIP) Hello(string) []byte { return nil }
+func (w *SIP) Hello() []byte { return nil }
+
+// Greeted is always so.
+func (w *SIP) Greeted() bool { return true }
 
 // Bye has no form.
 func (w *SIP) Bye(error) []byte { return nil }
--- /dev/null
+++ b/internal/peer/peer.go
@@ -0,0 +1,404 @@
+// Package peer has the other ends of a call controller, written from the protocol pages: a caller and a dispatcher
+// that do as they are told. Tests script them, and the example's toy is made of them.
+package peer
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"cherryrelay/internal/jsonl"
+	"cherryrelay/internal/ring"
+	"cherryrelay/internal/sip"
+	"cherryrelay/internal/websocket"
+)
+
+// Patience is how long a peer waits for what must come. Only what has gone wrong ever takes as long.
+const Patience = 20 * time.Second
+
+// stream is a connection that reads into a ring.
+type stream struct {
+	net.Conn
+	in *ring.Buffer
+	mu sync.Mutex // one writer at a time
+}
+
+func newStream(nc net.Conn) *stream { return &stream{Conn: nc, in: ring.New(64 << 10)} }
+
+// more waits for bytes.
+func (s *stream) more() error {
+	buf := make([]byte, min(4096, s.in.Free()))
+	n, err := s.Read(buf)
+	s.in.Write(buf[:n])
+	if n > 0 {
+		return nil
+	}
+	return err
+}
+
+func (s *stream) write(p []byte) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, err := s.Conn.Write(p)
+	return err
+}
+
+// Caller is a connection of a caller. "ws" speaks the call-control API, anything else JSON lines.
+type Caller struct {
+	*stream
+	ws   bool
+	line jsonl.Decoder
+	dec  websocket.Decoder
+}
+
+// Path is where the call-control API is served and dispatched to.
+const Path = "/v1/calls"
+
+// Call connects to a front.
+func Call(transport, address string) (*Caller, error) {
+	nc, err := net.DialTimeout("tcp", address, Patience)
+	if err != nil {
+		return nil, fmt.Errorf("caller: %w", err)
+	}
+	c := &Caller{stream: newStream(nc), ws: transport == "ws"}
+	if !c.ws {
+		return c, nil
+	}
+	var o websocket.Opening
+	if err := c.write(o.Request(address, Path)); err != nil {
+		return nil, fmt.Errorf("caller: %w", err)
+	}
+	for {
+		if open, err := o.Done(c.in); open || err != nil {
+			return c, err
+		}
+		if err := c.more(); err != nil {
+			return nil, fmt.Errorf("caller: opening: %w", err)
+		}
+	}
+}
+
+// Frame is a text as this transport carries it.
+func (c *Caller) Frame(text []byte) []byte {
+	if c.ws {
+		return websocket.Append(nil, websocket.Text, text, true)
+	}
+	return append(text, '\n')
+}
+
+// SendRaw writes bytes as they are.
+func (c *Caller) SendRaw(p []byte) error { return c.write(p) }
+
+// Send writes a message.
+func (c *Caller) Send(m jsonl.Message) error {
+	text, err := jsonl.Append(nil, m)
+	if err != nil {
+		return err
+	}
+	return c.write(c.Frame(text))
+}
+
+// SetUp sends a set-up with that much time left, for the dispatcher of first choice.
+func (c *Caller) SetUp(id string, left time.Duration, first int, sdp string) error {
+	return c.Send(jsonl.Message{Type: "setup", ID: id, SDP: &sdp, Fields: map[string]jsonl.Value{
+		"class": "send-setup", "tenant": "acme", "key": jsonl.Value("k" + id), "left": jsonl.Value(strconv.Itoa(int(left.Milliseconds()))),
+		"extras": jsonl.Value(fmt.Sprintf("dest:%d;width:1;via:-1", first)),
+	}})
+}
+
+// Release gives up a set-up or ends a call.
+func (c *Caller) Release(id string, cause int) error {
+	return c.Send(jsonl.Message{Type: "release", ID: id, Cause: &cause})
+}
+
+// Next waits for a message.
+func (c *Caller) Next() (*jsonl.Message, error) {
+	if err := c.SetReadDeadline(time.Now().Add(Patience)); err != nil {
+		return nil, err
+	}
+	for {
+		var m *jsonl.Message
+		var err error
+		if c.ws {
+			var f *websocket.Message
+			if f, err = c.dec.Next(c.in); f != nil {
+				switch f.Op {
+				case websocket.Text:
+					m, err = jsonl.Parse(f.Payload)
+				case websocket.Close:
+					return nil, &websocket.Error{Code: f.Code, Text: "closed by the controller"}
+				default:
+					continue
+				}
+			}
+		} else {
+			m, err = c.line.Next(c.in)
+		}
+		if m != nil || err != nil {
+			return m, err
+		}
+		if err := c.more(); err != nil {
+			return nil, err
+		}
+	}
+}
+
+// Refusal is how a dispatcher turns a set-up down.
+type Refusal struct {
+	Status int    // of SIP
+	Note   string // of SIP
+	Cause  int    // of the call-control API
+}
+
+// The refusals.
+var (
+	NoLine = Refusal{503, "all_trunks_busy", 34}
+	Full   = Refusal{503, "cpu_full", 42}
+	Busy   = Refusal{486, "number_busy", 17}
+	Broken = Refusal{504, "", 41}
+	Moot   = Refusal{480, "", 27}
+)
+
+// Event is what a dispatcher has been told: "setup", "cancel", "release", "probe", or "ack".
+type Event struct {
+	Kind, ID, Class, Key, Description string
+	Left                              time.Duration
+	Cause                             int
+	At                                time.Time
+	link                              *link
+	seq                               uint32
+}
+
+// Dispatcher listens like one.
+type Dispatcher struct {
+	Events chan Event // all but acks
+	Acks   chan Event
+	ln     net.Listener
+	ws     bool
+	report string
+
+	mu    sync.Mutex
+	links []*link
+}
+
+type link struct {
+	*stream
+	d *Dispatcher
+}
+
+// Dispatch listens at the address. The report is what every new connection is told first.
+func Dispatch(transport, address, report string) (*Dispatcher, error) {
+	ln, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("dispatcher: %w", err)
+	}
+	d := &Dispatcher{Events: make(chan Event, 1024), Acks: make(chan Event, 1024), ln: ln, ws: transport == "ws", report: report}
+	go func() {
+		for {
+			nc, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go d.serve(&link{stream: newStream(nc), d: d})
+		}
+	}()
+	return d, nil
+}
+
+// Address is the dispatcher's in a list.
+func (d *Dispatcher) Address() string {
+	if d.ws {
+		return "ws://" + d.ln.Addr().String() + Path
+	}
+	return d.ln.Addr().String()
+}
+
+// Listening is the plain address.
+func (d *Dispatcher) Listening() string { return d.ln.Addr().String() }
+
+// Die ends the process: nothing listens, and all connections are reset.
+func (d *Dispatcher) Die() {
+	_ = d.ln.Close()
+	d.Cut()
+}
+
+// Cut resets all connections and goes on listening.
+func (d *Dispatcher) Cut() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, l := range d.links {
+		if tcp, ok := l.Conn.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		_ = l.Close()
+	}
+	d.links = nil
+}
+
+func (d *Dispatcher) serve(l *link) {
+	if d.ws {
+		for {
+			response, err := websocket.Accept(l.in, Path)
+			if response != nil {
+				_ = l.write(response)
+			}
+			if err != nil {
+				_ = l.Close()
+				return
+			}
+			if response != nil {
+				break
+			}
+			if l.more() != nil {
+				return
+			}
+		}
+	}
+	_ = l.write(d.state())
+	d.mu.Lock()
+	d.links = append(d.links, l)
+	d.mu.Unlock()
+	if d.ws {
+		l.serveAPI()
+	} else {
+		l.serveSIP()
+	}
+	_ = l.Close()
+}
+
+func (d *Dispatcher) state() []byte {
+	if d.ws {
+		return api(jsonl.Message{Type: "state", ID: "0", Fields: map[string]jsonl.Value{"report": jsonl.Value(d.report)}})
+	}
+	return sip.Append(nil, &sip.Message{Method: "NOTIFY", URI: "sip:state@net", CallID: "state", Seq: 1, SeqOf: "NOTIFY",
+		Headers: []sip.Header{{Name: "P-Report", Value: d.report}}})
+}
+
+func api(m jsonl.Message) []byte {
+	text, err := jsonl.Append(nil, m)
+	if err != nil {
+		panic(err)
+	}
+	return websocket.Append(nil, websocket.Text, text, false)
+}
+
+func (l *link) tell(e Event) {
+	e.At, e.link = time.Now(), l
+	if e.Kind == "ack" {
+		l.d.Acks <- e
+		return
+	}
+	l.d.Events <- e
+}
+
+func (l *link) serveAPI() {
+	dec := websocket.Decoder{Masked: true}
+	for {
+		m, err := dec.Next(l.in)
+		if err != nil {
+			return
+		}
+		if m == nil {
+			if l.more() != nil {
+				return
+			}
+			continue
+		}
+		if m.Op != websocket.Text {
+			continue
+		}
+		j, err := jsonl.Parse(m.Payload)
+		if err != nil {
+			return
+		}
+		left, _ := j.Int("left")
+		kind := map[string]string{"setup": "setup", "release": "release", "ping": "probe"}[j.Type]
+		l.tell(Event{Kind: kind, ID: j.ID, Class: string(j.Fields["class"]), Key: string(j.Fields["key"]),
+			Description: j.Description(), Left: time.Duration(left) * time.Millisecond, Cause: j.CauseOr(0)})
+	}
+}
+
+func (l *link) serveSIP() {
+	var dec sip.Decoder
+	for {
+		m, err := dec.Next(l.in)
+		if err != nil {
+			return
+		}
+		if m == nil {
+			if l.more() != nil {
+				return
+			}
+			continue
+		}
+		e := Event{ID: m.CallID, seq: m.Seq}
+		switch m.Method {
+		case "INVITE":
+			ms, _ := strconv.Atoi(m.Get("P-Time-Left"))
+			key, _, _ := strings.Cut(strings.TrimPrefix(m.URI, "sip:"), "@")
+			e.Kind, e.Class, e.Key, e.Description = "setup", m.Get("P-Kind"), key, string(m.Body)
+			e.Left = time.Duration(ms) * time.Millisecond
+		case "CANCEL": // a release of a set-up, as the API has it
+			e.Kind, e.Cause = "release", 16
+		case "BYE":
+			_, text, _ := strings.Cut(m.Get("Reason"), "cause=")
+			e.Kind = "release"
+			e.Cause, _ = strconv.Atoi(text)
+			_ = l.write(sip.Append(nil, &sip.Message{Status: 200, Phrase: "OK", CallID: m.CallID, Seq: m.Seq, SeqOf: "BYE"}))
+		case "OPTIONS":
+			e.Kind = "probe"
+		case "ACK":
+			e.Kind = "ack"
+		default:
+			continue
+		}
+		l.tell(e)
+	}
+}
+
+// Answer lets the call of a set-up stand. SIP's answer carries the number 1 whatever the attempt, as dispatchers do.
+func (e Event) Answer(description string) error {
+	if e.link.d.ws {
+		return e.link.write(api(jsonl.Message{Type: "answer", ID: e.ID, SDP: &description}))
+	}
+	return e.link.write(sip.Append(nil, &sip.Message{Status: 200, Phrase: "OK", CallID: e.ID, Seq: 1, SeqOf: "INVITE",
+		Body: []byte(description)}))
+}
+
+// Refuse turns a set-up down.
+func (e Event) Refuse(r Refusal) error {
+	if e.link.d.ws {
+		return e.link.write(api(jsonl.Message{Type: "release", ID: e.ID, Cause: &r.Cause}))
+	}
+	return e.link.write(sip.Append(nil, &sip.Message{Status: r.Status, Phrase: "No", CallID: e.ID, Seq: 1, SeqOf: "INVITE",
+		Headers: []sip.Header{{Name: "P-Reason", Value: r.Note}}}))
+}
+
+// Release ends a call that stands, on any connection.
+func (d *Dispatcher) Release(id string, cause int) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(d.links) == 0 {
+		return errors.New("dispatcher: no connection")
+	}
+	l := d.links[len(d.links)-1]
+	if d.ws {
+		return l.write(api(jsonl.Message{Type: "release", ID: id, Cause: &cause}))
+	}
+	return l.write(sip.Append(nil, &sip.Message{Method: "BYE", URI: "sip:caller@net", CallID: id, Seq: 2, SeqOf: "BYE",
+		Headers: []sip.Header{{Name: "Reason", Value: fmt.Sprintf("Q.850;cause=%d", cause)}}}))
+}
+
+// Next waits for what the dispatcher is told.
+func (d *Dispatcher) Next() (Event, error) {
+	select {
+	case e := <-d.Events:
+		return e, nil
+	case <-time.After(Patience):
+		return Event{}, errors.New("dispatcher: nothing came")
+	}
+}
