--- a/internal/call/core.go
+++ b/internal/call/core.go
@@ -21,9 +21,11 @@
 	remember = 20 * time.Second
 	// lateArrivals is how long after SIGTERM new set-ups may still arrive.
 	lateArrivals = 700 * time.Millisecond
-	// serveOut is how long after SIGTERM what was taken may take to its answer: SIGKILL comes 3.7 s after at the
-	// soonest.
-	serveOut = 3200 * time.Millisecond
+	// killAfter and killMost bound the time from SIGTERM to SIGKILL: the longest deadline, of which no more than
+	// killMost counts, and killAfter. What was taken is answered inReserve before.
+	killAfter = 700 * time.Millisecond
+	killMost  = 3 * time.Second
+	inReserve = 400 * time.Millisecond
 	// turns bounds how often the module is asked in one round of the loop for what its own actions led to.
 	turns = 8
 )
@@ -515,8 +517,12 @@
 	}
 	c.draining = time.Now()
 	c.log.Info("draining", "open", c.owed)
-	c.loop.After(lateArrivals+50*time.Millisecond, func() {})
-	c.loop.After(serveOut, func() {
+	c.loop.After(lateArrivals+time.Millisecond, func() {}) // a turn in which to leave
+	longest := time.Duration(0)
+	for _, class := range c.decisions.Classes {
+		longest = max(longest, class.Deadline)
+	}
+	c.loop.After(min(longest, killMost)+killAfter-inReserve, func() {
 		for _, id := range c.allOpen() {
 			k := c.calls[id]
 			c.abandon(k)
--- /dev/null
+++ b/internal/call/core_test.go
@@ -0,0 +1,154 @@
+package call
+
+import (
+	"fmt"
+	"log/slog"
+	"testing"
+	"time"
+
+	jsoniter "github.com/json-iterator/go"
+
+	"cherryrelay/control"
+	"cherryrelay/internal/settings"
+)
+
+// site stands in for callers and dispatchers, and keeps the rules' books: it runs on the core's loop, so its times are
+// those of the core.
+type site struct {
+	t     *testing.T
+	core  *Core
+	out   map[string]control.ServerID
+	ready map[string]time.Time
+	finals,
+	answers map[string]int
+	drained map[control.ServerID]bool
+	setUps  int
+	react   func(server control.ServerID, a SetUp)
+}
+
+func (s *site) Update(Update)                         {}
+func (s *site) Release(control.ServerID, string, int) {}
+func (s *site) Probe(control.ServerID)                {}
+func (s *site) Answer(id, _ string)                   { s.answers[id]++ }
+func (s *site) End(id string, _ End)                  { s.finals[id]++ }
+func (s *site) Over(string, End)                      {}
+func (s *site) Withdraw(_ control.ServerID, id string, _ int) {
+	delete(s.out, id)
+	s.ready[id] = time.Now().Add(guard)
+}
+
+func (s *site) SetUp(server control.ServerID, a SetUp) {
+	if at, ok := s.out[a.ID]; ok {
+		s.t.Errorf("call %s goes to %s while it is out at %s", a.ID, server, at)
+	}
+	if early := time.Until(s.ready[a.ID]); early > 0 {
+		s.t.Errorf("call %s goes out again %v too soon", a.ID, early)
+	}
+	if s.drained[server] {
+		s.t.Errorf("call %s goes to %s, which drains", a.ID, server)
+	}
+	s.out[a.ID] = server
+	s.setUps++
+	s.react(server, a)
+}
+
+const guard = 60 * time.Millisecond
+
+func newSite(t *testing.T) *site {
+	t.Helper()
+	set := new(settings.Settings)
+	if err := jsoniter.UnmarshalFromString(fmt.Sprintf(`{"caps":{"maxRetryAfterUs":2000000,"mayCancel":true,"retryAfter":true,
+"sendCap":5},"familyInfo":{"guardUs":%d,"layout":"skills","thisNode":-1},"membershipMode":"pushed","peersTotal":2,
+"report":{"fields":["idle"]},"requestClasses":[{"aimUs":900000,"deadlineUs":9000000,"name":"c","semantics":"read_like",
+"worth":1}],"resolutionUs":5000,"rules":{"coldUs":1000000,"startCapacity":0.3,"tipMultiple":2}}`, guard.Microseconds()), set); err != nil {
+		t.Fatal(err)
+	}
+	core, err := New(NewLoop(), slog.New(slog.DiscardHandler), set, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &site{t: t, core: core, out: map[string]control.ServerID{}, ready: map[string]time.Time{}, finals: map[string]int{},
+		answers: map[string]int{}, drained: map[control.ServerID]bool{}}
+	core.Serve(s)
+	return s
+}
+
+func (s *site) list(status control.ServerStatus, names ...control.ServerID) {
+	var u Update
+	for i, name := range names {
+		u.Servers = append(u.Servers, Server{ServerEntry: control.ServerEntry{ID: name, Cell: i, Status: status}})
+		s.drained[name] = status != control.Active
+	}
+	s.core.Update(u)
+}
+
+// TestEveryCallIsAnsweredOnceAndByTheRules has dispatchers that are silent, break set-ups, refuse them, or answer them
+// late and twice, and one that drains half-way.
+func TestEveryCallIsAnsweredOnceAndByTheRules(t *testing.T) {
+	s := newSite(t)
+	loop := s.core.Loop()
+	ended := func(server control.ServerID, a SetUp, o control.Outcome) {
+		if s.out[a.ID] == server {
+			delete(s.out, a.ID)
+			if o == control.Reset {
+				s.ready[a.ID] = time.Now().Add(guard)
+			}
+			s.core.Ended(server, a.ID, a.Attempt, o, false, nil)
+		}
+	}
+	s.react = func(server control.ServerID, a SetUp) {
+		switch s.setUps % 5 {
+		case 0: // silent, but for an answer when it has long been withdrawn
+			loop.After(700*time.Millisecond, func() { s.core.Answered(server, a.ID, a.Attempt, "late") })
+		case 1:
+			loop.After(5*time.Millisecond, func() { ended(server, a, control.Reset) })
+		case 2:
+			loop.After(5*time.Millisecond, func() { ended(server, a, control.Full) })
+		default:
+			loop.After(5*time.Millisecond, func() {
+				if s.out[a.ID] == server {
+					delete(s.out, a.ID)
+				}
+				s.core.Answered(server, a.ID, a.Attempt, "y")
+				s.core.Answered(server, a.ID, a.Attempt, "y")
+			})
+		}
+	}
+	const calls = 120
+	loop.Post(func() { s.list(control.Active, "a", "b", "c") })
+	for i := range calls {
+		loop.Post(func() {
+			loop.After(time.Duration(i)*5*time.Millisecond, func() {
+				s.core.Offer(Request{ID: fmt.Sprint(i), Class: "c", FirstCell: i % 3, Deadline: time.Now().Add(500 * time.Millisecond), Caller: s})
+			})
+		})
+	}
+	loop.Post(func() {
+		loop.After(300*time.Millisecond, func() { s.list(control.Draining, "a") })
+		loop.After(2*time.Second, loop.Quit)
+	})
+	loop.Run()
+	stood := 0
+	for i := range calls {
+		id := fmt.Sprint(i)
+		stood += s.answers[id]
+		if n := s.finals[id] + s.answers[id]; n != 1 {
+			t.Errorf("call %s has %d final answers", id, n)
+		}
+	}
+	if stood == 0 || stood == calls {
+		t.Errorf("%d of %d calls stood, want some", stood, calls)
+	}
+}
+
+// TestAHeldCallIsRefusedAtOnce: what the module gives up on is answered in the same turn, with a time to come back.
+func TestAHeldCallIsRefusedAtOnce(t *testing.T) {
+	s := newSite(t)
+	s.react = func(control.ServerID, SetUp) { t.Error("a call was sent where no dispatcher is known") }
+	s.core.Update(Update{Whole: true})
+	s.core.Offer(Request{ID: "1", Class: "c", Deadline: time.Now().Add(time.Minute), Caller: s})
+	s.core.turn()
+	if s.finals["1"] != 1 {
+		t.Error("a call that no dispatcher can take is not refused in its first turn")
+	}
+}
--- a/internal/coordinator/coordinator.go
+++ b/internal/coordinator/coordinator.go
@@ -94,13 +94,14 @@
 	client *http.Client
 	last   int64
 	take   func(call.Update) // called in order, by one goroutine
+	quiet  time.Duration
 }
 
 // New returns a Stream that goes on after the event of number last.
 func New(address string, last int64, log *slog.Logger, take func(call.Update)) *Stream {
 	dialer := &net.Dialer{Timeout: connectWithin}
 	return &Stream{
-		url: "http://" + address + "/v2/stream", log: log, last: last, take: take,
+		url: "http://" + address + "/v2/stream", log: log, last: last, take: take, quiet: quiet,
 		client: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableCompression: true}},
 	}
 }
@@ -130,7 +131,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var silent atomic.Bool
-	watchdog := time.AfterFunc(quiet, func() { silent.Store(true); cancel() })
+	watchdog := time.AfterFunc(s.quiet, func() { silent.Store(true); cancel() })
 	defer watchdog.Stop()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, s.url, nil)
 	if err != nil {
@@ -151,7 +152,7 @@
 	var id string
 	var data []byte
 	for lines.Scan() {
-		watchdog.Reset(quiet)
+		watchdog.Reset(s.quiet)
 		heard = true
 		line := lines.Bytes()
 		if len(line) == 0 {
--- /dev/null
+++ b/internal/coordinator/coordinator_test.go
@@ -0,0 +1,70 @@
+package coordinator
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"cherryrelay/control"
+	"cherryrelay/internal/call"
+)
+
+func event(index int, name, status string) string {
+	return fmt.Sprintf("id: %d\ndata: {\"index\":%d,\"endpoints\":{\"index\":7,\"snapshot\":false,\"endpoints\":[{\"name\":%q,\ndata: "+
+		"\"address\":\"127.0.0.1:1\",\"zone\":\"east\",\"group\":2,\"status\":%q,\"since_ms\":5000}]}}\n\n", index, index, name, status)
+}
+
+// TestTheStreamGoesOnWhereItBroke covers a stream that ends, one that falls silent, and events that come twice, make no
+// sense or come in parts.
+func TestTheStreamGoesOnWhereItBroke(t *testing.T) {
+	scripts := []string{
+		event(3, "known", "active") + ": comment\n\n" + event(4, "a", "active"),
+		"id: 5\ndata: {\"index\":5,\n\n" + event(6, "b", "odd") + event(7, "a", "leaving") + "SILENCE",
+		event(8, "a", "left") + "SILENCE",
+	}
+	asked := make(chan string, 8)
+	played := 0
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		asked <- r.URL.Path + " after " + r.Header.Get("Last-Event-ID")
+		script := "SILENCE"
+		if played < len(scripts) {
+			script = scripts[played]
+		}
+		played++
+		text, silent := strings.CutSuffix(script, "SILENCE")
+		for i := 0; i < len(text); i += 50 {
+			_, _ = io.WriteString(w, text[i:min(i+50, len(text))])
+			_ = http.NewResponseController(w).Flush()
+		}
+		if silent {
+			<-r.Context().Done()
+		}
+	}))
+	defer server.Close()
+	updates := make(chan call.Update, 8)
+	s := New(strings.TrimPrefix(server.URL, "http://"), 3, slog.New(slog.DiscardHandler), func(u call.Update) { updates <- u })
+	s.quiet = 500 * time.Millisecond
+	ctx, cancel := context.WithCancel(t.Context())
+	go s.Run(ctx)
+	for _, want := range []struct {
+		asked  string
+		status control.ServerStatus
+	}{{"/v2/stream after 3", control.Active}, {"/v2/stream after 4", control.Draining}, {"/v2/stream after 7", control.Removed}} {
+		if got := <-asked; got != want.asked {
+			t.Errorf("asked for %q, want %q", got, want.asked)
+		}
+		entry := control.ServerEntry{ID: "a", Status: want.status, Cell: 2, Zone: "east", StartedAt: 5 * time.Second}
+		if diff := cmp.Diff(call.Update{Servers: []call.Server{{ServerEntry: entry, Address: "127.0.0.1:1"}}}, <-updates); diff != "" {
+			t.Errorf("update (-want +got):\n%s", diff)
+		}
+	}
+	cancel()
+}
--- /dev/null
+++ b/internal/jsonl/jsonl_test.go
@@ -0,0 +1,80 @@
+package jsonl
+
+import (
+	"errors"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"cherryrelay/internal/ring"
+)
+
+// read feeds text in pieces and returns the messages and the error that ended them.
+func read(text string, piece int) (all []*Message, err error) {
+	in, d := ring.New(32<<10), new(Decoder)
+	for len(text) > 0 && err == nil {
+		n := in.Write([]byte(text[:min(piece, len(text))]))
+		text = text[n:]
+		for {
+			var m *Message
+			if m, err = d.Next(in); m == nil || err != nil {
+				break
+			}
+			all = append(all, m)
+		}
+		if n == 0 {
+			return all, errors.New("the ring is full and nothing is read")
+		}
+	}
+	return all, err
+}
+
+func ptr[T any](v T) *T { return &v }
+
+func TestMessages(t *testing.T) {
+	for name, test := range map[string]struct {
+		text string
+		want []*Message
+		bad  bool
+	}{
+		"both forms of a field": {"{\"type\":\"setup\",\"id\":\"1\",\"fields\":{\"left\":1500,\"class\":\"v\"},\"sdp\":\"a\\r\\nb\"}\r\n",
+			[]*Message{{Type: "setup", ID: "1", Fields: map[string]Value{"left": "1500", "class": "v"}, SDP: ptr("a\r\nb")}}, false},
+		"blank lines":       {"\n\r\n{\"type\":\"ping\",\"cause\":0}\n\n", []*Message{{Type: "ping", Cause: ptr(0)}}, false},
+		"two, and one part": {"{\"type\":\"a\"}\n{\"type\":\"b\"}\n{\"ty", []*Message{{Type: "a"}, {Type: "b"}}, false},
+		"a field of no use": {`{"type":"a","fields":{"x":[1]}}` + "\n", []*Message{{Type: "a", Fields: map[string]Value{"x": "[1]"}}}, false},
+		"no object":         {"[]\n", nil, true},
+		"no type":           {"{}\n", nil, true},
+		"rest on the line":  {`{"type":"a"}{}` + "\n", nil, true},
+		"too long":          {`{"type":"` + strings.Repeat("x", MaxMessage), nil, true},
+	} {
+		for _, piece := range []int{1, 7, 1 << 20} {
+			got, err := read(test.text, piece)
+			if diff := cmp.Diff(test.want, got); diff != "" || (err != nil) != test.bad {
+				t.Errorf("%s, in pieces of %d: error %v, messages (-want +got):\n%s", name, piece, err, diff)
+			}
+		}
+	}
+}
+
+// FuzzDecoder checks that pieces make no difference and that what is read survives being written.
+func FuzzDecoder(f *testing.F) {
+	f.Add("{\"type\":\"setup\",\"id\":\"1\",\"fields\":{\"left\":1500},\"sdp\":\"\\u00fc\"}\n{\"type\":\"x\"}\n", 3)
+	f.Fuzz(func(t *testing.T, text string, piece int) {
+		whole, err := read(text, len(text)+1)
+		parts, errParts := read(text, 1+max(piece, 0)%64)
+		if diff := cmp.Diff(whole, parts); diff != "" || (err == nil) != (errParts == nil) {
+			t.Fatalf("in pieces: %v and %v\n%s", err, errParts, diff)
+		}
+		for _, m := range whole {
+			p, err := Append(nil, *m)
+			if err != nil {
+				t.Fatal(err)
+			}
+			again, err := Parse(p)
+			if err != nil || again.Type != m.Type || again.ID != m.ID || again.Description() != m.Description() {
+				t.Fatalf("%s reads as %+v: %v", p, again, err)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/sip/sip_test.go
@@ -0,0 +1,90 @@
+package sip
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"cherryrelay/internal/ring"
+)
+
+// read feeds text in pieces and returns the messages and the error that ended them.
+func read(text string, piece int) (all []*Message, err error) {
+	in, d := ring.New(32<<10), new(Decoder)
+	for len(text) > 0 && err == nil {
+		n := in.Write([]byte(text[:min(piece, len(text))]))
+		text = text[n:]
+		for {
+			var m *Message
+			if m, err = d.Next(in); m == nil || err != nil {
+				break
+			}
+			all = append(all, m)
+		}
+	}
+	return all, err
+}
+
+const invite = "INVITE sip:7f@net SIP/2.0\r\nVia: SIP/2.0/TCP peer\r\nCall-ID: 9b\r\nCSeq: 1 INVITE\r\nP-Kind: voice\r\n" +
+	"Content-Length: 4\r\n\r\na\r\nb"
+
+func TestMessages(t *testing.T) {
+	asked := &Message{Method: "INVITE", URI: "sip:7f@net", CallID: "9b", Seq: 1, SeqOf: "INVITE", Body: []byte("a\r\nb"),
+		Headers: []Header{{"Via", "SIP/2.0/TCP peer"}, {"P-Kind", "voice"}}}
+	for name, test := range map[string]struct {
+		text string
+		want []*Message
+		bad  bool
+	}{
+		"two in a row":        {invite + invite, []*Message{asked, asked}, false},
+		"line ends before it": {"\r\n\r\n" + invite, []*Message{asked}, false},
+		"compact, folded, bare line feeds": {"SIP/2.0 503 Full up\ni: 9b\nl:0\nCSEQ:  7  INVITE\nReason: a\n  b\n\n",
+			[]*Message{{Status: 503, Phrase: "Full up", CallID: "9b", Seq: 7, SeqOf: "INVITE", Body: []byte{},
+				Headers: []Header{{"Reason", "a  b"}}}}, false},
+		"part of a body":    {invite[:len(invite)-1], nil, false},
+		"no length":         {"BYE sip:x SIP/2.0\r\nCall-ID: 1\r\n\r\n", nil, true},
+		"two lengths":       {"BYE sip:x SIP/2.0\r\nl: 1\r\nContent-Length: 2\r\n\r\n", nil, true},
+		"length below zero": {"BYE sip:x SIP/2.0\r\nContent-Length: -1\r\n\r\n", nil, true},
+		"other protocol":    {"GET / HTTP/1.1\r\nContent-Length: 0\r\n\r\n", nil, true},
+		"bad status":        {"SIP/2.0 999 X\r\nContent-Length: 0\r\n\r\n", nil, true},
+		"no header":         {"BYE sip:x SIP/2.0\r\nwhat\r\nContent-Length: 0\r\n\r\n", nil, true},
+		"too long a body":   {"BYE sip:x SIP/2.0\r\nContent-Length: 16384\r\n\r\n", nil, true},
+		"too long a head":   {"BYE sip:x SIP/2.0\r\nX: " + strings.Repeat("y", MaxMessage), nil, true},
+	} {
+		for _, piece := range []int{1, 5, 1 << 20} {
+			got, err := read(test.text, piece)
+			if diff := cmp.Diff(test.want, got); diff != "" || (err != nil) != test.bad {
+				t.Errorf("%s, in pieces of %d: error %v, messages (-want +got):\n%s", name, piece, err, diff)
+			}
+		}
+	}
+}
+
+// FuzzDecoder checks that pieces make no difference and that what is read survives being written.
+func FuzzDecoder(f *testing.F) {
+	f.Add(invite+"SIP/2.0 200 OK\r\nl: 0\r\n\r\n", 3)
+	f.Fuzz(func(t *testing.T, text string, piece int) {
+		whole, err := read(text, len(text)+1)
+		parts, errParts := read(text, 1+max(piece, 0)%64)
+		if len(text) > 32<<10 {
+			return // more than the ring takes at once
+		}
+		if diff := cmp.Diff(whole, parts); diff != "" || (err == nil) != (errParts == nil) {
+			t.Fatalf("in pieces: %v and %v\n%s", err, errParts, diff)
+		}
+		for _, m := range whole {
+			m.Headers = nil
+			again, err := read(string(Append(nil, m)), 1<<20)
+			if len(again) == 1 {
+				again[0].Headers = nil
+			}
+			if m.SeqOf == "" { // a message without CSeq gets an empty one
+				continue
+			}
+			if diff := cmp.Diff([]*Message{m}, again); diff != "" || err != nil {
+				t.Fatalf("written and read: %v\n%s", err, diff)
+			}
+		}
+	})
+}
