Read configuration files that end in a line feed, and test the repository's own

Seen: 'make run' ended with 'more than one object'. At fault: decode in internal/config/config.go, added with the operator's file, asked the decoder for a second value, and json-iterator's does not answer that with io.EOF after white space. Now the whole text is unmarshalled at once.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -6,7 +6,6 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"os"
 	"strconv"
@@ -92,13 +91,9 @@
 	if err != nil {
 		return fmt.Errorf("configuration: %w", err)
 	}
-	d := api.NewDecoder(strings.NewReader(string(text)))
-	if err := d.Decode(into); err != nil {
+	if err := api.Unmarshal(text, into); err != nil {
 		return fmt.Errorf("configuration %s: %s", path, oneLine(err))
 	}
-	if err := d.Decode(new(any)); !errors.Is(err, io.EOF) {
-		return fmt.Errorf("configuration %s: more than one object", path)
-	}
 	return nil
 }
 
--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,75 @@
+package config
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// The repository's own files must always start a controller.
+const (
+	platform = "../../example/config.json"
+	gateway  = "../../deploy/gateway.json"
+	api2     = "../../example/websocket.json"
+)
+
+func TestTheRepositorysFiles(t *testing.T) {
+	for name, env := range map[string]map[string]string{
+		"platform":             {"LB_CONFIG": platform, "LB_NAME": "n3", "LB_LISTEN": "127.0.0.9:1"},
+		"gateway":              {"LB_OPERATOR": gateway},
+		"platform with an API": {"LB_CONFIG": platform, "LB_OPERATOR": api2},
+	} {
+		c, err := Read(func(key string) string { return env[key] })
+		if err != nil {
+			t.Errorf("%s: %v", name, err)
+			continue
+		}
+		if on := c.WebSocket != nil; on != (env["LB_OPERATOR"] != "") {
+			t.Errorf("%s: API on: %v", name, on)
+		}
+		if env["LB_NAME"] != "" && (c.Name != "n3" || c.Listen != "127.0.0.9:1") {
+			t.Errorf("%s: name %q at %q", name, c.Name, c.Listen)
+		}
+	}
+}
+
+func TestBadConfigurationIsOnePlainLine(t *testing.T) {
+	whole, err := os.ReadFile(platform)
+	if err != nil {
+		t.Fatal(err)
+	}
+	operator, err := os.ReadFile(gateway)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, test := range []struct{ file, from, to, want string }{
+		{"c", `"127.0.0.1:5060"`, `"5060"`, "listen"},
+		{"c", `"8c1f30d27a5be964"`, `"seed"`, "seed"},
+		{"c", `"skills"`, `"star"`, "layout"},
+		{"c", `"settings"`, `"other"`, "settings"},
+		{"c", `"listen"`, "\n\n", "configuration"},
+		{"c", `"connectTimeoutUs": 500000`, `"connectTimeoutUs": 0`, "connectTimeoutUs"},
+		{"o", `"path": "/v1/calls"`, `"path": "v1"`, "websocket.path"},
+		{"o", `"websocket"`, `"websockets"`, "websockets"},
+		{"o", `["127.0.0.1:2379"]`, `[]`, "endpoints"},
+		{"o", `"/cherryrelay/dispatchers/"`, `""`, "prefix"},
+	} {
+		key, text := "LB_CONFIG", string(whole)
+		if test.file == "o" {
+			key, text = "LB_OPERATOR", string(operator)
+		}
+		broken := strings.Replace(text, test.from, test.to, 1)
+		if broken == text {
+			t.Errorf("%s is not in the file", test.from)
+		}
+		path := filepath.Join(t.TempDir(), "config.json")
+		if err := os.WriteFile(path, []byte(broken), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		_, err := Read(func(k string) string { return map[string]string{key: path}[k] })
+		if err == nil || !strings.Contains(err.Error(), test.want) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s for %s: error %q, want one line that names %s", test.to, test.from, err, test.want)
+		}
+	}
+}
