Keep callbacks off netpoll's poller, and release the calls of a dispatcher that stops silently

The poller could wait for itself. Seen: a run of the stories stood still for ten minutes. The goroutine dump shows the poller in FDOperator.unused, called from closeCallback inside a callback that ran on the poller: netpoll.Configure's Runner in internal/conn/conn.go had them run there. A close during a callback then never ends and no connection is served. They run on netpoll's pool now; a peer that writes far ahead of its ring is dropped, as the poller no longer waits for it. The stories of illegal messages and of connections that close inside a message go through this path.

Calls of a stopped dispatcher were released too late. The log shows the drained dispatcher's connections open and silent from 23.6 s, new ones refused from 26.1 s, and the calls released at 36.4 s when the register told that it was gone. At fault: refused in internal/dispatchers/dispatchers.go took a refusal for news only when no connection was open. A story covers it.

--- a/cmd/cherryrelay/stories_test.go
+++ b/cmd/cherryrelay/stories_test.go
@@ -307,6 +307,19 @@
 	})
 }
 
+func TestCallsOfADispatcherThatStopsWithoutAWordAreReleased(t *testing.T) {
+	// At the end of a drain a dispatcher left its connections open and said nothing more; new ones were refused. Its
+	// calls were released only when the register told that it was gone, 12 s later.
+	story(t, []string{"d0: setup 1 x", "caller: answer 1 y", "caller: release 1 41"}, func(w *world) {
+		c := w.caller()
+		w.must(c.SetUp(id(1), long, 0, "x"))
+		w.must(w.gets(0).Answer("y"))
+		w.hears(c)
+		w.dispatchers[0].Stop()
+		w.hears(c)
+	})
+}
+
 func TestACallOutlivesItsConnections(t *testing.T) {
 	// No connection owns a call that stands: its end comes in on a new one and goes out on a new one. That holds for a
 	// call from before a restart, too.
--- a/internal/conn/conn.go
+++ b/internal/conn/conn.go
@@ -1,6 +1,6 @@
 // Package conn wraps a netpoll connection as an object with callbacks and one ring buffer a direction.
 //
-// netpoll's single poller fills the inbound ring; the event loop empties it. Everything but that filling
+// netpoll fills the inbound ring; the event loop empties it. Everything but that filling
 // happens on the event loop, so the callbacks need no locks.
 package conn
 
@@ -25,6 +25,8 @@
 	inSize = 32 << 10
 	// outSize is what a peer that reads slowly may leave unread before it is dropped.
 	outSize = 64 << 10
+	// maxBacklog is what may have come beyond the ring.
+	maxBacklog = 256 << 10
 	// retryAfter is the pause before a full socket is tried again.
 	retryAfter = 5 * time.Millisecond
 )
@@ -32,6 +34,9 @@
 // ErrSlowReader closes a connection whose peer leaves too much unread.
 var ErrSlowReader = errors.New("peer reads too slowly")
 
+// ErrFlood closes a connection whose peer writes faster than it can be read.
+var ErrFlood = errors.New("peer writes too fast")
+
 // ErrRefused is the reason of a dial that the other machine has turned down: nothing listens there.
 var ErrRefused = errors.New("connection refused")
 
@@ -39,12 +44,9 @@
 var ErrClosedHere = errors.New("closed by this side")
 
 func init() {
-	// One poller, and its callbacks run on it: they only copy bytes, so no goroutine is started for one.
-	err := netpoll.Configure(netpoll.Config{
-		PollerNum: 1,
-		Runner:    func(_ context.Context, f func()) { f() },
-	})
-	if err != nil {
+	// One poller. Its callbacks must run on netpoll's pool, not on the poller itself: a connection that is closed
+	// during a callback there waits for the poller for ever, and every other connection with it.
+	if err := netpoll.Configure(netpoll.Config{PollerNum: 1}); err != nil {
 		panic(err)
 	}
 }
@@ -94,11 +96,15 @@
 	return err
 }
 
-// fill runs on the poller. It moves what came into the ring and waits while that is full: the loop empties
-// every ring each turn, so the wait is short, and what is not read stays in the sockets. netpoll itself
-// would read on without bound.
+// fill runs on netpoll's pool, once at a time for a connection. It moves what came into the ring and waits while that
+// is full; the loop empties every ring each turn, so the wait is short. netpoll reads on meanwhile without bound, so a
+// peer that is too far ahead is dropped.
 func (c *Conn) fill(r netpoll.Reader) error {
 	for n := r.Len(); n > 0; n = r.Len() {
+		if n > maxBacklog {
+			c.loop.Post(func() { c.Close(ErrFlood) })
+			return errors.Join(r.Skip(n), r.Release())
+		}
 		free := c.in.Free()
 		if free == 0 {
 			c.notify()
@@ -249,7 +255,7 @@
 	c.reason, c.ended = reason, true
 	c.mu.Unlock()
 	select {
-	case c.space <- struct{}{}: // let a waiting poller go, or closing would wait for it
+	case c.space <- struct{}{}: // let a waiting fill go
 	default:
 	}
 	if err := c.nc.Close(); err != nil {
--- a/internal/dispatchers/dispatchers.go
+++ b/internal/dispatchers/dispatchers.go
@@ -234,13 +234,17 @@
 	s.redialAt = time.Now().Add(s.redial)
 	s.unanswered = !errors.Is(err, conn.ErrRefused)
 	s.pool.Log.Info("no connection", "server", s.ID, "err", err)
-	if len(s.links) > 0 {
+	if len(s.links) > 0 && (s.unanswered || time.Since(s.heardAt) <= silence) {
 		return
 	}
-	s.expire(time.Time{})
 	if !s.unanswered {
-		s.pool.core.Died(s.ID) // nothing listens and every connection is gone: the process is, and its calls with it
+		// Nothing listens, and every connection is gone or has long been silent: a process that stops at the end of
+		// its drain may leave its connections open. It is no more, and its calls with it.
+		s.drop(errors.New("dispatcher has stopped"))
+		s.pool.core.Died(s.ID)
+		return
 	}
+	s.expire(time.Time{})
 }
 
 func (s *server) opened(l *link) {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -226,6 +226,9 @@
 	d.Cut()
 }
 
+// Stop has nothing listen any more and leaves the connections open.
+func (d *Dispatcher) Stop() { _ = d.ln.Close() }
+
 // Cut resets all connections and goes on listening.
 func (d *Dispatcher) Cut() {
 	d.mu.Lock()
