Check set-ups at the front, and end links whose answers came spoilt

A probe of all messages showed 200 set-ups a burst under one open id (never answered), tenants, widths and dests that the settings do not have, set-ups taken back at once (never closed), and answers of noise with a fitting length under unknown ids, which were answered by ACK and BYE. Usual callers had four connections with at most six set-ups open each. Nearly all set-ups of a dispatcher shared one connection, so that one unreadable answer reset them all. Ruled out: memory (26 of 64 MB), processor (0.14 s in the worst second). At fault: callers.setUp (no check of tenant, width, dest, left's upper end, description), Core.Offer (known ids unanswered), Core.GiveUp (anybody could end anybody's set-up), link.take (any answer counted), server.best and maxLinks (one link carried all; a link that was open but dead kept its set-ups), SIP.Next (a description cut off by a wrong length was passed on). Four links a dispatcher, set-ups go to the one with the fewest; a link ends on noise, on a length that does not fit, inside a message after 250 ms, and when later set-ups have their answers elsewhere. Stray and second answers are dropped. What is open for callers is bounded by count and memory. Logs are bounded by text. Tests: seen to fail before the change (bad fields, ids, spoilt, stray, dead link).

--- a/cmd/cherryrelay/main.go
+++ b/cmd/cherryrelay/main.go
@@ -12,6 +12,7 @@
 	"syscall"
 
 	"cherryrelay/internal/config"
+	"cherryrelay/internal/logs"
 )
 
 func main() {
@@ -31,7 +32,7 @@
 	if os.Getenv("LB_LOG") == "debug" {
 		options.Level = slog.LevelDebug
 	}
-	log := slog.New(slog.NewTextHandler(os.Stderr, options)).With("name", c.Name)
+	log := slog.New(logs.Bound(slog.NewTextHandler(os.Stderr, options))).With("name", c.Name)
 	slog.SetDefault(log)
 	n, err := start(c, log)
 	if err != nil {
--- a/cmd/cherryrelay/node.go
+++ b/cmd/cherryrelay/node.go
@@ -24,6 +24,7 @@
 	list   *coordinator.Stream
 	cancel context.CancelFunc
 	bounds callers.Bounds
+	terms  *callers.Terms
 }
 
 // start wires a call controller and opens its fronts. It serves once run is called.
@@ -54,7 +55,8 @@
 		loop.Post(func() { core.Update(u) })
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	n = &node{core: core, loop: loop, log: log, cancel: cancel, bounds: bounds}
+	n = &node{core: core, loop: loop, log: log, cancel: cancel, bounds: bounds, terms: callers.NewTerms(c.Settings)}
+	core.Within(c.Limits.MemoryMB << 20)
 	defer func() {
 		if err != nil {
 			err = errors.Join(err, n.close())
@@ -84,7 +86,7 @@
 }
 
 func (n *node) front(address string, format func() callers.Format) (*callers.Front, error) {
-	f, err := callers.Listen(n.loop, n.core, n.log, address, format, n.bounds)
+	f, err := callers.Listen(n.loop, n.core, n.log, address, format, n.bounds, n.terms)
 	if err != nil {
 		return nil, err
 	}
@@ -120,6 +122,7 @@
 	n.log.Info("configuration reloaded", "coordinator", c.Coordinator)
 	n.list.Move(c.Coordinator)
 	n.loop.Post(func() {
+		n.core.Within(c.Limits.MemoryMB << 20)
 		for _, f := range []*callers.Front{n.lines, n.api} {
 			if f != nil {
 				f.Limit(callers.Within(c.Limits.Sockets).Connections)
--- a/cmd/cherryrelay/stories_test.go
+++ b/cmd/cherryrelay/stories_test.go
@@ -290,20 +290,155 @@
 }
 
 func TestBadFieldsFailTheirSetUpAlone(t *testing.T) {
-	story(t, []string{"caller: release 1 100", "caller: release 2 100", "caller: release 3 100", "caller: release 4 41",
-		"d0: setup 5 x", "caller: answer 5 y"}, func(w *world) {
+	// None of these may reach a dispatcher, which closes a shared connection on what it cannot read.
+	good := `"class":"send-setup","tenant":"acme","left":900,"key":"k1","extras":"dest:0;width:1;via:-1"},"sdp":"x"`
+	bad := [][2]string{
+		{`900`, `"soon"`}, {`900`, `-5`}, {`900`, `90001`}, {`900`, `99999999999999999999999`}, {`900`, `"NaN"`}, {`900`, `null`},
+		{`-setup`, `-setup_x`}, {`acme`, `nobody`}, {`k1`, ``}, {`k1`, `k 1`}, {`k1`, `k\r\n1`}, {`k1`, `k1@net`}, {`k1`, strings.Repeat("k", 65)},
+		{`dest:0`, `dest:nan`}, {`dest:0`, `dest:99`}, {`dest:0`, `dest:-3`}, {`width:1`, `width:400`}, {`width:1`, `width:0`},
+		{`dest:0;width:1;via:-1`, `x`}, {`via:-1`, `via:-7`}, {`,"sdp":"x"`, ``}, {`"sdp":"x"`, `"sdp":""`}, {`"sdp":"x"`, `"sdp":"\u0000"`},
+		{`"sdp":"x"`, `"sdp":"` + strings.Repeat("x", call.MaxDescription+1) + `"`},
+	}
+	want := make([]string, 0, len(bad)+3)
+	for i := range bad {
+		want = append(want, fmt.Sprintf("caller: release %x 100", i+1))
+	}
+	want = append(want, "caller: release fd 41", "d0: setup ff x", "caller: answer ff y")
+	story(t, want, func(w *world) {
+		send := func(c *peer.Caller, n int, fields string) {
+			w.must(c.SendRaw(c.Frame([]byte(`{"type":"setup","id":"` + id(n) + `","fields":{` + fields + `}`))))
+		}
 		c := w.caller()
-		for i, fields := range []string{`"class":"send-setup","left":"soon"`, `"left":"900"`,
-			`"class":"send-setup","left":900,"extras":"dest:none"`, `"class":"send-setup","left":0`} {
-			w.must(c.SendRaw(c.Frame([]byte(`{"type":"setup","id":"` + id(i+1) + `","fields":{` + fields + `}}`))))
+		for i, change := range bad {
+			if i%4 == 0 {
+				c = w.caller() // who sends many of them loses the connection
+			}
+			fields := strings.Replace(good, change[0], change[1], 1)
+			if fields == good {
+				t.Fatalf("%s is not in the set-up", change[0])
+			}
+			send(c, i+1, fields)
 			w.hears(c)
 		}
-		w.must(c.SetUp(id(5), long, 0, "x"))
+		c = w.caller()
+		send(c, 0xfd, strings.Replace(good, "900", "0", 1)) // not wrong, but too late
+		w.hears(c)
+		w.must(c.SetUp(id(0xff), long, 0, "x"))
 		w.must(w.gets(0).Answer("y"))
 		w.hears(c)
 	})
 }
 
+func TestWhoSendsOnlyBadSetUpsIsClosed(t *testing.T) {
+	story(t, nil, func(w *world) {
+		c := w.caller()
+		for i := range 100 {
+			if c.SendRaw(c.Frame([]byte(`{"type":"setup","id":"`+id(i+1)+`","fields":{"class":"none"}}`))) != nil {
+				break
+			}
+		}
+		w.ends(c)
+	})
+}
+
+func TestAnIdIsUsedOnce(t *testing.T) {
+	// Under the id of an open set-up, another on the same connection has no answer of its own; one from elsewhere is no
+	// business of the first.
+	story(t, []string{"d0: setup 1 x", "caller: release 1 100", "caller: answer 1 y", "d0: setup 2 x", "caller: release 2 41",
+		"d0: release 2 16"}, func(w *world) {
+		c, other := w.caller(), w.caller()
+		w.must(c.SetUp(id(1), long, 0, "x"))
+		e := w.gets(0)
+		w.must(other.SetUp(id(1), long, 1, "z"))
+		w.hears(other)
+		_ = other.Release(id(1), 16) // nor can it go on to end that
+		w.ends(other)
+		w.must(e.Answer("y"))
+		w.hears(c)
+		w.must(c.SetUp(id(2), long, 0, "x"))
+		w.gets(0)
+		w.must(c.SetUp(id(2), long, 0, "z"))
+		w.hears(c)
+		w.ends(c)
+		w.gets(0)
+	})
+}
+
+// linked waits until a dispatcher has that many connections.
+func (w *world) linked(d, links int) {
+	w.Helper()
+	for begin := time.Now(); w.dispatchers[d].Links() < links; time.Sleep(5 * time.Millisecond) {
+		if time.Since(begin) > peer.Patience {
+			w.Fatalf("dispatcher %d has %d connections, want %d", d, w.dispatchers[d].Links(), links)
+		}
+	}
+}
+
+func TestASpoiltAnswerIsNoAnswer(t *testing.T) {
+	// It ends its connection: the set-up goes out again after the guard, and others are not touched.
+	for name, answer := range map[string]func(e peer.Event) error{
+		"noise":     func(e peer.Event) error { return e.Answer("\x01\x02\x03") },
+		"nothing":   func(e peer.Event) error { return e.Answer("") },
+		"too long":  func(e peer.Event) error { return e.Answer(strings.Repeat("\n", jsonl.MaxMessage-400)) },
+		"cut short": func(e peer.Event) error { return e.AnswerHalf() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			story(t, []string{"d1: setup 2 x", "d0: setup 1 x", "again", "caller: answer 2 y"}, func(w *world) {
+				c := w.caller()
+				w.must(c.SetUp(id(2), long, 1, "x"))
+				f := w.gets(1)
+				w.must(c.SetUp(id(1), long, 0, "x"))
+				w.must(answer(w.gets(0)))
+				want := "setup"
+				if name == "too long" && !strings.HasPrefix(w.dispatchers[0].Address(), "ws") {
+					want = "release" // it could be read, but no message to a caller holds it: it has failed
+				}
+				if e, err := w.dispatchers[0].Next(); err != nil || e.Kind != want || e.ID != id(1) {
+					t.Errorf("got %v, %v, want a %s", e, err, want)
+				}
+				w.say("again")
+				w.must(f.Answer("y"))
+				w.hears(c)
+			})
+		})
+	}
+}
+
+func TestStrayAnswersAreDropped(t *testing.T) {
+	// An answer ahead under another id, and a second copy: neither is answered, released, or taken for another call.
+	story(t, []string{"d0: setup 1 x", "caller: answer 1 y", "d0: setup 2 x", "caller: answer 2 z"}, func(w *world) {
+		c := w.caller()
+		w.must(c.SetUp(id(1), long, 0, "x"))
+		e := w.gets(0)
+		stray := e
+		stray.ID = id(0x99)
+		w.must(stray.Answer("stray"))
+		w.must(e.Answer("y"))
+		w.must(e.Answer("y"))
+		w.hears(c)
+		w.must(c.SetUp(id(2), long, 0, "x"))
+		w.must(w.gets(0).Answer("z"))
+		w.hears(c)
+	})
+}
+
+func TestALinkThatIsOpenButDeadIsLeft(t *testing.T) {
+	// A later set-up to the same dispatcher has its answer on another connection; the earlier one held until its limit.
+	story(t, []string{"d0: setup 1 x", "d0: setup 2 x", "caller: answer 2 y", "d0: setup 1 x", "caller: answer 1 z"},
+		func(w *world) {
+			w.linked(0, 4)
+			c := w.caller()
+			w.must(c.SetUp(id(1), long, 0, "x"))
+			w.gets(0)
+			time.Sleep(400 * time.Millisecond) // more than they may differ by; a slow machine makes it longer
+			w.must(c.SetUp(id(2), long, 0, "x"))
+			w.must(w.gets(0).Answer("y"))
+			w.hears(c)
+			w.must(w.gets(0).Answer("z"))
+			w.hears(c)
+		})
+}
+
 func TestCallsOfADispatcherThatDiesAreReleased(t *testing.T) {
 	story(t, []string{"d0: setup 1 x", "caller: answer 1 y", "caller: release 1 41"}, func(w *world) {
 		c := w.caller()
@@ -400,6 +535,10 @@
 			whole := c.Frame([]byte(`{"type":"ping","id":"` + id(3) + `"}`))
 			w.must(c.SendRaw(whole[:len(whole)/2]))
 		}},
+		"taken back": {callers.Bounds{Silent: soon, Idle: long}, func(w *world, c *peer.Caller) {
+			w.must(c.SetUp(id(1), long, 0, "x"))
+			w.must(c.Release(id(1), 16))
+		}},
 		"idle": {callers.Bounds{Silent: long, Idle: soon}, func(w *world, c *peer.Caller) {
 			w.must(c.Send(jsonl.Message{Type: "ping", ID: id(0)}))
 		}},
--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -4,7 +4,10 @@
 package call
 
 import (
+	"strings"
 	"time"
+	"unicode"
+	"unicode/utf8"
 
 	"cherryrelay/control"
 )
@@ -56,8 +59,8 @@
 
 // Caller is where a call came from: one connection of a front.
 type Caller interface {
-	// Answer tells that the call stands.
-	Answer(id, description string)
+	// Answer tells that the call stands. An error says that the description does not fit a message, and nothing is told.
+	Answer(id, description string) error
 	// End is the final answer to a call that does not stand.
 	End(id string, end End)
 	// Over tells that a call that stood has ended. No connection owns it: if this one has closed since, another
@@ -71,6 +74,22 @@
 	Release(id string, end End)
 }
 
+// MaxDescription leaves room for the headers around it in a message of 16 KiB, whatever the wire.
+const MaxDescription = 14 << 10
+
+// ValidID reports whether id names a call: 16 hex digits.
+func ValidID(id string) bool {
+	return len(id) == 16 && strings.Trim(id, "0123456789abcdefABCDEF") == ""
+}
+
+// ValidDescription reports whether a description can be passed on unchanged, whatever the wire: text that is not empty,
+// without control characters but those that part lines. Noise is not.
+func ValidDescription(text string) bool {
+	return text != "" && utf8.ValidString(text) && !strings.ContainsFunc(text, func(r rune) bool {
+		return unicode.IsControl(r) && r != '\r' && r != '\n' && r != '\t'
+	})
+}
+
 // SetUp is an attempt at a dispatcher.
 type SetUp struct {
 	ID          string
--- a/internal/call/core.go
+++ b/internal/call/core.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -27,6 +29,10 @@
 	killAfter = 700 * time.Millisecond
 	killMost  = 3 * time.Second
 	inReserve = 400 * time.Millisecond
+	// maxOpen is how many set-ups may be open on one connection; callers were seen with six.
+	maxOpen = 256
+	// heldShare of the memory is what descriptions of open set-ups may take, of all connections together.
+	heldShare = 1.0 / 16
 	// turns bounds how often the module is asked in one round of the loop for what its own actions led to.
 	turns = 8
 )
@@ -66,6 +72,8 @@
 	owing       map[Caller]map[string]*record // the open ones, by who waits for them
 	ended       []*record                     // in the order of their ends
 	owed        int
+	held        int // bytes of the descriptions of open set-ups
+	maxHeld     int
 	events      []control.Event
 	status      map[control.ServerID]control.ServerStatus
 	epoch       time.Time
@@ -86,7 +94,7 @@
 	}
 	c := &Core{
 		loop: loop, log: log, settings: s, decisions: decisions, module: module, calls: map[string]*record{},
-		owing: map[Caller]map[string]*record{}, status: map[control.ServerID]control.ServerStatus{}, epoch: time.Now(),
+		owing: map[Caller]map[string]*record{}, maxHeld: math.MaxInt, status: map[control.ServerID]control.ServerStatus{}, epoch: time.Now(),
 	}
 	loop.turn = c.turn
 	return c, nil
@@ -104,6 +112,14 @@
 // AddFront names a way in for callers.
 func (c *Core) AddFront(f Front) { c.fronts = append(c.fronts, f) }
 
+// Within bounds what is held for callers by the memory that the process has; 0 is no bound.
+func (c *Core) Within(memory int64) {
+	c.maxHeld = math.MaxInt
+	if memory > 0 {
+		c.maxHeld = int(heldShare * float64(memory))
+	}
+}
+
 // OnFlush has f run at the end of each round, to send what was written in it.
 func (c *Core) OnFlush(f func()) { c.flush = append(c.flush, f) }
 
@@ -114,12 +130,23 @@
 
 // --- Callers ---
 
-// Offer takes in a set-up.
-func (c *Core) Offer(r Request) {
+// ErrRepeated is a set-up under the id of another that is open, or of a call that stands, on the same connection: there
+// is no answer that could not be taken for the other's.
+var ErrRepeated = errors.New("set-up under an id that is in use")
+
+// Offer takes in a set-up. An error calls for the end of its connection.
+func (c *Core) Offer(r Request) error {
 	if old := c.calls[r.ID]; old != nil {
-		// An id is never used again; answering it twice would break the call.
+		if old.Caller == r.Caller && old.state != over {
+			return ErrRepeated
+		}
+		// An id is never used again. Whoever sent this is no party to the call of that id, and must not go on to end it.
 		c.log.Warn("set-up with a known id", "id", r.ID)
-		return
+		r.Caller.End(r.ID, BadRequest)
+		if old.state != over {
+			return ErrRepeated
+		}
+		return nil
 	}
 	now := time.Now()
 	k := &record{Request: r}
@@ -128,14 +155,18 @@
 	case class < 0:
 		c.log.Warn("set-up of an unknown class", "id", r.ID, "class", r.Class)
 		r.Caller.End(r.ID, BadRequest)
-		return
+		return nil
 	case !r.Deadline.After(now):
 		c.log.Debug("set-up past its time", "id", r.ID)
 		r.Caller.End(r.ID, End{Cause: CauseTemporary, Reason: ReasonDeadline})
-		return
+		return nil
+	case len(c.owing[r.Caller]) >= maxOpen || c.held+len(r.Description) > c.maxHeld:
+		c.log.Warn("too many set-ups are open", "id", r.ID)
+		r.Caller.End(r.ID, End{Cause: CauseCongestion, Reason: ReasonRefused, HoldOff: c.holdOff()})
+		return nil
 	case !c.draining.IsZero() && now.Sub(c.draining) > lateArrivals:
 		r.Caller.End(r.ID, End{Cause: CauseCongestion, Reason: ReasonDraining, HoldOff: c.holdOff()})
-		return
+		return nil
 	}
 	c.calls[r.ID] = k
 	c.owe(k)
@@ -149,6 +180,7 @@
 		ID: control.CallID(r.ID), Class: class, Budget: r.Deadline.Sub(now), Called: r.Called,
 		FirstCell: r.FirstCell, Redial: r.Again,
 	})
+	return nil
 }
 
 func (c *Core) holdOff() time.Duration {
@@ -159,15 +191,16 @@
 }
 
 // GiveUp is a caller's release: of a set-up that it no longer waits for, or of a call that stands.
-func (c *Core) GiveUp(id string, cause int) {
+func (c *Core) GiveUp(caller Caller, id string, cause int) {
 	k := c.calls[id]
 	switch {
 	case k == nil:
 		// A call that stood before a restart: whichever dispatcher has it releases it. A set-up that was lost
 		// with the restart has nothing to release.
-		if cause != CauseNormal {
+		if cause != CauseNormal && ValidID(id) {
 			c.dispatchers.Release("", id, cause)
 		}
+	case k.state == open && k.Caller != caller: // only whoever waits for an answer can give it up
 	case k.state == open:
 		c.abandon(k)
 		c.close(k)
@@ -175,6 +208,11 @@
 		c.dispatchers.Release(k.server, id, cause)
 		c.tell(control.AttemptEnded{ID: control.CallID(id), Server: k.server, Attempt: k.attempts - 1,
 			Outcome: control.Cancelled, CallOver: true})
+		if k.Caller != caller {
+			// It may come on any connection, but who waits for the call's end may be elsewhere.
+			c.log.Info("call ended from another connection", "id", id, "cause", cause)
+			k.Caller.Over(id, endOf(cause))
+		}
 		c.close(k)
 	}
 }
@@ -183,7 +221,7 @@
 // on.
 func (c *Core) CallerClosed(caller Caller) {
 	for _, id := range c.openOf(caller) {
-		c.GiveUp(id, CauseNormal)
+		c.GiveUp(caller, id, CauseNormal)
 	}
 }
 
@@ -204,6 +242,7 @@
 
 func (c *Core) owe(k *record) {
 	c.owed++
+	c.held += len(k.Description)
 	if c.owing[k.Caller] == nil {
 		c.owing[k.Caller] = map[string]*record{}
 	}
@@ -212,6 +251,7 @@
 
 func (c *Core) settle(k *record) {
 	c.owed--
+	c.held -= len(k.Description)
 	delete(c.owing[k.Caller], k.ID)
 	if len(c.owing[k.Caller]) == 0 {
 		delete(c.owing, k.Caller)
@@ -269,10 +309,15 @@
 		c.dispatchers.Release(server, id, CauseNormal)
 		return
 	}
+	if err := k.Caller.Answer(id, description); err != nil {
+		c.log.Warn("answer that cannot be passed on", "id", id, "server", server, "err", err)
+		c.dispatchers.Release(server, id, CauseNormal)
+		c.Ended(server, id, attempt, control.Failed, false, nil)
+		return
+	}
 	c.stopTimers(k)
 	c.settle(k)
 	k.out, k.state = false, stands
-	k.Caller.Answer(id, description)
 	k.Description = ""
 	c.tell(control.CallStands{ID: control.CallID(id), Server: server, Attempt: k.attempts - 1,
 		Elapsed: time.Since(k.sentAt)})
--- a/internal/call/core_test.go
+++ b/internal/call/core_test.go
@@ -29,7 +29,7 @@
 func (s *site) Update(Update)                         {}
 func (s *site) Release(control.ServerID, string, int) {}
 func (s *site) Probe(control.ServerID)                {}
-func (s *site) Answer(id, _ string)                   { s.answers[id]++ }
+func (s *site) Answer(id, _ string) error             { s.answers[id]++; return nil }
 func (s *site) End(id string, _ End)                  { s.finals[id]++ }
 func (s *site) Over(string, End)                      {}
 func (s *site) Withdraw(_ control.ServerID, id string, _ int) {
@@ -119,7 +119,7 @@
 	for i := range calls {
 		loop.Post(func() {
 			loop.After(time.Duration(i)*5*time.Millisecond, func() {
-				s.core.Offer(Request{ID: fmt.Sprint(i), Class: "c", FirstCell: i % 3, Deadline: time.Now().Add(500 * time.Millisecond), Caller: s})
+				_ = s.core.Offer(Request{ID: fmt.Sprint(i), Class: "c", FirstCell: i % 3, Deadline: time.Now().Add(500 * time.Millisecond), Caller: s})
 			})
 		})
 	}
@@ -146,7 +146,7 @@
 	s := newSite(t)
 	s.react = func(control.ServerID, SetUp) { t.Error("a call was sent where no dispatcher is known") }
 	s.core.Update(Update{Whole: true})
-	s.core.Offer(Request{ID: "1", Class: "c", Deadline: time.Now().Add(time.Minute), Caller: s})
+	_ = s.core.Offer(Request{ID: "1", Class: "c", Deadline: time.Now().Add(time.Minute), Caller: s})
 	s.core.turn()
 	if s.finals["1"] != 1 {
 		t.Error("a call that no dispatcher can take is not refused in its first turn")
--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -9,7 +9,6 @@
 	"log/slog"
 	"slices"
 	"strconv"
-	"strings"
 	"time"
 
 	"cherryrelay/internal/call"
@@ -25,14 +24,16 @@
 	keep = 30 * time.Second
 	// lookEvery is the pace at which connections are looked at.
 	lookEvery = 100 * time.Millisecond
+	// maxFaults set-ups that make no sense are answered; who sends more sends nothing else.
+	maxFaults = 8
 )
 
 // Bounds keep connections from using up the descriptors and the memory.
 type Bounds struct {
 	// Connections is how many may be open at once; 0 is no bound.
 	Connections int
-	// Silent is how long a connection may be open, or stay inside a message, without a set-up: callers connect when they
-	// have one. It must leave room before the 3 s in which a peer that misbehaves is owed a close.
+	// Silent is how long a connection may stay inside a message, or be open with nothing to be told: callers connect when
+	// they have a set-up. It must leave room before the 3 s in which a peer that misbehaves is owed a close.
 	Silent time.Duration
 	// Idle is how long one without an open set-up is kept. Callers close theirs after 4 s, those that stay on are of no
 	// use, and no connection owns a call that stands.
@@ -49,12 +50,13 @@
 var (
 	errSilent   = errors.New("nothing came in time")
 	errCutShort = errors.New("a message that does not end")
+	errFaults   = errors.New("too many set-ups that make no sense")
 )
 
 // Core is what fronts report to; *call.Core is one.
 type Core interface {
-	Offer(call.Request)
-	GiveUp(id string, cause int)
+	Offer(call.Request) error
+	GiveUp(caller call.Caller, id string, cause int)
 	CallerClosed(call.Caller)
 	CallerBroke(call.Caller)
 	// Owes is the number of set-ups without an answer that came from the caller.
@@ -101,6 +103,7 @@
 	log      *slog.Logger
 	format   func() Format
 	bounds   Bounds
+	terms    *Terms
 	listener *conn.Listener
 	all      []*Conn   // in the order in which they came
 	open     []*Conn   // those that can be written to
@@ -124,8 +127,8 @@
 }
 
 // Listen opens a front at the address.
-func Listen(loop *call.Loop, core Core, log *slog.Logger, address string, format func() Format, bounds Bounds) (*Front, error) {
-	f := &Front{core: core, loop: loop, log: log, format: format, bounds: bounds}
+func Listen(loop *call.Loop, core Core, log *slog.Logger, address string, format func() Format, bounds Bounds, terms *Terms) (*Front, error) {
+	f := &Front{core: core, loop: loop, log: log, format: format, bounds: bounds, terms: terms}
 	l, err := conn.Listen(loop, address, bounds.most(), f.accept)
 	if err != nil {
 		return nil, fmt.Errorf("callers: %w", err)
@@ -186,7 +189,7 @@
 		case c.partial && now.Sub(c.since) > f.bounds.Silent:
 			c.fail(errCutShort)
 		case f.core.Owes(c) > 0:
-		case !c.asked && now.Sub(c.since) > f.bounds.Silent:
+		case !c.said && now.Sub(c.since) > f.bounds.Silent:
 			c.shut(errSilent)
 		case now.Sub(c.usedAt) > f.bounds.Idle:
 			c.shut(conn.ErrClosedHere)
@@ -255,7 +258,9 @@
 	joined  bool
 	closed  bool
 	asked   bool      // a set-up or a test has come
+	said    bool      // it has been told something
 	stood   bool      // a call of it did
+	faults  int       // set-ups that made no sense
 	partial bool      // what came last is no whole message yet
 	since   time.Time // when it connected or, if later, the message that is not whole began
 	usedAt  time.Time
@@ -315,12 +320,12 @@
 	switch m.Type {
 	case "setup":
 		c.asked = true
-		if !validID(m.ID) {
+		if !call.ValidID(m.ID) {
 			return fmt.Errorf("set-up with the id %.40q", m.ID)
 		}
-		c.setUp(m, at)
+		return c.setUp(m, at)
 	case "release":
-		c.front.core.GiveUp(m.ID, m.CauseOr(call.CauseNormal))
+		c.front.core.GiveUp(c, m.ID, m.CauseOr(call.CauseNormal))
 	case "ping":
 		c.asked = true
 		passed := 0
@@ -335,60 +340,48 @@
 	return nil
 }
 
-// validID reports whether id names a call: 16 hex digits.
-func validID(id string) bool {
-	return len(id) == 16 && strings.Trim(id, "0123456789abcdefABCDEF") == ""
-}
-
-// setUp offers a call. One whose fields make no sense is answered as failed; its connection is sound.
-func (c *Conn) setUp(m *jsonl.Message, at time.Time) {
-	left, err := m.Int("left")
-	extras := parseExtras(string(m.Fields["extras"]))
-	first := -1
-	if dest, ok := extras["dest"]; ok && err == nil {
-		first, err = strconv.Atoi(dest)
-	}
-	if err == nil && strings.ContainsAny(string(m.Fields["key"])+string(m.Fields["class"]), " \r\n\t@<>") {
-		err = errors.New("key or class with characters that fit no address")
-	}
+// setUp offers a call. One whose fields make no sense is answered as failed; its connection is sound, unless it brings
+// nothing else.
+func (c *Conn) setUp(m *jsonl.Message, at time.Time) error {
+	r, err := c.front.terms.request(m, at)
 	if err != nil {
 		c.front.log.Warn("set-up with bad fields", "id", m.ID, "err", err)
 		c.End(m.ID, call.BadRequest)
-		return
+		if c.faults++; c.faults >= maxFaults {
+			return errFaults
+		}
+		return nil
 	}
-	c.front.core.Offer(call.Request{
-		ID: m.ID, Class: string(m.Fields["class"]), Called: string(m.Fields["key"]), FirstCell: first,
-		Again: m.Fields["retry"] == "1", Description: m.Description(), Caller: c,
-		// The caller counts from when it sent the last byte; the nearest to that is when it came in.
-		Deadline: at.Add(time.Duration(left) * time.Millisecond),
-	})
+	r.Caller = c
+	return c.front.core.Offer(r)
 }
 
-// parseExtras reads "dest:2;width:1".
-func parseExtras(text string) map[string]string {
-	extras := map[string]string{}
-	for part := range strings.SplitSeq(text, ";") {
-		if name, value, ok := strings.Cut(part, ":"); ok {
-			extras[strings.TrimSpace(name)] = strings.TrimSpace(value)
-		}
+func (c *Conn) write(m jsonl.Message) {
+	if err := c.tryWrite(m); err != nil {
+		c.front.log.Error("message to a caller", "err", err)
 	}
-	return extras
 }
 
-func (c *Conn) write(m jsonl.Message) {
+func (c *Conn) tryWrite(m jsonl.Message) error {
 	text, err := jsonl.Append(nil, m)
 	if err != nil {
-		c.front.log.Error("message to a caller", "err", err)
-		return
+		return err //nolint:wrapcheck // it says what it is
 	}
-	c.usedAt = time.Now()
+	if len(text) >= jsonl.MaxMessage {
+		return jsonl.ErrTooLong
+	}
+	c.said, c.usedAt = true, time.Now()
 	c.conn.Write(c.format.Frame(text))
+	return nil
 }
 
 // Answer tells that the call stands.
-func (c *Conn) Answer(id, description string) {
+func (c *Conn) Answer(id, description string) error {
+	if err := c.tryWrite(jsonl.Message{Type: "answer", ID: id, SDP: &description}); err != nil {
+		return err
+	}
 	c.stood = true
-	c.write(jsonl.Message{Type: "answer", ID: id, SDP: &description})
+	return nil
 }
 
 // End sends a final answer.
--- /dev/null
+++ b/internal/callers/terms.go
@@ -0,0 +1,122 @@
+package callers
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"cherryrelay/internal/call"
+	"cherryrelay/internal/jsonl"
+	"cherryrelay/internal/settings"
+)
+
+const (
+	// maxKey is the longest number called.
+	maxKey = 64
+	// maxFigure bounds figures that the settings say nothing of.
+	maxFigure = 1 << 20
+)
+
+// Terms are what a set-up must keep to. A dispatcher that is sent what it cannot read closes a connection that others
+// share, so nothing goes on that the settings do not know or that does not fit every wire.
+type Terms struct {
+	classes map[string]terms
+	tenants []string
+}
+
+type terms struct {
+	deadline time.Duration
+	cells    []int // for dest; empty for any
+	width    int   // 0 for any
+}
+
+// NewTerms reads the settings.
+func NewTerms(s *settings.Settings) *Terms {
+	t := &Terms{classes: map[string]terms{}}
+	for i, c := range s.RequestClasses {
+		class := terms{deadline: time.Duration(c.DeadlineUs) * time.Microsecond}
+		if i < len(s.FamilyInfo.AllowedPools) {
+			class.cells = s.FamilyInfo.AllowedPools[i]
+		}
+		if i < len(s.FamilyInfo.ClassWidth) {
+			class.width = s.FamilyInfo.ClassWidth[i]
+		}
+		t.classes[c.Name] = class
+	}
+	for _, tenant := range s.Tenants {
+		t.tenants = append(t.tenants, tenant.Name)
+	}
+	return t
+}
+
+// request reads the fields of a set-up.
+func (t *Terms) request(m *jsonl.Message, at time.Time) (r call.Request, err error) {
+	field := func(name string) string { return string(m.Fields[name]) }
+	class, ok := t.classes[field("class")]
+	if !ok {
+		return r, fmt.Errorf("unknown class %.40q", field("class"))
+	}
+	if len(t.tenants) > 0 && !slices.Contains(t.tenants, field("tenant")) {
+		return r, fmt.Errorf("unknown tenant %.40q", field("tenant"))
+	}
+	left, err := m.Int("left")
+	if err != nil {
+		return r, err //nolint:wrapcheck // it says what it is
+	}
+	if left < 0 || left > class.deadline.Milliseconds() {
+		return r, fmt.Errorf("left is out of range: %d", left)
+	}
+	if key := field("key"); key == "" || len(key) > maxKey || strings.Trim(key, keyCharacters) != "" {
+		return r, fmt.Errorf("unusable key %.40q", key)
+	}
+	extras, err := parseExtras(m)
+	if err != nil {
+		return r, err
+	}
+	dest, given := extras["dest"]
+	switch width, sized := extras["width"]; {
+	case !given:
+		dest = -1
+	case dest < 0 || len(class.cells) > 0 && !slices.Contains(class.cells, dest):
+		return r, fmt.Errorf("no dispatcher %d for the class", dest)
+	case sized && (width < 1 || class.width > 0 && width != class.width):
+		return r, fmt.Errorf("width is out of range: %d", width)
+	}
+	description := m.Description()
+	switch {
+	case !call.ValidDescription(description):
+		return r, errors.New("no description, or one that is no text")
+	case len(description) > call.MaxDescription:
+		return r, errors.New("description too long to pass on")
+	}
+	return call.Request{
+		ID: m.ID, Class: field("class"), Called: field("key"), FirstCell: dest, Again: field("retry") == "1",
+		Description: description,
+		// The caller counts from when it sent the last byte; the nearest to that is when it came in.
+		Deadline: at.Add(time.Duration(left) * time.Millisecond),
+	}, nil
+}
+
+// keyCharacters are those that stand for themselves in the address of a SIP request, and in every number called.
+const keyCharacters = "0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ-_.~+*"
+
+// parseExtras reads "dest:2;width:1". All of it must be figures.
+func parseExtras(m *jsonl.Message) (map[string]int, error) {
+	extras := map[string]int{}
+	text := string(m.Fields["extras"])
+	if text == "" {
+		return extras, nil
+	}
+	for part := range strings.SplitSeq(text, ";") {
+		name, value, _ := strings.Cut(part, ":")
+		n, err := strconv.Atoi(value)
+		if err != nil || n < -1 && name == "via" || n > maxFigure || n < -maxFigure {
+			return nil, fmt.Errorf("unreadable extras %.40q", text)
+		}
+		extras[name] = n
+	}
+	return extras, nil
+}
--- a/internal/conn/conn.go
+++ b/internal/conn/conn.go
@@ -5,6 +5,7 @@
 package conn
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -47,11 +48,19 @@
 func init() {
 	// One poller. Its callbacks must run on netpoll's pool, not on the poller itself: a connection that is closed
 	// during a callback there waits for the poller for ever, and every other connection with it.
-	if err := netpoll.Configure(netpoll.Config{PollerNum: 1}); err != nil {
+	if err := netpoll.Configure(netpoll.Config{PollerNum: 1, LoggerOutput: netpollLog{}}); err != nil {
 		panic(err)
 	}
 }
 
+// netpollLog has what netpoll logs go the way of all logs, where it is bounded.
+type netpollLog struct{}
+
+func (netpollLog) Write(p []byte) (int, error) {
+	slog.Warn("netpoll", "text", string(bytes.TrimSpace(p)))
+	return len(p), nil
+}
+
 // Poster runs functions on the event loop.
 type Poster interface{ Post(func()) }
 
--- a/internal/dispatchers/dispatchers.go
+++ b/internal/dispatchers/dispatchers.go
@@ -13,10 +13,16 @@
 )
 
 const (
-	// maxLinks is how many connections a dispatcher is given; it takes four.
-	maxLinks = 3
+	// maxLinks is how many connections a dispatcher is given; it takes four. One that breaks takes the set-ups on it
+	// along, so they are spread.
+	maxLinks = 4
 	// checkEvery is the pace of the look at every dispatcher.
-	checkEvery = 250 * time.Millisecond
+	checkEvery = 100 * time.Millisecond
+	// wholeWithin is how long a message may take to become whole: a dispatcher writes it in one go.
+	wholeWithin = 250 * time.Millisecond
+	// overtakenBy is how much later than a set-up another one must have been sent that has its answer already. A
+	// dispatcher's processor takes them in turn, so this is far more than they differ by.
+	overtakenBy = 250 * time.Millisecond
 	// silence without a word where calls are held has a new connection tried: a machine that has vanished leaves
 	// the old ones open.
 	silence = 2500 * time.Millisecond
@@ -25,6 +31,8 @@
 	deadAfter = 5 * time.Second
 	// forgetAfter is how long a withdrawn attempt is kept for the answer that its dispatcher may still send.
 	forgetAfter = 10 * time.Second
+	// maxReleases bounds what waits for a connection.
+	maxReleases = 1024
 	// redialMost bounds the pause between tries to connect, which doubles.
 	redialLeast, redialMost = 100 * time.Millisecond, time.Second
 )
@@ -72,8 +80,9 @@
 	redial     time.Duration
 	waiting    []waiting
 	heardAt    time.Time
-	unanswered bool // the last connection tried did not come up in time
-	replaced   bool // another dispatcher has its address now
+	answered   time.Time // when the latest set-up was sent that has an answer
+	unanswered bool      // the last connection tried did not come up in time
+	replaced   bool      // another dispatcher has its address now
 	releases   []release
 }
 
@@ -158,6 +167,8 @@
 		return
 	case len(s.links) == 0:
 		s.connect()
+	case len(s.links) < maxLinks && silent <= silence && s.Status == control.Active:
+		s.connect()
 	case silent > silence && (s.openSetUps() > 0 || s.pool.core.Standing(s.ID) > 0):
 		if silent > deadAfter && s.unanswered {
 			s.pool.Log.Warn("dispatcher is silent", "server", s.ID, "for", silent)
@@ -173,6 +184,12 @@
 				delete(l.invites, id) // its dispatcher will say nothing more of it
 			}
 		}
+		if l.overtaken() {
+			s.pool.Log.Warn("connection to dispatcher is open but dead", "server", s.ID, "open", l.open())
+			l.conn.Close(conn.ErrClosedHere)
+			l.Closed(conn.ErrClosedHere)
+			continue
+		}
 		if len(l.invites) == 0 && s.heardAt.Sub(l.heardAt) > deadAfter {
 			l.conn.Close(conn.ErrClosedHere) // the others are alive, and this one has nothing to do
 		}
@@ -192,11 +209,7 @@
 func (s *server) openSetUps() int {
 	n := 0
 	for _, l := range s.links {
-		for _, i := range l.invites {
-			if i.withdrawn.IsZero() {
-				n++
-			}
-		}
+		n += l.open()
 	}
 	return n
 }
@@ -237,6 +250,9 @@
 	if len(s.links) > 0 && (s.unanswered || time.Since(s.heardAt) <= silence) {
 		return
 	}
+	if len(s.links) > 0 && s.openSetUps() == 0 && s.pool.core.Standing(s.ID) == 0 {
+		return // it has nothing to say
+	}
 	if !s.unanswered {
 		// Nothing listens, and every connection is gone or has long been silent: a process that stops at the end of
 		// its drain may leave its connections open. It is no more, and its calls with it.
@@ -283,13 +299,28 @@
 func (s *server) best() *link {
 	var best *link
 	for _, l := range s.links {
-		if l.ready() && (best == nil || l.heardAt.After(best.heardAt)) {
+		if l.ready() && l.partial.IsZero() && (best == nil || l.heardAt.After(best.heardAt)) {
 			best = l
 		}
 	}
 	return best
 }
 
+// least is the connection for a set-up: the one with the fewest, so that little is lost with any. An attempt does not
+// follow an earlier one of its call on the same connection, where a late answer to that could be taken for its own.
+func (s *server) least(id string) *link {
+	var least *link
+	for _, l := range s.links {
+		if !l.ready() || !l.partial.IsZero() || l.invites[id] != nil {
+			continue
+		}
+		if least == nil || l.open() < least.open() {
+			least = l
+		}
+	}
+	return least
+}
+
 // SetUp places an attempt.
 func (p *Pool) SetUp(id control.ServerID, a call.SetUp) {
 	s := p.servers[id]
@@ -297,7 +328,7 @@
 		p.core.Ended(id, a.ID, a.Attempt, control.Unreachable, false, nil)
 		return
 	}
-	if l := s.best(); l != nil {
+	if l := s.least(a.ID); l != nil {
 		l.setUp(a)
 		return
 	}
@@ -328,7 +359,7 @@
 		}
 		if l := s.best(); l != nil {
 			l.send(l.wire.Release(callID, cause))
-		} else {
+		} else if len(s.releases) < maxReleases {
 			s.releases = append(s.releases, release{callID, cause})
 		}
 	}
--- a/internal/dispatchers/link.go
+++ b/internal/dispatchers/link.go
@@ -12,6 +12,12 @@
 	"cherryrelay/internal/ring"
 )
 
+// errCutShort ends a connection inside a message.
+var errCutShort = errors.New("a message that does not end")
+
+// errNoise is an answer whose description cannot be what its dispatcher meant.
+var errNoise = errors.New("answer that came spoilt")
+
 // kind says what a dispatcher's message means.
 type kind int
 
@@ -57,6 +63,7 @@
 // invite is a set-up on a connection that has had no final answer there.
 type invite struct {
 	attempt   int
+	sentAt    time.Time
 	called    string
 	withdrawn time.Time // when it was given up, if it was
 }
@@ -68,6 +75,8 @@
 	wire    Wire
 	closed  bool
 	heardAt time.Time
+	finalAt time.Time // when a set-up last had its final answer here
+	partial time.Time // since when a message has not been whole; zero if none is under way
 	invites map[string]*invite
 }
 
@@ -80,7 +89,7 @@
 }
 
 func (l *link) setUp(a call.SetUp) {
-	l.invites[a.ID] = &invite{attempt: a.Attempt, called: a.Called}
+	l.invites[a.ID] = &invite{attempt: a.Attempt, called: a.Called, sentAt: time.Now()}
 	l.send(l.wire.SetUp(a))
 }
 
@@ -104,15 +113,62 @@
 			return err
 		}
 		if m == nil {
+			l.unfinished(in, at)
 			return nil
 		}
+		l.partial = time.Time{}
 		l.take(m)
 	}
 }
 
+// unfinished notes when a message began that is not whole. One that stops short ends the connection: what follows would
+// be taken for its rest, and nothing else can come meanwhile.
+func (l *link) unfinished(in *ring.Buffer, at time.Time) {
+	if in.Len() == 0 {
+		l.partial = time.Time{}
+		return
+	}
+	if !l.partial.IsZero() {
+		return
+	}
+	l.partial = at
+	l.server.pool.loop.After(wholeWithin, func() {
+		if l.partial.Equal(at) && !l.closed {
+			l.conn.Close(errCutShort)
+		}
+	})
+}
+
+// open is the number of set-ups that wait for an answer on the connection.
+func (l *link) open() int {
+	n := 0
+	for _, i := range l.invites {
+		if i.withdrawn.IsZero() {
+			n++
+		}
+	}
+	return n
+}
+
+// overtaken reports whether a set-up waits here that others, sent well after it, have overtaken on other connections,
+// while this one brought no answer at all: it is open, but of no use any more.
+func (l *link) overtaken() bool {
+	for _, i := range l.invites {
+		if i.withdrawn.IsZero() && l.finalAt.Before(i.sentAt) && l.server.answered.Sub(i.sentAt) > overtakenBy {
+			return true
+		}
+	}
+	return false
+}
+
 func (l *link) take(m *Message) {
 	s, core := l.server, l.server.pool.core
 	i := l.invites[m.id]
+	if i == nil && m.final && m.kind != ended {
+		// A second copy, or an answer to what was not asked here: there is nothing that it could be the answer to.
+		s.pool.Log.Debug("answer to no set-up", "server", s.ID, "id", m.id)
+		return
+	}
 	if m.reply != nil {
 		called := ""
 		if i != nil {
@@ -130,8 +186,12 @@
 			m.kind = released
 		}
 	}
-	if m.final {
+	if m.final && i != nil {
 		delete(l.invites, m.id)
+		l.finalAt = time.Now()
+		if m.outcome != control.Full && i.sentAt.After(s.answered) {
+			s.answered = i.sentAt // what is turned away does not wait in line
+		}
 	}
 	switch m.kind {
 	case hello:
@@ -141,6 +201,9 @@
 	case refusal:
 		core.Ended(s.ID, m.id, attempt, m.outcome, m.noLine, m.report)
 	case released:
+		if !call.ValidID(m.id) {
+			return
+		}
 		core.Released(s.ID, m.id, m.cause, m.report)
 	case report:
 		core.Reported(s.ID, m.report)
--- a/internal/dispatchers/websocket.go
+++ b/internal/dispatchers/websocket.go
@@ -113,7 +113,11 @@
 		if err != nil {
 			return nil, errors.Join(&websocket.Error{Code: websocket.BadData, Text: "unreadable message"}, err)
 		}
-		return w.meaning(message), nil
+		got := w.meaning(message)
+		if got.kind == answer && !call.ValidDescription(got.description) {
+			return nil, &websocket.Error{Code: websocket.BadData, Text: errNoise.Error()}
+		}
+		return got, nil
 	case websocket.Binary:
 		return nil, &websocket.Error{Code: websocket.Unsupported, Text: "messages are text"}
 	}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -226,6 +226,13 @@
 	d.Cut()
 }
 
+// Links is the number of connections that are open.
+func (d *Dispatcher) Links() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.links)
+}
+
 // Stop has nothing listen any more and leaves the connections open.
 func (d *Dispatcher) Stop() { _ = d.ln.Close() }
 
@@ -372,6 +379,15 @@
 		Body: []byte(description)}))
 }
 
+// AnswerHalf sends the first half of an answer, and no more.
+func (e Event) AnswerHalf() error {
+	whole := sip.Append(nil, &sip.Message{Status: 200, Phrase: "OK", CallID: e.ID, Seq: 1, SeqOf: "INVITE", Body: []byte("half")})
+	if e.link.d.ws {
+		whole = websocket.Append(nil, websocket.Text, []byte(`{"type":"answer","id":"`+e.ID+`"}`), false)
+	}
+	return e.link.write(whole[:len(whole)/2])
+}
+
 // Refuse turns a set-up down.
 func (e Event) Refuse(r Refusal) error {
 	if e.link.d.ws {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -24,6 +24,7 @@
 	} `json:"caps"`
 	FamilyInfo struct {
 		AllowedPools [][]int `json:"allowedPools"`
+		ClassWidth   []int   `json:"classWidth"`
 		GuardUs      int64   `json:"guardUs"`
 		Layout       string  `json:"layout"`
 		ThisNode     int     `json:"thisNode"`
@@ -42,6 +43,9 @@
 		WindowUs   int64   `json:"windowUs"`
 		Worth      float64 `json:"worth"`
 	} `json:"requestClasses"`
+	Tenants []struct {
+		Name string `json:"name"`
+	} `json:"tenants"`
 	PeersTotal   int   `json:"peersTotal"`
 	ResolutionUs int64 `json:"resolutionUs"`
 	Rules        struct {
@@ -164,13 +168,16 @@
 	return figures
 }
 
+// maxFigure is more than any figure of a report can be; what is beyond it, or no number, came spoilt.
+const maxFigure = 1e9
+
 // ParseReport reads a report as it comes on sockets, "x0:12;x1:40", into the order of the settings. What cannot be
 // read is left out.
 func ParseReport(text string, fields []string) []float64 {
 	stats := map[string]float64{}
 	for part := range strings.SplitSeq(text, ";") {
 		name, value, _ := strings.Cut(strings.TrimSpace(part), ":")
-		if v, err := strconv.ParseFloat(strings.TrimSpace(value), 64); err == nil && !math.IsNaN(v) {
+		if v, err := strconv.ParseFloat(strings.TrimSpace(value), 64); err == nil && math.Abs(v) <= maxFigure {
 			stats[name] = v
 			if w, ok := words[name]; ok {
 				stats[w] = v
--- a/internal/sip/sip.go
+++ b/internal/sip/sip.go
@@ -76,6 +76,24 @@
 	return m, nil
 }
 
+// MayBegin reports whether what is on the ring can begin a message: line ends, a method, or a response's version.
+func MayBegin(in *ring.Buffer) bool {
+	start := bytes.TrimLeft(in.Peek(maxStart), "\r\n")
+	word, _, _ := bytes.Cut(start, []byte(" "))
+	if version := []byte("SIP/2.0"); len(word) > 0 && (bytes.HasPrefix(word, version) || bytes.HasPrefix(version, word)) {
+		return true
+	}
+	for _, c := range word {
+		if c < 'A' || c > 'Z' {
+			return false
+		}
+	}
+	return true
+}
+
+// maxStart is as much as any method and the line ends before it.
+const maxStart = 24
+
 func (d *Decoder) readHead(in *ring.Buffer) error {
 	for d.looked == 0 && in.Len() > 0 && (in.Peek(1)[0] == '\r' || in.Peek(1)[0] == '\n') {
 		in.Discard(1) // RFC 3261 7.5: line ends before the first line are passed over
