Give rings storage as they need it, and forget dispatchers that have gone

Change: a ring begins without storage, grows in powers of two to its bound and gives back what it needed once; the kernel takes in 32 KiB ahead for a socket, a flood is closed where it is noticed, at 64 KiB. control.retire drops a server 2 x coldUs after it went; core keeps the state of those on the list alone, and one that it does not know takes no call. Tests: storage, growth under a concurrent reader, 200 and 500 dispatchers run through; they fail on the code before.

--- a/control/control.go
+++ b/control/control.go
@@ -118,6 +118,7 @@
 	full      bool          // answered full in this update interval
 	suspect   bool
 	suspectAt time.Duration
+	goneAt    time.Duration // when the list last had it, if it is removed
 	heardAt   time.Duration // last answer, or first start after one
 	coldFrom  time.Duration // when it was seen to start
 	cold      bool
@@ -739,13 +740,32 @@
 			c.startCold(s, entry.StartedAt)
 		}
 	}
-	if e.Whole {
-		for _, s := range c.servers {
-			if !named[s.ID] {
-				s.Status = Removed
-			}
+	for _, s := range c.servers {
+		if e.Whole && !named[s.ID] {
+			s.Status = Removed
+		}
+		if s.Status != Removed {
+			s.goneAt = c.now
 		}
 	}
+	c.retire()
+}
+
+// retire forgets servers that have long been gone: under new names, they come and go all day. Until then a server that
+// takes the place of one that went learns from it what to expect.
+func (c *Controller) retire() {
+	c.servers = slices.DeleteFunc(c.servers, func(s *server) bool {
+		old := s.Status == Removed && len(s.out) == 0 && c.now-s.goneAt > 2*max(c.settings.ColdFor, controlPeriod)
+		if old {
+			delete(c.byID, s.ID)
+			for class, last := range c.last {
+				if last == s {
+					c.last[class] = nil
+				}
+			}
+		}
+		return old
+	})
 }
 
 func (c *Controller) askForList() {
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -429,6 +429,20 @@
 	}
 }
 
+func TestServersOfYesterdayAreForgotten(t *testing.T) {
+	// Under new ids, new servers replace old ones all day. Each was kept for good, and was one more
+	// that the arrivals were shared out to.
+	n := newNode(t, settings())
+	for i := range 200 {
+		n.after(time.Second, list(Active, "a", ServerID(fmt.Sprint("s", i))), offer(CallID(fmt.Sprint(i)), 0, 0))
+		n.until(2*time.Second, 500*ms)
+		n.after(0, CallerLeft{ID: CallID(fmt.Sprint(i))})
+	}
+	if kept := len(n.c.servers); kept > 12 || len(n.c.byID) != kept {
+		t.Errorf("%d servers are kept, %d by id, of 2 that are there", kept, len(n.c.byID))
+	}
+}
+
 func TestAttemptLimit(t *testing.T) {
 	n := newNode(t, settings())
 	n.after(0, list(Active, "a", "b", "c", "d"))
--- a/internal/call/core.go
+++ b/internal/call/core.go
@@ -440,12 +440,22 @@
 }
 
 func (c *Core) setStatus(id control.ServerID, status control.ServerStatus) {
-	if old, ok := c.status[id]; !ok || old != status {
+	if old, ok := c.status[id]; !ok && status != control.Removed || ok && old != status {
 		c.log.Info("dispatcher", "server", id, "status", int(status))
 	}
+	if status == control.Removed {
+		delete(c.status, id) // they come and go under new names all day
+		return
+	}
 	c.status[id] = status
 }
 
+// active reports whether the list has a dispatcher as taking calls.
+func (c *Core) active(id control.ServerID) bool {
+	status, ok := c.status[id]
+	return ok && status == control.Active
+}
+
 // --- Turns ---
 
 // now is the Unix clock, as it was at the start and has run since: a clock that is set back would leave the module
@@ -530,7 +540,7 @@
 // setUp starts an attempt. One that can't be is told to the module as never sent: the rules hold whatever it asks.
 func (c *Core) setUp(a control.SetUp) {
 	k := c.calls[string(a.ID)]
-	if k == nil || k.state != open || k.out || c.status[a.Server] != control.Active {
+	if k == nil || k.state != open || k.out || !c.active(a.Server) {
 		c.log.Error("attempt that must not be made", "id", a.ID, "server", a.Server)
 		if k != nil && k.state == open && !k.out {
 			k.attempts++
--- a/internal/call/core_test.go
+++ b/internal/call/core_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
 	jsoniter "github.com/json-iterator/go"
 
 	"cherryrelay/control"
@@ -152,3 +153,33 @@
 		t.Error("a call that no dispatcher can take is not refused in its first turn")
 	}
 }
+
+// TestNothingIsKeptOfYesterday runs many calls, callers and dispatchers through, and counts what is kept.
+func TestNothingIsKeptOfYesterday(t *testing.T) {
+	s := newSite(t)
+	s.react = func(server control.ServerID, a SetUp) {
+		delete(s.out, a.ID)
+		s.core.Answered(server, a.ID, a.Attempt, "y")
+		s.core.Released(server, a.ID, CauseNormal, nil)
+	}
+	for i := range 500 {
+		s.list(control.Active, control.ServerID(fmt.Sprint("s", i)))
+		caller := &site{t: t, answers: map[string]int{}, finals: map[string]int{}}
+		_ = s.core.Offer(Request{ID: fmt.Sprint("a", i), Class: "c", Deadline: time.Now().Add(time.Minute), Caller: caller, Description: "x"})
+		_ = s.core.Offer(Request{ID: fmt.Sprint("b", i), Class: "c", Deadline: time.Now().Add(time.Minute), Caller: caller, Description: "x"})
+		s.core.CallerClosed(caller)
+		s.core.turn()
+		s.core.Update(Update{Servers: []Server{{ServerEntry: control.ServerEntry{ID: control.ServerID(fmt.Sprint("s", i)), Status: control.Removed}}}})
+	}
+	for _, k := range s.core.ended {
+		k.overAt = k.overAt.Add(-remember) // as if it were later
+	}
+	_ = s.core.Offer(Request{ID: "last", Class: "c", Deadline: time.Now().Add(time.Minute), Caller: s, Description: "x"})
+	s.core.GiveUp(s, "last", CauseNormal)
+	got := map[string]int{"calls": len(s.core.calls), "ended": len(s.core.ended), "owing": len(s.core.owing), "status": len(s.core.status),
+		"owed": s.core.owed, "held": s.core.held, "timers": len(s.core.loop.timers)}
+	want := map[string]int{"calls": 1, "ended": 1, "owing": 0, "status": 0, "owed": 0, "held": 0, "timers": 0}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("kept (-want +got):\n%s", diff)
+	}
+}
--- a/internal/conn/conn.go
+++ b/internal/conn/conn.go
@@ -28,7 +28,12 @@
 	// outSize is what a peer that reads slowly may leave unread before it is dropped.
 	outSize = 64 << 10
 	// maxBacklog is what may have come beyond the ring.
-	maxBacklog = 256 << 10
+	maxBacklog = 64 << 10
+	// kernelSize bounds what the kernel takes in for a socket ahead of us, twice the largest message: netpoll reads all
+	// that is there at once into buffers that grow to as much.
+	kernelSize = 32 << 10
+	// netpollSize is the first buffer that netpoll keeps for each connection.
+	netpollSize = 2 << 10
 	// retryAfter is the pause before a full socket is tried again.
 	retryAfter = 5 * time.Millisecond
 )
@@ -48,7 +53,7 @@
 func init() {
 	// One poller. Its callbacks must run on netpoll's pool, not on the poller itself: a connection that is closed
 	// during a callback there waits for the poller for ever, and every other connection with it.
-	if err := netpoll.Configure(netpoll.Config{PollerNum: 1, LoggerOutput: netpollLog{}}); err != nil {
+	if err := netpoll.Configure(netpoll.Config{PollerNum: 1, BufferSize: netpollSize, LoggerOutput: netpollLog{}}); err != nil {
 		panic(err)
 	}
 }
@@ -113,8 +118,7 @@
 func (c *Conn) fill(r netpoll.Reader) error {
 	for n := r.Len(); n > 0; n = r.Len() {
 		if n > maxBacklog {
-			c.loop.Post(func() { c.Close(ErrFlood) })
-			return errors.Join(r.Skip(n), r.Release())
+			return errors.Join(r.Skip(n), r.Release(), c.flooded())
 		}
 		free := c.in.Free()
 		if free == 0 {
@@ -138,6 +142,19 @@
 	return nil
 }
 
+// flooded closes the connection at once: until the loop came to it, netpoll would read on, megabytes in a moment.
+func (c *Conn) flooded() error {
+	c.mu.Lock()
+	if c.ended {
+		c.mu.Unlock()
+		return nil
+	}
+	c.reason, c.ended, c.closed = ErrFlood, true, true
+	c.mu.Unlock()
+	c.loop.Post(c.tell)
+	return c.nc.Close()
+}
+
 func (c *Conn) notify() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -232,6 +249,7 @@
 			return
 		}
 	}
+	c.out.Empty()
 }
 
 func (c *Conn) write() (int, error) {
@@ -291,6 +309,9 @@
 			loop.Post(func() { done(fmt.Errorf("dialing %s: %w", address, err)) })
 			return
 		}
+		if fd, ok := nc.(netpoll.Conn); ok {
+			bound(fd.Fd())
+		}
 		c := wrap(loop, nc)
 		loop.Post(func() {
 			c.handler = handler(c)
@@ -302,6 +323,13 @@
 	}()
 }
 
+// bound bounds what the kernel takes in ahead for a socket.
+func bound(fd int) {
+	if err := syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_RCVBUF, kernelSize); err != nil {
+		slog.Warn("bounding a socket", "err", err)
+	}
+}
+
 // Listener accepts connections.
 type Listener struct {
 	netpoll.Listener
@@ -329,10 +357,18 @@
 // Listen accepts connections at the address until Close, of which at most so many are open at once if most is above 0;
 // handler is called on the loop for each one.
 func Listen(loop Poster, address string, most int, handler func(*Conn) Handler) (*Listener, error) {
-	ln, err := netpoll.CreateListener("tcp", address)
+	// What is accepted has the listener's bound from its first byte on.
+	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) { bound(int(fd)) })
+	}}
+	tcp, err := config.Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("listening at %s: %w", address, err)
 	}
+	ln, err := netpoll.ConvertListener(tcp)
+	if err != nil {
+		return nil, fmt.Errorf("listening at %s: %w", address, errors.Join(err, tcp.Close()))
+	}
 	l := &Listener{Listener: ln}
 	l.Limit(most)
 	type key struct{}
--- a/internal/ring/ring.go
+++ b/internal/ring/ring.go
@@ -6,9 +6,15 @@
 	"sync/atomic"
 )
 
-// Buffer is a ring of bytes. One goroutine may write while another reads; neither takes a lock.
+// least is the first storage of a ring; nothing that is sent by itself needs more.
+const least = 1 << 10
+
+// Buffer is a ring of bytes. One goroutine may write while another reads; neither takes a lock. It has no storage until
+// something is written, and what it has grows with what waits: most connections say little or nothing, and hundreds of
+// them must fit into a small memory.
 type Buffer struct {
-	data    []byte
+	size    int
+	data    atomic.Pointer[[]byte] // replaced by the writer alone
 	scratch []byte
 	head    atomic.Uint64 // read so far; moved by the reader alone
 	tail    atomic.Uint64 // written so far; moved by the writer alone
@@ -16,37 +22,80 @@
 
 // New returns a Buffer that holds up to size bytes; size is rounded up to a power of two.
 func New(size int) *Buffer {
+	b := &Buffer{size: power(size)}
+	b.data.Store(new([]byte))
+	return b
+}
+
+func power(size int) int {
 	n := 1
 	for n < size {
 		n <<= 1
 	}
-	return &Buffer{data: make([]byte, n)}
+	return n
 }
 
 // Len is the number of bytes that can be read.
 func (b *Buffer) Len() int { return int(b.tail.Load() - b.head.Load()) }
 
 // Free is the number of bytes that can be written.
-func (b *Buffer) Free() int { return len(b.data) - b.Len() }
+func (b *Buffer) Free() int { return b.size - b.Len() }
+
+// Cap is the storage that is held.
+func (b *Buffer) Cap() int { return len(*b.data.Load()) }
 
 // Write takes in as much of p as there is room for and returns how much that was.
 func (b *Buffer) Write(p []byte) int {
 	n := min(len(p), b.Free())
+	if n == 0 {
+		return 0
+	}
+	data := b.room(n)
 	tail := b.tail.Load()
-	at := int(tail % uint64(len(b.data)))
-	k := copy(b.data[at:], p[:n])
-	copy(b.data, p[k:n])
-	b.tail.Store(tail + uint64(n))
+	at := int(tail % uint64(len(data)))
+	k := copy(data[at:], p[:n])
+	copy(data, p[k:n])
+	b.tail.Store(tail + uint64(n)) // after the storage: who sees the bytes sees where they are
 	return n
 }
 
+// room makes storage for n more bytes. The reader may go on with the old one: what it can see stays there as it is. Much
+// storage that was needed once is given back at the next write.
+func (b *Buffer) room(n int) []byte {
+	data := *b.data.Load()
+	head, tail := b.head.Load(), b.tail.Load()
+	need := int(tail-head) + n
+	if want := max(least, power(need)); need > len(data) || head == tail && len(data) > 4*want {
+		grown := make([]byte, min(want, b.size))
+		for at := head; at < tail; {
+			from, to := int(at%uint64(len(data))), int(at%uint64(len(grown)))
+			at += uint64(copy(grown[to:min(len(grown), to+int(tail-at))], data[from:]))
+		}
+		b.data.Store(&grown)
+		return grown
+	}
+	return data
+}
+
+// Empty gives the storage back if nothing waits. Only who both writes and reads may call it.
+func (b *Buffer) Empty() {
+	if b.Len() == 0 && b.Cap() > 0 {
+		b.data.Store(new([]byte))
+	}
+}
+
 // Parts returns what can be read, in at most two pieces, without taking it.
 func (b *Buffer) Parts() (first, second []byte) {
-	at, n := int(b.head.Load()%uint64(len(b.data))), b.Len()
-	if at+n <= len(b.data) {
-		return b.data[at : at+n], nil
+	n := b.Len() // before the storage, which the writer may replace
+	data := *b.data.Load()
+	if n == 0 {
+		return nil, nil
+	}
+	at := int(b.head.Load() % uint64(len(data)))
+	if at+n <= len(data) {
+		return data[at : at+n], nil
 	}
-	return b.data[at:], b.data[:at+n-len(b.data)]
+	return data[at:], data[:at+n-len(data)]
 }
 
 // Peek returns the first n bytes in one piece, or fewer if fewer are there. The slice is good until the
--- a/internal/ring/ring_test.go
+++ b/internal/ring/ring_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"slices"
 	"testing"
 )
 
@@ -44,3 +45,50 @@
 		}
 	})
 }
+
+// TestStorageIsAsLargeAsWhatWaits: rings of 96 KiB for each connection on accept were 100 MB for a thousand that say nothing.
+func TestStorageIsAsLargeAsWhatWaits(t *testing.T) {
+	b := New(32 << 10)
+	text := bytes.Repeat([]byte("0123456789abcdef!"), 2000)
+	var got []byte
+	for _, step := range []struct{ write, read, storage int }{
+		{0, 0, 0}, {900, 800, 1 << 10}, {900, 0, 1 << 10}, {100, 0, 2 << 10}, {9000, 700, 16 << 10}, {0, 9400, 16 << 10}, {10, 10, 1 << 10},
+	} {
+		b.Write(text[:step.write])
+		got = append(got, b.Peek(step.read)...)
+		b.Discard(step.read)
+		if b.Cap() != step.storage {
+			t.Errorf("holds %d bytes of storage after writing %d, want %d", b.Cap(), step.write, step.storage)
+		}
+	}
+	want := slices.Concat(text[:900], text[:900], text[:100], text[:9000], text[:10])
+	if !bytes.Equal(got, want) {
+		t.Error("what was read is not what was written")
+	}
+}
+
+// TestOneWritesWhileAnotherReads has the storage change under the reader; the race detector looks on.
+func TestOneWritesWhileAnotherReads(t *testing.T) {
+	const total = 1 << 20
+	b := New(8 << 10)
+	go func() {
+		chunk := make([]byte, 3000)
+		for n := 0; n < total; {
+			p := chunk[:min(1+n*7%len(chunk), total-n)]
+			for i := range p {
+				p[i] = byte((n + i) % 251)
+			}
+			n += b.Write(p)
+		}
+	}()
+	for n := 0; n < total; {
+		p := b.Peek(1 + n*13%5000)
+		for i := range p {
+			if p[i] != byte((n+i)%251) {
+				t.Fatalf("byte %d is %d", n+i, p[i])
+			}
+		}
+		b.Discard(len(p))
+		n += len(p)
+	}
+}
