Tell lost answers from a queue, and keep trial calls off a dead link

With all that the module was told in the log: a dispatcher that reports 1,400 set-ups a second and no wait was sent 30 of 250 a second offered; the other one was tried six times in a row, 380 ms each, and never answered, though its state came on other links. Ruled out: the processor (0.1 s in the worst second), free lines (290 of 302), refusals for want of them (2), what leaves late (median 8 ms held by a window that had shut). At fault: control.age, stands and ended took a set-up whose answer was lost (a dead connection, an answer that came after its time) for one that waits at the processor: occupancy over tooHigh again and again, and doubt. server.least counted open set-ups alone, so each trial call went out on the same dead link, whose withdrawn ones did not count. Change: what later set-ups to the same server have overtaken was lost; its age, late answer or time-out says nothing of load (the processor takes them in turn). Tests fail without either change.

--- a/cmd/cherryrelay/stories_test.go
+++ b/cmd/cherryrelay/stories_test.go
@@ -500,6 +500,27 @@
 	}
 }
 
+func TestASetUpAvoidsALinkThatNeverAnswered(t *testing.T) {
+	// Trial calls to a dispatcher went out one at a time, and all on the one connection of four that was dead: it was
+	// taken for a dispatcher that does not answer, for the rest of the day.
+	story(t, []string{"d0: setup 1 x", "d0: release 1 16", "d0: setup 2 x", "caller: answer 2 y"}, func(w *world) {
+		w.linked(0, 4)
+		c := w.caller()
+		w.must(c.SetUp(id(1), 400*time.Millisecond, 0, "x"))
+		e := w.gets(0)
+		w.gets(0)
+		_, err := c.Next()
+		w.must(err)
+		w.must(c.SetUp(id(2), long, 0, "x"))
+		f := w.gets(0)
+		if f.Beside(e) {
+			t.Error("the next set-up went out on the connection on which the last had no answer")
+		}
+		w.must(f.Answer("y"))
+		w.hears(c)
+	})
+}
+
 func TestConnectionsThatStayOnMakeRoom(t *testing.T) {
 	// Callers that asked once and kept their connection used up the descriptors: dispatchers could not be connected to,
 	// and new callers were not accepted. A connection with a set-up open is never closed to make room.
--- a/control/control.go
+++ b/control/control.go
@@ -120,6 +120,7 @@
 	suspectAt time.Duration
 	goneAt    time.Duration // when the list last had it, if it is removed
 	heardAt   time.Duration // last answer, or first start after one
+	latest    time.Duration // when the latest set-up was sent that has stood
 	coldFrom  time.Duration // when it was seen to start
 	cold      bool
 	quiet     time.Duration // lowest delay seen
@@ -274,7 +275,7 @@
 // target wait if that is more. The age of a set-up without an answer is a lower bound on its delay, and
 // comes sooner.
 func (c *Controller) occupancy(s *server) float64 {
-	delay := max(s.delay, s.age(c.now)-s.quiet)
+	delay := max(s.delay, c.age(s)-s.quiet)
 	occupancy := float64(delay) / (targetShare * float64(c.aim))
 	if s.full {
 		occupancy = max(occupancy, tooHigh)
@@ -525,7 +526,11 @@
 
 func (c *Controller) stands(e CallStands) {
 	s := c.byID[e.Server]
-	if s != nil {
+	if s != nil && c.overtaken(s, c.now-e.Elapsed) {
+		s.heardAt = c.now // what kept this answer was not the processor
+		s.answers++
+	} else if s != nil {
+		s.latest = max(s.latest, c.now-e.Elapsed)
 		if s.quiet == 0 || e.Elapsed < s.quiet {
 			s.quiet = e.Elapsed
 		}
@@ -578,7 +583,9 @@
 			s.restUntil = max(s.restUntil, c.now+unreachableRest)
 			c.doubt(s, c.now-e.Elapsed)
 		case TimedOut:
-			c.doubt(s, c.now-e.Elapsed)
+			if !c.overtaken(s, c.now-e.Elapsed) {
+				c.doubt(s, c.now-e.Elapsed)
+			}
 		}
 	}
 	if k == nil || k.at == nil || k.attempts-1 != e.Attempt {
@@ -620,12 +627,20 @@
 
 // --- Server health ---
 
-// age of the oldest set-up without an answer.
-func (s *server) age(now time.Duration) time.Duration {
-	if len(s.out) == 0 {
-		return 0
+// overtaken reports whether a set-up that was sent to the server then is one that a later one has overtaken. The
+// processor takes them in turn, so that one was lost on its way or its answer was: its age tells of no queue.
+func (c *Controller) overtaken(s *server, sentAt time.Duration) bool {
+	return s.latest-sentAt > max(s.quiet, 4*c.settings.Tick)
+}
+
+// age of the oldest set-up that waits at the server without an answer.
+func (c *Controller) age(s *server) time.Duration {
+	for _, k := range s.out {
+		if !c.overtaken(s, k.sentAt) {
+			return c.now - k.sentAt
+		}
 	}
-	return now - s.out[0].sentAt
+	return 0
 }
 
 // watch makes a server suspect when a set-up stays too long without an answer: it then gets one trial
@@ -633,7 +648,7 @@
 // long already.
 func (c *Controller) watch(s *server) {
 	limit := c.patience()
-	if s.age(c.now)-c.quiet > limit && !s.suspect {
+	if c.age(s)-c.quiet > limit && !s.suspect {
 		c.doubt(s, c.now)
 	}
 	if !s.suspect || c.now-s.heardAt < limit || !c.settings.MayCancel {
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -429,6 +429,35 @@
 	}
 }
 
+func TestALostSetUpIsNoQueue(t *testing.T) {
+	// One link in four that is open but dead kept a server that answered all others at once at a tenth of its calls.
+	n := newNode(t, settings())
+	n.after(time.Second, list(Active, "a"))
+	answer := func(id string) {
+		n.after(10*ms, offer(CallID(id), 0, 0))
+		n.after(30*ms, CallStands{ID: CallID(id), Server: "a", Elapsed: 30 * ms})
+	}
+	answer("first")
+	n.after(10*ms, offer("lost", 0, 0), offer("late", 0, 0))
+	for i := range 40 {
+		answer(fmt.Sprint(i))
+	}
+	s := n.c.byID["a"]
+	n.after(0, CallStands{ID: "late", Server: "a", Elapsed: 1610 * ms})
+	if o := n.c.occupancy(s); s.suspect || o > 0.1 {
+		t.Errorf("suspect %v, occupancy %.2f while all later calls stand at once", s.suspect, o)
+	}
+	n.after(ms, AttemptEnded{ID: "lost", Server: "a", Outcome: TimedOut, Elapsed: 1611 * ms})
+	if s.suspect {
+		t.Error("suspect for a set-up that was lost")
+	}
+	n.after(time.Second, offer("queued", 0, 0))
+	n.until(time.Second, 50*ms)
+	if !s.suspect {
+		t.Error("not suspect though nothing comes back")
+	}
+}
+
 func TestServersOfYesterdayAreForgotten(t *testing.T) {
 	// Under new ids, new servers replace old ones all day. Each was kept for good, and was one more
 	// that the arrivals were shared out to.
--- a/internal/dispatchers/dispatchers.go
+++ b/internal/dispatchers/dispatchers.go
@@ -31,6 +31,10 @@
 	deadAfter = 5 * time.Second
 	// forgetAfter is how long a withdrawn attempt is kept for the answer that its dispatcher may still send.
 	forgetAfter = 10 * time.Second
+	// muteFor is how long after the end of a set-up nothing may have come on a connection before it is given up.
+	muteFor = 100 * time.Millisecond
+	// owedWeight is how many open set-ups one counts for that was given up without an answer.
+	owedWeight = 8
 	// maxReleases bounds what waits for a connection.
 	maxReleases = 1024
 	// redialMost bounds the pause between tries to connect, which doubles.
@@ -184,7 +188,7 @@
 				delete(l.invites, id) // its dispatcher will say nothing more of it
 			}
 		}
-		if l.overtaken() {
+		if l.overtaken() || l.open() == 0 && l.mute(now) {
 			s.pool.Log.Warn("connection to dispatcher is open but dead", "server", s.ID, "open", l.open())
 			l.conn.Close(conn.ErrClosedHere)
 			l.Closed(conn.ErrClosedHere)
@@ -314,7 +318,7 @@
 		if !l.ready() || !l.partial.IsZero() || l.invites[id] != nil {
 			continue
 		}
-		if least == nil || l.open() < least.open() {
+		if least == nil || l.load() < least.load() {
 			least = l
 		}
 	}
--- a/internal/dispatchers/link.go
+++ b/internal/dispatchers/link.go
@@ -154,13 +154,42 @@
 // while this one brought no answer at all: it is open, but of no use any more.
 func (l *link) overtaken() bool {
 	for _, i := range l.invites {
-		if i.withdrawn.IsZero() && l.finalAt.Before(i.sentAt) && l.server.answered.Sub(i.sentAt) > overtakenBy {
+		if l.owes(i) && i.withdrawn.IsZero() && l.server.answered.Sub(i.sentAt) > overtakenBy {
 			return true
 		}
 	}
 	return false
 }
 
+// owes reports whether no answer has come at all since the set-up was sent.
+func (l *link) owes(i *invite) bool { return l.finalAt.Before(i.sentAt) }
+
+// mute reports whether a set-up was given up here without a word since it was sent, not even of the dispatcher's state.
+// The next one is better tried elsewhere: it may be the connection that is dead, and not the dispatcher.
+func (l *link) mute(now time.Time) bool {
+	for _, i := range l.invites {
+		if !i.withdrawn.IsZero() && now.Sub(i.withdrawn) > muteFor && l.owes(i) && l.heardAt.Before(i.sentAt) {
+			return true
+		}
+	}
+	return false
+}
+
+// load is what speaks against one more set-up here: those that are open, and more so those that were given up with no
+// answer having come since.
+func (l *link) load() int {
+	n := 0
+	for _, i := range l.invites {
+		switch {
+		case i.withdrawn.IsZero():
+			n++
+		case l.owes(i):
+			n += owedWeight
+		}
+	}
+	return n
+}
+
 func (l *link) take(m *Message) {
 	s, core := l.server, l.server.pool.core
 	i := l.invites[m.id]
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -379,6 +379,9 @@
 		Body: []byte(description)}))
 }
 
+// Beside reports whether two events came on the same connection.
+func (e Event) Beside(o Event) bool { return e.link == o.link }
+
 // AnswerHalf sends the first half of an answer, and no more.
 func (e Event) AnswerHalf() error {
 	whole := sip.Append(nil, &sip.Message{Status: 200, Phrase: "OK", CallID: e.ID, Seq: 1, SeqOf: "INVITE", Body: []byte("half")})
