Close dialled connections that end before their callbacks are known

Seen: a probe of 1,000 dials to a listener that resets at once kept some descriptors for good; a test run logged "netFD close error: bad file descriptor". At fault: conn.start told of the end but left the socket to netpoll, which leaves one without callbacks to its owner (needCloseByUser); netpoll's listener closes one descriptor twice, and by then the number may be another connection's. Change: such a connection is closed here; the listener is shut down and its descriptor closed once.

--- a/internal/conn/conn.go
+++ b/internal/conn/conn.go
@@ -107,7 +107,10 @@
 	}
 	err := c.nc.SetOnRequest(func(_ context.Context, nc netpoll.Connection) error { return c.fill(nc.Reader()) })
 	if !c.nc.IsActive() {
-		c.hup() // it closed before netpoll knew whom to tell
+		// It closed before netpoll knew whom to tell. netpoll leaves such a socket to its owner: without the close, each
+		// connection that is reset when new would keep its descriptor for good.
+		c.hup()
+		err = errors.Join(err, c.nc.Close())
 	}
 	return err
 }
@@ -333,6 +336,7 @@
 // Listener accepts connections.
 type Listener struct {
 	netpoll.Listener
+	tcp   net.Listener // what it was made from
 	serve netpoll.EventLoop
 	open  atomic.Int64
 	most  atomic.Int64
@@ -351,6 +355,13 @@
 	return nc, nil
 }
 
+// Close stops listening. netpoll's own Close closes the descriptor that it made of the socket twice, and by the second
+// time the number may be another connection's; here that is left to the collector, which does it once.
+func (l *Listener) Close() error {
+	err := syscall.Shutdown(l.Fd(), syscall.SHUT_RD)
+	return errors.Join(err, l.tcp.Close())
+}
+
 // Limit bounds the connections that are open at once; 0 is no bound. Open ones stay.
 func (l *Listener) Limit(most int) { l.most.Store(int64(most)) }
 
@@ -369,7 +380,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("listening at %s: %w", address, errors.Join(err, tcp.Close()))
 	}
-	l := &Listener{Listener: ln}
+	l := &Listener{Listener: ln, tcp: tcp}
 	l.Limit(most)
 	type key struct{}
 	prepare := func(nc netpoll.Connection) context.Context {
@@ -402,7 +413,7 @@
 // Address is where the listener listens.
 func (l *Listener) Address() string { return l.Addr().String() }
 
-// Shutdown stops accepting; open connections end too. (Close is netpoll's own, of the socket alone.)
+// Shutdown stops accepting; open connections end too.
 func (l *Listener) Shutdown() error {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
--- /dev/null
+++ b/internal/conn/conn_test.go
@@ -0,0 +1,90 @@
+package conn
+
+import (
+	"errors"
+	"net"
+	"os"
+	"testing"
+	"time"
+
+	"cherryrelay/internal/ring"
+)
+
+const patience = 20 * time.Second
+
+// loop runs what is posted, one at a time.
+type loop chan func()
+
+func (l loop) Post(f func()) { l <- f }
+
+// ended is a handler that tells of the end.
+type ended chan error
+
+func (e ended) Data(in *ring.Buffer, _ time.Time) error { in.Discard(in.Len()); return nil }
+func (e ended) Closed(reason error)                     { e <- reason }
+
+func descriptors(t *testing.T) int {
+	t.Helper()
+	open, err := os.ReadDir("/proc/self/fd")
+	if err != nil {
+		t.Skip("no list of descriptors here")
+	}
+	return len(open)
+}
+
+// TestConnectionsThatAreResetWhenNewLeaveNothing: one that closes before its callbacks are known to netpoll is closed by
+// nobody, and its descriptor was kept for good.
+func TestConnectionsThatAreResetWhenNewLeaveNothing(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	go func() {
+		for {
+			nc, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			if tcp, ok := nc.(*net.TCPConn); ok {
+				_ = tcp.SetLinger(0)
+			}
+			_ = nc.Close()
+		}
+	}()
+	posts := make(loop, 1024)
+	go func() {
+		for f := range posts {
+			f()
+		}
+	}()
+	dial := func() {
+		t.Helper()
+		end := make(ended, 2)
+		Dial(posts, ln.Addr().String(), patience, func(*Conn) Handler { return end }, func(err error) {
+			if err != nil {
+				end <- errors.New("no connection")
+			}
+		})
+		select {
+		case <-end:
+		case <-time.After(patience):
+			t.Fatal("a connection that was reset never ends")
+		}
+	}
+	dial() // netpoll has its own by now
+	before := descriptors(t)
+	const times = 1000
+	for range times {
+		dial()
+	}
+	for begin := time.Now(); ; time.Sleep(10 * time.Millisecond) {
+		kept := descriptors(t) - before
+		if kept <= 0 {
+			return
+		}
+		if time.Since(begin) > patience/4 {
+			t.Fatalf("%d descriptors are kept of %d connections", kept, times)
+		}
+	}
+}
