Keep a late answer from cutting the next attempt of its call

If the second one is out at that moment, the late answer was released, by a BYE under the Call-ID of both. At fault: Core.Answered (released what belongs to an earlier attempt), Core.Released (took an earlier attempt's end for that of the one that is out, which would even have let two be out). Links to a dispatcher that drains were not opened again, though the releases that a lost one carried come on the next that opens. Change: attempts are told apart there too; a link that closes is replaced at once, with a pause if it was new. A release of an unknown call from a caller goes to all dispatchers in the first minute only. The test fails without the change.

--- a/internal/call/core.go
+++ b/internal/call/core.go
@@ -22,6 +22,8 @@
 	last = 3 * time.Millisecond
 	// remember is how long an ended call is known, so that what comes late or twice is not passed on.
 	remember = 20 * time.Second
+	// heritage is how long after the start calls may still stand that an earlier process set up, for callers to end.
+	heritage = time.Minute
 	// lateArrivals is how long after SIGTERM new set-ups may still arrive.
 	lateArrivals = 700 * time.Millisecond
 	// killAfter and killMost bound the time from SIGTERM to SIGKILL: the longest deadline, of which no more than
@@ -197,7 +199,7 @@
 	case k == nil:
 		// A call that stood before a restart: whichever dispatcher has it releases it. A set-up that was lost
 		// with the restart has nothing to release.
-		if cause != CauseNormal && ValidID(id) {
+		if cause != CauseNormal && ValidID(id) && time.Since(c.epoch) < heritage {
 			c.dispatchers.Release("", id, cause)
 		}
 	case k.state == open && k.Caller != caller: // only whoever waits for an answer can give it up
@@ -303,7 +305,12 @@
 func (c *Core) Answered(server control.ServerID, id string, attempt int, description string) {
 	k := c.calls[id]
 	if k != nil && k.state == stands && k.server == server {
-		return // said twice
+		return // said twice, or late, of an earlier attempt
+	}
+	if k != nil && k.out && k.server == server && attempt >= 0 && attempt < k.attempts-1 {
+		// An earlier attempt's, late. A release would go out under the id that both have, and cut the call that the later
+		// one is about to stand as.
+		return
 	}
 	if k == nil || !k.out || k.server != server || attempt >= 0 && attempt != k.attempts-1 {
 		c.dispatchers.Release(server, id, CauseNormal)
@@ -337,8 +344,9 @@
 		Elapsed: time.Since(k.sentAt), NoLine: noLine, Report: report})
 }
 
-// Released tells that a dispatcher has released a call that stood.
-func (c *Core) Released(server control.ServerID, id string, cause int, report []float64) {
+// Released tells that a dispatcher has released a call that stood. The attempt is the one that was made on the connection
+// that it came on; -1 for none.
+func (c *Core) Released(server control.ServerID, id string, attempt, cause int, report []float64) {
 	k := c.calls[id]
 	switch {
 	case k == nil:
@@ -348,10 +356,12 @@
 		for _, f := range c.fronts {
 			f.Release(id, endOf(cause))
 		}
+	case attempt >= 0 && attempt < k.attempts-1: // what an earlier attempt led to; a later one has taken its place
 	case k.state == stands && k.server == server:
 		c.finish(k, cause, report)
-	case k.out && k.server == server:
-		c.Ended(server, id, -1, control.Reset, false, report)
+	case k.out && k.server == server && attempt >= 0:
+		// The call stood and is over; its answer was lost. Were it another attempt's, it would not have come here.
+		c.Ended(server, id, attempt, control.Reset, false, report)
 	}
 }
 
--- a/internal/call/core_test.go
+++ b/internal/call/core_test.go
@@ -21,18 +21,19 @@
 	out   map[string]control.ServerID
 	ready map[string]time.Time
 	finals,
-	answers map[string]int
-	drained map[control.ServerID]bool
-	setUps  int
-	react   func(server control.ServerID, a SetUp)
+	answers, overs map[string]int
+	releases int
+	drained  map[control.ServerID]bool
+	setUps   int
+	react    func(server control.ServerID, a SetUp)
 }
 
 func (s *site) Update(Update)                         {}
-func (s *site) Release(control.ServerID, string, int) {}
+func (s *site) Release(control.ServerID, string, int) { s.releases++ }
 func (s *site) Probe(control.ServerID)                {}
 func (s *site) Answer(id, _ string) error             { s.answers[id]++; return nil }
 func (s *site) End(id string, _ End)                  { s.finals[id]++ }
-func (s *site) Over(string, End)                      {}
+func (s *site) Over(id string, _ End)                 { s.overs[id]++ }
 func (s *site) Withdraw(_ control.ServerID, id string, _ int) {
 	delete(s.out, id)
 	s.ready[id] = time.Now().Add(guard)
@@ -69,7 +70,7 @@
 		t.Fatal(err)
 	}
 	s := &site{t: t, core: core, out: map[string]control.ServerID{}, ready: map[string]time.Time{}, finals: map[string]int{},
-		answers: map[string]int{}, drained: map[control.ServerID]bool{}}
+		answers: map[string]int{}, overs: map[string]int{}, drained: map[control.ServerID]bool{}}
 	core.Serve(s)
 	return s
 }
@@ -160,11 +161,11 @@
 	s.react = func(server control.ServerID, a SetUp) {
 		delete(s.out, a.ID)
 		s.core.Answered(server, a.ID, a.Attempt, "y")
-		s.core.Released(server, a.ID, CauseNormal, nil)
+		s.core.Released(server, a.ID, a.Attempt, CauseNormal, nil)
 	}
 	for i := range 500 {
 		s.list(control.Active, control.ServerID(fmt.Sprint("s", i)))
-		caller := &site{t: t, answers: map[string]int{}, finals: map[string]int{}}
+		caller := &site{t: t, answers: map[string]int{}, finals: map[string]int{}, overs: map[string]int{}}
 		_ = s.core.Offer(Request{ID: fmt.Sprint("a", i), Class: "c", Deadline: time.Now().Add(time.Minute), Caller: caller, Description: "x"})
 		_ = s.core.Offer(Request{ID: fmt.Sprint("b", i), Class: "c", Deadline: time.Now().Add(time.Minute), Caller: caller, Description: "x"})
 		s.core.CallerClosed(caller)
@@ -183,3 +184,33 @@
 		t.Errorf("kept (-want +got):\n%s", diff)
 	}
 }
+
+// TestALateAnswerDoesNotCutTheNextAttempt: an answer was lost, its call's end told of it, and a second attempt at the same
+// dispatcher was out when the first one's answer came after all. It was released, under the id of both: the call that
+// stood then was over, and its caller never heard of that.
+func TestALateAnswerDoesNotCutTheNextAttempt(t *testing.T) {
+	s := newSite(t)
+	s.react = func(server control.ServerID, a SetUp) {
+		if a.Attempt == 0 {
+			delete(s.out, a.ID)
+			s.ready[a.ID] = time.Now().Add(guard)
+			s.core.Released(server, a.ID, 0, CauseNormal, nil)
+			return
+		}
+		s.core.Answered(server, a.ID, 0, "late")
+		s.core.Released(server, a.ID, 0, CauseNormal, nil)
+		s.core.Answered(server, a.ID, 1, "y")
+		s.core.Answered(server, a.ID, 0, "late")
+		s.core.Released(server, a.ID, 1, CauseNormal, nil)
+		s.core.Loop().Quit()
+	}
+	s.core.Loop().Post(func() {
+		s.list(control.Active, "a")
+		_ = s.core.Offer(Request{ID: "1", Class: "c", Deadline: time.Now().Add(time.Minute), Caller: s, Description: "x"})
+	})
+	s.core.Loop().Run()
+	got := map[string]int{"set-ups": s.setUps, "answers": s.answers["1"], "overs": s.overs["1"], "finals": s.finals["1"], "releases": s.releases}
+	if diff := cmp.Diff(map[string]int{"set-ups": 2, "answers": 1, "overs": 1, "finals": 0, "releases": 0}, got); diff != "" {
+		t.Errorf("what the call came to (-want +got):\n%s", diff)
+	}
+}
--- a/internal/dispatchers/dispatchers.go
+++ b/internal/dispatchers/dispatchers.go
@@ -45,7 +45,7 @@
 type Core interface {
 	Answered(server control.ServerID, id string, attempt int, description string)
 	Ended(server control.ServerID, id string, attempt int, o control.Outcome, noLine bool, report []float64)
-	Released(server control.ServerID, id string, cause int, report []float64)
+	Released(server control.ServerID, id string, attempt, cause int, report []float64)
 	Reported(server control.ServerID, report []float64)
 	Died(server control.ServerID)
 	Standing(server control.ServerID) int
@@ -171,7 +171,7 @@
 		return
 	case len(s.links) == 0:
 		s.connect()
-	case len(s.links) < maxLinks && silent <= silence && s.Status == control.Active:
+	case len(s.links) < maxLinks && silent <= silence: // also to one that drains: a new one brings the releases of a lost one
 		s.connect()
 	case silent > silence && (s.openSetUps() > 0 || s.pool.core.Standing(s.ID) > 0):
 		if silent > deadAfter && s.unanswered {
@@ -229,7 +229,8 @@
 	dial, wire := Place(address, s.pool.Fields)
 	var l *link
 	handler := func(c *conn.Conn) conn.Handler {
-		l = &link{server: s, conn: c, wire: wire, invites: map[string]*invite{}, heardAt: time.Now()}
+		now := time.Now()
+		l = &link{server: s, conn: c, wire: wire, invites: map[string]*invite{}, openedAt: now, heardAt: now}
 		return l
 	}
 	conn.Dial(s.pool.loop, dial, s.pool.ConnectTimeout, handler, func(err error) {
--- a/internal/dispatchers/link.go
+++ b/internal/dispatchers/link.go
@@ -74,6 +74,7 @@
 	conn    *conn.Conn
 	wire    Wire
 	closed  bool
+	openedAt,
 	heardAt time.Time
 	finalAt time.Time // when a set-up last had its final answer here
 	partial time.Time // since when a message has not been whole; zero if none is under way
@@ -233,7 +234,10 @@
 		if !call.ValidID(m.id) {
 			return
 		}
-		core.Released(s.ID, m.id, m.cause, m.report)
+		core.Released(s.ID, m.id, attempt, m.cause, m.report)
+		if i != nil && i.withdrawn.IsZero() {
+			i.withdrawn = time.Now() // its answer may still come, late
+		}
 	case report:
 		core.Reported(s.ID, m.report)
 	}
@@ -261,7 +265,8 @@
 		}
 	}
 	l.invites = nil
-	if len(s.links) == 0 {
-		s.connect()
+	if now := time.Now(); now.Sub(l.openedAt) < redialLeast {
+		s.redialAt = now.Add(redialLeast) // a dispatcher that closes whatever is new is not dialled without pause
 	}
+	s.connect()
 }
