--- a/internal/dispatchers/link.go
+++ b/internal/dispatchers/link.go
@@ -70,10 +70,10 @@
 
 // link is one connection to a dispatcher.
 type link struct {
-	server  *server
-	conn    *conn.Conn
-	wire    Wire
-	closed  bool
+	server *server
+	conn   *conn.Conn
+	wire   Wire
+	closed bool
 	openedAt,
 	heardAt time.Time
 	finalAt time.Time // when a set-up last had its final answer here
