Drop stray answers unread, whatever they hold

The probe had shown what comes ahead of good answers: one under an unknown id with 52 bytes of noise. Change: the wires mark it spoilt; a link ends for that only if the answer is to a set-up of its own.

--- a/cmd/cherryrelay/stories_test.go
+++ b/cmd/cherryrelay/stories_test.go
@@ -413,6 +413,7 @@
 		stray := e
 		stray.ID = id(0x99)
 		w.must(stray.Answer("stray"))
+		w.must(stray.Answer("\x01\x02")) // no matter what it holds: the connection is sound
 		w.must(e.Answer("y"))
 		w.must(e.Answer("y"))
 		w.hears(c)
--- a/internal/dispatchers/link.go
+++ b/internal/dispatchers/link.go
@@ -10,13 +10,14 @@
 	"cherryrelay/internal/call"
 	"cherryrelay/internal/conn"
 	"cherryrelay/internal/ring"
+	"cherryrelay/internal/websocket"
 )
 
 // errCutShort ends a connection inside a message.
 var errCutShort = errors.New("a message that does not end")
 
 // errNoise is an answer whose description cannot be what its dispatcher meant.
-var errNoise = errors.New("answer that came spoilt")
+var errNoise = &websocket.Error{Code: websocket.BadData, Text: "answer that came spoilt"}
 
 // kind says what a dispatcher's message means.
 type kind int
@@ -42,6 +43,7 @@
 	report      []float64
 	reply       func(called string) []byte // what the wire owes for it; nil for nothing
 	final       bool                       // nothing more comes for the set-up
+	spoilt      bool                       // the description cannot be what was meant
 }
 
 // Wire is the form in which one connection speaks to a dispatcher.
@@ -118,7 +120,10 @@
 			return nil
 		}
 		l.partial = time.Time{}
-		l.take(m)
+		if err := l.take(m); err != nil {
+			l.send(l.wire.Bye(err))
+			return err
+		}
 	}
 }
 
@@ -191,13 +196,17 @@
 	return n
 }
 
-func (l *link) take(m *Message) {
+// take acts on a message. An error ends the connection.
+func (l *link) take(m *Message) error {
 	s, core := l.server, l.server.pool.core
 	i := l.invites[m.id]
 	if i == nil && m.final && m.kind != ended {
 		// A second copy, or an answer to what was not asked here: there is nothing that it could be the answer to.
 		s.pool.Log.Debug("answer to no set-up", "server", s.ID, "id", m.id)
-		return
+		return nil
+	}
+	if m.spoilt {
+		return errNoise
 	}
 	if m.reply != nil {
 		called := ""
@@ -232,7 +241,7 @@
 		core.Ended(s.ID, m.id, attempt, m.outcome, m.noLine, m.report)
 	case released:
 		if !call.ValidID(m.id) {
-			return
+			return nil
 		}
 		core.Released(s.ID, m.id, attempt, m.cause, m.report)
 		if i != nil && i.withdrawn.IsZero() {
@@ -241,6 +250,7 @@
 	case report:
 		core.Reported(s.ID, m.report)
 	}
+	return nil
 }
 
 // Closed ends the set-ups that were open on the connection.
--- a/internal/dispatchers/websocket.go
+++ b/internal/dispatchers/websocket.go
@@ -113,11 +113,7 @@
 		if err != nil {
 			return nil, errors.Join(&websocket.Error{Code: websocket.BadData, Text: "unreadable message"}, err)
 		}
-		got := w.meaning(message)
-		if got.kind == answer && !call.ValidDescription(got.description) {
-			return nil, &websocket.Error{Code: websocket.BadData, Text: errNoise.Error()}
-		}
-		return got, nil
+		return w.meaning(message), nil
 	case websocket.Binary:
 		return nil, &websocket.Error{Code: websocket.Unsupported, Text: "messages are text"}
 	}
@@ -134,6 +130,7 @@
 	switch m.Type {
 	case "answer":
 		got.kind, got.final, got.description = answer, true, m.Description()
+		got.spoilt = !call.ValidDescription(got.description)
 	case "release":
 		got.kind, got.final, got.cause = ended, true, m.CauseOr(call.CauseNormal)
 		got.outcome, got.noLine = outcome(got.cause)
