Add the package of bounded logs, which .gitignore kept out

Seen: a clean clone did not build; cmd/cherryrelay imports internal/logs, and the line logs/ in .gitignore matched that folder too. Main did not build from a clone since the package came in.

--- /dev/null
+++ b/internal/logs/logs_test.go
@@ -0,0 +1,34 @@
+package logs
+
+import (
+	"bytes"
+	"context"
+	"log/slog"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// TestABurstIsBounded: one day of bad clients left 900 KB of log at each controller.
+func TestABurstIsBounded(t *testing.T) {
+	var out bytes.Buffer
+	h := Bound(slog.NewTextHandler(&out, nil)).WithAttrs([]slog.Attr{slog.String("name", "n1")})
+	begin := time.Unix(1000, 0)
+	log := func(text string, at time.Time) {
+		if err := h.Handle(context.Background(), slog.NewRecord(at, slog.LevelWarn, text, 0)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for range 1000 {
+		log("bad", begin)
+	}
+	log("other", begin)
+	log("bad", begin.Add(time.Second))
+	got := []int{strings.Count(out.String(), "msg=bad"), strings.Count(out.String(), "msg=other"),
+		strings.Count(out.String(), "not_logged=970"), strings.Count(out.String(), "name=n1")}
+	if diff := cmp.Diff([]int{burst + 1, 1, 1, burst + 2}, got); diff != "" {
+		t.Errorf("lines (-want +got):\n%s", diff)
+	}
+}
