--- a/control/control.go
+++ b/control/control.go
@@ -627,8 +627,9 @@
 
 // --- Server health ---
 
-// overtaken reports whether a set-up that was sent to the server then is one that a later one has overtaken. The
-// processor takes them in turn, so that one was lost on its way or its answer was: its age tells of no queue.
+// overtaken reports whether a set-up that was sent to the server then is one that a later one has overtaken.
+// The processor takes them in turn, so that one was lost on its way or its answer was: its age tells of no
+// queue.
 func (c *Controller) overtaken(s *server, sentAt time.Duration) bool {
 	return s.latest-sentAt > max(s.quiet, 4*c.settings.Tick)
 }
@@ -766,8 +767,8 @@
 	c.retire()
 }
 
-// retire forgets servers that have long been gone: under new names, they come and go all day. Until then a server that
-// takes the place of one that went learns from it what to expect.
+// retire forgets servers that have long been gone: under new names, they come and go all day. Until then a
+// server that takes the place of one that went learns from it what to expect.
 func (c *Controller) retire() {
 	c.servers = slices.DeleteFunc(c.servers, func(s *server) bool {
 		old := s.Status == Removed && len(s.out) == 0 && c.now-s.goneAt > 2*max(c.settings.ColdFor, controlPeriod)
