Keep callers' connections while their calls stand, and close none with bytes on the way

At fault, from reading: Front.look and makeRoom went by what the loop had read. A set-up in the ring, in netpoll's buffer or in the socket did not count, and a node has part of a core only; callers keep a connection as long as a call of theirs stands on it, and those were closed after 5 s all the same. Change: a connection is closed without a fault only if no call of it stands and nothing has come that waits (Conn.Quiet, which peeks at the socket); room is made by those without a call first. The story of a standing call fails without it.

--- a/cmd/cherryrelay/stories_test.go
+++ b/cmd/cherryrelay/stories_test.go
@@ -544,6 +544,26 @@
 	})
 }
 
+func TestAConnectionIsKeptWhileItsCallStands(t *testing.T) {
+	// Its caller keeps it for as long, and may send a set-up on it at any moment: that crossed the close, and was lost.
+	idle := 2 * time.Second
+	storyWithin(t, callers.Bounds{Silent: long, Idle: idle}, []string{"d0: setup 1 x", "caller: answer 1 y", "caller: release 1 16"},
+		func(w *world) {
+			c := w.caller()
+			w.must(c.SetUp(id(1), long, 0, "x"))
+			w.must(w.gets(0).Answer("y"))
+			w.hears(c)
+			time.Sleep(idle + idle/2)
+			w.must(c.Send(jsonl.Message{Type: "ping", ID: id(0)}))
+			if m, err := c.Next(); err != nil || m.Type != "pong" {
+				t.Errorf("got %v, %v", m, err)
+			}
+			w.must(w.dispatchers[0].Release(id(1), 16))
+			w.hears(c)
+			w.ends(c)
+		})
+}
+
 func TestConnectionsOfNoUseAreClosed(t *testing.T) {
 	// Hundreds connect and say nothing, send half a message, or stay on after their call.
 	soon := 50 * time.Millisecond
--- a/internal/call/core.go
+++ b/internal/call/core.go
@@ -72,7 +72,8 @@
 	flush       []func()
 	calls       map[string]*record
 	owing       map[Caller]map[string]*record // the open ones, by who waits for them
-	ended       []*record                     // in the order of their ends
+	standing    map[Caller]int
+	ended       []*record // in the order of their ends
 	owed        int
 	held        int // bytes of the descriptions of open set-ups
 	maxHeld     int
@@ -96,7 +97,7 @@
 	}
 	c := &Core{
 		loop: loop, log: log, settings: s, decisions: decisions, module: module, calls: map[string]*record{},
-		owing: map[Caller]map[string]*record{}, maxHeld: math.MaxInt, status: map[control.ServerID]control.ServerStatus{}, epoch: time.Now(),
+		owing: map[Caller]map[string]*record{}, standing: map[Caller]int{}, maxHeld: math.MaxInt, status: map[control.ServerID]control.ServerStatus{}, epoch: time.Now(),
 	}
 	loop.turn = c.turn
 	return c, nil
@@ -242,6 +243,9 @@
 // Owes is the number of set-ups without an answer that came from the caller.
 func (c *Core) Owes(caller Caller) int { return len(c.owing[caller]) }
 
+// StandingOf is the number of calls of the caller that stand.
+func (c *Core) StandingOf(caller Caller) int { return c.standing[caller] }
+
 func (c *Core) owe(k *record) {
 	c.owed++
 	c.held += len(k.Description)
@@ -280,8 +284,13 @@
 
 // close ends the record of a call.
 func (c *Core) close(k *record) {
-	if k.state == open {
+	switch {
+	case k.state == open:
 		c.settle(k)
+	case k.state == stands && k.Caller != nil:
+		if c.standing[k.Caller]--; c.standing[k.Caller] == 0 {
+			delete(c.standing, k.Caller)
+		}
 	}
 	c.stopTimers(k)
 	k.state, k.out, k.overAt = over, false, time.Now()
@@ -325,6 +334,7 @@
 	c.stopTimers(k)
 	c.settle(k)
 	k.out, k.state = false, stands
+	c.standing[k.Caller]++
 	k.Description = ""
 	c.tell(control.CallStands{ID: control.CallID(id), Server: server, Attempt: k.attempts - 1,
 		Elapsed: time.Since(k.sentAt)})
--- a/internal/call/core_test.go
+++ b/internal/call/core_test.go
@@ -177,7 +177,7 @@
 	}
 	_ = s.core.Offer(Request{ID: "last", Class: "c", Deadline: time.Now().Add(time.Minute), Caller: s, Description: "x"})
 	s.core.GiveUp(s, "last", CauseNormal)
-	got := map[string]int{"calls": len(s.core.calls), "ended": len(s.core.ended), "owing": len(s.core.owing), "status": len(s.core.status),
+	got := map[string]int{"calls": len(s.core.calls), "ended": len(s.core.ended), "owing": len(s.core.owing) + len(s.core.standing), "status": len(s.core.status),
 		"owed": s.core.owed, "held": s.core.held, "timers": len(s.core.loop.timers)}
 	want := map[string]int{"calls": 1, "ended": 1, "owing": 0, "status": 0, "owed": 0, "held": 0, "timers": 0}
 	if diff := cmp.Diff(want, got); diff != "" {
--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -35,8 +35,8 @@
 	// Silent is how long a connection may stay inside a message, or be open with nothing to be told: callers connect when
 	// they have a set-up. It must leave room before the 3 s in which a peer that misbehaves is owed a close.
 	Silent time.Duration
-	// Idle is how long one without an open set-up is kept. Callers close theirs after 4 s, those that stay on are of no
-	// use, and no connection owns a call that stands.
+	// Idle is how long one without a call is kept. Callers close theirs after 4 s, and those that stay on are of no use.
+	// It must be longer, so as not to cross a set-up.
 	Idle time.Duration
 }
 
@@ -61,6 +61,8 @@
 	CallerBroke(call.Caller)
 	// Owes is the number of set-ups without an answer that came from the caller.
 	Owes(call.Caller) int
+	// StandingOf is the number of its calls that stand.
+	StandingOf(call.Caller) int
 	Ready() bool
 }
 
@@ -161,15 +163,30 @@
 	return cc
 }
 
-// makeRoom closes the connection that is missed least: one on which nothing was ever asked before one that is idle,
-// and the oldest of these.
+// worth says what a connection without an open set-up is worth keeping for: least if nothing was ever asked on it, most if
+// a call of it stands, as its caller keeps it then.
+func (f *Front) worth(c *Conn) int {
+	switch {
+	case f.core.StandingOf(c) > 0:
+		return 2
+	case c.asked:
+		return 1
+	}
+	return 0
+}
+
+// makeRoom closes the connection that is missed least, and the oldest of these.
 func (f *Front) makeRoom(newest *Conn) {
 	var least *Conn
 	for _, c := range f.all {
 		if c.closed || c == newest || f.core.Owes(c) > 0 {
 			continue
 		}
-		if least == nil || !c.asked && least.asked || c.asked == least.asked && c.usedAt.Before(least.usedAt) {
+		better := -1
+		if least != nil {
+			better = cmp.Or(cmp.Compare(f.worth(c), f.worth(least)), c.usedAt.Compare(least.usedAt))
+		}
+		if better < 0 && c.conn.Quiet() {
 			least = c
 		}
 	}
@@ -179,8 +196,7 @@
 	least.shut(conn.ErrClosedHere)
 }
 
-// look closes connections that are of no use. Those with a set-up open are left alone, unless they stopped inside a
-// message.
+// look closes connections that are of no use. Those with a call are left alone, unless they stopped inside a message.
 func (f *Front) look() {
 	now := time.Now()
 	for _, c := range slices.Clone(f.all) {
@@ -188,7 +204,7 @@
 		case c.closed:
 		case c.partial && now.Sub(c.since) > f.bounds.Silent:
 			c.fail(errCutShort)
-		case f.core.Owes(c) > 0:
+		case f.core.Owes(c) > 0 || f.core.StandingOf(c) > 0 || !c.conn.Quiet():
 		case !c.said && now.Sub(c.since) > f.bounds.Silent:
 			c.shut(errSilent)
 		case now.Sub(c.usedAt) > f.bounds.Idle:
--- a/internal/conn/conn.go
+++ b/internal/conn/conn.go
@@ -297,6 +297,22 @@
 	c.loop.Post(c.tell)
 }
 
+// Quiet reports whether nothing of the peer's is on its way to the handler, nor waits in the socket. A connection that is
+// of no use may be closed then; else what has come already would be lost with it.
+func (c *Conn) Quiet() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	fd, ok := c.nc.(netpoll.Conn)
+	if c.ended || !ok {
+		return true
+	}
+	if c.posted || c.in.Len() > 0 || c.nc.Reader().Len() > 0 {
+		return false
+	}
+	n, _, _ := syscall.Recvfrom(fd.Fd(), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	return n <= 0
+}
+
 // Remote is the peer's address.
 func (c *Conn) Remote() string { return c.nc.RemoteAddr().String() }
 
