--- a/internal/conn/conn_test.go
+++ b/internal/conn/conn_test.go
@@ -88,3 +88,40 @@
 		}
 	}
 }
+
+// TestWhatHasComeIsNotQuiet: a connection that seemed idle was closed with a set-up on its way to the loop.
+func TestWhatHasComeIsNotQuiet(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	posts := make(loop, 16)
+	var c *Conn
+	up := make(chan error, 1)
+	Dial(posts, ln.Addr().String(), patience, func(made *Conn) Handler { c = made; return make(ended, 1) }, func(err error) { up <- err })
+	peer, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer peer.Close()
+	(<-posts)() // and then the loop is busy
+	if err := <-up; err != nil {
+		t.Fatal(err)
+	}
+	if !c.Quiet() {
+		t.Error("not quiet before anything has come")
+	}
+	if _, err := peer.Write([]byte("x")); err != nil {
+		t.Fatal(err)
+	}
+	for begin := time.Now(); c.Quiet(); time.Sleep(time.Millisecond) {
+		if time.Since(begin) > patience {
+			t.Fatal("quiet though a byte has come")
+		}
+	}
+	(<-posts)() // the loop takes it in
+	if !c.Quiet() {
+		t.Error("not quiet after all is taken in")
+	}
+}
