Tell ends of calls to callers, not to those who only test

The probe of pings shows the front testing on a new connection each 0.1 s; the first thing it was told there were releases that had waited, not its pong.

Ruled out: a late or wrong answer of the management address (6 calls, none late or wrong); readiness itself, true at once.

At fault: Conn.join gave all that waited to whoever connected. Ends now go to a connection on which a set-up came, or that has said nothing for 0.1 s. TestEvacuation tests before it calls, and fails without this.

--- a/cmd/cherryrelay/operators_test.go
+++ b/cmd/cherryrelay/operators_test.go
@@ -49,7 +49,7 @@
 		"operator: /api/ready 200", "d0: setup 1 x", "caller: answer 1 y", "d1: setup 2 x",
 		"operator: /api/evacuate 200", "operator: /api/ready 503", "caller: pong  0", "operator: /api/evacuate 200",
 		"caller: release 3 42 wait 100", "caller: answer 2 y",
-		"operator: /api/rejoin 200", "operator: /api/ready 200", "caller: release 1 16",
+		"operator: /api/rejoin 200", "operator: /api/ready 200", "caller: pong  1", "caller: release 1 16",
 		"d1: setup 4 x", "operator: /api/evacuate 200", "operator: /api/rejoin 200", "caller: answer 4 y", "caller: pong  1",
 	}, func(w *world) {
 		idle, stood, busy := w.caller(), w.caller(), w.caller()
@@ -75,6 +75,9 @@
 		w.must(w.dispatchers[0].Release(id(1), 16)) // with nobody there to hear it
 		w.operates("POST", "/api/rejoin")
 		w.operates("GET", "/api/ready")
+		tester := w.connect() // who tests takes the next message for the result: callers stayed away
+		w.must(tester.Send(jsonl.Message{Type: "ping", ID: id(0)}))
+		w.hears(tester)
 		c := w.connect()
 		w.hears(c)
 		// Midway it is called off: nothing is closed, and what was under way goes on.
--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -174,7 +174,7 @@
 	switch {
 	case f.core.StandingOf(c) > 0:
 		return 2
-	case c.asked:
+	case c.asked || c.tested:
 		return 1
 	}
 	return 0
@@ -224,6 +224,7 @@
 			c.shut(conn.ErrClosedHere)
 		}
 	}
+	f.deliver()
 	f.loop.After(pace, f.look)
 }
 
@@ -235,11 +236,24 @@
 	}
 	c.joined = true
 	f.open = append(f.open, c)
+}
+
+// hears reports whether the connection can be told the end of a call that came on another. One on which a test came is
+// for tests: who made it takes the next message for its result. One that has said nothing yet may be about to.
+func (c *Conn) hears() bool {
+	return c.asked || !c.tested && time.Since(c.since) > settle
+}
+
+// deliver passes on the ends that have waited for a connection.
+func (f *Front) deliver() {
+	if len(f.pending) == 0 || !slices.ContainsFunc(f.open, (*Conn).hears) {
+		return
+	}
 	pending := f.pending
 	f.pending = nil
 	for _, r := range pending {
 		if time.Since(r.at) < keep {
-			c.release(r)
+			f.release(r)
 		}
 	}
 }
@@ -257,12 +271,13 @@
 // release sends the end of a call that stood on another connection, as no connection owns the call: one on which a call
 // stood rather than one that only asked, since that may be anybody's, and of these the one that was used last.
 func (f *Front) release(r release) {
-	if len(f.open) == 0 {
+	hears := slices.DeleteFunc(slices.Clone(f.open), func(c *Conn) bool { return !c.hears() })
+	if len(hears) == 0 {
 		f.pending = slices.DeleteFunc(f.pending, func(o release) bool { return time.Since(o.at) > keep })
 		f.pending = append(f.pending, r)
 		return
 	}
-	best := slices.MaxFunc(f.open, func(a, b *Conn) int {
+	best := slices.MaxFunc(hears, func(a, b *Conn) int {
 		return cmp.Or(cmp.Compare(a.rank(), b.rank()), a.usedAt.Compare(b.usedAt))
 	})
 	best.release(r)
@@ -286,7 +301,8 @@
 	format  Format
 	joined  bool
 	closed  bool
-	asked   bool      // a set-up or a test has come
+	asked   bool      // a set-up has come
+	tested  bool      // a test has
 	said    bool      // it has been told something
 	stood   bool      // a call of it did
 	faults  int       // set-ups that made no sense
@@ -349,6 +365,7 @@
 	switch m.Type {
 	case "setup":
 		c.asked = true
+		c.front.deliver()
 		if !call.ValidID(m.ID) {
 			return fmt.Errorf("set-up with the id %.40q", m.ID)
 		}
@@ -356,7 +373,7 @@
 	case "release":
 		c.front.core.GiveUp(c, m.ID, m.CauseOr(call.CauseNormal))
 	case "ping":
-		c.asked = true
+		c.tested = true
 		passed := 0
 		if c.front.core.Ready() {
 			passed = 1
@@ -449,7 +466,7 @@
 // unheard reports whether a release that was sent may not have been read: it is recent, or nobody ever spoke here.
 func (c *Conn) unheard(r release) bool {
 	age := time.Since(r.at)
-	return age <= recent || !c.asked && age <= keep
+	return age <= recent || !c.asked && !c.tested && age <= keep
 }
 
 // Closed ends the connection's set-ups. Calls that stand are released on other connections.
