Keep connections whose calls stand through an evacuation, to tell their ends

Ruled out: telling them on the front's tests, which are no callers; waiting for the rejoin, which comes after 4.5 s, as the rule gives 1 s. A connection with a call that stands is not idle, and was not counted against the drain.

At fault: Front.look closed whatever owed no answer. TestEvacuation has a call end midway, and fails without this.

--- a/cmd/cherryrelay/operators_test.go
+++ b/cmd/cherryrelay/operators_test.go
@@ -48,8 +48,8 @@
 	story(t, []string{
 		"operator: /api/ready 200", "d0: setup 1 x", "caller: answer 1 y", "d1: setup 2 x",
 		"operator: /api/evacuate 200", "operator: /api/ready 503", "caller: pong  0", "operator: /api/evacuate 200",
-		"caller: release 3 42 wait 100", "caller: answer 2 y",
-		"operator: /api/rejoin 200", "operator: /api/ready 200", "caller: pong  1", "caller: release 1 16",
+		"caller: release 3 42 wait 100", "caller: answer 2 y", "caller: release 1 16",
+		"operator: /api/rejoin 200", "operator: /api/ready 200", "caller: pong  1", "caller: release 2 16",
 		"d1: setup 4 x", "operator: /api/evacuate 200", "operator: /api/rejoin 200", "caller: answer 4 y", "caller: pong  1",
 	}, func(w *world) {
 		idle, stood, busy := w.caller(), w.caller(), w.caller()
@@ -65,14 +65,17 @@
 		w.hears(busy)
 		w.operates("POST", "/api/evacuate") // once more changes nothing
 		w.isClosed(idle)
-		w.isClosed(stood)
 		time.Sleep(1300 * time.Millisecond) // by then newcomers are refused; later is as good
 		w.must(busy.SetUp(id(3), long, 1, "x"))
 		w.hears(busy)
 		w.must(open.Answer("y"))
 		w.hears(busy)
-		w.isClosed(busy)
-		w.must(w.dispatchers[0].Release(id(1), 16)) // with nobody there to hear it
+		w.must(w.dispatchers[0].Release(id(1), 16))
+		w.hears(stood) // what stood ends where its caller hears it
+		w.isClosed(stood)
+		w.must(busy.Close())
+		w.acked(1)
+		w.must(w.dispatchers[1].Release(id(2), 16)) // with nobody there to hear it
 		w.operates("POST", "/api/rejoin")
 		w.operates("GET", "/api/ready")
 		tester := w.connect() // who tests takes the next message for the result: callers stayed away
--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -202,7 +202,8 @@
 }
 
 // look closes connections that are of no use. Those with a call are left alone, unless they stopped inside a message; a
-// controller that withdraws keeps only those with an open set-up.
+// controller that withdraws keeps only those with a call: the end of one that stands must be told within a second, and
+// nobody else may be there to hear it.
 func (f *Front) look() {
 	now := time.Now()
 	closing := f.core.Phase() >= call.Closing
@@ -215,7 +216,7 @@
 		case c.closed:
 		case c.partial && now.Sub(c.since) > silent:
 			c.fail(errCutShort)
-		case closing && f.core.Owes(c) == 0 && now.Sub(c.since) > settle && c.conn.Quiet():
+		case closing && f.core.Owes(c) == 0 && f.core.StandingOf(c) == 0 && now.Sub(c.since) > settle && c.conn.Quiet():
 			c.shut(conn.ErrClosedHere)
 		case f.core.Owes(c) > 0 || f.core.StandingOf(c) > 0 || !c.conn.Quiet():
 		case !c.said && now.Sub(c.since) > f.bounds.Silent:
