Close a connection only once the ends told on it have been heard

Seen: TestEvacuation was told an end twice, when its connection was closed within 0.2 s of it: Conn.Closed passes such ends on again, as they may have crossed the close.

--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -216,7 +216,8 @@
 		case c.closed:
 		case c.partial && now.Sub(c.since) > silent:
 			c.fail(errCutShort)
-		case closing && f.core.Owes(c) == 0 && f.core.StandingOf(c) == 0 && now.Sub(c.since) > settle && c.conn.Quiet():
+		case closing && f.core.Owes(c) == 0 && f.core.StandingOf(c) == 0 && now.Sub(c.since) > settle &&
+			!slices.ContainsFunc(c.sent, c.unheard) && c.conn.Quiet():
 			c.shut(conn.ErrClosedHere)
 		case f.core.Owes(c) > 0 || f.core.StandingOf(c) > 0 || !c.conn.Quiet():
 		case !c.said && now.Sub(c.since) > f.bounds.Silent:
