Hand the listening sockets over to a successor, and serve out beside it

At fault: no way for two processes at one address.

Tests: TestUpgrade, TestASuccessorThatDies, TestWhatLiesInTheWay.

--- a/cmd/cherryrelay/main.go
+++ b/cmd/cherryrelay/main.go
@@ -27,7 +27,7 @@
 	if err != nil {
 		return err
 	}
-	limitMemory(c)
+	limitMemory(c.Limits.MemoryMB << 20)
 	options := &slog.HandlerOptions{}
 	if os.Getenv("LB_LOG") == "debug" {
 		options.Level = slog.LevelDebug
@@ -59,13 +59,12 @@
 		log.Error("configuration is not reloaded", "err", err)
 		return
 	}
-	limitMemory(c)
 	n.reload(c)
 }
 
 // limitMemory has the collector work harder well before the limit.
-func limitMemory(c *config.Config) {
-	if c.Limits.MemoryMB > 0 {
-		debug.SetMemoryLimit(c.Limits.MemoryMB << 20 / 2)
+func limitMemory(bytes int64) {
+	if bytes > 0 {
+		debug.SetMemoryLimit(bytes / 2)
 	}
 }
--- a/cmd/cherryrelay/node.go
+++ b/cmd/cherryrelay/node.go
@@ -12,21 +12,25 @@
 	"cherryrelay/internal/coordinator"
 	"cherryrelay/internal/dispatchers"
 	"cherryrelay/internal/etcd"
+	"cherryrelay/internal/handover"
 	"cherryrelay/internal/management"
 )
 
 // node is one call controller, wired up.
 type node struct {
-	core   *call.Core
-	loop   *call.Loop
-	log    *slog.Logger
-	lines  *callers.Front     // the platform's front
-	api    *callers.Front     // the call-control API; nil if it is off
-	manage *management.Server // nil without an address
-	list   *coordinator.Stream
-	cancel context.CancelFunc
-	bounds callers.Bounds
-	terms  *callers.Terms
+	config  *config.Config
+	core    *call.Core
+	pool    *dispatchers.Pool
+	upgrade *upgrade
+	loop    *call.Loop
+	log     *slog.Logger
+	lines   *callers.Front     // the platform's front
+	api     *callers.Front     // the call-control API; nil if it is off
+	manage  *management.Server // nil without an address
+	list    *coordinator.Stream
+	cancel  context.CancelFunc
+	bounds  callers.Bounds
+	terms   *callers.Terms
 }
 
 // start wires a call controller and opens its fronts. It serves once run is called.
@@ -44,6 +48,8 @@
 }
 
 func startWithin(c *config.Config, log *slog.Logger, bounds callers.Bounds) (n *node, err error) {
+	u := &upgrade{path: handover.Path(c.Listen)}
+	u.ask(log)
 	seed, err := c.SeedNumber()
 	if err != nil {
 		return nil, err
@@ -66,8 +72,8 @@
 		loop.Post(func() { core.Update(u) })
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	n = &node{core: core, loop: loop, log: log, cancel: cancel, bounds: bounds, terms: callers.NewTerms(c.Settings)}
-	core.Within(c.Limits.MemoryMB << 20)
+	n = &node{config: c, pool: pool, upgrade: u, core: core, loop: loop, log: log, cancel: cancel, bounds: bounds, terms: callers.NewTerms(c.Settings)}
+	u.node = n
 	opened := n
 	defer func() {
 		if err != nil { // n is nil by then
@@ -100,14 +106,17 @@
 		}
 		go list.Run(ctx)
 	}
+	n.share()
+	u.run()
 	return n, nil
 }
 
 func (n *node) front(address string, format func() callers.Format) (*callers.Front, error) {
-	f, err := callers.Listen(n.loop, n.core, n.log, address, format, n.bounds, n.terms)
+	tcp, err := n.upgrade.socket(address)
 	if err != nil {
-		return nil, err
+		return nil, fmt.Errorf("callers: %w", err)
 	}
+	f := callers.New(n.loop, n.core, n.log, tcp, format, n.bounds, n.terms)
 	n.core.AddFront(f)
 	n.core.OnFlush(f.Flush)
 	n.log.Info("serving", "address", f.Address())
@@ -122,7 +131,7 @@
 
 func (n *node) close() error {
 	n.cancel()
-	var err error
+	err := n.upgrade.end()
 	for _, f := range []*callers.Front{n.lines, n.api} {
 		if f != nil {
 			err = errors.Join(err, f.Close())
@@ -143,11 +152,8 @@
 	n.log.Info("configuration reloaded", "coordinator", c.Coordinator)
 	n.list.Move(c.Coordinator)
 	n.loop.Post(func() {
-		n.core.Within(c.Limits.MemoryMB << 20)
-		for _, f := range []*callers.Front{n.lines, n.api} {
-			if f != nil {
-				f.Limit(bounds(c).Connections)
-			}
-		}
+		n.config.Limits = c.Limits
+		n.bounds.Connections = bounds(c).Connections
+		n.share()
 	})
 }
--- a/cmd/cherryrelay/stories_test.go
+++ b/cmd/cherryrelay/stories_test.go
@@ -28,6 +28,7 @@
 	transport   string // of callers
 	dispatchers [2]*peer.Dispatcher
 	done        chan error
+	list        call.Update
 	said        []string // what the peers saw, in order
 }
 
@@ -56,9 +57,13 @@
 }
 
 func newWorldWithin(t *testing.T, transport, dispatchers string, bounds callers.Bounds) *world {
+	return newWorldAt(t, "127.0.0.1:0", "127.0.0.1:0", transport, dispatchers, bounds)
+}
+
+func newWorldAt(t *testing.T, lines, api, transport, dispatchers string, bounds callers.Bounds) *world {
 	c := new(config.Config)
-	c.Listen, c.Management, c.Seed = "127.0.0.1:0", "127.0.0.1:0", "1"
-	c.WebSocket = &config.WebSocket{Listen: "127.0.0.1:0", Path: peer.Path}
+	c.Listen, c.Management, c.Seed = lines, "127.0.0.1:0", "1"
+	c.WebSocket = &config.WebSocket{Listen: api, Path: peer.Path}
 	c.Settings = testSettings(t)
 	n, err := startWithin(c, slog.New(slog.DiscardHandler), bounds)
 	if err != nil {
@@ -75,7 +80,8 @@
 			ServerEntry: control.ServerEntry{ID: control.ServerID(fmt.Sprint("d", i)), Cell: i}, Address: d.Address()})
 	}
 	u.Whole = true
-	n.loop.Post(func() { n.core.Update(u) })
+	w.list = u
+	w.knows()
 	t.Cleanup(func() {
 		n.loop.Quit()
 		for _, d := range w.dispatchers {
--- /dev/null
+++ b/cmd/cherryrelay/upgrade_test.go
@@ -0,0 +1,199 @@
+package main
+
+import (
+	"io"
+	"log/slog"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"cherryrelay/internal/callers"
+	"cherryrelay/internal/handover"
+)
+
+// fixed is a local address whose port is free.
+func fixed(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// another starts a second process at the same addresses. It knows no dispatchers yet.
+func (w *world) another() *world {
+	w.Helper()
+	c := *w.node.config
+	n, err := startWithin(&c, slog.New(slog.DiscardHandler), w.node.bounds)
+	w.must(err)
+	next := &world{T: w.T, node: n, transport: w.transport, dispatchers: w.dispatchers, done: make(chan error, 1), list: w.list}
+	go func() { next.done <- n.run() }()
+	w.Cleanup(n.loop.Quit)
+	return next
+}
+
+// knows tells a node of the dispatchers.
+func (w *world) knows() { w.node.loop.Post(func() { w.node.core.Update(w.list) }) }
+
+// ready waits for a node's yes.
+func (w *world) ready() {
+	w.Helper()
+	for status := 0; status != 200; time.Sleep(time.Millisecond) {
+		status, _ = w.operator("GET", "/api/ready")
+	}
+}
+
+// upgrades plays a script over both fronts, with a node at fixed addresses.
+func upgrades(t *testing.T, want []string, script func(w *world)) {
+	t.Setenv("TMPDIR", t.TempDir())
+	for _, transport := range []string{"tcp", "ws"} {
+		t.Run(transport, func(t *testing.T) {
+			w := newWorldAt(t, fixed(t), fixed(t), transport, transport, callers.Bounds{Silent: long, Idle: long})
+			w.ready()
+			script(w)
+			if diff := cmp.Diff(want, w.said); diff != "" {
+				t.Errorf("what the peers saw (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestUpgrade: a second start at the same addresses ended with an error. Now it takes over; set-ups that are open are
+// answered where they came in, and each end of a call is told once, by the new process.
+func TestUpgrade(t *testing.T) {
+	upgrades(t, []string{
+		"d0: setup 1 x", "caller: answer 1 y", "d1: setup 2 x", "operator: /api/ready 503", "operator: /api/ready 200",
+		"operator: /api/ready 503", "d1: setup 3 x", "caller: answer 3 y", "caller: answer 2 y",
+		"caller: release 1 16", "caller: release 2 41", "d0: release 4 31", "caller: release 3 16",
+	}, func(old *world) {
+		idle, stood, busy := old.caller(), old.caller(), old.caller()
+		old.must(stood.SetUp(id(1), long, 0, "x"))
+		old.must(old.gets(0).Answer("y"))
+		old.hears(stood)
+		old.must(busy.SetUp(id(2), long, 1, "x"))
+		open := old.gets(1)
+		next := old.another()
+		status, _ := next.operator("GET", "/api/ready")
+		old.say("operator: /api/ready %d", status)
+		old.operates("GET", "/api/ready")
+		next.knows()
+		next.ready()
+		old.isClosed(idle)
+		old.isClosed(stood)
+		old.operates("GET", "/api/ready")
+		c := next.caller()
+		old.must(c.SetUp(id(3), long, 1, "x"))
+		old.must(old.gets(1).Answer("y"))
+		old.hears(c)
+		old.must(open.Answer("y"))
+		old.hears(busy)
+		old.isClosed(busy)
+		old.acked(1)
+		old.must(old.dispatchers[0].Release(id(1), 16)) // to the old process, whose caller has gone
+		old.hears(c)
+		old.must(<-old.done) // it has ended by itself
+		old.must(old.dispatchers[1].Release(id(2), 41))
+		old.hears(c)
+		// A call that only the old process can have known, ended by its caller.
+		old.must(c.Release(id(4), 31))
+		old.gets(0)
+		old.must(old.dispatchers[1].Release(id(3), 16))
+		old.hears(c) // and nothing else came for the others
+	})
+}
+
+// TestASuccessorThatDies leaves the old process in service, before it was ready and after; another one may follow.
+func TestASuccessorThatDies(t *testing.T) {
+	upgrades(t, []string{
+		"d0: setup 1 x", "caller: answer 1 y", "d0: setup 2 x", "caller: answer 2 y", "d0: setup 3 x", "caller: answer 3 y",
+	}, func(old *world) {
+		serves := func(w *world, n int) {
+			t.Helper()
+			c := w.caller()
+			w.must(c.SetUp(id(n), long, 0, "x"))
+			w.must(old.gets(0).Answer("y"))
+			old.hears(c)
+		}
+		first := old.another()
+		serves(old, 1)
+		first.node.loop.Quit()
+		old.must(<-first.done)
+		second := old.another()
+		second.knows()
+		second.ready()
+		second.node.loop.Quit()
+		old.must(<-second.done)
+		for path := handover.Path(old.node.config.Listen); ; time.Sleep(time.Millisecond) {
+			if _, err := os.Lstat(path); err == nil {
+				break // the path went with the second, and is the old one's again
+			}
+		}
+		old.ready()
+		serves(old, 2)
+		third := old.another()
+		third.knows()
+		third.ready()
+		old.must(<-old.done)
+		serves(third, 3)
+	})
+}
+
+// TestWhatLiesInTheWay: a file that is no socket of ours, one that a dead process left, and one whose owner does not answer
+// keep nobody from starting.
+func TestWhatLiesInTheWay(t *testing.T) {
+	dir := t.TempDir()
+	t.Setenv("TMPDIR", dir)
+	listens := func(path string) *net.UnixListener {
+		l, err := net.ListenUnix("unix", &net.UnixAddr{Name: path, Net: "unix"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		l.SetUnlinkOnClose(false)
+		t.Cleanup(func() { _ = l.Close() })
+		return l
+	}
+	for name, lay := range map[string]func(path string) error{
+		"file":   func(path string) error { return os.WriteFile(path, []byte("mine"), 0o600) },
+		"stale":  func(path string) error { return listens(path).Close() },
+		"silent": func(path string) error { listens(path); return nil },
+		"rude": func(path string) error {
+			l := listens(path)
+			go func() {
+				for {
+					nc, err := l.Accept()
+					if err != nil {
+						return
+					}
+					_, _ = io.WriteString(nc, "{\"hello\":\"else\"}\n")
+				}
+			}()
+			return nil
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			listen := fixed(t)
+			path := handover.Path(listen)
+			if err := lay(path); err != nil {
+				t.Fatal(err)
+			}
+			w := newWorldAt(t, listen, "127.0.0.1:0", "tcp", "tcp", callers.Bounds{Silent: long, Idle: long})
+			w.ready()
+			info, err := os.Lstat(path)
+			w.must(err)
+			if foreign := name == "file"; foreign != info.Mode().IsRegular() || !foreign && info.Mode().Perm() != 0o600 {
+				t.Errorf("%s is %v now", path, info.Mode())
+			}
+			w.node.loop.Quit()
+			w.must(<-w.done)
+			if left, _ := filepath.Glob(path + "*"); len(left) > 0 != (name == "file") {
+				t.Errorf("%v is left", left)
+			}
+		})
+	}
+}
--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -72,6 +72,8 @@
 type Front interface {
 	// Release passes on the end of a call that no connection is known for, as after a restart.
 	Release(id string, end End)
+	// Open is the number of its connections.
+	Open() int
 }
 
 // MaxDescription leaves room for the headers around it in a message of 16 KiB, whatever the wire.
--- a/internal/call/core.go
+++ b/internal/call/core.go
@@ -30,7 +30,9 @@
 	// killMost counts, and killAfter. What was taken is answered inReserve before.
 	killAfter = 700 * time.Millisecond
 	killMost  = 3 * time.Second
-	inReserve = 400 * time.Millisecond
+	// killMostSuperseded is as much for a process that has a successor.
+	killMostSuperseded = 5 * time.Second
+	inReserve          = 400 * time.Millisecond
 	// maxOpen is how many set-ups may be open on one connection; callers were seen with six.
 	maxOpen = 256
 	// heldShare of the memory is what descriptions of open set-ups may take, of all connections together.
@@ -83,7 +85,11 @@
 	listed      bool
 	wake        *Timer
 	reached     bool
+	waits       bool      // a predecessor still serves
 	evacuated   time.Time // zero if callers are served
+	superseded  time.Time // when a successor began to serve; zero without one
+	relay       func(id string, end End) bool
+	heir        *heir
 	draining    time.Time
 }
 
@@ -101,6 +107,7 @@
 		loop: loop, log: log, settings: s, decisions: decisions, module: module, calls: map[string]*record{},
 		owing: map[Caller]map[string]*record{}, standing: map[Caller]int{}, maxHeld: math.MaxInt, status: map[control.ServerID]control.ServerStatus{}, epoch: time.Now(),
 	}
+	c.heir = &heir{c}
 	loop.turn = c.turn
 	return c, nil
 }
@@ -166,7 +173,7 @@
 		c.log.Warn("too many set-ups are open", "id", r.ID)
 		r.Caller.End(r.ID, End{Cause: CauseCongestion, Reason: ReasonRefused, HoldOff: c.holdOff()})
 		return nil
-	case !c.draining.IsZero() && now.Sub(c.draining) > lateArrivals:
+	case !c.draining.IsZero() && !c.Superseded() && now.Sub(c.draining) > lateArrivals:
 		r.Caller.End(r.ID, End{Cause: CauseCongestion, Reason: ReasonDraining, HoldOff: c.holdOff()})
 		return nil
 	case c.Phase() == Refusing:
@@ -204,6 +211,7 @@
 		// with the restart has nothing to release.
 		if cause != CauseNormal && ValidID(id) && time.Since(c.epoch) < heritage {
 			c.dispatchers.Release("", id, cause)
+			c.knowOver(id) // its caller need not be told
 		}
 	case k.state == open && k.Caller != caller: // only whoever waits for an answer can give it up
 	case k.state == open:
@@ -216,7 +224,7 @@
 		if k.Caller != caller {
 			// It may come on any connection, but who waits for the call's end may be elsewhere.
 			c.log.Info("call ended from another connection", "id", id, "cause", cause)
-			k.Caller.Over(id, endOf(cause))
+			c.tellOver(k.Caller, id, endOf(cause))
 		}
 		c.close(k)
 	}
@@ -363,11 +371,8 @@
 	switch {
 	case k == nil:
 		// A call from before a restart: its caller still has to hear of it.
-		c.calls[id] = &record{Request: Request{ID: id}, state: stands}
-		c.close(c.calls[id])
-		for _, f := range c.fronts {
-			f.Release(id, endOf(cause))
-		}
+		c.knowOver(id)
+		c.tellOver(c.heir, id, endOf(cause))
 	case attempt >= 0 && attempt < k.attempts-1: // what an earlier attempt led to; a later one has taken its place
 	case k.state == stands && k.server == server:
 		c.finish(k, cause, report)
@@ -387,7 +392,13 @@
 		Elapsed: time.Since(k.sentAt), CallOver: true, Report: report})
 	caller := k.Caller
 	c.close(k)
-	caller.Over(k.ID, endOf(cause))
+	c.tellOver(caller, k.ID, endOf(cause))
+}
+
+// knowOver notes that a call of another process is over.
+func (c *Core) knowOver(id string) {
+	c.calls[id] = &record{Request: Request{ID: id}, state: stands}
+	c.close(c.calls[id])
 }
 
 // endOf is the end of a call that stood.
@@ -612,7 +623,11 @@
 	for _, class := range c.decisions.Classes {
 		longest = max(longest, class.Deadline)
 	}
-	c.loop.After(min(longest, killMost)+killAfter-inReserve, func() {
+	most := killMost
+	if c.Superseded() {
+		most = killMostSuperseded
+	}
+	c.loop.After(min(longest, most)+killAfter-inReserve, func() {
 		for _, id := range c.allOpen() {
 			k := c.calls[id]
 			c.abandon(k)
@@ -634,7 +649,7 @@
 
 // leave ends the loop of a controller that drains once nothing is owed and nothing new can arrive.
 func (c *Core) leave() {
-	if !c.draining.IsZero() && c.owed == 0 && time.Since(c.draining) > lateArrivals {
+	if !c.draining.IsZero() && c.owed == 0 && time.Since(c.draining) > lateArrivals && !c.keepsCallers() {
 		c.log.Info("served out")
 		c.loop.Quit()
 	}
--- a/internal/call/phase.go
+++ b/internal/call/phase.go
@@ -26,6 +26,12 @@
 
 // Phase is that of now.
 func (c *Core) Phase() Phase {
+	if c.Superseded() {
+		if time.Since(c.superseded) < refuseAfter {
+			return Closing
+		}
+		return Refusing
+	}
 	if c.evacuated.IsZero() {
 		return Serving
 	}
@@ -41,9 +47,12 @@
 // Ready reports whether callers can be served: a list has come, a dispatcher was reached, and neither an evacuation nor
 // a restart is under way. Whoever asks, callers or operators, is told by this.
 func (c *Core) Ready() bool {
-	return c.listed && c.reached && c.draining.IsZero() && c.Phase() == Serving
+	return c.able() && !c.waits && c.draining.IsZero() && c.Phase() == Serving
 }
 
+// able reports whether calls can be placed.
+func (c *Core) able() bool { return c.listed && c.reached }
+
 // Reached tells that calls can be placed at some dispatcher.
 func (c *Core) Reached() { c.reached = true }
 
--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"net"
 	"slices"
 	"strconv"
 	"time"
@@ -69,6 +70,8 @@
 	StandingOf(call.Caller) int
 	Ready() bool
 	Phase() call.Phase
+	// Superseded reports whether another process tells the ends of calls.
+	Superseded() bool
 }
 
 // Format is the framing of one connection.
@@ -133,18 +136,17 @@
 	return b.Connections + 1 + int(spare*float64(b.Connections))
 }
 
-// Listen opens a front at the address.
-func Listen(loop *call.Loop, core Core, log *slog.Logger, address string, format func() Format, bounds Bounds, terms *Terms) (*Front, error) {
+// New returns a front for a socket that listens. It accepts once its listener is started.
+func New(loop *call.Loop, core Core, log *slog.Logger, tcp *net.TCPListener, format func() Format, bounds Bounds, terms *Terms) *Front {
 	f := &Front{core: core, loop: loop, log: log, format: format, bounds: bounds, terms: terms}
-	l, err := conn.Listen(loop, address, bounds.most(), f.accept)
-	if err != nil {
-		return nil, fmt.Errorf("callers: %w", err)
-	}
-	f.listener = l
+	f.listener = conn.NewListener(loop, tcp, bounds.most(), f.accept)
 	loop.Post(f.look)
-	return f, nil
+	return f
 }
 
+// Listener is where the front's connections come from.
+func (f *Front) Listener() *conn.Listener { return f.listener }
+
 // Address is where the front listens.
 func (f *Front) Address() string { return f.listener.Address() }
 
@@ -203,7 +205,7 @@
 
 // look closes connections that are of no use. Those with a call are left alone, unless they stopped inside a message; a
 // controller that withdraws keeps only those with a call: the end of one that stands must be told within a second, and
-// nobody else may be there to hear it.
+// unless there is a successor, nobody else may be there to hear it.
 func (f *Front) look() {
 	now := time.Now()
 	closing := f.core.Phase() >= call.Closing
@@ -216,7 +218,7 @@
 		case c.closed:
 		case c.partial && now.Sub(c.since) > silent:
 			c.fail(errCutShort)
-		case closing && f.core.Owes(c) == 0 && f.core.StandingOf(c) == 0 && now.Sub(c.since) > settle &&
+		case closing && f.core.Owes(c) == 0 && (f.core.StandingOf(c) == 0 || f.core.Superseded()) && now.Sub(c.since) > settle &&
 			!slices.ContainsFunc(c.sent, c.unheard) && c.conn.Quiet():
 			c.shut(conn.ErrClosedHere)
 		case f.core.Owes(c) > 0 || f.core.StandingOf(c) > 0 || !c.conn.Quiet():
@@ -492,7 +494,7 @@
 	c.sent = nil
 }
 
-// Open is the number of connections, for logs and tests.
-func (f *Front) Open() int { return len(f.open) }
+// Open is the number of connections.
+func (f *Front) Open() int { return len(f.all) }
 
 var _ call.Caller = (*Conn)(nil)
--- a/internal/dispatchers/dispatchers.go
+++ b/internal/dispatchers/dispatchers.go
@@ -13,9 +13,9 @@
 )
 
 const (
-	// maxLinks is how many connections a dispatcher is given; it takes four. One that breaks takes the set-ups on it
+	// MaxLinks is how many connections a dispatcher is given; it takes four. One that breaks takes the set-ups on it
 	// along, so they are spread.
-	maxLinks = 4
+	MaxLinks = 4
 	// checkEvery is the pace of the look at every dispatcher.
 	checkEvery = 100 * time.Millisecond
 	// wholeWithin is how long a message may take to become whole: a dispatcher writes it in one go.
@@ -67,15 +67,37 @@
 	loop    *call.Loop
 	servers map[control.ServerID]*server
 	order   []*server
+	links   int // that each may be given
 }
 
 // New returns an empty Pool.
 func New(loop *call.Loop, core Core, o Options) *Pool {
-	p := &Pool{Options: o, core: core, loop: loop, servers: map[control.ServerID]*server{}}
+	p := &Pool{Options: o, core: core, loop: loop, servers: map[control.ServerID]*server{}, links: MaxLinks}
 	p.check()
 	return p
 }
 
+// Limit sets how many connections each dispatcher may be given. Beyond them, those go that have nothing to do.
+func (p *Pool) Limit(links int) {
+	p.links = links
+	for _, s := range p.order {
+		s.trim()
+	}
+}
+
+// trim closes connections beyond the limit, as far as no set-up is open on them. A call that stands needs none of its own.
+func (s *server) trim() {
+	for _, l := range slices.Clone(s.links) {
+		if len(s.links) <= s.pool.links {
+			return
+		}
+		if l.open() == 0 && l.conn.Quiet() {
+			l.conn.Close(conn.ErrClosedHere)
+			l.Closed(conn.ErrClosedHere)
+		}
+	}
+}
+
 // server is one dispatcher and the connections to it.
 type server struct {
 	call.Server
@@ -173,7 +195,7 @@
 		return
 	case len(s.links) == 0:
 		s.connect()
-	case len(s.links) < maxLinks && silent <= silence: // also to one that drains: a new one brings the releases of a lost one
+	case len(s.links) < s.pool.links && silent <= silence: // also to one that drains: a new one brings the releases of a lost one
 		s.connect()
 	case silent > silence && (s.openSetUps() > 0 || s.pool.core.Standing(s.ID) > 0):
 		if silent > deadAfter && s.unanswered {
@@ -200,6 +222,7 @@
 			l.conn.Close(conn.ErrClosedHere) // the others are alive, and this one has nothing to do
 		}
 	}
+	s.trim()
 	s.expire(now)
 }
 
@@ -223,7 +246,7 @@
 // connect opens one more connection if that is allowed now.
 func (s *server) connect() {
 	now := time.Now()
-	if s.dialing || s.replaced || s.Status == control.Removed || now.Before(s.redialAt) || len(s.links) >= maxLinks {
+	if s.dialing || s.replaced || s.Status == control.Removed || now.Before(s.redialAt) || len(s.links) >= s.pool.links {
 		return
 	}
 	s.dialing = true
@@ -318,8 +341,9 @@
 // follow an earlier one of its call on the same connection, where a late answer to that could be taken for its own.
 func (s *server) least(id string) *link {
 	var least *link
-	for _, l := range s.links {
-		if !l.ready() || !l.partial.IsZero() || l.invites[id] != nil {
+	for i, l := range s.links {
+		if !l.ready() || !l.partial.IsZero() || l.invites[id] != nil || i >= s.pool.links { // beyond those, one is to go
+
 			continue
 		}
 		if least == nil || l.load() < least.load() {
