--- a/cmd/cherryrelay/operators_test.go
+++ b/cmd/cherryrelay/operators_test.go
@@ -5,10 +5,13 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
 
+	"cherryrelay/control"
 	"cherryrelay/internal/callers"
 	"cherryrelay/internal/config"
 	"cherryrelay/internal/jsonl"
@@ -149,3 +152,55 @@
 		t.Errorf("started with %v, error %v", n, err)
 	}
 }
+
+// reads notes the figures that an operator is shown.
+func (w *world) reads() {
+	w.Helper()
+	status, text := w.operator("GET", "/api/telemetry")
+	if status != http.StatusOK {
+		w.Fatalf("telemetry is answered with %d", status)
+	}
+	for line := range strings.Lines(text) {
+		if !strings.HasPrefix(line, "#") {
+			w.say("%s", strings.TrimPrefix(strings.TrimSpace(line), "edge_lb_"))
+		}
+	}
+}
+
+// TestTelemetry: the figures say what callers and dispatchers saw.
+func TestTelemetry(t *testing.T) {
+	story(t, []string{
+		`requests_total{class="send-setup",outcome="served"} 0`, `requests_total{class="send-setup",outcome="refused"} 0`,
+		`requests_total{class="send-setup",outcome="failed"} 0`, "attempts_total 0", "in_flight 0", "dispatchers_known 2",
+		"dispatchers_excluded 0", "reloads_ok_total 0", "reloads_failed_total 0",
+		"d0: setup 1 x", "caller: answer 1 y", "d0: setup 2 x", "d1: setup 2 x", "caller: release 3 100", "caller: release 4 100",
+		"caller: release 5 41",
+		`requests_total{class="send-setup",outcome="served"} 1`, `requests_total{class="send-setup",outcome="refused"} 0`,
+		`requests_total{class="send-setup",outcome="failed"} 2`, "attempts_total 3", "in_flight 2", "dispatchers_known 2",
+		"dispatchers_excluded 1", "reloads_ok_total 0", "reloads_failed_total 0",
+	}, func(w *world) {
+		c := w.caller()
+		w.reads()
+		w.must(c.SetUp(id(1), long, 0, "x"))
+		w.must(w.gets(0).Answer("y"))
+		w.hears(c)
+		w.must(c.SetUp(id(2), long, 0, "x"))
+		w.must(w.gets(0).Refuse(peer.NoLine))
+		w.gets(1)                                                                             // and there it stays open
+		w.must(c.Send(jsonl.Message{Type: "setup", ID: id(3), Fields: fields("strange", 1)})) // no class of ours: no label of ours
+		w.hears(c)
+		w.must(c.Send(jsonl.Message{Type: "setup", ID: id(4), Fields: fields("send-setup", -1)}))
+		w.hears(c)
+		w.must(c.SetUp(id(5), 0, 0, "x"))
+		w.hears(c)
+		leaving := w.list
+		leaving.Servers = slices.Clone(w.list.Servers)
+		leaving.Servers[0].Status = control.Draining
+		w.node.loop.Post(func() { w.node.core.Update(leaving) })
+		w.reads()
+	})
+}
+
+func fields(class string, left int) map[string]jsonl.Value {
+	return map[string]jsonl.Value{"class": jsonl.Value(class), "tenant": "acme", "key": "k", "left": jsonl.Value(strconv.Itoa(left))}
+}
--- a/control/control.go
+++ b/control/control.go
@@ -305,6 +305,12 @@
 	return min(max(prelim, past*(1-maxDecrease)), past*(1+maxIncrease))
 }
 
+// Avoids reports whether a listed server gets no calls now, or none but trial ones.
+func (c *Controller) Avoids(now time.Duration, id ServerID) bool {
+	s := c.byID[id]
+	return s == nil || s.Status != Active || s.suspect || now < s.restUntil
+}
+
 // allows reports whether the server can be sent one more set-up now.
 func (c *Controller) allows(s *server) bool {
 	if s.Status != Active || c.now < s.restUntil || s.free == 0 || s.suspect && len(s.out) > 0 {
--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -15,8 +15,10 @@
 // Causes of releases, as Q.850 numbers them.
 const (
 	CauseNormal     = 16  // the call has come to its end, or its set-up is given up
+	CauseNoCircuit  = 34  // refused
 	CauseTemporary  = 41  // failed, or a call that was cut
 	CauseCongestion = 42  // refused: trying again is harmless
+	CauseFacility   = 102 // refused
 	CauseBadField   = 100 // failed: the set-up cannot be understood
 )
 
--- a/internal/call/core.go
+++ b/internal/call/core.go
@@ -12,6 +12,7 @@
 
 	"cherryrelay/control"
 	"cherryrelay/internal/settings"
+	"cherryrelay/internal/telemetry"
 )
 
 const (
@@ -90,6 +91,7 @@
 	superseded  time.Time // when a successor began to serve; zero without one
 	relay       func(id string, end End) bool
 	heir        *heir
+	figures     telemetry.Figures
 	draining    time.Time
 }
 
@@ -108,6 +110,7 @@
 		owing: map[Caller]map[string]*record{}, standing: map[Caller]int{}, maxHeld: math.MaxInt, status: map[control.ServerID]control.ServerStatus{}, epoch: time.Now(),
 	}
 	c.heir = &heir{c}
+	c.showClasses()
 	loop.turn = c.turn
 	return c, nil
 }
@@ -151,7 +154,7 @@
 		}
 		// An id is never used again. Whoever sent this is no party to the call of that id, and must not go on to end it.
 		c.log.Warn("set-up with a known id", "id", r.ID)
-		r.Caller.End(r.ID, BadRequest)
+		c.end(&r, BadRequest)
 		if old.state != over {
 			return ErrRepeated
 		}
@@ -163,21 +166,21 @@
 	switch {
 	case class < 0:
 		c.log.Warn("set-up of an unknown class", "id", r.ID, "class", r.Class)
-		r.Caller.End(r.ID, BadRequest)
+		c.end(&r, BadRequest)
 		return nil
 	case !r.Deadline.After(now):
 		c.log.Debug("set-up past its time", "id", r.ID)
-		r.Caller.End(r.ID, End{Cause: CauseTemporary, Reason: ReasonDeadline})
+		c.end(&r, End{Cause: CauseTemporary, Reason: ReasonDeadline})
 		return nil
 	case len(c.owing[r.Caller]) >= maxOpen || c.held+len(r.Description) > c.maxHeld:
 		c.log.Warn("too many set-ups are open", "id", r.ID)
-		r.Caller.End(r.ID, End{Cause: CauseCongestion, Reason: ReasonRefused, HoldOff: c.holdOff()})
+		c.end(&r, End{Cause: CauseCongestion, Reason: ReasonRefused, HoldOff: c.holdOff()})
 		return nil
 	case !c.draining.IsZero() && !c.Superseded() && now.Sub(c.draining) > lateArrivals:
-		r.Caller.End(r.ID, End{Cause: CauseCongestion, Reason: ReasonDraining, HoldOff: c.holdOff()})
+		c.end(&r, End{Cause: CauseCongestion, Reason: ReasonDraining, HoldOff: c.holdOff()})
 		return nil
 	case c.Phase() == Refusing:
-		r.Caller.End(r.ID, c.turnAway())
+		c.end(&r, c.turnAway())
 		return nil
 	}
 	c.calls[r.ID] = k
@@ -287,9 +290,9 @@
 	if k.state != open {
 		return
 	}
-	caller := k.Caller
+	r := k.Request
 	c.close(k)
-	caller.End(k.ID, end)
+	c.end(&r, end)
 }
 
 // close ends the record of a call.
@@ -341,6 +344,7 @@
 		c.Ended(server, id, attempt, control.Failed, false, nil)
 		return
 	}
+	c.figures.Class(k.Class).Served++
 	c.stopTimers(k)
 	c.settle(k)
 	k.out, k.state = false, stands
--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -61,6 +61,8 @@
 // Core is what fronts report to; *call.Core is one.
 type Core interface {
 	Offer(call.Request) error
+	// Reject answers a set-up that makes no sense.
+	Reject(call.Request)
 	GiveUp(caller call.Caller, id string, cause int)
 	CallerClosed(call.Caller)
 	CallerBroke(call.Caller)
@@ -396,7 +398,7 @@
 	r, err := c.front.terms.request(m, at)
 	if err != nil {
 		c.front.log.Warn("set-up with bad fields", "id", m.ID, "err", err)
-		c.End(m.ID, call.BadRequest)
+		c.front.core.Reject(call.Request{ID: m.ID, Class: string(m.Fields["class"]), Caller: c})
 		if c.faults++; c.faults >= maxFaults {
 			return errFaults
 		}
--- a/internal/conn/conn.go
+++ b/internal/conn/conn.go
@@ -85,15 +85,24 @@
 	handler Handler
 	in, out *ring.Buffer
 
-	mu      sync.Mutex // guards the fields below, and the socket against a write after its close
-	posted  bool
-	at      time.Time // arrival of the oldest bytes that the loop has not looked at
-	ended   bool      // netpoll closes or has closed the socket
-	closed  bool      // this side did
-	reason  error
-	space   chan struct{}
-	retries bool // event loop only
-	told    bool // event loop only
+	mu     sync.Mutex // guards the fields below, and the socket against a write after its close
+	posted bool
+	at     time.Time // arrival of the oldest bytes that the loop has not looked at
+	ended  bool      // netpoll closes or has closed the socket
+	closed bool      // this side did
+	reason error
+	space  chan struct{}
+	// The rest is the event loop's.
+	retries      bool
+	told         bool
+	queued, left uint64 // bytes that were put into the outbound ring, and that the socket has taken
+	marks        []mark
+}
+
+// mark is a function that waits for all bytes up to a place to leave.
+type mark struct {
+	at   uint64
+	then func()
 }
 
 func wrap(loop Poster, nc netpoll.Connection) *Conn {
@@ -229,6 +238,26 @@
 		return
 	}
 	c.out.Write(p)
+	c.queued += uint64(len(p))
+}
+
+// WriteThen is Write with a function that runs once the last byte has gone to the socket, if it ever does.
+func (c *Conn) WriteThen(p []byte, then func()) {
+	before := c.queued
+	if c.Write(p); c.queued > before {
+		c.marks = append(c.marks, mark{c.queued, then})
+	}
+}
+
+// took notes that the socket has taken bytes.
+func (c *Conn) took(n int) {
+	c.out.Discard(n)
+	c.left += uint64(n)
+	for len(c.marks) > 0 && c.marks[0].at <= c.left {
+		then := c.marks[0].then
+		c.marks = c.marks[1:]
+		then()
+	}
 }
 
 // Flush writes what is queued as far as the socket takes it. netpoll's own Flush waits for the peer to read;
@@ -239,7 +268,7 @@
 	}
 	for c.out.Len() > 0 {
 		n, err := c.write()
-		c.out.Discard(max(n, 0))
+		c.took(max(n, 0))
 		switch {
 		case err == nil || errors.Is(err, syscall.EINTR):
 		case errors.Is(err, syscall.EAGAIN):
@@ -280,9 +309,10 @@
 	if fd, ok := c.nc.(netpoll.Conn); ok && c.out.Len() > 0 { // last words, as far as the socket takes them
 		first, _ := c.out.Parts()
 		if n, err := syscall.Write(fd.Fd(), first); err == nil {
-			c.out.Discard(n)
+			c.took(n)
 			if first, _ = c.out.Parts(); len(first) > 0 {
-				_, _ = syscall.Write(fd.Fd(), first)
+				n, _ = syscall.Write(fd.Fd(), first)
+				c.took(max(n, 0))
 			}
 		}
 	}
--- a/internal/dispatchers/dispatchers.go
+++ b/internal/dispatchers/dispatchers.go
@@ -45,6 +45,8 @@
 type Core interface {
 	// Reached tells that calls can be placed at some dispatcher.
 	Reached()
+	// Written tells that all of a set-up has gone to a dispatcher.
+	Written()
 	Answered(server control.ServerID, id string, attempt int, description string)
 	Ended(server control.ServerID, id string, attempt int, o control.Outcome, noLine bool, report []float64)
 	Released(server control.ServerID, id string, attempt, cause int, report []float64)
--- a/internal/dispatchers/link.go
+++ b/internal/dispatchers/link.go
@@ -93,7 +93,7 @@
 
 func (l *link) setUp(a call.SetUp) {
 	l.invites[a.ID] = &invite{attempt: a.Attempt, called: a.Called, sentAt: time.Now()}
-	l.send(l.wire.SetUp(a))
+	l.conn.WriteThen(l.wire.SetUp(a), l.server.pool.core.Written)
 }
 
 // Data takes in what a dispatcher has sent.
--- a/internal/management/management.go
+++ b/internal/management/management.go
@@ -11,6 +11,8 @@
 	"slices"
 	"time"
 
+	"github.com/prometheus/common/expfmt"
+
 	"cherryrelay/internal/call"
 	"cherryrelay/internal/conn"
 	"cherryrelay/internal/http1"
@@ -39,6 +41,8 @@
 // Core is what operators ask and tell; *call.Core is one.
 type Core interface {
 	Ready() bool
+	// Telemetry is all figures as text.
+	Telemetry() (string, error)
 	Evacuate()
 	Rejoin()
 }
@@ -58,6 +62,13 @@
 		}
 		return http.StatusOK, plain, "ready\n"
 	}},
+	"/api/telemetry": {http.MethodGet, func(c Core) (int, string, string) {
+		text, err := c.Telemetry()
+		if err != nil {
+			return http.StatusInternalServerError, plain, err.Error() + "\n"
+		}
+		return http.StatusOK, string(expfmt.NewFormat(expfmt.TypeTextPlain)), text
+	}},
 	"/api/evacuate": {http.MethodPost, func(c Core) (int, string, string) {
 		c.Evacuate()
 		return http.StatusOK, plain, "evacuating\n"
