--- a/cmd/cherryrelay/operators_test.go
+++ b/cmd/cherryrelay/operators_test.go
@@ -196,6 +196,7 @@
 		leaving := w.list
 		leaving.Servers = slices.Clone(w.list.Servers)
 		leaving.Servers[0].Status = control.Draining
+		time.Sleep(500 * time.Millisecond) // by then it does not rest any more: that it drains is what counts
 		w.node.loop.Post(func() { w.node.core.Update(leaving) })
 		w.reads()
 	})
