Take other settings at SIGHUP, whole and in one turn, or not at all

The probe shows files with other classes and sendCap, one with a deadline of -5, and one without settings; the bad two also name a coordinator at which nobody is.

At fault: node.reload took coordinator and limits alone; config.check read a missing key as 0 and knew nothing of sendCap; control held a call's class as its place in the settings.

Ruled out: the old coordinator being left for the bad files' one: a file is checked before anything of it is taken.

Tests: TestRetuning on all transports, TestRetune, the rows of TestBadConfigurationIsOnePlainLine, and TestAConfigurationThatFollows; seen to fail without the swap, the limit of attempts, and the check of keys.

--- a/cmd/cherryrelay/main.go
+++ b/cmd/cherryrelay/main.go
@@ -43,7 +43,7 @@
 	go func() {
 		for s := range signals {
 			if s == syscall.SIGHUP {
-				reload(n, log)
+				n.reload(config.Read(os.Getenv))
 				continue
 			}
 			n.drain()
@@ -52,16 +52,6 @@
 	return n.run()
 }
 
-// reload reads the configuration again. One that cannot be used changes nothing.
-func reload(n *node, log *slog.Logger) {
-	c, err := config.Read(os.Getenv)
-	if err != nil {
-		log.Error("configuration is not reloaded", "err", err)
-		return
-	}
-	n.reload(c)
-}
-
 // limitMemory has the collector work harder well before the limit.
 func limitMemory(bytes int64) {
 	if bytes > 0 {
--- a/cmd/cherryrelay/node.go
+++ b/cmd/cherryrelay/node.go
@@ -146,14 +146,32 @@
 // drain begins a planned end.
 func (n *node) drain() { n.loop.Post(n.core.Drain) }
 
-// reload takes from a configuration what can change while calls are served: the coordinator and the limits. All else,
-// the known list among it, holds from the start: the numbers of the list go on.
-func (n *node) reload(c *config.Config) {
-	n.log.Info("configuration reloaded", "coordinator", c.Coordinator)
-	n.list.Move(c.Coordinator)
+// reload takes from a configuration what can change while calls are served, in one turn of the loop or not at all:
+// settings, coordinator and limits. All else, the known list among it, holds from the start: the numbers of the list go
+// on. A configuration that could not be read comes as an error.
+func (n *node) reload(c *config.Config, err error) {
 	n.loop.Post(func() {
-		n.config.Limits = c.Limits
+		if err == nil {
+			err = c.Follow(n.config)
+		}
+		if err == nil {
+			err = n.core.Retune(c.Settings)
+		}
+		n.core.Reloaded(err == nil)
+		if err != nil {
+			n.log.Error("configuration is not reloaded", "err", err)
+			return
+		}
+		n.terms = callers.NewTerms(c.Settings)
+		for _, f := range n.fronts() {
+			f.Retune(n.terms)
+		}
+		n.pool.Retune(c.Settings.ConnectTimeout(), c.Settings.Report.Fields)
+		n.list.Move(c.Coordinator)
+		c.Listen, c.Management, c.Operator = n.config.Listen, n.config.Management, n.config.Operator // they hold from the start
+		n.config = c
 		n.bounds.Connections = bounds(c).Connections
 		n.share()
+		n.log.Info("configuration reloaded", "coordinator", c.Coordinator, "classes", len(c.Settings.RequestClasses))
 	})
 }
--- a/cmd/cherryrelay/reload_test.go
+++ b/cmd/cherryrelay/reload_test.go
@@ -76,7 +76,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		return strings.Replace(string(whole), `"name"`, `"coordinator":"`+address+`","name"`, 1)
+		return strings.Replace(string(whole), `"coordinator": ""`, `"coordinator":"`+address+`"`, 1)
 	}
 	write(file(first))
 	cmd := exec.Command(os.Args[0])
--- a/control/control.go
+++ b/control/control.go
@@ -68,8 +68,8 @@
 	servers   []*server // in the order of their first appearance
 	byID      map[ServerID]*server
 	calls     map[CallID]*call
-	held      []*call // waiting for a window, in order of arrival
-	last      []*server
+	held      []*call               // waiting for a window, in order of arrival
+	last      map[string]*server    // by class
 	unserved  map[try]time.Duration // first tries of calls that did not stand
 	tries     []*call               // those calls, in order
 	aim       time.Duration         // the tightest aim
@@ -84,8 +84,9 @@
 // call is a call that is owed a final answer.
 type call struct {
 	id       CallID
-	class    int
-	first    int // cell of the server of first choice
+	class    *Class // as it was when the call came
+	most     int    // attempts that it may have; 0 for no limit
+	first    int    // cell of the server of first choice
 	transit  bool
 	called   string
 	firstAt  time.Duration // the caller's first try
@@ -103,7 +104,7 @@
 // try is what the tries of one caller have in common.
 type try struct {
 	called string
-	class  int
+	class  string
 	first  int
 }
 
@@ -145,40 +146,55 @@
 
 // New returns a Controller for one access node that has just started.
 func New(s Settings, seed uint64) (*Controller, error) {
-	if len(s.Classes) == 0 {
-		return nil, errors.New("control: no classes")
-	}
 	c := &Controller{
-		settings: s,
 		rng:      rand.New(rand.NewPCG(seed, seed)),
 		byID:     map[ServerID]*server{},
 		calls:    map[CallID]*call{},
-		last:     make([]*server, len(s.Classes)),
+		last:     map[string]*server{},
 		unserved: map[try]time.Duration{},
 	}
+	if err := c.Retune(s); err != nil {
+		return nil, err
+	}
+	return c, nil
+}
+
+// Retune gives the controller other settings; with an error, it keeps those it has. Calls keep the class they came with and
+// the fewer attempts, and all that is known of servers stays.
+func (c *Controller) Retune(s Settings) error {
+	if len(s.Classes) == 0 {
+		return errors.New("control: no classes")
+	}
+	aim := time.Duration(0)
 	for _, class := range s.Classes {
 		if class.Aim <= 0 || class.Deadline < class.Aim {
-			return nil, fmt.Errorf("control: class %q: aim %v and deadline %v", class.Name, class.Aim, class.Deadline)
+			return fmt.Errorf("control: class %q: aim %v and deadline %v", class.Name, class.Aim, class.Deadline)
 		}
 		if class.Worth < 0 || class.LateShare < 0 || class.LateShare > 1 {
-			return nil, fmt.Errorf("control: class %q: worth %v, late %v", class.Name, class.Worth, class.LateShare)
+			return fmt.Errorf("control: class %q: worth %v, late %v", class.Name, class.Worth, class.LateShare)
 		}
-		if c.aim == 0 || class.Aim < c.aim {
-			c.aim = class.Aim
+		if aim == 0 || class.Aim < aim {
+			aim = class.Aim
 		}
 	}
 	switch {
 	case s.Tick <= 0:
-		return nil, fmt.Errorf("control: tick %v", s.Tick)
+		return fmt.Errorf("control: tick %v", s.Tick)
 	case s.ReleaseGuard < 0 || s.MaxHoldOff < 0 || s.AnswerGrace < 0 || s.MaxAttempts < 0:
-		return nil, errors.New("control: a time or count is below zero")
+		return errors.New("control: a time or count is below zero")
 	case s.StartShare < 0 || s.StartShare > 1 || s.ColdFor < 0:
-		return nil, fmt.Errorf("control: cold start from %v within %v", s.StartShare, s.ColdFor)
+		return fmt.Errorf("control: cold start from %v within %v", s.StartShare, s.ColdFor)
 	}
-	if s.ListOnDemand {
+	if s.ListOnDemand && !c.settings.ListOnDemand {
 		c.listAt = 1
 	}
-	return c, nil
+	for _, k := range c.calls {
+		if s.MaxAttempts > 0 && (k.most == 0 || s.MaxAttempts < k.most) {
+			k.most = s.MaxAttempts
+		}
+	}
+	c.settings, c.aim = s, aim
+	return nil
 }
 
 // Step takes what has happened by now and returns what to do, in order.
@@ -323,7 +339,7 @@
 
 // permitted reports whether a set-up of the call may go to the server at all.
 func (c *Controller) permitted(k *call, s *server) bool {
-	class := c.settings.Classes[k.class]
+	class := k.class
 	if s.Status != Active || len(class.Cells) > 0 && !slices.Contains(class.Cells, s.Cell) {
 		return false
 	}
@@ -360,10 +376,10 @@
 	if len(allowed) == 0 {
 		return nil
 	}
-	if !slices.Contains(allowed, c.last[k.class]) {
-		c.last[k.class] = allowed[c.rng.IntN(len(allowed))]
+	if !slices.Contains(allowed, c.last[k.class.Name]) {
+		c.last[k.class.Name] = allowed[c.rng.IntN(len(allowed))]
 	}
-	return c.last[k.class]
+	return c.last[k.class.Name]
 }
 
 // --- Held calls ---
@@ -372,9 +388,9 @@
 	if c.calls[e.ID] != nil || e.Class < 0 || e.Class >= len(c.settings.Classes) {
 		return
 	}
-	class := c.settings.Classes[e.Class]
+	class := &c.settings.Classes[e.Class]
 	k := &call{
-		id: e.ID, class: e.Class, first: e.FirstCell, transit: e.Transit, called: e.Called, firstAt: c.now,
+		id: e.ID, class: class, most: c.settings.MaxAttempts, first: e.FirstCell, transit: e.Transit, called: e.Called, firstAt: c.now,
 		deadline: c.now + e.Budget, readyAt: c.now,
 	}
 	// The aim counts from the caller's first try. Not every caller says that it dials again, so calls to
@@ -390,7 +406,7 @@
 	c.held = append(c.held, k)
 }
 
-func (k *call) try() try { return try{k.called, k.class, k.first} }
+func (k *call) try() try { return try{k.called, k.class.Name, k.first} }
 
 // lose forgets a call that did not stand, but for when its caller first tried.
 func (c *Controller) lose(k *call) {
@@ -400,7 +416,7 @@
 	}
 	c.unserved[k.try()] = k.firstAt
 	c.tries = append(c.tries, k)
-	for len(c.tries) > 0 && c.now-c.tries[0].firstAt > c.settings.Classes[c.tries[0].class].Deadline {
+	for len(c.tries) > 0 && c.now-c.tries[0].firstAt > c.tries[0].class.Deadline {
 		if old := c.tries[0]; c.unserved[old.try()] == old.firstAt {
 			delete(c.unserved, old.try())
 		}
@@ -419,11 +435,10 @@
 
 // value is what the call earns if it is sent to a server now.
 func (c *Controller) value(k *call) float64 {
-	class := c.settings.Classes[k.class]
 	if c.late(k) {
-		return class.Worth * class.LateShare
+		return k.class.Worth * k.class.LateShare
 	}
-	return class.Worth
+	return k.class.Worth
 }
 
 // late reports whether the call can no longer stand within its aim.
@@ -454,7 +469,7 @@
 		if k.readyAt > c.now || c.now >= k.deadline-2*c.settings.Tick {
 			continue
 		}
-		if c.settings.MaxAttempts > 0 && k.attempts >= c.settings.MaxAttempts {
+		if k.spent() {
 			continue
 		}
 		if s := c.route(k); s != nil {
@@ -470,13 +485,15 @@
 		pressed = pressed || k.readyAt <= c.now && !c.late(k)
 	}
 	for _, k := range slices.Clone(c.held) {
-		spent := c.settings.MaxAttempts > 0 && k.attempts >= c.settings.MaxAttempts
-		if spent || c.now >= k.deadline-2*c.settings.Tick || !c.possible(k) || pressed && c.late(k) {
+		if k.spent() || c.now >= k.deadline-2*c.settings.Tick || !c.possible(k) || pressed && c.late(k) {
 			c.refuse(k)
 		}
 	}
 }
 
+// spent reports whether the call has had all its attempts.
+func (k *call) spent() bool { return k.most > 0 && k.attempts >= k.most }
+
 // possible reports whether any server that is known may ever take the call.
 func (c *Controller) possible(k *call) bool {
 	for _, s := range c.servers {
@@ -489,7 +506,7 @@
 
 // refuse gives the call its final answer, with a time to come back where that does no harm.
 func (c *Controller) refuse(k *call) {
-	class := c.settings.Classes[k.class]
+	class := k.class
 	c.lose(k)
 	if k.ranAt != nil && (class.Effect == Unsafe || class.Effect == Keyed && class.Scope != ScopeAll) {
 		c.do(Fail{ID: k.id})
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -491,6 +491,37 @@
 	}
 }
 
+// TestRetune: calls keep the class they came with, and may have no more attempts than either settings allow; settings that
+// make no sense change nothing.
+func TestRetune(t *testing.T) {
+	n := newNode(t, settings())
+	n.after(0, list(Active, "a", "b"))
+	n.after(ms, offer("1", 0, 0), offer("2", 0, 0))
+	other := settings()
+	other.Classes = []Class{{Name: "only", Aim: time.Second, Deadline: 8 * time.Second, Worth: 1, Effect: Unsafe, Cells: []int{1}}}
+	other.MaxAttempts = 1
+	bad := other
+	bad.Classes = []Class{{Name: "only", Aim: time.Second}}
+	if err := n.c.Retune(bad); err == nil {
+		t.Fatal("a class without a deadline was taken")
+	}
+	all := n.after(ms, offer("3", 1, 0), AttemptEnded{ID: "1", Server: "a", Outcome: Failed})
+	if sent := of[SetUp](all); len(sent) != 2 {
+		t.Errorf("under the old settings %v are sent, want a second attempt of 1, and 3", sent)
+	}
+	if err := n.c.Retune(other); err != nil {
+		t.Fatal(err)
+	}
+	all = n.after(ms, offer("4", 0, 0), AttemptEnded{ID: "2", Server: "a", Outcome: Failed})
+	sent, refused := of[SetUp](all), of[Refuse](all)
+	if len(sent) != 1 || sent[0].ID != "4" || sent[0].Server != "b" {
+		t.Errorf("under the new settings %v are sent, want 4 to b", sent)
+	}
+	if len(refused) != 1 || refused[0].ID != "2" {
+		t.Errorf("%v are refused, want 2: it has had its attempt, and as a call of its class it may come again", refused)
+	}
+}
+
 func TestUnknownIdsAreIgnored(t *testing.T) {
 	n := newNode(t, settings())
 	n.after(0, list(Active, "a"))
--- a/internal/call/core.go
+++ b/internal/call/core.go
@@ -67,7 +67,6 @@
 type Core struct {
 	loop        *Loop
 	log         *slog.Logger
-	settings    *settings.Settings
 	decisions   control.Settings
 	module      *control.Controller
 	dispatchers Dispatchers
@@ -106,7 +105,7 @@
 		return nil, fmt.Errorf("settings: %w", err)
 	}
 	c := &Core{
-		loop: loop, log: log, settings: s, decisions: decisions, module: module, calls: map[string]*record{},
+		loop: loop, log: log, decisions: decisions, module: module, calls: map[string]*record{},
 		owing: map[Caller]map[string]*record{}, standing: map[Caller]int{}, maxHeld: math.MaxInt, status: map[control.ServerID]control.ServerStatus{}, epoch: time.Now(),
 	}
 	c.heir = &heir{c}
@@ -501,6 +500,18 @@
 
 // turn gives the module all that the round brought, and does what it says.
 func (c *Core) turn() {
+	c.consult()
+	if len(c.events) > 0 {
+		c.loop.Post(func() {})
+	}
+	for _, f := range c.flush {
+		f()
+	}
+	c.leave()
+}
+
+// consult tells the module what has happened, and does what it says.
+func (c *Core) consult() {
 	for range turns {
 		if len(c.events) == 0 {
 			break
@@ -516,13 +527,6 @@
 			c.do(a)
 		}
 	}
-	if len(c.events) > 0 {
-		c.loop.Post(func() {})
-	}
-	for _, f := range c.flush {
-		f()
-	}
-	c.leave()
 }
 
 // trace logs what the module was told and what it said.
--- /dev/null
+++ b/internal/call/retune.go
@@ -0,0 +1,31 @@
+package call
+
+import (
+	"fmt"
+
+	"cherryrelay/internal/settings"
+)
+
+// Retune gives the core and its module other settings; with an error, nothing changes. Calls keep the class they came with.
+func (c *Core) Retune(s *settings.Settings) error {
+	decisions, err := s.Control()
+	if err != nil {
+		return fmt.Errorf("settings: %w", err)
+	}
+	c.consult() // set-ups that have come already name their class by its place in the old settings
+	if err := c.module.Retune(decisions); err != nil {
+		return fmt.Errorf("settings: %w", err)
+	}
+	c.decisions = decisions
+	c.showClasses()
+	return nil
+}
+
+// Reloaded counts a configuration that was taken or turned down.
+func (c *Core) Reloaded(taken bool) {
+	if taken {
+		c.figures.ReloadsOK++
+	} else {
+		c.figures.ReloadsFailed++
+	}
+}
--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -155,6 +155,9 @@
 // Close ends the front and its connections.
 func (f *Front) Close() error { return f.listener.Shutdown() }
 
+// Retune has set-ups keep to other terms from now on.
+func (f *Front) Retune(terms *Terms) { f.terms = terms }
+
 // Limit sets how many connections may be open at once.
 func (f *Front) Limit(connections int) {
 	f.bounds.Connections = connections
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -6,8 +6,10 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"os"
+	"reflect"
 	"strconv"
 	"strings"
 
@@ -23,25 +25,27 @@
 	Name   string `json:"name"`
 	Listen string `json:"listen"`
 	// Management is the address for operators; without one there is none.
-	Management string `json:"management"`
-	Seed       string `json:"seed"`
+	Management string `json:"management" need:"optional"`
+	Seed       string `json:"seed" need:"platform"`
 	Limits     struct {
 		MemoryMB int64 `json:"memory_mb"`
 		Sockets  int   `json:"sockets"`
 	} `json:"limits"`
-	Coordinator string `json:"coordinator"`
+	Coordinator string `json:"coordinator" need:"platform"`
 	Known       struct {
 		Index   int64               `json:"index"`
-		Updates []coordinator.Event `json:"updates"`
-	} `json:"known"`
+		Updates []coordinator.Event `json:"updates" need:"shallow"`
+	} `json:"known" need:"platform"`
 	Settings *settings.Settings `json:"settings"`
 	Operator
+
+	keys map[string]bool // of the files
 }
 
 // Operator is what only an operator's file can switch on.
 type Operator struct {
-	WebSocket *WebSocket    `json:"websocket"`
-	Etcd      *etcd.Options `json:"etcd"`
+	WebSocket *WebSocket    `json:"websocket" need:"optional"`
+	Etcd      *etcd.Options `json:"etcd" need:"optional"`
 }
 
 // WebSocket is the front for the call-control API.
@@ -59,7 +63,7 @@
 // Read takes the configuration from the environment, as os.Getenv gives it, and the files it names: LB_CONFIG the
 // platform's, LB_OPERATOR an operator's, of which one is enough.
 func Read(getenv func(string) string) (*Config, error) {
-	c := new(Config)
+	c := &Config{keys: map[string]bool{}}
 	path, operator := getenv("LB_CONFIG"), getenv("LB_OPERATOR")
 	if path == "" && operator == "" {
 		return nil, errors.New("neither LB_CONFIG nor LB_OPERATOR names a configuration file")
@@ -69,12 +73,18 @@
 			return nil, err
 		}
 		c.Operator = Operator{} // the second front is off on the platform
+		if lost := missing(reflect.TypeFor[Config](), "", c.keys, true); lost != "" {
+			return nil, fmt.Errorf("configuration %s: %s is missing", path, lost)
+		}
 	}
 	if operator != "" {
 		path = operator
 		if err := decode(strict, path, c); err != nil {
 			return nil, err
 		}
+		if lost := missing(reflect.TypeFor[Config](), "", c.keys, false); lost != "" {
+			return nil, fmt.Errorf("configuration %s: %s is missing", path, lost)
+		}
 	}
 	if name := getenv("LB_NAME"); name != "" {
 		c.Name = name
@@ -92,6 +102,7 @@
 }
 
 func decode(api jsoniter.API, path string, into *Config) error {
+	var all map[string]any
 	text, err := os.ReadFile(path)
 	if err != nil {
 		return fmt.Errorf("configuration: %w", err)
@@ -99,6 +110,10 @@
 	if err := api.Unmarshal(text, into); err != nil {
 		return fmt.Errorf("configuration %s: %s", path, oneLine(err))
 	}
+	if err := api.Unmarshal(text, &all); err != nil {
+		return fmt.Errorf("configuration %s: %s", path, oneLine(err))
+	}
+	maps.Copy(into.keys, keys(all))
 	return nil
 }
 
@@ -124,14 +139,8 @@
 			return err
 		}
 	}
-	if c.Settings == nil {
-		return errors.New("settings are missing")
-	}
-	if _, err := c.Settings.Control(); err != nil {
-		return err
-	}
-	if c.Settings.Caps.ConnectTimeoutUs <= 0 {
-		return errors.New("settings: caps.connectTimeoutUs must be above 0")
+	if err := c.Settings.Check(); err != nil {
+		return fmt.Errorf("settings: %w", err)
 	}
 	if c.Limits.MemoryMB < 0 || c.Limits.Sockets < 0 {
 		return errors.New("limits: a limit is below 0")
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -50,6 +50,17 @@
 		{"c", `"settings"`, `"other"`, "settings"},
 		{"c", `"listen"`, "\n\n", "configuration"},
 		{"c", `"connectTimeoutUs": 500000`, `"connectTimeoutUs": 0`, "connectTimeoutUs"},
+		{"c", string(whole), "", "configuration"},
+		{"c", string(whole)[len(whole)/2:], "", "configuration"},
+		{"c", `"sendCap": 5`, `"sendCap": 0`, "sendCap"},
+		{"c", `"sendCap": 5`, `"sendCap": "five"`, "configuration"},
+		{"c", `"deadlineUs": 9000000`, `"deadlineUs": -5`, "deadline"},
+		{"c", `"deadlineUs": 9000000`, `"deadlineUs": null`, "requestClasses[].deadlineUs is missing"},
+		{"c", `"guardUs"`, `"guard"`, "settings.familyInfo.guardUs is missing"},
+		{"c", `"sockets"`, `"descriptors"`, "limits.sockets is missing"},
+		{"c", `"coordinator"`, `"coordinators"`, "coordinator is missing"},
+		{"o", `"peersTotal"`, `"peers"`, "peers"},
+		{"o", `"aimUs": 1500000, `, ``, "requestClasses[].aimUs is missing"},
 		{"o", `"path": "/v1/calls"`, `"path": "v1"`, "websocket.path"},
 		{"o", `"websocket"`, `"websockets"`, "websockets"},
 		{"o", `["127.0.0.1:2379"]`, `[]`, "endpoints"},
@@ -73,3 +84,33 @@
 		}
 	}
 }
+
+// TestAConfigurationThatFollows: one that lacks a key which was there, even one that is read nowhere, was cut on its way.
+func TestAConfigurationThatFollows(t *testing.T) {
+	read := func(from, to string) *Config {
+		t.Helper()
+		whole, err := os.ReadFile(platform)
+		if err != nil {
+			t.Fatal(err)
+		}
+		path := filepath.Join(t.TempDir(), "config.json")
+		if err := os.WriteFile(path, []byte(strings.Replace(string(whole), from, to, 1)), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		c, err := Read(func(k string) string { return map[string]string{"LB_CONFIG": path}[k] })
+		if err != nil {
+			t.Fatal(err)
+		}
+		return c
+	}
+	plain, more := read("", ""), read(`"sockets"`, `"cores": 0.25, "sockets"`)
+	if err := more.Follow(plain); err != nil {
+		t.Errorf("one with more keys: %v", err)
+	}
+	if err := plain.Follow(more); err == nil || !strings.Contains(err.Error(), "limits.cores") {
+		t.Errorf("one with fewer: error %v, want one that names limits.cores", err)
+	}
+	if err := read(`"updates"`, `"later": [], "updates"`).Follow(read(`"updates"`, `"other": [], "updates"`)); err != nil {
+		t.Errorf("one with another list: %v", err)
+	}
+}
--- a/internal/dispatchers/dispatchers.go
+++ b/internal/dispatchers/dispatchers.go
@@ -79,6 +79,11 @@
 	return p
 }
 
+// Retune gives the pool, and the connections it has, other settings.
+func (p *Pool) Retune(connectTimeout time.Duration, fields []string) {
+	p.ConnectTimeout, p.Fields = connectTimeout, fields
+}
+
 // Limit sets how many connections each dispatcher may be given. Beyond them, those go that have nothing to do.
 func (p *Pool) Limit(links int) {
 	p.links = links
@@ -253,7 +258,7 @@
 	}
 	s.dialing = true
 	address := s.Address
-	dial, wire := Place(address, s.pool.Fields)
+	dial, wire := Place(address, &s.pool.Fields)
 	var l *link
 	handler := func(c *conn.Conn) conn.Handler {
 		now := time.Now()
--- a/internal/dispatchers/sip.go
+++ b/internal/dispatchers/sip.go
@@ -16,7 +16,7 @@
 
 // SIP speaks the platform's SIP over TCP.
 type SIP struct {
-	fields []string
+	fields *[]string // of load reports, as the settings have them now
 	dec    sip.Decoder
 	probes uint32
 }
@@ -74,7 +74,7 @@
 	}
 	got := &Message{id: m.CallID}
 	if text := m.Get("P-Report"); text != "" {
-		got.kind, got.report = report, settings.ParseReport(text, w.fields)
+		got.kind, got.report = report, settings.ParseReport(text, *w.fields)
 	}
 	switch {
 	case m.Method == "BYE":
--- a/internal/dispatchers/websocket.go
+++ b/internal/dispatchers/websocket.go
@@ -17,7 +17,7 @@
 
 // WebSocket speaks the call-control API to a dispatcher, as its client.
 type WebSocket struct {
-	fields     []string
+	fields     *[]string // of load reports, as the settings have them now
 	host, path string
 	opening    websocket.Opening
 	open, bye  bool
@@ -26,7 +26,7 @@
 
 // Place tells where an address of the list leads and in which form to speak there: "host:port" is SIP over TCP,
 // "ws://host:port/path" the call-control API.
-func Place(address string, fields []string) (dial string, w Wire) {
+func Place(address string, fields *[]string) (dial string, w Wire) {
 	if !strings.HasPrefix(address, "ws://") {
 		return address, &SIP{fields: fields}
 	}
@@ -125,7 +125,7 @@
 func (w *WebSocket) meaning(m *jsonl.Message) *Message {
 	got := &Message{id: m.ID}
 	if text := string(m.Fields["report"]); text != "" {
-		got.kind, got.report = report, settings.ParseReport(text, w.fields)
+		got.kind, got.report = report, settings.ParseReport(text, *w.fields)
 	}
 	switch m.Type {
 	case "answer":
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -2,6 +2,7 @@
 package settings
 
 import (
+	"errors"
 	"fmt"
 	"math"
 	"strconv"
@@ -12,7 +13,7 @@
 )
 
 // Settings is the object that a call controller is given at its start. Keys that are not named here are passed
-// over.
+// over. The platform's file must have all of them; an operator's may lack those that are needed for the platform.
 type Settings struct {
 	Caps struct {
 		ConnIdleUs       int64 `json:"connIdleUs"`
@@ -23,8 +24,8 @@
 		SendCap          int   `json:"sendCap"`
 	} `json:"caps"`
 	FamilyInfo struct {
-		AllowedPools [][]int `json:"allowedPools"`
-		ClassWidth   []int   `json:"classWidth"`
+		AllowedPools [][]int `json:"allowedPools" need:"platform"`
+		ClassWidth   []int   `json:"classWidth" need:"platform"`
 		GuardUs      int64   `json:"guardUs"`
 		Layout       string  `json:"layout"`
 		ThisNode     int     `json:"thisNode"`
@@ -45,7 +46,7 @@
 	} `json:"requestClasses"`
 	Tenants []struct {
 		Name string `json:"name"`
-	} `json:"tenants"`
+	} `json:"tenants" need:"platform"`
 	PeersTotal   int   `json:"peersTotal"`
 	ResolutionUs int64 `json:"resolutionUs"`
 	Rules        struct {
@@ -56,6 +57,29 @@
 	} `json:"rules"`
 }
 
+// Check reports whether a call controller can serve by the settings.
+func (f *Settings) Check() error {
+	switch {
+	case f.Caps.ConnectTimeoutUs <= 0:
+		return errors.New("caps.connectTimeoutUs must be above 0")
+	case f.Caps.SendCap <= 0:
+		return errors.New("caps.sendCap must be above 0")
+	}
+	names := map[string]bool{}
+	for _, c := range f.RequestClasses {
+		if c.Name == "" || names[c.Name] {
+			return fmt.Errorf("requestClasses: %q is no name, or comes twice", c.Name)
+		}
+		names[c.Name] = true
+	}
+	decisions, err := f.Control()
+	if err != nil {
+		return err
+	}
+	_, err = control.New(decisions, 0)
+	return err //nolint:wrapcheck // it says what it is
+}
+
 func micros(us int64) time.Duration { return time.Duration(us) * time.Microsecond }
 
 // word translates a settings word, or names the one that is not known.
