Read on from a connection to a dispatcher that is given up

The probe: the controller never got the release, and around its time a link was closed as open but dead, on which a set-up had been given up by its caller 0.1 s before: the dispatcher was slow, not dead.

Ruled out: the front, as nothing came to the core; fronts choosing another connection; links beyond a limit.

At fault, as far as the probe shows: server.check closed such a link at once, and what the dispatcher had sent was thrown away with it, as it does not send it again. Now this side is closed alone and the rest is read, for half a second. Whether it was the cause is measured next. TestFinish fails without it.

--- a/internal/conn/conn.go
+++ b/internal/conn/conn.go
@@ -328,6 +328,20 @@
 	c.loop.Post(c.tell)
 }
 
+// Finish ends this side of the connection and goes on reading: what the peer has sent, or sends before it closes too, still
+// comes. One that does not close is closed after the time.
+func (c *Conn) Finish(within time.Duration) {
+	c.Flush()
+	c.mu.Lock()
+	if fd, ok := c.nc.(netpoll.Conn); ok && !c.ended {
+		if err := syscall.Shutdown(fd.Fd(), syscall.SHUT_WR); err != nil {
+			slog.Debug("finishing a connection", "err", err)
+		}
+	}
+	c.mu.Unlock()
+	time.AfterFunc(within, func() { c.loop.Post(func() { c.Close(ErrClosedHere) }) })
+}
+
 // Quiet reports whether nothing of the peer's is on its way to the handler, nor waits in the socket. A connection that is
 // of no use may be closed then; else what has come already would be lost with it.
 func (c *Conn) Quiet() bool {
--- a/internal/conn/conn_test.go
+++ b/internal/conn/conn_test.go
@@ -125,3 +125,49 @@
 		t.Error("not quiet after all is taken in")
 	}
 }
+
+// hearing is a handler that tells what came, and its end.
+type hearing chan string
+
+func (h hearing) Data(in *ring.Buffer, _ time.Time) error {
+	h <- string(in.Peek(in.Len()))
+	in.Discard(in.Len())
+	return nil
+}
+func (h hearing) Closed(error) { close(h) }
+
+// TestFinish: what the peer had sent when this side closed was lost, and with it the end of a call.
+func TestFinish(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	go func() {
+		nc, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = nc.Read(make([]byte, 1)) // until the other side has closed
+		_, _ = nc.Write([]byte("late"))
+		_ = nc.Close()
+	}()
+	posts, heard := make(loop, 1024), make(hearing, 16)
+	go func() {
+		for f := range posts {
+			f()
+		}
+	}()
+	Dial(posts, ln.Addr().String(), patience, func(c *Conn) Handler {
+		posts.Post(func() { c.Finish(patience) })
+		return heard
+	}, func(error) {})
+	select {
+	case text := <-heard:
+		if text != "late" {
+			t.Errorf("%q came, want what was sent last", text)
+		}
+	case <-time.After(patience):
+		t.Error("nothing came")
+	}
+}
--- a/internal/dispatchers/dispatchers.go
+++ b/internal/dispatchers/dispatchers.go
@@ -31,6 +31,9 @@
 	deadAfter = 5 * time.Second
 	// forgetAfter is how long a withdrawn attempt is kept for the answer that its dispatcher may still send.
 	forgetAfter = 10 * time.Second
+	// lingerFor is how long a connection that is given up is still read: longer than what its dispatcher has sent is on its
+	// way, and so short that the end of a call is told in time.
+	lingerFor = 500 * time.Millisecond
 	// muteFor is how long after the end of a set-up nothing may have come on a connection before it is given up.
 	muteFor = 100 * time.Millisecond
 	// owedWeight is how many open set-ups one counts for that was given up without an answer.
@@ -98,9 +101,8 @@
 		if len(s.links) <= s.pool.links {
 			return
 		}
-		if l.open() == 0 && l.conn.Quiet() {
-			l.conn.Close(conn.ErrClosedHere)
-			l.Closed(conn.ErrClosedHere)
+		if l.open() == 0 {
+			l.retire()
 		}
 	}
 }
@@ -221,12 +223,11 @@
 		}
 		if l.overtaken() || l.open() == 0 && l.mute(now) {
 			s.pool.Log.Warn("connection to dispatcher is open but dead", "server", s.ID, "open", l.open())
-			l.conn.Close(conn.ErrClosedHere)
-			l.Closed(conn.ErrClosedHere)
+			l.retire()
 			continue
 		}
 		if len(l.invites) == 0 && s.heardAt.Sub(l.heardAt) > deadAfter {
-			l.conn.Close(conn.ErrClosedHere) // the others are alive, and this one has nothing to do
+			l.retire() // the others are alive, and this one has nothing to do
 		}
 	}
 	s.trim()
--- a/internal/dispatchers/link.go
+++ b/internal/dispatchers/link.go
@@ -72,10 +72,11 @@
 
 // link is one connection to a dispatcher.
 type link struct {
-	server *server
-	conn   *conn.Conn
-	wire   Wire
-	closed bool
+	server  *server
+	conn    *conn.Conn
+	wire    Wire
+	closed  bool
+	retired bool // given up, but what still comes is taken
 	openedAt,
 	heardAt time.Time
 	finalAt time.Time // when a set-up last had its final answer here
@@ -86,7 +87,7 @@
 func (l *link) ready() bool { return !l.closed && l.wire.Greeted() }
 
 func (l *link) send(p []byte) {
-	if len(p) > 0 {
+	if len(p) > 0 && !l.closed {
 		l.conn.Write(p)
 	}
 }
@@ -98,7 +99,7 @@
 
 // Data takes in what a dispatcher has sent.
 func (l *link) Data(in *ring.Buffer, at time.Time) error {
-	if l.closed {
+	if l.closed && !l.retired {
 		in.Discard(in.Len())
 		return nil
 	}
@@ -253,6 +254,15 @@
 	return nil
 }
 
+// retire gives the connection up. Its set-ups end at once, but an end of a call may be on its way here: a dispatcher that
+// has sent it does not send it again. So this side is closed alone, and the rest is read until the dispatcher closes too.
+func (l *link) retire() {
+	invites := l.invites
+	l.Closed(conn.ErrClosedHere)
+	l.retired, l.invites = true, invites
+	l.conn.Finish(lingerFor)
+}
+
 // Closed ends the set-ups that were open on the connection.
 func (l *link) Closed(reason error) {
 	if l.closed {
