Give a new dispatcher its even part, though the one in its place got less

Seen: in the probe a new dispatcher got 0 or 1 set-ups a second while 40% were refused; the one in its place had had none. At fault: Controller.rate took the predecessor's rate as it was. TestReplacementIsKnownByItsCell has the case.

--- a/control/control.go
+++ b/control/control.go
@@ -837,23 +837,25 @@
 }
 
 // rate is how many starts a second this node makes to the server when it is warm. One node may have made
-// few, but the sum over all is right. A server that is new gets what the one in its place got, or else its
-// part of all that the node sends, by size.
+// few, but the sum over all is right. A server that is new gets what the one in its place got, or its part of
+// all that the node sends, by size, if that is more: the one in its place may have been nobody's first choice.
 func (c *Controller) rate(s *server) float64 {
 	if s.watched > 0 {
 		return max(s.ownRate(), c.leastRate())
 	}
-	rate, lines := 0.0, s.lines
+	rate, lines, before := 0.0, s.lines, 0.0
 	for _, o := range c.servers {
 		if o.watched > 0 && o.Cell == s.Cell {
-			return max(o.ownRate(), c.leastRate())
+			before = max(before, o.ownRate())
 		}
 		if o.watched > 0 && o.Status != Removed {
 			rate += o.ownRate()
-			lines += o.lines
+			if o.Status == Active {
+				lines += o.lines // what a draining one took, others take now
+			}
 		}
 	}
-	return max(rate/lines*s.lines, c.leastRate())
+	return max(rate/lines*s.lines, before, c.leastRate())
 }
 
 func (s *server) ownRate() float64 { return perSecond(s.stood, s.watched) }
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -414,6 +414,12 @@
 	if got := n.c.rate(n.c.byID["new"]); got != 40 {
 		t.Errorf("warm rate %v, want that of the server in its place, 40", got)
 	}
+	// The one in its place may have been nobody's first choice; a new one that got as little was of no use in a rush.
+	n.after(0, ListReceived{Entries: []ServerEntry{{ID: "second", Cell: 1, StartedAt: n.now}, {ID: "b", Cell: 1, Status: Draining}}})
+	if got := n.c.rate(n.c.byID["second"]); got != 22 {
+		t.Errorf("warm rate %v, want half of 44, as b drains", got)
+	}
+	n.after(0, ListReceived{Entries: []ServerEntry{{ID: "b", Cell: 1}}})
 	n.after(0, ListReceived{Entries: []ServerEntry{{ID: "other", Cell: 7, StartedAt: n.now}}})
 	if got := n.c.rate(n.c.byID["other"]); got != 44.0/3 {
 		t.Errorf("warm rate %v of a server of no known size, want a third of 44", got)
