Take a new dispatcher whose lines are not told yet for one as large as the others

The probe of the windows: its window was 0.7 in two seconds, the least there is, and stayed.

Ruled out: rests, doubt and free lines (none, none, unknown); its first choice (calls were held, and it had no credit).

At fault: Controller.rate shared out by lines, with 1 for a server whose lines no report has told yet, against 24 or more. TestReplacementIsKnownByItsCell has the case and failed without it.

--- a/control/control.go
+++ b/control/control.go
@@ -843,7 +843,7 @@
 	if s.watched > 0 {
 		return max(s.ownRate(), c.leastRate())
 	}
-	rate, lines, before := 0.0, s.lines, 0.0
+	rate, lines, active, before := 0.0, 0.0, 0.0, 0.0
 	for _, o := range c.servers {
 		if o.watched > 0 && o.Cell == s.Cell {
 			before = max(before, o.ownRate())
@@ -852,10 +852,15 @@
 			rate += o.ownRate()
 			if o.Status == Active {
 				lines += o.lines // what a draining one took, others take now
+				active++
 			}
 		}
 	}
-	return max(rate/lines*s.lines, before, c.leastRate())
+	size := s.lines
+	if size <= 1 && active > 0 {
+		size = lines / active // its own is not told yet
+	}
+	return max(rate*size/(lines+size), before, c.leastRate())
 }
 
 func (s *server) ownRate() float64 { return perSecond(s.stood, s.watched) }
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -419,6 +419,11 @@
 	if got := n.c.rate(n.c.byID["second"]); got != 22 {
 		t.Errorf("warm rate %v, want half of 44, as b drains", got)
 	}
+	n.c.byID["a"].lines = 300 // and its own are not told yet
+	if got := n.c.rate(n.c.byID["second"]); got != 22 {
+		t.Errorf("warm rate %v beside a server of many lines, want half of 44", got)
+	}
+	n.c.byID["a"].lines = 1
 	n.after(0, ListReceived{Entries: []ServerEntry{{ID: "b", Cell: 1}}})
 	n.after(0, ListReceived{Entries: []ServerEntry{{ID: "other", Cell: 7, StartedAt: n.now}}})
 	if got := n.c.rate(n.c.byID["other"]); got != 44.0/3 {
