Serve on when a successor dies after this process had begun to end for it

Found by reading: 2 s after a successor began to serve, the old process begins its own end; had the successor died then, nobody would have served. At fault: Core.Resume left the end under way. Now it takes back an end that nobody asked for.

Also: each of two fronts took the connections of both (bounds in cmd/cherryrelay); "served out" was logged twice; the codec of HTTP has a test of its own and a fuzz test. TestAnEndForASuccessorsSake failed without the change, as did the second front's rows of TestDescriptors.

--- a/Makefile
+++ b/Makefile
@@ -14,4 +14,4 @@
 	LB_CONFIG=$${LB_CONFIG:-example/config.json} bin/cherryrelay
 
 fuzz:
-	for p in ring jsonl sip websocket; do go test -run '^$$' -fuzz . -fuzztime 10s ./internal/$$p || exit 1; done
+	for p in ring http1 jsonl sip websocket; do go test -run '^$$' -fuzz . -fuzztime 10s ./internal/$$p || exit 1; done
--- a/cmd/cherryrelay/node.go
+++ b/cmd/cherryrelay/node.go
@@ -44,7 +44,11 @@
 	if c.Management != "" && sockets > 0 {
 		sockets = max(sockets-management.Descriptors, 2)
 	}
-	return callers.Within(sockets)
+	b := callers.Within(sockets)
+	if c.WebSocket != nil { // each front has its half
+		b.Connections = (b.Connections + 1) / 2
+	}
+	return b
 }
 
 func startWithin(c *config.Config, log *slog.Logger, bounds callers.Bounds) (n *node, err error) {
--- a/cmd/cherryrelay/upgrade_test.go
+++ b/cmd/cherryrelay/upgrade_test.go
@@ -12,7 +12,9 @@
 	"github.com/google/go-cmp/cmp"
 
 	"cherryrelay/internal/callers"
+	"cherryrelay/internal/config"
 	"cherryrelay/internal/handover"
+	"cherryrelay/internal/management"
 )
 
 // fixed is a local address whose port is free.
@@ -197,3 +199,25 @@
 		})
 	}
 }
+
+// TestDescriptors: what two processes may hold together keeps to the limit of one, with or without a second front.
+func TestDescriptors(t *testing.T) {
+	const (
+		own        = 16 // of a program: its standard files, pollers, listeners, the list, the handover
+		dispatcher = 4  // links
+		fleet      = 8  // dispatchers, twice what is usual: in a release, old and new ones overlap
+	)
+	for _, sockets := range []int{256, 384, 1024} {
+		for _, second := range []*config.WebSocket{nil, {}} {
+			c := &config.Config{Management: "x", Operator: config.Operator{WebSocket: second}}
+			c.Limits.Sockets = sockets
+			connections := bounds(c).Most()
+			if second != nil {
+				connections *= 2
+			}
+			if all := connections + 2*(own+management.Descriptors) + dispatcher*fleet; all > sockets {
+				t.Errorf("of %d, %d may be taken (second front: %v)", sockets, all, second != nil)
+			}
+		}
+	}
+}
--- a/internal/call/core.go
+++ b/internal/call/core.go
@@ -92,6 +92,8 @@
 	heir        *heir
 	figures     telemetry.Figures
 	draining    time.Time
+	byItself    bool // the end is for the successor's sake: nobody asked for it
+	left        bool
 }
 
 // New returns a Core on the loop.
@@ -622,9 +624,11 @@
 // Drain serves out what was taken and then ends the loop.
 func (c *Core) Drain() {
 	if !c.draining.IsZero() {
+		c.byItself = false // now it is asked for
 		return
 	}
 	c.draining = time.Now()
+	since := c.draining
 	c.log.Info("draining", "open", c.owed)
 	c.loop.After(lateArrivals+time.Millisecond, func() {}) // a turn in which to leave
 	longest := time.Duration(0)
@@ -636,6 +640,9 @@
 		most = killMostSuperseded
 	}
 	c.loop.After(min(longest, most)+killAfter-inReserve, func() {
+		if !c.draining.Equal(since) {
+			return // it serves again
+		}
 		for _, id := range c.allOpen() {
 			k := c.calls[id]
 			c.abandon(k)
@@ -657,7 +664,8 @@
 
 // leave ends the loop of a controller that drains once nothing is owed and nothing new can arrive.
 func (c *Core) leave() {
-	if !c.draining.IsZero() && c.owed == 0 && time.Since(c.draining) > lateArrivals && !c.keepsCallers() {
+	if !c.draining.IsZero() && !c.left && c.owed == 0 && time.Since(c.draining) > lateArrivals && !c.keepsCallers() {
+		c.left = true
 		c.log.Info("served out")
 		c.loop.Quit()
 	}
--- a/internal/call/core_test.go
+++ b/internal/call/core_test.go
@@ -214,3 +214,29 @@
 		t.Errorf("what the call came to (-want +got):\n%s", diff)
 	}
 }
+
+// TestAnEndForASuccessorsSake: a process that ends only because it has a successor serves on when that is gone. One that is
+// to end, ends.
+func TestAnEndForASuccessorsSake(t *testing.T) {
+	for _, test := range []struct {
+		asked bool
+		want  bool
+	}{{false, true}, {true, false}} {
+		s := newSite(t)
+		c := s.core
+		c.Update(Update{Whole: true})
+		c.Reached()
+		c.Supersede(func(string, End) bool { return true })
+		if c.Ready() || c.Phase() != Closing {
+			t.Errorf("with a successor: ready %v in phase %v", c.Ready(), c.Phase())
+		}
+		c.endForSuccessor(c.superseded)
+		if test.asked {
+			c.Drain()
+		}
+		c.Resume()
+		if got := c.Ready(); got != test.want {
+			t.Errorf("asked to end: %v; ready: %v", test.asked, got)
+		}
+	}
+}
--- a/internal/call/succession.go
+++ b/internal/call/succession.go
@@ -32,17 +32,24 @@
 	c.superseded, c.relay = time.Now(), relay
 	since := c.superseded
 	c.log.Info("a successor serves", "open", c.owed)
-	c.loop.After(serveOut, func() {
-		if c.superseded.Equal(since) {
-			c.Drain()
-		}
-	})
+	c.loop.After(serveOut, func() { c.endForSuccessor(since) })
+}
+
+// endForSuccessor ends a process that has had the successor since then, and that nobody has asked to end.
+func (c *Core) endForSuccessor(since time.Time) {
+	if c.superseded.Equal(since) && c.draining.IsZero() {
+		c.Drain()
+		c.byItself = true
+	}
 }
 
 // Resume takes callers again: the successor is no more.
 func (c *Core) Resume() {
 	if c.Superseded() {
 		c.superseded, c.relay = time.Time{}, nil
+		if c.byItself && !c.left {
+			c.byItself, c.draining = false, time.Time{}
+		}
 		c.log.Warn("the successor is no more")
 	}
 }
--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -131,7 +131,8 @@
 // spare is the part of the connections that may be open for a moment beyond the bound, while idle ones make room.
 const spare = 0.25
 
-func (b Bounds) most() int {
+// Most is how many may be open at once for a moment.
+func (b Bounds) Most() int {
 	if b.Connections == 0 {
 		return 0
 	}
@@ -141,7 +142,7 @@
 // New returns a front for a socket that listens. It accepts once its listener is started.
 func New(loop *call.Loop, core Core, log *slog.Logger, tcp *net.TCPListener, format func() Format, bounds Bounds, terms *Terms) *Front {
 	f := &Front{core: core, loop: loop, log: log, format: format, bounds: bounds, terms: terms}
-	f.listener = conn.NewListener(loop, tcp, bounds.most(), f.accept)
+	f.listener = conn.NewListener(loop, tcp, bounds.Most(), f.accept)
 	loop.Post(f.look)
 	return f
 }
@@ -161,7 +162,7 @@
 // Limit sets how many connections may be open at once.
 func (f *Front) Limit(connections int) {
 	f.bounds.Connections = connections
-	f.listener.Limit(f.bounds.most())
+	f.listener.Limit(f.bounds.Most())
 }
 
 func (f *Front) accept(c *conn.Conn) conn.Handler {
--- /dev/null
+++ b/internal/http1/http1_test.go
@@ -0,0 +1,44 @@
+package http1
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"cherryrelay/internal/ring"
+)
+
+// TestRequestInPieces: nothing is taken before the request is whole, wherever it is cut; what follows stays.
+func TestRequestInPieces(t *testing.T) {
+	const text = "POST /api/rejoin?x=1 HTTP/1.1\r\nHost: h\r\nAccept: a\r\naccept: b\r\nContent-Length: 4\r\n\r\nbodynext"
+	want := &Request{Method: "POST", Path: "/api/rejoin", Body: []byte("body"),
+		Headers: map[string]string{"host": "h", "accept": "a, b", "content-length": "4"}}
+	for cut := range len(text) - len("next") {
+		in, d := ring.New(16<<10), Decoder{}
+		in.Write([]byte(text[:cut]))
+		if r, err := d.Next(in); r != nil || err != nil {
+			t.Fatalf("%d bytes give %+v, %v", cut, r, err)
+		}
+		in.Write([]byte(text[cut:]))
+		r, err := d.Next(in)
+		if diff := cmp.Diff(want, r); diff != "" || err != nil || string(in.Peek(in.Len())) != "next" {
+			t.Fatalf("cut at %d: error %v, %d bytes left (-want +got):\n%s", cut, err, in.Len(), diff)
+		}
+	}
+}
+
+// FuzzRequest: whatever comes, what is taken keeps to its bounds.
+func FuzzRequest(f *testing.F) {
+	f.Add([]byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n"))
+	f.Add([]byte("POST /a HTTP/1.0\nContent-Length: 3\n\nabc"))
+	f.Add([]byte("\r\n\r\n:\r\n"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		in, d := ring.New(16<<10), Decoder{}
+		in.Write(text)
+		r, err := d.Next(in)
+		if r != nil && (err != nil || len(r.Body) > maxBody || !strings.HasPrefix(r.Path, "/")) {
+			t.Errorf("%q gives %+v, %v", text, r, err)
+		}
+	})
+}
