--- a/cmd/cherryrelay/reload_test.go
+++ b/cmd/cherryrelay/reload_test.go
@@ -80,7 +80,7 @@
 	}
 	write(file(first))
 	cmd := exec.Command(os.Args[0])
-	cmd.Env = append(os.Environ(), asProgram+"=1", "LB_CONFIG="+path, "LB_LISTEN=127.0.0.1:0")
+	cmd.Env = append(os.Environ(), asProgram+"=1", "LB_CONFIG="+path, "LB_LISTEN=127.0.0.1:0", "LB_MANAGEMENT=127.0.0.1:0")
 	if err := cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
--- a/control/control.go
+++ b/control/control.go
@@ -159,8 +159,8 @@
 	return c, nil
 }
 
-// Retune gives the controller other settings; with an error, it keeps those it has. Calls keep the class they came with and
-// the fewer attempts, and all that is known of servers stays.
+// Retune gives the controller other settings; with an error, it keeps those it has. Calls keep the class
+// they came with and the fewer attempts, and all that is known of servers stays.
 func (c *Controller) Retune(s Settings) error {
 	if len(s.Classes) == 0 {
 		return errors.New("control: no classes")
@@ -390,7 +390,8 @@
 	}
 	class := &c.settings.Classes[e.Class]
 	k := &call{
-		id: e.ID, class: class, most: c.settings.MaxAttempts, first: e.FirstCell, transit: e.Transit, called: e.Called, firstAt: c.now,
+		id: e.ID, class: class, most: c.settings.MaxAttempts, first: e.FirstCell, transit: e.Transit,
+		called: e.Called, firstAt: c.now,
 		deadline: c.now + e.Budget, readyAt: c.now,
 	}
 	// The aim counts from the caller's first try. Not every caller says that it dials again, so calls to
@@ -837,8 +838,9 @@
 }
 
 // rate is how many starts a second this node makes to the server when it is warm. One node may have made
-// few, but the sum over all is right. A server that is new gets what the one in its place got, or its part of
-// all that the node sends, by size, if that is more: the one in its place may have been nobody's first choice.
+// few, but the sum over all is right. A server that is new gets what the one in its place got, or its part
+// of all that the node sends, by size, if that is more: the one in its place may have been nobody's first
+// choice.
 func (c *Controller) rate(s *server) float64 {
 	if s.watched > 0 {
 		return max(s.ownRate(), c.leastRate())
