--- a/cmd/cherryrelay/operators_test.go
+++ b/cmd/cherryrelay/operators_test.go
@@ -54,6 +54,7 @@
 		"caller: release 3 42 wait 100", "caller: answer 2 y", "caller: release 1 16",
 		"operator: /api/rejoin 200", "operator: /api/ready 200", "caller: pong  1", "caller: release 2 16",
 		"d1: setup 4 x", "operator: /api/evacuate 200", "operator: /api/rejoin 200", "caller: answer 4 y", "caller: pong  1",
+		"operator: /api/evacuate 200",
 	}, func(w *world) {
 		idle, stood, busy := w.caller(), w.caller(), w.caller()
 		w.operates("GET", "/api/ready")
@@ -95,6 +96,10 @@
 		w.hears(c)
 		w.must(c.Send(jsonl.Message{Type: "ping", ID: id(0)}))
 		w.hears(c)
+		// And it can be ended on the way.
+		w.operates("POST", "/api/evacuate")
+		w.node.drain()
+		w.must(<-w.done)
 	})
 }
 
