Tell the caller at once when a call ends whose answer has not come

The probe of its links: the dispatcher's release of a set-up came at 6.36 s, its answer not before 6.76 s. The controller had told the module of a reset, the call was set up again and stood from 6.66 to 7.42 s; that the first one had stood and ended was owed to its caller by 7.19 s, and was told at 7.42 s.

Ruled out for this one: a link closed with something unread, which an earlier probe pointed to; here every message came.

At fault: Core.Released had such a call tried again. Now it fails at once, so its caller can tell, and may come again. TestTheEndOfACallWhoseAnswerIsMissing fails without it.

--- a/internal/call/core.go
+++ b/internal/call/core.go
@@ -382,8 +382,12 @@
 	case k.state == stands && k.server == server:
 		c.finish(k, cause, report)
 	case k.out && k.server == server && attempt >= 0:
-		// The call stood and is over; its answer was lost. Were it another attempt's, it would not have come here.
-		c.Ended(server, id, attempt, control.Reset, false, report)
+		// The call stood and is over; its answer was lost, or is late. Were it another attempt's, it would not have come
+		// here. Its caller is owed the end of what has stood, within a second: another attempt would keep it from that.
+		k.out = false
+		c.tell(control.AttemptEnded{ID: control.CallID(id), Server: server, Attempt: k.attempts - 1, Outcome: control.Reset,
+			Elapsed: time.Since(k.sentAt), CallOver: true, Report: report})
+		c.final(k, End{Cause: CauseTemporary, Reason: ReasonFailed})
 	}
 }
 
