--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -313,6 +313,12 @@
 		case w.failed:
 			err = ErrOff
 		default:
+			if busy && w.total+int64(len(r.batch)) > w.o.Most {
+				// Snapshots lag behind what is written. The bound holds: the commit waits for what is about to be cut,
+				// and its owner no longer than its patience.
+				w.compacted(<-w.compact)
+				busy = false
+			}
 			err = w.write(r)
 		}
 		w.failed = err != nil
