--- a/cmd/cherryrelay/main.go
+++ b/cmd/cherryrelay/main.go
@@ -21,6 +21,8 @@
 }
 
 func serve(o commands.Options) error {
+	signals := make(chan os.Signal, 8) // from the first moment: an early SIGTERM is served out as well
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
 	c, err := config.Read(os.Getenv)
 	if err != nil {
 		return err //nolint:wrapcheck // it says what it is
@@ -40,8 +42,6 @@
 	if err != nil {
 		return err
 	}
-	signals := make(chan os.Signal, 8)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
 	go func() {
 		for s := range signals {
 			if s == syscall.SIGHUP {
