Hold second choices to the rate that servers tell, and end doubts by reports

A trace of the module (every window, rest, report and doubt, each half second) showed, of 480 pairs of controller and dispatcher, 40 to 55% in doubt from 10 s to the end, with rests of 5 to 12 s, while reports and answers of the same dispatchers told of waits of 11 ms.

Checked: who jammed. Nine of 24 dispatchers, each with a rate of 1 to 2 set-ups a second, stood at waits of 3 to 5 s from 6 s on. None of what they got was of first choice: all spilled over from large ones out of lines, drawn evenly over what was allowed (route: allowed[c.rng.IntN]), 11 in 2 s at a dispatcher of 1.5 a second, over windows that were open still. Then doubt rested each for a call of the node's own, 4 to 20 s, doubling up to 16 times (doubt, rest: 1 s / part), and nothing but an own prompt answer ended it. Free lines were split by nodes for calls of first choice too (report: FreeLines), which sent more of them elsewhere. The fourth figure of reports, the set-ups a second that a dispatcher can take from all, was not read at all (settings: figures had no max_rate).

The change: second choices are drawn by what each can take, and held to the node's part of that, also while a window is open; windows are no less than that part; free lines are split for second choices alone; a rest begins at 0.5 s; a reported wait sets the rest, or ends the doubt after it, with one call at a time until one has stood; trial calls are of first choice.

--- a/control/api.go
+++ b/control/api.go
@@ -1,6 +1,20 @@
+// Package control decides, for one access node, which core server gets each call set-up, and when.
+//
+// The interface (settings, events, actions) is in api.go; every decision is in control.go.
+//
+// The mechanism is Somoza's Dynamic Processor Overload Control, run at the sender: for each server a
+// window of N new set-ups a control period, resized each update interval by the clamped ratio of wanted
+// to seen occupancy. Calls that no window allows are held here. docs/design.md states what was kept of
+// the paper and what was changed.
 package control
 
-import "time"
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+)
 
 // CallID names one try of a caller at this access node.
 type CallID string
@@ -71,6 +85,8 @@
 	Queue
 	// Wait is the wait at the processor, in milliseconds.
 	Wait
+	// Rate is how many set-ups a second the server can take by now, from all nodes together.
+	Rate
 )
 
 // Settings is all that a Controller is told at its start.
@@ -246,3 +262,32 @@
 func (Subscribe) action() {}
 func (Wake) action()      {}
 func (Log) action()       {}
+
+// check reports what a Controller could not work with.
+func (s *Settings) check() error {
+	if len(s.Classes) == 0 {
+		return errors.New("control: no classes")
+	}
+	for _, class := range s.Classes {
+		if class.Aim <= 0 || class.Deadline < class.Aim {
+			return fmt.Errorf("control: class %q: aim %v and deadline %v", class.Name, class.Aim, class.Deadline)
+		}
+		if class.Worth < 0 || class.LateShare < 0 || class.LateShare > 1 {
+			return fmt.Errorf("control: class %q: worth %v, late %v", class.Name, class.Worth, class.LateShare)
+		}
+	}
+	switch {
+	case s.Tick <= 0:
+		return fmt.Errorf("control: tick %v", s.Tick)
+	case s.ReleaseGuard < 0 || s.MaxHoldOff < 0 || s.AnswerGrace < 0 || s.MaxAttempts < 0:
+		return errors.New("control: a time or count is below zero")
+	case s.StartShare < 0 || s.StartShare > 1 || s.ColdFor < 0:
+		return fmt.Errorf("control: cold start from %v within %v", s.StartShare, s.ColdFor)
+	}
+	return nil
+}
+
+// aim is the tightest one of the classes.
+func (s *Settings) aim() time.Duration {
+	return slices.MinFunc(s.Classes, func(a, b Class) int { return cmp.Compare(a.Aim, b.Aim) }).Aim
+}
--- a/control/control.go
+++ b/control/control.go
@@ -1,17 +1,9 @@
-// Package control decides, for one access node, which core server gets each call set-up, and when.
-//
-// The interface (settings, events, actions) is in api.go; every decision is in this file.
-//
-// The mechanism is Somoza's Dynamic Processor Overload Control, run at the sender: for each server a
-// window of N new set-ups a control period, resized each update interval by the clamped ratio of wanted
-// to seen occupancy. Calls that no window allows are held here. docs/design.md states what was kept of
-// the paper and what was changed.
 package control
 
 import (
 	"cmp"
-	"errors"
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -19,13 +11,11 @@
 )
 
 const (
-	// controlPeriod is the paper's CCperiod. Troubles here last seconds: with two, windows were cut and grew
-	// long after what they answered. Much less than this holds too few starts to say anything.
+	// controlPeriod is the paper's CCperiod. Troubles here last seconds; much less holds too few starts.
 	controlPeriod = 700 * time.Millisecond
 	// ratePeriod is what a count must span to stand for a rate.
 	ratePeriod = 2 * time.Second
-	// minStarts is what an update interval (OPPUI) must hold before it says anything: the interval is as
-	// many control periods as that takes, one where calls are many.
+	// minStarts is what an update interval (OPPUI) must hold: it is as many control periods as that takes.
 	minStarts = 2
 	// maxOccupancy, minOccupancy and tooHigh are the paper's max.occup, min.occup and occ.too.high.
 	maxOccupancy = 0.9
@@ -37,22 +27,21 @@
 	maxIncrease    = 0.5
 	maxDecrease    = 0.15
 	extraDecrement = 0.1
-	// leastShare of its even part of the node's arrivals is what a window keeps, so that the node stays
-	// informed and the window can grow back.
+	// leastShare of its part of the node's arrivals is what a window keeps, so that it can grow back.
 	leastShare = 0.4
-	// targetShare of the tightest aim is the wait that counts as full occupancy: the rest is for holding
-	// calls here.
+	// targetShare of the tightest aim is the wait that counts as full occupancy.
 	targetShare = 0.2
 	// suspectShare of the tightest aim without an answer makes a server suspect.
 	suspectShare = 0.45
-	// memory is the age at which a delay counts half against a new one. Where own calls are few the last
-	// one is nearly all that is known; where they are many their chance swings level out.
+	// memory is the age at which a delay counts half against a new one: of few, the last is all that is known.
 	memory = time.Second
 	// fullRest is how long a server that answered full, or could not be reached, is left alone.
-	fullRest        = 250 * time.Millisecond
+	fullRest = 250 * time.Millisecond
+	// doubtRest is the first rest of a server in doubt, mostRest the longest that its reported wait calls for.
+	doubtRest       = 500 * time.Millisecond
+	mostRest        = 4 * time.Second
 	unreachableRest = time.Second
-	// trialGap bounds a rest, which doubles each time in a row, to so many times the first. That is a call of
-	// the node's own, so all nodes' trials together are as small a part of a server's load at any size.
+	// trialGap bounds a rest, which doubles each time in a row, to so many times the first.
 	trialGap = 16
 	// silenceCold is the silence after which a server that answers again is taken for a cold one.
 	silenceCold = 3 * time.Second
@@ -80,6 +69,7 @@
 	startedAt time.Duration
 	listAt    time.Duration // when to ask for the list; 0 for never
 	wakeAt    time.Duration // the Wake that is under way; 0 for none
+	perLine   float64       // rate that servers tell, for each of their lines
 	quickest  time.Duration // what a set-up takes at the server that answers fastest
 	quiet     time.Duration // lowest delay seen at any server
 }
@@ -119,6 +109,7 @@
 	rest      time.Duration // the last rest after a full; 0 once a call has stood
 	lines     float64       // its size; 1 if unknown
 	free      int           // lines free at the last report, less own starts since; -1 if unknown
+	spare     int           // this node's part of them, for calls of second choice; -1 if unknown
 	turn      float64       // how far it is behind its part by weight, in starts times weights
 	full      bool          // answered full in this update interval
 	suspect   bool
@@ -146,6 +137,7 @@
 	util     float64 // sum of reported utilisations in this interval
 	reports  int
 	wait     time.Duration // last reported wait of this interval
+	able     float64       // last reported rate; 0 if unknown
 }
 
 // New returns a Controller for one access node that has just started.
@@ -166,28 +158,8 @@
 // Retune gives the controller other settings; with an error, it keeps those it has. Calls keep the class
 // they came with and the fewer attempts, and all that is known of servers stays.
 func (c *Controller) Retune(s Settings) error {
-	if len(s.Classes) == 0 {
-		return errors.New("control: no classes")
-	}
-	aim := time.Duration(0)
-	for _, class := range s.Classes {
-		if class.Aim <= 0 || class.Deadline < class.Aim {
-			return fmt.Errorf("control: class %q: aim %v and deadline %v", class.Name, class.Aim, class.Deadline)
-		}
-		if class.Worth < 0 || class.LateShare < 0 || class.LateShare > 1 {
-			return fmt.Errorf("control: class %q: worth %v, late %v", class.Name, class.Worth, class.LateShare)
-		}
-		if aim == 0 || class.Aim < aim {
-			aim = class.Aim
-		}
-	}
-	switch {
-	case s.Tick <= 0:
-		return fmt.Errorf("control: tick %v", s.Tick)
-	case s.ReleaseGuard < 0 || s.MaxHoldOff < 0 || s.AnswerGrace < 0 || s.MaxAttempts < 0:
-		return errors.New("control: a time or count is below zero")
-	case s.StartShare < 0 || s.StartShare > 1 || s.ColdFor < 0:
-		return fmt.Errorf("control: cold start from %v within %v", s.StartShare, s.ColdFor)
+	if err := s.check(); err != nil {
+		return err
 	}
 	if s.ListOnDemand && !c.settings.ListOnDemand {
 		c.listAt = 1
@@ -197,7 +169,7 @@
 			k.most = s.MaxAttempts
 		}
 	}
-	c.settings, c.aim = s, aim
+	c.settings, c.aim = s, s.aim()
 	return nil
 }
 
@@ -245,16 +217,18 @@
 
 func (c *Controller) do(a Action) { c.actions = append(c.actions, a) }
 
-func (c *Controller) logf(format string, args ...any) { c.do(Log{Text: fmt.Sprintf(format, args...)}) }
-
 // --- Windows ---
 
-// roll lets the window of a server allow what the time since the last turn is worth, and resizes it at
-// the end of an update interval. Starts are spread over their period, and what is not a whole call yet is
-// carried on, so that N may be much less than one: many small senders share a server.
+// roll lets the window of a server allow what the time since the last turn is worth, and resizes it at the
+// end of an update interval. What is not a whole call yet is carried on: N may be much less than one, but not
+// than the node's part of the rate that the server tells: own starts may be too few to say anything.
 func (c *Controller) roll(s *server) {
 	since := c.now - s.rolledAt
 	s.rolledAt = c.now
+	if s.open {
+		s.limit = 0
+	}
+	s.limit = max(s.limit, c.able(s)/float64(max(c.settings.Peers, 1))*controlPeriod.Seconds())
 	most := max(1, s.limit)
 	if s.cold {
 		s.limit, most = c.coldRate(s)*controlPeriod.Seconds(), 1
@@ -291,26 +265,19 @@
 	s.accepted, s.answers, s.util, s.reports, s.full, s.wait = 0, 0, 0, 0, false, 0
 }
 
-// occupancy of the update interval: the reported utilisation, or the delay of own set-ups over the
-// target wait if that is more. The age of a set-up without an answer is a lower bound on its delay, and
-// comes sooner.
+// occupancy of the update interval: the reported utilisation, or the delay of own set-ups over the target
+// wait if that is more. The age of a set-up without an answer is a lower bound on its delay.
 func (c *Controller) occupancy(s *server) float64 {
-	delay := max(s.delay, c.age(s)-s.quiet)
-	occupancy := float64(delay) / (targetShare * float64(c.aim))
+	target := targetShare * float64(c.aim)
+	occupancy := float64(max(s.delay, c.age(s)-s.quiet)) / target
 	if s.full {
 		occupancy = max(occupancy, tooHigh)
 	}
-	if s.reports == 0 {
-		occupancy = max(occupancy, float64(s.wait)/(targetShare*float64(c.aim)))
-	} else {
-		occupancy = max(occupancy, s.util/float64(s.reports))
-	}
-	return occupancy
+	return max(occupancy, cmp.Or(s.util/float64(max(s.reports, 1)), float64(s.wait)/target))
 }
 
-// resize is the paper's rule for the next N: past is the last N, mean the starts a period while it
-// held. It is rounded down where it is used, call by call. The rise by one call makes up for rounding, so
-// it is left out below one, where the part of a call that is carried on does that.
+// resize is the paper's rule for the next N: past is the last N, mean the starts a period while it held. It
+// is rounded down where it is used. The rise by one call makes up for that, so it is left out below one.
 func resize(past, mean, occupancy, overhead float64) float64 {
 	prelim := mean
 	if occupancy > overhead {
@@ -331,12 +298,18 @@
 	return s == nil || s.Status != Active || s.suspect || now < s.restUntil
 }
 
-// allows reports whether the server can be sent one more set-up now.
-func (c *Controller) allows(s *server) bool {
-	if s.Status != Active || c.now < s.restUntil || s.free == 0 || s.suspect && len(s.out) > 0 {
+// allows reports whether the server can be sent one more set-up now, as first choice or not. Even an open
+// window holds those of second choice to the node's part of the rate that the server tells: what spills over
+// from large servers would jam small ones, with little from each of many nodes.
+func (c *Controller) allows(s *server, first bool) bool {
+	if s.Status != Active || c.now < s.restUntil || s.free == 0 || s.spare == 0 && !first ||
+		s.rest > 0 && len(s.out) > 0 { // one at a time until a call has stood
 		return false
 	}
-	return s.open || s.credit >= 1 || s.suspect && !s.cold
+	if s.suspect && !s.cold {
+		return first // a trial call
+	}
+	return s.credit >= 1 || s.open && (first || s.limit == 0)
 }
 
 // --- Route ---
@@ -365,13 +338,15 @@
 	return true
 }
 
-// route picks a server whose window allows the call: the one of first choice, else the one that last
-// took its class, else one at random, which then is kept. Where there are weights, those of first choice,
-// else all, take turns by them. It returns nil if the call has to wait.
+// route picks a server whose window allows the call: the one of first choice, else the one that last took its
+// class while no set-up waits there, else one at random, which then is kept. Where there are weights, those
+// of first choice, else all, take turns by them. It returns nil if the call has to wait.
 func (c *Controller) route(k *call) *server {
 	var allowed, first []*server
+	home := func(s *server) bool { return s.Cell == k.first && c.permitted(k, s) }
+	homeless := !slices.ContainsFunc(c.servers, home) // without a first choice, all are as good
 	for _, s := range c.servers {
-		if c.permitted(k, s) && c.allows(s) {
+		if c.permitted(k, s) && c.allows(s, homeless || s.Cell == k.first) {
 			if s.Cell == k.first {
 				first = append(first, s)
 			}
@@ -386,12 +361,24 @@
 	case slices.ContainsFunc(allowed, func(s *server) bool { return s.Weight > 0 }):
 		return inTurn(allowed)
 	}
-	if !slices.Contains(allowed, c.last[k.class.Name]) {
-		c.last[k.class.Name] = allowed[c.rng.IntN(len(allowed))]
+	if last := c.last[k.class.Name]; !slices.Contains(allowed, last) || len(last.out) > 0 {
+		c.last[k.class.Name] = c.draw(allowed)
 	}
 	return c.last[k.class.Name]
 }
 
+// draw picks a server at random, by what each can take.
+func (c *Controller) draw(from []*server) *server {
+	drawn, total := from[0], 0.0
+	for _, s := range from {
+		able := cmp.Or(c.able(s), s.lines)
+		if total += able; c.rng.Float64()*total < able {
+			drawn = s
+		}
+	}
+	return drawn
+}
+
 // inTurn picks the server that is furthest behind its part by weight; without weights, the first.
 func inTurn(allowed []*server) *server {
 	next, total := allowed[0], 0.0
@@ -471,14 +458,19 @@
 	return c.now+c.quickest > k.aimAt
 }
 
-// lookAhead sets quickest for this turn, 0 if no server is known to answer.
+// lookAhead sets quickest for this turn, 0 if no server is known to answer, and perLine.
 func (c *Controller) lookAhead() {
 	c.quickest = math.MaxInt64
+	able, lines := 0.0, 1.0
 	for _, s := range c.servers {
+		if s.able > 0 {
+			able, lines = able+s.able, lines+s.lines
+		}
 		if s.Status == Active && !s.suspect {
 			c.quickest = min(c.quickest, s.quiet+s.delay)
 		}
 	}
+	c.perLine = able / lines
 	if c.quickest == math.MaxInt64 {
 		c.quickest = 0
 	}
@@ -491,14 +483,10 @@
 	slices.Reverse(queue)
 	slices.SortStableFunc(queue, func(a, b *call) int { return cmp.Compare(c.value(b), c.value(a)) })
 	for _, k := range queue {
-		if k.readyAt > c.now || c.now >= k.deadline-2*c.settings.Tick {
-			continue
-		}
-		if k.spent() {
-			continue
-		}
-		if s := c.route(k); s != nil {
-			c.send(k, s)
+		if k.readyAt <= c.now && c.now < k.deadline-2*c.settings.Tick && !k.spent() {
+			if s := c.route(k); s != nil {
+				c.send(k, s)
+			}
 		}
 	}
 }
@@ -563,7 +551,7 @@
 		s.starts++
 	}
 	if s.free > 0 {
-		s.free--
+		s.free, s.spare = s.free-1, max(s.spare-1, 0)
 	}
 	limit := time.Duration(0)
 	if s.suspect {
@@ -612,7 +600,7 @@
 		switch e.Outcome {
 		case Completed:
 			if s.free >= 0 {
-				s.free++ // the call's own line
+				s.free, s.spare = s.free+1, s.spare+1 // the call's own line
 			}
 		case Full:
 			s.heardAt = c.now
@@ -622,11 +610,7 @@
 				// Its queue is at its limit: nothing sent now can stand in time.
 				c.doubt(s, c.now-e.Elapsed)
 			}
-			for class, last := range c.last {
-				if last == s {
-					c.last[class] = nil
-				}
-			}
+			c.unstick(s)
 		case Unreachable:
 			s.restUntil = max(s.restUntil, c.now+unreachableRest)
 			c.doubt(s, c.now-e.Elapsed)
@@ -663,6 +647,11 @@
 	c.held = append(c.held, k)
 }
 
+// unstick has classes that keep to the server choose anew.
+func (c *Controller) unstick(s *server) {
+	maps.DeleteFunc(c.last, func(_ string, last *server) bool { return last == s })
+}
+
 // drop takes the attempt of a call off the list of those without an answer.
 func (s *server) drop(k *call) {
 	if s == nil {
@@ -675,9 +664,8 @@
 
 // --- Server health ---
 
-// overtaken reports whether a set-up that was sent to the server then is one that a later one has overtaken.
-// The processor takes them in turn, so that one was lost on its way or its answer was: its age tells of no
-// queue.
+// overtaken reports whether a later set-up has overtaken one that was sent to the server then. The processor
+// takes them in turn, so that one was lost, or its answer was: its age tells of no queue.
 func (c *Controller) overtaken(s *server, sentAt time.Duration) bool {
 	return s.latest-sentAt > max(s.quiet, 4*c.settings.Tick)
 }
@@ -692,9 +680,8 @@
 	return 0
 }
 
-// watch makes a server suspect when a set-up stays too long without an answer: it then gets one trial
-// call at a time. It guards against every cause of silence, and against feeding a queue that is too
-// long already.
+// watch makes a server suspect when a set-up stays too long without an answer. It guards against every cause
+// of silence, and against feeding a queue that is too long already.
 func (c *Controller) watch(s *server) {
 	limit := c.patience()
 	if c.age(s)-c.quiet > limit && !s.suspect {
@@ -720,9 +707,9 @@
 // patience is how long a set-up may go without an answer before its server is suspect.
 func (c *Controller) patience() time.Duration { return time.Duration(suspectShare * float64(c.aim)) }
 
-// doubt makes a server suspect: it gets trial calls only, ever more seldom, until one stands promptly.
-// A queue that is too long feeds itself, as every set-up that waits is repeated; only a rest lets it
-// drain. What became of set-ups sent before the server was suspect tells nothing new.
+// doubt makes a server suspect: it gets trial calls only, ever more seldom, until one stands promptly or it
+// tells of a short wait. A queue that is too long feeds itself, as every set-up that waits is repeated; only
+// a rest lets it drain. What became of set-ups sent before the server was suspect tells nothing new.
 func (c *Controller) doubt(s *server, sentAt time.Duration) {
 	if s.suspect && sentAt < s.suspectAt {
 		return
@@ -732,19 +719,17 @@
 		s.full = true
 		c.update(s)
 	}
-	c.rest(s, max(fullRest, time.Duration(float64(time.Second)/c.part(s))))
+	c.rest(s, doubtRest)
 }
 
 // rest leaves a server alone for a while, which doubles each time in a row.
 func (c *Controller) rest(s *server, least time.Duration) {
 	s.rest = min(max(2*s.rest, least), trialGap*least)
-	wait := s.rest + time.Duration(c.rng.Int64N(int64(s.rest)/2+1))
-	s.restUntil = max(s.restUntil, c.now+wait)
+	s.restUntil = max(s.restUntil, c.now+s.rest+time.Duration(c.rng.Int64N(int64(s.rest)/2+1)))
 }
 
-// part is the part of the node's arrivals a second that falls to a server: an even one, or by weight.
+// part is the part of the node's arrivals a second that falls to a server: by weight, or an even one.
 func (c *Controller) part(s *server) float64 {
-	arrivals := perSecond(float64(c.offers), c.now-c.startedAt)
 	weight, of := 1, len(c.servers)
 	if s.Weight > 0 {
 		weight, of = s.Weight, 0
@@ -752,11 +737,11 @@
 			of += o.Weight
 		}
 	}
+	arrivals := perSecond(float64(c.offers), c.now-c.startedAt)
 	return max(arrivals*float64(weight)/float64(of), c.leastRate())
 }
 
-// heard notes a prompt answer. A server that was silent for long may have started anew, so its window
-// is set low.
+// heard notes a prompt answer. A server that was silent for long may have started anew.
 func (c *Controller) heard(s *server) {
 	if s.suspect && c.now-s.heardAt >= silenceCold {
 		c.startCold(s, c.now)
@@ -773,12 +758,17 @@
 		}
 		switch fields[i] {
 		case FreeLines:
-			// All nodes read this figure and share the lines, so one of few may not be there for this node.
-			s.free = int(v/float64(peers) + c.rng.Float64())
+			// All nodes read this figure, and what their calls of second choice take must not exceed it.
+			s.free, s.spare = int(v), int(v/float64(peers)+c.rng.Float64())
 		case Lines:
 			s.lines = max(v, 1)
 		case Wait:
 			s.wait = max(0, time.Duration(v*float64(time.Millisecond)))
+			if s.suspect {
+				c.relieve(s)
+			}
+		case Rate:
+			s.able = v
 		case Utilisation:
 			s.util += v
 			s.reports++
@@ -789,6 +779,17 @@
 	}
 }
 
+// relieve takes in the wait that a suspect server tells. A long one is the rest that it needs. A short one
+// ends the doubt after the rest; until a call has stood it gets one at a time, and the next rest is longer.
+func (c *Controller) relieve(s *server) {
+	over := s.wait - time.Duration(targetShare*float64(c.aim))
+	if over > 0 {
+		s.restUntil = max(s.restUntil, c.now+min(over, mostRest)+time.Duration(c.rng.Int64N(int64(fullRest))))
+	} else if c.now >= s.restUntil {
+		s.suspect, s.credit = false, c.rng.Float64()
+	}
+}
+
 func (c *Controller) listReceived(e ListReceived) {
 	if e.Failed {
 		c.listAt = c.now + listRetry
@@ -799,7 +800,8 @@
 		named[entry.ID] = true
 		s := c.byID[entry.ID]
 		if s == nil {
-			s = &server{open: true, heardAt: c.now, rolledAt: c.now, free: -1, lines: 1}
+			s = &server{open: true, heardAt: c.now, rolledAt: c.now, free: -1, spare: -1, lines: 1}
+			s.credit = c.rng.Float64()
 			s.periodAt = c.now - time.Duration(c.rng.Int64N(int64(controlPeriod)))
 			s.delayAt = s.periodAt
 			c.byID[entry.ID] = s
@@ -822,18 +824,13 @@
 	c.retire()
 }
 
-// retire forgets servers that have long been gone: under new names, they come and go all day. Until then a
-// server that takes the place of one that went learns from it what to expect.
+// retire forgets servers that have long been gone. Until then one in its place learns from it what to expect.
 func (c *Controller) retire() {
 	c.servers = slices.DeleteFunc(c.servers, func(s *server) bool {
 		old := s.Status == Removed && len(s.out) == 0 && c.now-s.goneAt > 2*max(c.settings.ColdFor, controlPeriod)
 		if old {
 			delete(c.byID, s.ID)
-			for class, last := range c.last {
-				if last == s {
-					c.last[class] = nil
-				}
-			}
+			c.unstick(s)
 		}
 		return old
 	})
@@ -853,12 +850,11 @@
 	s.cold, s.coldFrom, s.suspect = true, at, false
 	s.open, s.credit = false, c.rng.Float64()
 	s.delay = 0
-	c.logf("server %s starts cold", s.ID)
+	c.do(Log{Text: fmt.Sprintf("server %s starts cold", s.ID)})
 }
 
-// coldRate is how many starts a second a cold server is sent: this node's part of what a warm server
-// gets, cut to the share that the cold one can do by now, times half of the multiple that pushes it over.
-// If all nodes keep to it, their sum is safe without agreement.
+// coldRate is how many starts a second a cold server is sent: this node's part of what a warm one gets, cut
+// to the share it can do by now, times half of the multiple that pushes it over. So the sum of all is safe.
 func (c *Controller) coldRate(s *server) float64 {
 	since := float64(c.now-s.coldFrom) / float64(max(c.settings.ColdFor, 1))
 	if since >= 1 {
@@ -868,10 +864,8 @@
 	return c.rate(s) * share * max(1, c.settings.TipMultiple/2)
 }
 
-// rate is how many starts a second this node makes to the server when it is warm. One node may have made
-// few, but the sum over all is right. A server that is new gets what the one in its place got, or its part
-// of all that the node sends, by size, if that is more: the one in its place may have been nobody's first
-// choice.
+// rate is how many starts a second this node makes to the server when it is warm. A new one gets what the one
+// in its place got, or its part by size of all that the node sends: that may have been nobody's first choice.
 func (c *Controller) rate(s *server) float64 {
 	if s.watched > 0 {
 		return max(s.ownRate(), c.leastRate())
@@ -904,6 +898,15 @@
 	return s.lines
 }
 
+// able is how many set-ups a second the server can take from all nodes: as it told, or by what others tell
+// for a line; 0 if none does.
+func (c *Controller) able(s *server) float64 {
+	if s.able > 0 {
+		return s.able
+	}
+	return s.lines * c.perLine
+}
+
 func (s *server) ownRate() float64 { return perSecond(s.stood, s.watched) }
 
 // perSecond is the rate of what was counted over a time. A few in less than a period may be chance.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -121,6 +121,7 @@
 		"cpu":      control.Utilisation,
 		"waiting":  control.Queue,
 		"avg_ms":   control.Wait,
+		"max_rate": control.Rate,
 	}
 )
 
