--- /dev/null
+++ b/cmd/cherryrelay/standing_test.go
@@ -0,0 +1,179 @@
+package main
+
+import (
+	"fmt"
+	"log/slog"
+	"net"
+	"testing"
+	"time"
+
+	"cherryrelay/control"
+	"cherryrelay/internal/call"
+	"cherryrelay/internal/callers"
+	"cherryrelay/internal/config"
+	"cherryrelay/internal/peer"
+)
+
+// newBare is a node that no list has reached, and whose coordinator, if it has one, is at the address.
+func newBare(t *testing.T, coordinator string) *world {
+	t.Helper()
+	c := new(config.Config)
+	c.Listen, c.Seed, c.Coordinator, c.Settings = "127.0.0.1:0", "1", coordinator, testSettings(t)
+	n, err := startWithin(c, slog.New(slog.DiscardHandler), callers.Bounds{Silent: long, Idle: long})
+	if err != nil {
+		t.Fatal(err)
+	}
+	w := &world{T: t, node: n, transport: "tcp", done: make(chan error, 1)}
+	go func() { w.done <- n.run() }()
+	t.Cleanup(n.loop.Quit)
+	return w
+}
+
+// lists has the node told of so many dispatchers.
+func (w *world) lists(n int, address func(i int) string) {
+	u := call.Update{Whole: true}
+	for i := range n {
+		u.Servers = append(u.Servers, call.Server{ServerEntry: control.ServerEntry{ID: control.ServerID(fmt.Sprint("d", i)), Cell: i}, Address: address(i)})
+	}
+	told := make(chan struct{})
+	w.node.loop.Post(func() { w.node.core.Update(u); close(told) })
+	<-told
+}
+
+// drains waits for a node that drains.
+func (w *world) drains(since time.Time) {
+	w.Helper()
+	select {
+	case err := <-w.done:
+		if took := time.Since(since); err != nil || took < 700*time.Millisecond {
+			w.Errorf("ended with %v after %v: what still arrives is to be served", err, took)
+		}
+	case <-time.After(peer.Patience):
+		w.Fatal("it does not end")
+	}
+}
+
+// TestDrainAtAnyMoment: before the first list, while 300 dispatchers refuse connections or leave them unanswered, and while the
+// coordinator moves.
+func TestDrainAtAnyMoment(t *testing.T) {
+	t.Parallel()
+	silent, err := net.Listen("tcp", "127.0.0.1:0") // connections come up, and nothing is said on them
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer silent.Close()
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	nobody := closed.Addr().String()
+	closed.Close()
+	for name, before := range map[string]func(w *world){
+		"no list":         func(*world) {},
+		"an empty list":   func(w *world) { w.lists(0, nil) },
+		"300 that refuse": func(w *world) { w.lists(300, func(int) string { return nobody }) },
+		"300 that are silent": func(w *world) {
+			w.lists(300, func(int) string { return silent.Addr().String() })
+			w.lists(300, func(int) string { return nobody })
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			w := newBare(t, nobody)
+			before(w)
+			since := time.Now()
+			w.node.drain()
+			w.drains(since)
+		})
+	}
+	for name, order := range map[string][2]bool{"reload, then drain": {true, false}, "drain, then reload": {false, true}} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			other, asked := lister(t, "")
+			w := newBare(t, nobody)
+			since := time.Now()
+			for _, reload := range order {
+				if reload {
+					c := *w.node.config
+					c.Coordinator = other
+					w.node.reload(&c, nil)
+				} else {
+					w.node.drain()
+				}
+			}
+			hears(t, asked, "0")
+			w.drains(since)
+		})
+	}
+}
+
+// TestAListThatComesLate: a call that comes before any dispatcher is known is answered in its time, and one that comes after
+// the list has come is set up.
+func TestAListThatComesLate(t *testing.T) {
+	t.Parallel()
+	w := newBare(t, "")
+	c, err := peer.Call("tcp", w.node.lines.Address())
+	w.must(err)
+	defer c.Close()
+	w.must(c.SetUp(id(1), 600*time.Millisecond, 0, "early"))
+	if m, err := c.Next(); err != nil || m.ID != id(1) || m.Type != "release" {
+		t.Fatalf("%+v, %v: want a final answer", m, err)
+	}
+	w.lists(0, nil)
+	w.must(c.SetUp(id(2), 600*time.Millisecond, 0, "still early"))
+	if m, err := c.Next(); err != nil || m.ID != id(2) || m.Type != "release" {
+		t.Fatalf("%+v, %v: want a final answer", m, err)
+	}
+	d, err := peer.Dispatch("tcp", "127.0.0.1:0", "x0:40;x1:40")
+	w.must(err)
+	defer d.Die()
+	w.lists(1, func(int) string { return d.Address() })
+	w.must(c.SetUp(id(3), peer.Patience, 0, "late"))
+	e, err := d.Next()
+	w.must(err)
+	w.must(e.Answer("yes"))
+	if m, err := c.Next(); err != nil || m.ID != id(3) || m.Type != "answer" {
+		t.Errorf("%+v, %v: want the answer", m, err)
+	}
+}
+
+// TestStartedAgainUnderItsName: a controller that was killed leaves its dispatchers with connections that look open. The next
+// one under its name reaches them all the same, and an end that is told on a connection of the dead one is told to it too.
+func TestStartedAgainUnderItsName(t *testing.T) {
+	t.Parallel()
+	d, err := peer.Dispatch("tcp", "127.0.0.1:0", "x0:40;x1:40")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer d.Die()
+	stand := func(w *world, number int) (*peer.Caller, peer.Event) {
+		c, err := peer.Call("tcp", w.node.lines.Address())
+		w.must(err)
+		w.Cleanup(func() { _ = c.Close() })
+		w.must(c.SetUp(id(number), peer.Patience, 0, "d"))
+		e, err := d.Next()
+		w.must(err)
+		w.must(e.Answer("yes"))
+		_, err = c.Next()
+		w.must(err)
+		return c, e
+	}
+	dead := newBare(t, "")
+	dead.lists(1, func(int) string { return d.Address() })
+	stand(dead, 1)
+	hold, free := make(chan struct{}), make(chan struct{})
+	dead.node.loop.Post(func() { close(hold); <-free }) // its loop stands still from here on: its connections stay open and it says nothing
+	<-hold
+	defer close(free)
+	next := newBare(t, "")
+	next.lists(1, func(int) string { return d.Address() })
+	c, e := stand(next, 2)
+	next.must(e.ReleaseHere(id(2), call.CauseNormal))
+	if m, err := c.NextWithin(time.Second); err != nil || m.ID != id(2) || m.CauseOr(0) != call.CauseNormal {
+		t.Errorf("%+v, %v: want the end of the call within a second", m, err)
+	}
+	next.must(d.Release(id(1), call.CauseNormal)) // of the dead one's; told on the newest connection
+	if m, err := c.Next(); err != nil || m.ID != id(1) {
+		t.Errorf("%+v, %v: want the end of the call of before", m, err)
+	}
+}
--- /dev/null
+++ b/internal/call/bounds_test.go
@@ -0,0 +1,113 @@
+package call
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"reflect"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"cherryrelay/control"
+)
+
+// sizes notes the room that every map, slice and ring takes that is reached from v without passing an interface: what callers,
+// dispatchers and logs keep is theirs.
+func sizes(v reflect.Value, path string, seen map[uintptr]bool, into map[string]int) {
+	switch v.Kind() {
+	case reflect.Pointer:
+		if v.IsNil() || seen[v.Pointer()] || v.Type() == reflect.TypeFor[*time.Location]() {
+			return
+		}
+		seen[v.Pointer()] = true
+		sizes(v.Elem(), path, seen, into)
+	case reflect.Struct:
+		for i := range v.NumField() {
+			sizes(v.Field(i), path+"."+v.Type().Field(i).Name, seen, into)
+		}
+	case reflect.Map:
+		into[path] += v.Len()
+		for entries := v.MapRange(); entries.Next(); {
+			sizes(entries.Value(), path+"[]", seen, into)
+		}
+	case reflect.Slice:
+		into[path] += v.Cap()
+		for i := range v.Len() {
+			sizes(v.Index(i), path+"[]", seen, into)
+		}
+	}
+}
+
+// someone is a caller of one call.
+type someone struct{ *site }
+
+// TestNothingGrowsWithWhatHasBeen plays calls, callers and dispatchers that come and go under new names, by the thousand, and
+// finds every table at the size that it had after the first few hundred. Time is simulated: half an hour passes at once.
+func TestNothingGrowsWithWhatHasBeen(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t)
+		loop := s.core.Loop()
+		rng := rand.New(rand.NewPCG(1, 1))
+		s.react = func(server control.ServerID, a SetUp) {
+			after := loop.After
+			switch rng.IntN(6) {
+			case 0: // silent
+			case 1:
+				after(5*time.Millisecond, func() { s.ended(server, a, control.Full) })
+			case 2:
+				after(5*time.Millisecond, func() { s.ended(server, a, control.Reset) })
+			default:
+				after(5*time.Millisecond, func() { s.answered(server, a) })
+				after(3*time.Second, func() { s.core.Released(server, a.ID, a.Attempt, CauseNormal, []float64{7}) })
+			}
+		}
+		done := make(chan struct{})
+		go func() { loop.Run(); close(done) }()
+		on := func(f func()) {
+			ran := make(chan struct{})
+			loop.Post(func() { f(); close(ran) })
+			<-ran
+		}
+		number := 0
+		play := func(calls int) map[string]int {
+			for range calls {
+				on(func() {
+					if number%20 == 0 { // a dispatcher is replaced by one of another name
+						next := number / 20
+						s.list(control.Active, control.ServerID(fmt.Sprint("d", next)))
+						if next >= 3 {
+							s.list(control.Removed, control.ServerID(fmt.Sprint("d", next-3)))
+							s.core.Died(control.ServerID(fmt.Sprint("d", next-3)))
+						}
+					}
+					id := fmt.Sprintf("%016x", number)
+					if err := s.core.Offer(Request{ID: id, Class: "c", Called: "n" + id, FirstCell: 0, Description: "d",
+						Deadline: time.Now().Add(3 * time.Second), Caller: &someone{s}}); err != nil {
+						t.Errorf("%s: %v", id, err)
+					}
+					if number%7 == 0 {
+						s.core.Released("nobody", fmt.Sprintf("%016x", 1<<40+number), -1, CauseNormal, nil)
+					}
+					number++
+				})
+				time.Sleep(60 * time.Millisecond)
+			}
+			time.Sleep(2 * remember)
+			into := map[string]int{}
+			on(func() { // what has ended is forgotten with the next end
+				s.core.knowOver("0123456789abcdef")
+				sizes(reflect.ValueOf(s.core), "core", map[uintptr]bool{}, into)
+			})
+			return into
+		}
+		first := play(600)
+		last := play(20000)
+		for path, n := range last {
+			if n > first[path]+32 && n > 2*first[path] {
+				t.Errorf("%s: %d after %d calls, %d after 600", path, n, number, first[path])
+			}
+		}
+		on(loop.Quit)
+		<-done
+	})
+}
--- a/internal/call/core.go
+++ b/internal/call/core.go
@@ -528,11 +528,11 @@
 	for _, s := range u.Servers {
 		named[s.ID] = true
 		entries = append(entries, s.ServerEntry)
-		c.setStatus(s.ID, s.Status)
 		if s.Address == "" {
 			s.Address = c.places[s.ID].Address
 		}
 		c.places[s.ID] = s
+		c.setStatus(s.ID, s.Status) // which forgets the place of one that is gone
 	}
 	if u.Whole {
 		var gone []control.ServerID
--- a/internal/call/core_test.go
+++ b/internal/call/core_test.go
@@ -54,6 +54,26 @@
 	s.react(server, a)
 }
 
+// ended has an attempt end without an answer, if it is still out.
+func (s *site) ended(server control.ServerID, a SetUp, o control.Outcome) {
+	if s.out[a.ID] != server {
+		return
+	}
+	delete(s.out, a.ID)
+	if o == control.Reset {
+		s.ready[a.ID] = time.Now().Add(guard)
+	}
+	s.core.Ended(server, a.ID, a.Attempt, o, false, nil)
+}
+
+// answered has an attempt answered, if it is still out.
+func (s *site) answered(server control.ServerID, a SetUp) {
+	if s.out[a.ID] == server {
+		delete(s.out, a.ID)
+		s.core.Answered(server, a.ID, a.Attempt, "d")
+	}
+}
+
 const guard = 60 * time.Millisecond
 
 func newSite(t *testing.T) *site {
@@ -89,23 +109,14 @@
 func TestEveryCallIsAnsweredOnceAndByTheRules(t *testing.T) {
 	s := newSite(t)
 	loop := s.core.Loop()
-	ended := func(server control.ServerID, a SetUp, o control.Outcome) {
-		if s.out[a.ID] == server {
-			delete(s.out, a.ID)
-			if o == control.Reset {
-				s.ready[a.ID] = time.Now().Add(guard)
-			}
-			s.core.Ended(server, a.ID, a.Attempt, o, false, nil)
-		}
-	}
 	s.react = func(server control.ServerID, a SetUp) {
 		switch s.setUps % 5 {
 		case 0: // silent, but for an answer when it has long been withdrawn
 			loop.After(700*time.Millisecond, func() { s.core.Answered(server, a.ID, a.Attempt, "late") })
 		case 1:
-			loop.After(5*time.Millisecond, func() { ended(server, a, control.Reset) })
+			loop.After(5*time.Millisecond, func() { s.ended(server, a, control.Reset) })
 		case 2:
-			loop.After(5*time.Millisecond, func() { ended(server, a, control.Full) })
+			loop.After(5*time.Millisecond, func() { s.ended(server, a, control.Full) })
 		default:
 			loop.After(5*time.Millisecond, func() {
 				if s.out[a.ID] == server {
