--- a/internal/dispatchers/dispatchers.go
+++ b/internal/dispatchers/dispatchers.go
@@ -10,11 +10,12 @@
 	"cherryrelay/control"
 	"cherryrelay/internal/call"
 	"cherryrelay/internal/conn"
+	"cherryrelay/internal/decide/links"
 )
 
 const (
-	// MaxLinks is how many connections a dispatcher is given; it takes four. One that breaks takes the set-ups on it
-	// along, so they are spread.
+	// MaxLinks is how many connections a dispatcher is given at most; it takes four. How many it is worth by now
+	// is decided in decide/links.
 	MaxLinks = 4
 	// checkEvery is the pace of the look at every dispatcher.
 	checkEvery = 100 * time.Millisecond
@@ -121,6 +122,7 @@
 	unanswered bool      // the last connection tried did not come up in time
 	replaced   bool      // another dispatcher has its address now
 	releases   []release
+	demand     links.Demand
 }
 
 // waiting is an attempt for which there is no connection yet.
@@ -204,7 +206,7 @@
 		return
 	case len(s.links) == 0:
 		s.connect()
-	case len(s.links) < s.pool.links && silent <= silence: // also to one that drains: a new one brings the releases of a lost one
+	case len(s.links) < s.wanted(now) && silent <= silence: // also to one that drains: a new one brings the releases of a lost one
 		s.connect()
 	case silent > silence && (s.openSetUps() > 0 || s.pool.core.Standing(s.ID) > 0):
 		if silent > deadAfter && s.unanswered {
@@ -249,6 +251,19 @@
 	return s.replaced || s.Status == control.Removed && !(s.Lingers && s.pool.core.Standing(s.ID) > 0)
 }
 
+// wanted is how many connections there should be.
+func (s *server) wanted(now time.Time) int {
+	oldest := time.Duration(0)
+	for _, l := range s.links {
+		for _, i := range l.invites {
+			if i.withdrawn.IsZero() && l.heardAt.Before(i.sentAt) {
+				oldest = max(oldest, now.Sub(i.sentAt))
+			}
+		}
+	}
+	return s.demand.Wanted(now, oldest, s.pool.links)
+}
+
 func (s *server) openSetUps() int {
 	n := 0
 	for _, l := range s.links {
@@ -374,7 +389,10 @@
 		p.core.Ended(id, a.ID, a.Attempt, control.Unreachable, false, nil)
 		return
 	}
-	if l := s.least(a.ID); l != nil {
+	s.demand.Note(time.Now(), s.openSetUps()+len(s.waiting)+1)
+	// Where one was given up on the best connection without an answer, a new one is worth its handshake: it may be that
+	// connection which is dead, and not the dispatcher.
+	if l := s.least(a.ID); l != nil && (l.load() < owedWeight || len(s.links) >= s.pool.links) {
 		l.setUp(a)
 		return
 	}
--- a/internal/dispatchers/link.go
+++ b/internal/dispatchers/link.go
@@ -288,5 +288,7 @@
 	if now := time.Now(); now.Sub(l.openedAt) < redialLeast {
 		s.redialAt = now.Add(redialLeast) // a dispatcher that closes whatever is new is not dialled without pause
 	}
-	s.connect()
+	if len(s.links) == 0 || len(s.links) < s.wanted(time.Now()) {
+		s.connect()
+	}
 }
