Tell a dispatcher the time that is left once a set-up has waited for its connection

Checked by reading the ways a set-up takes to its dispatcher: one without a connection waits for it, up to 0.5 s, and dispatchers.ready sent it with its whole limit. Its dispatcher then holds it to be out that much longer than the controller, which counts the guard from its own time-out. P-Time-Left is how long the controller will wait, so this was wrong whether or not it broke the rule. What has waited now tells what is left, and is not sent when nothing is. Ruled out: the controller's own timer coming late, which can only lengthen the guard. Still open, and in docs/fleet.md: a withdrawal that does not arrive.

--- a/internal/dispatchers/dispatchers.go
+++ b/internal/dispatchers/dispatchers.go
@@ -128,7 +128,16 @@
 // waiting is an attempt for which there is no connection yet.
 type waiting struct {
 	call.SetUp
-	until time.Time
+	since, until time.Time
+}
+
+// due is the set-up as it is to be sent by now; not ok if its time has passed. What it tells its dispatcher is how long the
+// controller will wait: told the whole limit, the dispatcher would still have it out when the controller has given it up,
+// and the next attempt would come before the end of the guard.
+func (w *waiting) due(now time.Time) (a call.SetUp, ok bool) {
+	a = w.SetUp
+	a.Limit -= max(now.Sub(w.since), 0)
+	return a, a.Limit > 0
 }
 
 // release is one that no connection was open for.
@@ -339,10 +348,15 @@
 		l.send(l.wire.Release(r.id, r.cause))
 	}
 	s.releases = nil
-	for _, w := range s.waiting {
-		l.setUp(w.SetUp)
-	}
+	waited := s.waiting
 	s.waiting = nil
+	for _, w := range waited {
+		if a, ok := w.due(time.Now()); ok {
+			l.setUp(a)
+		} else {
+			s.pool.core.Ended(s.ID, w.ID, w.Attempt, control.Unreachable, false, nil)
+		}
+	}
 }
 
 // drop closes all connections and ends what was under way.
@@ -396,7 +410,8 @@
 		l.setUp(a)
 		return
 	}
-	s.waiting = append(s.waiting, waiting{a, time.Now().Add(p.ConnectTimeout)})
+	now := time.Now()
+	s.waiting = append(s.waiting, waiting{a, now, now.Add(p.ConnectTimeout)})
 	s.connect()
 }
 
