Read on after a bad request of operators, and have its test wait for its idle connections

Checked: two causes. A connection with a bad request was closed with bytes unread, which resets it and loses the answer; it is finished now, and read for 250 ms more.

--- a/cmd/cherryrelay/operators_test.go
+++ b/cmd/cherryrelay/operators_test.go
@@ -15,6 +15,7 @@
 	"cherryrelay/internal/callers"
 	"cherryrelay/internal/config"
 	"cherryrelay/internal/jsonl"
+	"cherryrelay/internal/management"
 	"cherryrelay/internal/peer"
 )
 
@@ -122,12 +123,18 @@
 func TestManagementAddress(t *testing.T) {
 	w := newWorldWithin(t, "tcp", "tcp", callers.Bounds{Silent: long, Idle: long})
 	w.caller()
-	for range 40 { // far more than are kept
+	const idle = 40 // far more than are kept
+	shut := make(chan struct{}, idle)
+	for range idle {
 		nc, err := net.Dial("tcp", w.node.manage.Address())
 		w.must(err)
 		t.Cleanup(func() { _ = nc.Close() })
 		_, err = io.WriteString(nc, "GET /api/re")
 		w.must(err)
+		go func() { _, _ = nc.Read(make([]byte, 1)); shut <- struct{}{} }()
+	}
+	for range idle - management.MaxOpen { // all have been accepted then: one that came later would shut one of those below
+		<-shut
 	}
 	for _, test := range []struct{ send, want, has string }{
 		{"GET /api/ready HTTP/1.1\r\nHost: h\r\n\r\n", "200 OK", "Connection: close"},
--- a/internal/management/management.go
+++ b/internal/management/management.go
@@ -159,6 +159,9 @@
 	s.loop.After(lookEvery, s.look)
 }
 
+// lingerFor is how long a connection with a bad request is still read.
+const lingerFor = 250 * time.Millisecond
+
 // client is one connection.
 type client struct {
 	server *Server
@@ -178,7 +181,10 @@
 	switch {
 	case err != nil:
 		c.conn.Write(http1.Response(http.StatusBadRequest, err.Error()+"\n", "Content-Type: "+plain))
-		return err //nolint:wrapcheck // it says what it is
+		in.Discard(in.Len())
+		c.Closed(err)
+		c.conn.Finish(lingerFor) // closed with bytes unread, it would be reset, and the answer lost
+		return nil
 	case r == nil:
 		return nil
 	}
