--- a/cmd/cherryrelay/standing_test.go
+++ b/cmd/cherryrelay/standing_test.go
@@ -62,12 +62,7 @@
 		t.Fatal(err)
 	}
 	defer silent.Close()
-	closed, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	nobody := closed.Addr().String()
-	closed.Close()
+	nobody := fixed(t)
 	for name, before := range map[string]func(w *world){
 		"no list":         func(*world) {},
 		"an empty list":   func(w *world) { w.lists(0, nil) },
--- a/cmd/cherryrelay/upgrade_test.go
+++ b/cmd/cherryrelay/upgrade_test.go
@@ -15,17 +15,17 @@
 	"cherryrelay/internal/config"
 	"cherryrelay/internal/handover"
 	"cherryrelay/internal/management"
+	"cherryrelay/internal/peer"
 )
 
 // fixed is a local address whose port is free.
 func fixed(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := peer.Free()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
-	return l.Addr().String()
+	return address
 }
 
 // another starts a second process at the same addresses. It knows no dispatchers yet.
--- a/deploy/built_test.go
+++ b/deploy/built_test.go
@@ -5,7 +5,6 @@
 	"debug/elf"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -95,12 +94,11 @@
 
 func free(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := peer.Free()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
-	return l.Addr().String()
+	return address
 }
 
 // run starts the run line's program with one dispatcher on its list.
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -22,6 +22,16 @@
 // Patience is how long a peer waits for what must come. Only what has gone wrong ever takes as long.
 const Patience = 20 * time.Second
 
+// Free is a local address that nobody listens at by now.
+func Free() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", fmt.Errorf("free address: %w", err)
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
 // stream is a connection that reads into a ring.
 type stream struct {
 	net.Conn
