Send no set-up on a connection that has long been silent

To blame: dispatchers.least, which hands out a connection however long it has been silent. Now one that was silent for 2.5 s is not used while another may be opened; to a dispatcher that is cut off none comes up, and the call goes elsewhere as never sent.

A story fails without it.

--- a/cmd/cherryrelay/stories_test.go
+++ b/cmd/cherryrelay/stories_test.go
@@ -528,6 +528,27 @@
 	})
 }
 
+func TestASetUpAvoidsALinkThatWasSilentForLong(t *testing.T) {
+	// Sent on the connection to a dispatcher that was cut off, a set-up and its withdrawal were stuck and arrived together as
+	// the cut ended, when the call was on its way elsewhere already: sooner than the guard allows.
+	story(t, []string{"d0: setup 1 x", "caller: answer 1 y", "d0: setup 2 x", "caller: answer 2 z"}, func(w *world) {
+		w.linked(0, 1)
+		c := w.caller()
+		w.must(c.SetUp(id(1), long, 0, "x"))
+		e := w.gets(0)
+		w.must(e.Answer("y"))
+		w.hears(c)
+		time.Sleep(2600 * time.Millisecond) // a slow machine makes it longer
+		w.must(c.SetUp(id(2), long, 0, "x"))
+		f := w.gets(0)
+		if f.Beside(e) {
+			t.Error("the set-up went out on a connection that had been silent for 2.6 s")
+		}
+		w.must(f.Answer("z"))
+		w.hears(c)
+	})
+}
+
 func TestConnectionsThatStayOnMakeRoom(t *testing.T) {
 	// Callers that asked once and kept their connection used up the descriptors: dispatchers could not be connected to,
 	// and new callers were not accepted. A connection with a set-up open is never closed to make room.
--- a/internal/dispatchers/dispatchers.go
+++ b/internal/dispatchers/dispatchers.go
@@ -384,18 +384,33 @@
 // follow an earlier one of its call on the same connection, where a late answer to that could be taken for its own.
 func (s *server) least(id string) *link {
 	var least *link
+	now := time.Now()
 	for i, l := range s.links {
 		if !l.ready() || !l.partial.IsZero() || l.invites[id] != nil || i >= s.pool.links { // beyond those, one is to go
 
 			continue
 		}
-		if least == nil || l.load() < least.load() {
+		if least == nil || l.sound(now) && !least.sound(now) || l.sound(now) == least.sound(now) && l.load() < least.load() {
 			least = l
 		}
 	}
 	return least
 }
 
+// room reports whether one more connection may be opened. One that has long been silent and has nothing to do makes room.
+func (s *server) room(now time.Time) bool {
+	if len(s.links) < s.pool.links {
+		return true
+	}
+	for _, l := range s.links {
+		if l.open() == 0 && !l.sound(now) {
+			l.retire()
+			return true
+		}
+	}
+	return false
+}
+
 // SetUp places an attempt.
 func (p *Pool) SetUp(id control.ServerID, a call.SetUp) {
 	s := p.servers[id]
@@ -404,13 +419,12 @@
 		return
 	}
 	s.demand.Note(time.Now(), s.openSetUps()+len(s.waiting)+1)
-	// Where one was given up on the best connection without an answer, a new one is worth its handshake: it may be that
-	// connection which is dead, and not the dispatcher.
-	if l := s.least(a.ID); l != nil && (l.load() < owedWeight || len(s.links) >= s.pool.links) {
+	now := time.Now()
+	l := s.least(a.ID)
+	if l != nil && (l.sound(now) || !s.room(now)) {
 		l.setUp(a)
 		return
 	}
-	now := time.Now()
 	s.waiting = append(s.waiting, waiting{a, now, now.Add(p.ConnectTimeout)})
 	s.connect()
 }
--- a/internal/dispatchers/link.go
+++ b/internal/dispatchers/link.go
@@ -197,6 +197,13 @@
 	return n
 }
 
+// sound reports whether one more set-up may go out here while a new connection may be opened. On one that has long been silent,
+// a set-up and what takes it back may both be stuck, if its dispatcher is cut off: they arrive together as that ends, and the
+// guard counts from there. And where one was given up without an answer, it may be the connection that is dead.
+func (l *link) sound(now time.Time) bool {
+	return now.Sub(l.heardAt) <= silence && l.load() < owedWeight
+}
+
 // take acts on a message. An error ends the connection.
 func (l *link) take(m *Message) error {
 	s, core := l.server, l.server.pool.core
