Rest once for one burst of ends, and gather no more than the wanted wait

Within 0.5 s of 28 calls that were out at once, sixteen found no line, and each of those ends doubled the rest (rest, called by ended for Full without a line, which unlike doubt did not look at when the call was sent); the doubt that followed began from there.

Change: only what was sent since the last rest doubles it; the first rest is a third of the aim, half a second at most; a window gathers no more starts than make the wanted wait; a server in doubt that gets no call of first choice for 8 s gets trials of second choice.

--- a/control/control.go
+++ b/control/control.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"fmt"
 	"maps"
 	"math"
 	"math/rand/v2"
@@ -37,7 +36,9 @@
 	memory = time.Second
 	// fullRest is how long a server that answered full, or could not be reached, is left alone.
 	fullRest = 250 * time.Millisecond
-	// doubtRest is the first rest of a server in doubt, mostRest the longest that its reported wait calls for.
+	// doubtShare of the tightest aim, doubtRest at most, is the first rest of a server in doubt; mostRest is the
+	// longest that its reported wait calls for.
+	doubtShare      = 0.33
 	doubtRest       = 500 * time.Millisecond
 	mostRest        = 4 * time.Second
 	unreachableRest = time.Second
@@ -106,7 +107,8 @@
 	ServerEntry
 	out       []*call // attempts without an answer, oldest first
 	restUntil time.Duration
-	rest      time.Duration // the last rest after a full; 0 once a call has stood
+	restAt    time.Duration // when the last rest began
+	rest      time.Duration // how long that was; 0 once a call has stood
 	lines     float64       // its size; 1 if unknown
 	free      int           // lines free at the last report, less own starts since; -1 if unknown
 	spare     int           // this node's part of them, for calls of second choice; -1 if unknown
@@ -221,7 +223,8 @@
 
 // roll lets the window of a server allow what the time since the last turn is worth, and resizes it at the
 // end of an update interval. What is not a whole call yet is carried on: N may be much less than one, but not
-// than the node's part of the rate that the server tells: own starts may be too few to say anything.
+// than the node's part of the rate that the server tells: own starts may be too few to say anything. What has
+// gathered is sent in one burst, so it is no more than makes the wanted wait if all nodes' bursts meet.
 func (c *Controller) roll(s *server) {
 	since := c.now - s.rolledAt
 	s.rolledAt = c.now
@@ -229,7 +232,7 @@
 		s.limit = 0
 	}
 	s.limit = max(s.limit, c.able(s)/float64(max(c.settings.Peers, 1))*controlPeriod.Seconds())
-	most := max(1, s.limit)
+	most := max(1, s.limit*targetShare*c.aim.Seconds()/controlPeriod.Seconds())
 	if s.cold {
 		s.limit, most = c.coldRate(s)*controlPeriod.Seconds(), 1
 	}
@@ -306,8 +309,8 @@
 		s.rest > 0 && len(s.out) > 0 { // one at a time until a call has stood
 		return false
 	}
-	if s.suspect && !s.cold {
-		return first // a trial call
+	if s.suspect && !s.cold { // a trial call, of second choice only where none of first choice has come
+		return first || c.now-s.restUntil > trialGap*doubtRest
 	}
 	return s.credit >= 1 || s.open && (first || s.limit == 0)
 }
@@ -605,7 +608,7 @@
 		case Full:
 			s.heardAt = c.now
 			if e.NoLine {
-				c.rest(s, fullRest)
+				c.rest(s, fullRest, c.now-e.Elapsed)
 			} else {
 				// Its queue is at its limit: nothing sent now can stand in time.
 				c.doubt(s, c.now-e.Elapsed)
@@ -685,7 +688,7 @@
 func (c *Controller) watch(s *server) {
 	limit := c.patience()
 	if c.age(s)-c.quiet > limit && !s.suspect {
-		c.doubt(s, c.now)
+		c.doubt(s, c.now-c.age(s))
 	}
 	if !s.suspect || c.now-s.heardAt < limit || !c.settings.MayCancel {
 		return
@@ -719,12 +722,17 @@
 		s.full = true
 		c.update(s)
 	}
-	c.rest(s, doubtRest)
+	c.rest(s, min(doubtRest, max(fullRest, time.Duration(doubtShare*float64(c.aim)))), sentAt)
 }
 
-// rest leaves a server alone for a while, which doubles each time in a row.
-func (c *Controller) rest(s *server, least time.Duration) {
-	s.rest = min(max(2*s.rest, least), trialGap*least)
+// rest leaves a server alone for a while, which doubles each time in a row. The end of a set-up that was sent
+// before the last rest tells nothing new: many that were out at once end alike.
+func (c *Controller) rest(s *server, least, sentAt time.Duration) {
+	if sentAt >= s.restAt {
+		s.rest *= 2
+	}
+	s.restAt = c.now
+	s.rest = min(max(s.rest, least), trialGap*least)
 	s.restUntil = max(s.restUntil, c.now+s.rest+time.Duration(c.rng.Int64N(int64(s.rest)/2+1)))
 }
 
@@ -850,16 +858,14 @@
 	s.cold, s.coldFrom, s.suspect = true, at, false
 	s.open, s.credit = false, c.rng.Float64()
 	s.delay = 0
-	c.do(Log{Text: fmt.Sprintf("server %s starts cold", s.ID)})
+	c.do(Log{Text: "server " + string(s.ID) + " starts cold"})
 }
 
 // coldRate is how many starts a second a cold server is sent: this node's part of what a warm one gets, cut
 // to the share it can do by now, times half of the multiple that pushes it over. So the sum of all is safe.
 func (c *Controller) coldRate(s *server) float64 {
 	since := float64(c.now-s.coldFrom) / float64(max(c.settings.ColdFor, 1))
-	if since >= 1 {
-		s.cold = false
-	}
+	s.cold = since < 1
 	share := c.settings.StartShare + (1-c.settings.StartShare)*min(max(0, since), 1)
 	return c.rate(s) * share * max(1, c.settings.TipMultiple/2)
 }
@@ -892,19 +898,13 @@
 
 // size is what a server can take against the others: its weight, or its lines.
 func (s *server) size() float64 {
-	if s.Weight > 0 {
-		return float64(s.Weight)
-	}
-	return s.lines
+	return cmp.Or(float64(max(s.Weight, 0)), s.lines)
 }
 
 // able is how many set-ups a second the server can take from all nodes: as it told, or by what others tell
 // for a line; 0 if none does.
 func (c *Controller) able(s *server) float64 {
-	if s.able > 0 {
-		return s.able
-	}
-	return s.lines * c.perLine
+	return cmp.Or(s.able, s.lines*c.perLine)
 }
 
 func (s *server) ownRate() float64 { return perSecond(s.stood, s.watched) }
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -716,6 +716,62 @@
 	}
 }
 
+// firstRest is the first rest of a server in doubt under the aim of the node's settings.
+func firstRest(n *node) time.Duration { return time.Duration(doubtShare * float64(n.c.aim)) }
+
+// TestEndsOfOneBurstAreOneRest: of what was out at a server at once, each end doubled its rest: sixteen calls that found no line
+// were told within 50 ms, and the largest server of a day rested 11 s while it told waits of 1 ms and 170 free lines.
+func TestEndsOfOneBurstAreOneRest(t *testing.T) {
+	for _, noLine := range []bool{true, false} {
+		n := newNode(t, settings())
+		n.after(0, list(Active, "a"))
+		s := n.c.byID["a"]
+		var ids []CallID
+		for i := range 16 {
+			ids = append(ids, CallID(fmt.Sprint(i)))
+			n.after(ms, offer(ids[i], 0, 0))
+		}
+		if len(s.out) != len(ids) {
+			t.Fatalf("%d calls out, want %d", len(s.out), len(ids))
+		}
+		first := s.out[0].sentAt
+		for _, id := range ids {
+			sent := n.c.calls[id].sentAt
+			n.after(ms, AttemptEnded{ID: id, Server: "a", Outcome: Full, NoLine: noLine, Elapsed: n.now + ms - sent})
+		}
+		if rest := s.restUntil - n.now; rest > fullRest*2 {
+			t.Errorf("no line %v: after %d ends within %v a rest of %v", noLine, len(ids), n.now-first, rest)
+		}
+		n.c.rest(s, fullRest, n.now) // what was sent since doubles it
+		if s.rest < 2*fullRest {
+			t.Errorf("no line %v: the next rest is %v, want it doubled", noLine, s.rest)
+		}
+	}
+}
+
+// TestWhatGathersMakesNoMoreThanTheWantedWait: with a whole period's starts gathered in a rest, the calls held meanwhile left in
+// one burst, made a queue of a third of the aim, and were the cause of the next rest.
+func TestWhatGathersMakesNoMoreThanTheWantedWait(t *testing.T) {
+	n := newNode(t, settings())
+	n.after(0, list(Active, "a"))
+	s := n.c.byID["a"]
+	rate := 100.0 // starts a second
+	s.open, s.limit = false, rate*controlPeriod.Seconds()
+	s.restUntil = n.now + 2*controlPeriod
+	for i := range 200 {
+		n.after(ms, offer(CallID(fmt.Sprint(i)), 0, 0))
+	}
+	n.after(2*controlPeriod)
+	want := int(rate * targetShare * n.c.aim.Seconds())
+	if got := len(s.out); got > want+1 || got < want-1 {
+		t.Errorf("%d starts at once after a rest, want the %d that make the wanted wait", got, want)
+	}
+	s.limit = 0.1
+	if n.c.roll(s); s.credit > 1 {
+		t.Errorf("a window of less than a call gathers %.2f starts", s.credit)
+	}
+}
+
 // TestRestsAreShortAtAnySize: counted in a node's own calls, as they once were, rests of many nodes lasted for tens of
 // seconds after the trouble had passed.
 func TestRestsAreShortAtAnySize(t *testing.T) {
@@ -726,7 +782,8 @@
 		n.after(0, list(Active, "a"))
 		n.after(10*time.Second, offer("1", 0, 0))
 		s := n.c.byID["a"]
-		for _, least := range []time.Duration{doubtRest, 2 * doubtRest, 4 * doubtRest} {
+		first := firstRest(n)
+		for _, least := range []time.Duration{first, 2 * first, 4 * first} {
 			n.c.doubt(s, n.now)
 			if rest := s.restUntil - n.now; rest < least || rest > least*3/2 {
 				t.Errorf("%d nodes: rest %v, want %v to half more", peers, rest, least)
@@ -788,7 +845,7 @@
 	rests := []time.Duration{}
 	for round := range 3 {
 		n.c.doubt(s, n.now)
-		rests = append(rests, (s.restUntil - n.now).Truncate(doubtRest))
+		rests = append(rests, (s.restUntil - n.now).Truncate(firstRest(n)))
 		n.after(ms, told("a", 100, 0, 40))
 		if !s.suspect {
 			t.Fatal("a report inside the rest ended the doubt")
@@ -806,7 +863,7 @@
 		}
 		n.after(ms, CallerLeft{ID: CallID(fmt.Sprint("x", round))}, CallerLeft{ID: CallID(fmt.Sprint("y", round))})
 	}
-	if rests[0] < doubtRest || rests[1] < 2*rests[0] || rests[2] < 2*rests[1]-doubtRest {
+	if first := firstRest(n); rests[0] < first || rests[1] < 2*rests[0] || rests[2] < 2*rests[1]-first {
 		t.Errorf("rests %v, want each twice the last", rests)
 	}
 	n.c.doubt(s, n.now)
@@ -825,7 +882,7 @@
 func TestTrialsAreOfFirstChoice(t *testing.T) {
 	n := withRates(t, "a", "b")
 	for _, s := range n.c.servers {
-		s.suspect = true
+		s.suspect, s.restUntil = true, n.now
 	}
 	other, home := offer("other", 0, 0), offer("home", 0, 0)
 	other.FirstCell, home.FirstCell = 1, 0
@@ -836,9 +893,17 @@
 	if sent := of[SetUp](n.after(ms, home)); len(sent) != 1 || sent[0].ID != "home" || sent[0].Server != "a" {
 		t.Errorf("sent %v, want the call of first choice", sent)
 	}
+	// Nobody's first choice, and without calls to report on, it would be in doubt for ever.
+	n.c.byID["a"].drop(n.c.calls["home"])
+	n.after(trialGap*doubtRest, CallerLeft{ID: "other"}, CallerLeft{ID: "home"})
+	late := offer("late", 0, 0)
+	late.FirstCell = 1
+	if sent := of[SetUp](n.after(ms, late)); len(sent) != 1 || sent[0].Server != "a" {
+		t.Errorf("sent %v, want a trial call of second choice after a long time without any", sent)
+	}
+	n.c.byID["a"].drop(n.c.calls["late"])
 	none := offer("none", 0, 0)
 	none.FirstCell = 9
-	n.c.byID["a"].drop(n.c.calls["home"])
 	if sent := of[SetUp](n.after(ms, none)); len(sent) != 1 {
 		t.Errorf("sent %v, want the call that has no first choice", sent)
 	}
