--- a/control/control_test.go
+++ b/control/control_test.go
@@ -761,7 +761,7 @@
 	for i := range 200 {
 		n.after(ms, offer(CallID(fmt.Sprint(i)), 0, 0))
 	}
-	n.after(2*controlPeriod)
+	n.after(2 * controlPeriod)
 	want := int(rate * targetShare * n.c.aim.Seconds())
 	if got := len(s.out); got > want+1 || got < want-1 {
 		t.Errorf("%d starts at once after a rest, want the %d that make the wanted wait", got, want)
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -5,6 +5,7 @@
 import (
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"slices"
 	"strconv"
@@ -22,9 +23,11 @@
 // Patience is how long a peer waits for what must come. Only what has gone wrong ever takes as long.
 const Patience = 20 * time.Second
 
-// Free is a local address that nobody listens at by now.
+// Free is a local address that nobody listens at by now. Its host is one of the loopback range that no connection goes out from: at
+// 127.0.0.1 the port may be taken for one before who asked listens there.
 func Free() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	host := net.IPv4(127, byte(1+rand.IntN(254)), byte(rand.IntN(256)), byte(1+rand.IntN(254)))
+	l, err := net.Listen("tcp", net.JoinHostPort(host.String(), "0"))
 	if err != nil {
 		return "", fmt.Errorf("free address: %w", err)
 	}
