Know who lives in the fleet, and what is certain, with [fleet]

Need: takeover of calls and fleet-wide budgets stand on it. A controller holds its name by a key under a lease in etcd; decide/members, pure, says from what the store answered and when whether the own name is certain, and whose end is.

--- a/cmd/cherryrelay/node.go
+++ b/cmd/cherryrelay/node.go
@@ -15,7 +15,6 @@
 	"cherryrelay/internal/ledger"
 	"cherryrelay/internal/lists"
 	"cherryrelay/internal/lists/coordinator"
-	"cherryrelay/internal/lists/etcd"
 	"cherryrelay/internal/lists/files"
 	"cherryrelay/internal/lists/stored"
 	"cherryrelay/internal/management"
@@ -37,6 +36,7 @@
 	files   *files.Watcher // nil without a pool file
 	store   *stored.Store  // nil without a state directory
 	ledger  *ledger.Ledger // nil without one, or while a predecessor has it
+	fleet   *fleet         // nil without a fleet
 	cancel  context.CancelFunc
 	bounds  callers.Bounds
 	terms   *callers.Terms
@@ -127,12 +127,8 @@
 	}
 	n.list = coordinator.New(c.Coordinator, c.Known.Index, log, keeper.Stream(decide.FromCoordinator))
 	go n.list.Run(ctx)
-	if c.Etcd != nil {
-		list, err := etcd.New(*c.Etcd, log, keeper.Stream(decide.FromEtcd))
-		if err != nil {
-			return nil, err
-		}
-		go list.Run(ctx)
+	if err := n.followStore(ctx); err != nil {
+		return nil, err
 	}
 	n.share()
 	u.run()
@@ -199,6 +195,9 @@
 	if n.ledger != nil { // before a successor is told that this one has ended
 		err = n.ledger.Close()
 	}
+	if n.fleet != nil {
+		err = errors.Join(err, n.fleet.close())
+	}
 	err = errors.Join(err, n.upgrade.end())
 	for _, f := range []*callers.Front{n.lines, n.api} {
 		if f != nil {
@@ -212,7 +211,12 @@
 }
 
 // drain begins a planned end.
-func (n *node) drain() { n.loop.Post(n.core.Drain) }
+func (n *node) drain() {
+	n.loop.Post(func() {
+		n.leave()
+		n.core.Drain()
+	})
+}
 
 // reload takes from a configuration what can change while calls are served, in one turn of the loop or not at all:
 // settings, coordinator and limits. All else, the known list among it, holds from the start: the numbers of the list go
--- a/cmd/cherryrelay/upgrade.go
+++ b/cmd/cherryrelay/upgrade.go
@@ -192,6 +192,7 @@
 		return
 	}
 	u.ready = true
+	n.leave()
 	for _, f := range n.fronts() {
 		f.Listener().Stop()
 	}
--- a/internal/commands/commands.go
+++ b/internal/commands/commands.go
@@ -78,6 +78,7 @@
 		check(getenv),
 		poolCommand(getenv),
 		ledgerCommand(),
+		fleetCommand(getenv),
 		&cobra.Command{Use: "version", Short: "Tell the version", Args: cobra.NoArgs, Run: func(c *cobra.Command, _ []string) {
 			fmt.Fprintln(c.OutOrStdout(), version())
 		}},
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -141,6 +141,11 @@
 	if err := c.Operator.check(); err != nil {
 		return err
 	}
+	if c.Fleet != nil {
+		if err := c.Fleet.check(c.Name, c.Ledger); err != nil {
+			return err
+		}
+	}
 	if n := c.sources(); n > 1 {
 		return errors.New("more than one of coordinator, etcd and pool are named: there can be one list")
 	}
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -9,11 +9,13 @@
 	"reflect"
 	"strconv"
 	"strings"
+	"time"
 
 	"cherryrelay/internal/inifile"
 	"cherryrelay/internal/ledger"
 	"cherryrelay/internal/lists/etcd"
 	"cherryrelay/internal/lists/files"
+	"cherryrelay/internal/membership"
 	"cherryrelay/internal/settings"
 )
 
@@ -24,6 +26,7 @@
 	Pool      *files.Options `json:"pool" need:"optional"`
 	State     *State         `json:"state" need:"optional"`
 	Ledger    *Ledger        `json:"ledger" need:"optional"`
+	Fleet     *Fleet         `json:"fleet" need:"optional"`
 	Log       Log            `json:"log" need:"optional"`
 }
 
@@ -67,6 +70,46 @@
 	return nil
 }
 
+// Fleet is where the controllers of a site know of one another.
+type Fleet struct {
+	Endpoints []string `json:"endpoints"` // of etcd
+	Prefix    string   `json:"prefix"`    // of the members' keys; a slash is put at its end
+	Ledgers   string   `json:"ledgers"`   // a directory that all controllers reach, each with its ledger below it under its name; empty for none
+	LeaseMs   int64    `json:"lease_ms"`  // 0 for the default
+}
+
+// Lease is how long a controller keeps its place without a word.
+func (f *Fleet) Lease() time.Duration {
+	if f.LeaseMs == 0 {
+		return membership.DefaultLease
+	}
+	return time.Duration(f.LeaseMs) * time.Millisecond
+}
+
+func (f *Fleet) check(name string, l *Ledger) error {
+	if len(f.Endpoints) == 0 {
+		return errors.New("fleet.endpoints: no endpoints are named")
+	}
+	for _, e := range f.Endpoints {
+		if err := address("fleet.endpoints", e); err != nil {
+			return err
+		}
+	}
+	switch {
+	case f.Prefix == "":
+		return errors.New("fleet.prefix: no prefix is named")
+	case f.Lease() < membership.LeastLease || f.Lease() > membership.MostLease:
+		return fmt.Errorf("fleet.lease_ms: %d is not between %d and %d", f.LeaseMs, membership.LeastLease.Milliseconds(), membership.MostLease.Milliseconds())
+	case name == "" || strings.Contains(name, "/"):
+		return fmt.Errorf("fleet: the controller's name %.40q must be one that a key can end in, without a slash", name)
+	case f.Ledgers != "" && l == nil:
+		return errors.New("fleet.ledgers: there is no [ledger]")
+	case f.Ledgers != "" && filepath.Clean(l.Directory) != filepath.Join(f.Ledgers, name):
+		return fmt.Errorf("fleet.ledgers: ledger.directory must be %q", filepath.Join(f.Ledgers, name))
+	}
+	return nil
+}
+
 // Log is how the log is written.
 type Log struct {
 	Format string `json:"format"` // text or json
@@ -167,6 +210,9 @@
 	if l := c.Ledger; l != nil {
 		l.Directory, l.KeyFile = beside(path, l.Directory), beside(path, l.KeyFile)
 	}
+	if f := c.Fleet; f != nil {
+		f.Ledgers = beside(path, f.Ledgers)
+	}
 	if s := c.State; s != nil {
 		s.Directory = beside(path, s.Directory)
 	}
--- /dev/null
+++ b/internal/decide/members/members_test.go
@@ -0,0 +1,166 @@
+package members
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+)
+
+const lease = 3 * time.Second
+
+// usual is a world with a bit of everything; its clocks differ by as much as the margin allows.
+func usual() odds { return odds{lease: lease, drift: 0.06, lost: 0.2, delay: lease / 4} }
+
+// TestNeverTwo plays processes, a store and a network that loses, delays, pauses, cuts, crashes and goes back: whatever the order, no two
+// processes are certain of one name, and none is that has ended for another.
+func TestNeverTwo(t *testing.T) {
+	joins := 0
+	rapid.Check(t, func(t *rapid.T) {
+		o := usual()
+		o.lost = rapid.Float64Range(0, 0.5).Draw(t, "lost")
+		o.delay = time.Duration(rapid.IntRange(1, 3000).Draw(t, "delay")) * time.Millisecond
+		faults, n := play(rapid.Uint64().Draw(t, "seed"), o, 40)
+		if joins += n; faults != "" {
+			t.Fatal(faults)
+		}
+	})
+	if joins < 500 {
+		t.Errorf("%d times was anybody certain: nothing was tried", joins)
+	}
+}
+
+// TestOffencesAreFound: each of these is wrong by the note, and the world shows it.
+func TestOffencesAreFound(t *testing.T) {
+	for name, plant := range map[string]func(*odds){
+		"clocks beyond the margin":           func(o *odds) { o.drift = 0.3 },
+		"counted from the answer":            func(o *odds) { o.fromAnswer = true },
+		"a silent view ends its members":     func(o *odds) { o.silence = true },
+		"a store that went back is not seen": func(o *odds) { o.keepThrough = true },
+	} {
+		t.Run(name, func(t *testing.T) {
+			o := usual()
+			plant(&o)
+			for seed := range uint64(400) {
+				if faults, _ := play(seed, o, 40); faults != "" {
+					t.Logf("found by seed %d: %s", seed, faults)
+					return
+				}
+			}
+			t.Error("400 worlds did not find it")
+		})
+	}
+}
+
+func entry(name string, incarnation, revision int64, s State) Entry {
+	return Entry{Name: name, Incarnation: incarnation, Revision: revision, State: s}
+}
+
+func TestOwnCertainty(t *testing.T) {
+	v := New("a", lease)
+	certain := func(at time.Duration, want bool) {
+		t.Helper()
+		if _, _, ok := v.Certain(at); ok != want {
+			t.Errorf("at %v certain %v, want %v", at, ok, want)
+		}
+	}
+	certain(0, false)
+	v.Held(time.Second, 0, 7) // asked for at 0, answered at 1 s
+	right := lease - Margin(lease)
+	certain(right-1, true)
+	certain(right, false)
+	v.Renewed(right+time.Second, time.Second, 7) // an answer that comes late counts from when it was asked for
+	certain(time.Second+right-1, true)
+	certain(time.Second+right, false)
+	v.Renewed(5*time.Second, 5*time.Second, 6) // another incarnation's
+	certain(5*time.Second, false)
+	v.Renewed(5*time.Second, 5*time.Second, 7)
+	certain(5*time.Second, true)
+	v.Ended(6*time.Second, "told")
+	certain(6*time.Second, false)
+	v.Renewed(6*time.Second, 6*time.Second, 7) // what is over is not renewed
+	certain(6*time.Second, false)
+	v.Held(7*time.Second, 7*time.Second, 9)
+	certain(7*time.Second, true)
+}
+
+func TestEndsAreOnlyThoseThatTheStoreTells(t *testing.T) {
+	v := New("a", lease)
+	v.Store(0, 1, 10)
+	v.Read(0, 0, 10, []Entry{entry("a", 2, 2, Serving), entry("b", 3, 9, Serving), entry("c", 4, 4, Serving)})
+	if v.Read(1, 1, 9, nil) {
+		t.Error("a read from before what is known was taken")
+	}
+	v.Watched(2, 12, []Change{{entry("b", 3, 11, Leaving), false}, {Entry{Name: "c", Revision: 12}, true}, {Entry{Name: "b", Revision: 9}, true}})
+	v.Watched(3, 14, []Change{{entry("c", 14, 14, Joining), false}})
+	for _, c := range []struct {
+		name        string
+		incarnation int64
+		ended       bool
+	}{{"a", 2, false}, {"b", 3, false}, {"c", 4, true}, {"c", 14, false}, {"d", 1, false}} {
+		if got := v.HasEnded(1, c.name, c.incarnation); got != c.ended {
+			t.Errorf("%s as %d has ended: %v", c.name, c.incarnation, got)
+		}
+	}
+	var seen []string
+	for _, m := range v.Members() {
+		seen = append(seen, fmt.Sprint(m.Name, " ", m.Incarnation, " ", m.State))
+	}
+	if diff := cmp.Diff([]string{"a 2 serving", "b 3 leaving", "c 14 joining"}, seen); diff != "" {
+		t.Errorf("members (-want +got):\n%s", diff)
+	}
+	// Another store, and one that went back: who is missing there has not ended.
+	for i, moved := range []struct {
+		cluster  uint64
+		revision int64
+	}{{2, 20}, {2, 5}} {
+		if v.Store(4, moved.cluster, moved.revision) {
+			t.Errorf("store %d was taken for the one before", i)
+		}
+		v.Read(5, 5, moved.revision, nil)
+		if v.HasEnded(1, "b", 3) || v.HasEnded(2, "b", 3) || v.HasEnded(2, "a", 2) {
+			t.Error("who is missing in another store is held to have ended")
+		}
+	}
+}
+
+func TestAgeOfTheView(t *testing.T) {
+	v := New("a", lease)
+	if _, known := v.Age(0); known {
+		t.Error("a view that was never read is known")
+	}
+	v.Held(0, 0, 1)
+	v.Read(time.Second, 0, 10, nil)
+	v.Looked(2*time.Second, 15) // the store has gone on, and the watch has not told
+	if age, _ := v.Age(3 * time.Second); age != 3*time.Second || !v.Behind() {
+		t.Errorf("age %v, behind %v", age, v.Behind())
+	}
+	v.Watched(3*time.Second, 15, nil)
+	if age, _ := v.Age(3 * time.Second); age != time.Second || v.Behind() {
+		t.Errorf("age %v, behind %v, once the watch has told all", age, v.Behind())
+	}
+	v.Renewed(8*time.Second, 8*time.Second, 1)
+	if !v.Actable(8*time.Second) || v.Actable(8*time.Second+1) {
+		t.Error("a view is acted on until it is two leases old")
+	}
+}
+
+// TestBounds: names come and go a thousand times and more; what is kept of them does not grow.
+func TestBounds(t *testing.T) {
+	v := New("a", lease)
+	v.Read(0, 0, 1, nil)
+	for i := range int64(5000) {
+		v.Watched(time.Duration(i), 3+2*i, []Change{
+			{entry(fmt.Sprint("n", i), 2+2*i, 2+2*i, Serving), false}, {Entry{Name: fmt.Sprint("n", i), Revision: 3 + 2*i}, true}})
+		v.Looked(time.Duration(i), 1<<40+i)
+	}
+	if len(v.members) > 0 || len(v.gone) > keepGone || len(v.history) > keepHistory || len(v.looks) > 8 {
+		t.Errorf("%d members, %d gone, %d lines of history, %d looks", len(v.members), len(v.gone), len(v.history), len(v.looks))
+	}
+	events, next := v.History(9995)
+	if len(events) != 5 || next != 10000 {
+		t.Errorf("%d events from 9995 on, the next is %d", len(events), next)
+	}
+}
--- a/internal/lists/etcd/etcd.go
+++ b/internal/lists/etcd/etcd.go
@@ -47,9 +47,22 @@
 	return nil
 }
 
+// Dial makes a client for endpoints, which need not be up yet.
+func Dial(endpoints []string) (*clientv3.Client, error) {
+	client, err := clientv3.New(clientv3.Config{
+		Endpoints: endpoints, DialTimeout: readWithin, DialKeepAliveTime: keepAlive, DialKeepAliveTimeout: keepAlive,
+		BackoffWaitBetween: retryLeast, Logger: zap.NewNop(),
+	})
+	if err != nil {
+		return nil, fmt.Errorf("etcd: %w", err)
+	}
+	return client, nil
+}
+
 // List follows the prefix.
 type List struct {
 	client *clientv3.Client
+	own    bool // the client is closed with the list
 	prefix string
 	log    *slog.Logger
 	take   func(call.Update) // called in order, by one goroutine
@@ -58,20 +71,27 @@
 
 // New connects to etcd, which need not be up yet.
 func New(o Options, log *slog.Logger, take func(call.Update)) (*List, error) {
-	client, err := clientv3.New(clientv3.Config{
-		Endpoints: o.Endpoints, DialTimeout: readWithin, DialKeepAliveTime: keepAlive, DialKeepAliveTimeout: keepAlive,
-		BackoffWaitBetween: retryLeast, Logger: zap.NewNop(),
-	})
+	client, err := Dial(o.Endpoints)
 	if err != nil {
-		return nil, fmt.Errorf("etcd: %w", err)
+		return nil, err
 	}
-	return &List{client: client, prefix: o.Prefix, log: log, take: take, known: map[string]call.Server{}}, nil
+	l := Over(client, o.Prefix, log, take)
+	l.own = true
+	return l, nil
+}
+
+// Over follows a prefix with a client that others use as well, and does not close it.
+func Over(client *clientv3.Client, prefix string, log *slog.Logger, take func(call.Update)) *List {
+	return &List{client: client, prefix: prefix, log: log, take: take, known: map[string]call.Server{}}
 }
 
 // Run follows the list until the context ends. Whenever the watch cannot go on from where it was, as after a
 // compaction, the list is read anew: what has gone in between is missing from it.
 func (l *List) Run(ctx context.Context) {
 	defer func() {
+		if !l.own {
+			return
+		}
 		if err := l.client.Close(); err != nil {
 			l.log.Debug("closing the etcd client", "err", err)
 		}
--- /dev/null
+++ b/internal/membership/page.go
@@ -0,0 +1,138 @@
+package membership
+
+import (
+	"net/url"
+	"time"
+
+	dto "github.com/prometheus/client_model/go"
+
+	"cherryrelay/internal/decide/members"
+	"cherryrelay/internal/telemetry"
+)
+
+// The paths that operators ask for.
+const (
+	Path        = "/api/fleet"
+	HistoryPath = "/api/fleet/history"
+)
+
+// maxShown bounds the members and the lines of a page, which must be below 64 KiB.
+const maxShown = 300
+
+// Shown is what operators are told of the fleet. Times are in milliseconds, as this process's monotonic clock has them.
+type Shown struct {
+	Name        string        `json:"name"`
+	State       members.State `json:"state"`
+	Incarnation int64         `json:"incarnation"`           // 0 without an own key
+	Certain     bool          `json:"certain"`               // that this process has its name for itself
+	LeftMs      int64         `json:"left_ms"`               // how long that holds if nothing more is heard
+	Holder      string        `json:"name_in_use,omitempty"` // by whom, while it keeps this process out
+	Known       bool          `json:"known"`                 // whether the members were read at all
+	AgeMs       int64         `json:"age_ms"`                // how old the view is at most
+	Actable     bool          `json:"actable"`               // whether it is young enough to act on
+	Store       uint64        `json:"store_id"`              // the number of the store whose revisions incarnations are
+	Revision    int64         `json:"revision"`
+	LeaseMs     int64         `json:"lease_ms"`
+	Counts      Counts        `json:"store"`
+	Members     []ShownMember `json:"members"`
+	Gone        []ShownMember `json:"gone"` // the latest last
+	More        int           `json:"more"` // members that are not shown
+}
+
+// ShownMember is one of them.
+type ShownMember struct {
+	Name        string        `json:"name"`
+	Store       uint64        `json:"store_id"`
+	Incarnation int64         `json:"incarnation"`
+	State       members.State `json:"state"`
+	Address     string        `json:"address"`
+	KnownMs     int64         `json:"known_ms"` // how long this process knows it
+	GoneMs      int64         `json:"gone_ms"`  // how long ago its end was told
+}
+
+// ShownEvent is a line of the history.
+type ShownEvent struct {
+	AgoMs int64 `json:"ago_ms"`
+	members.Event
+}
+
+// History is the latest lines, oldest first.
+type History struct {
+	Events []ShownEvent `json:"events"`
+}
+
+// Pages are what operators may ask for.
+func (f *Fleet) Pages() map[string]func(url.Values) (any, error) {
+	return map[string]func(url.Values) (any, error){
+		Path:        func(url.Values) (any, error) { return f.Show(), nil },
+		HistoryPath: func(url.Values) (any, error) { return f.History(), nil },
+	}
+}
+
+// Show tells what this process knows.
+func (f *Fleet) Show() Shown {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.now()
+	incarnation, until, certain := f.view.Certain(now)
+	age, known := f.view.Age(now)
+	s := Shown{Name: f.o.Name, State: f.state, Incarnation: incarnation, Certain: certain, Holder: f.holder, Known: known,
+		AgeMs: age.Milliseconds(), Actable: f.view.Actable(now), Store: f.view.Cluster(), Revision: f.view.Revision(), LeaseMs: f.o.Lease.Milliseconds(),
+		Counts: f.counts, Members: []ShownMember{}, Gone: []ShownMember{}}
+	if certain {
+		s.LeftMs = (until - now).Milliseconds()
+	}
+	all, gone := f.view.Members(), f.view.Gone()
+	s.More = max(len(all)-maxShown, 0)
+	for _, m := range all[:min(len(all), maxShown)] {
+		s.Members = append(s.Members, shown(&m, now))
+	}
+	for _, m := range gone[max(len(gone)-maxShown/10, 0):] {
+		s.Gone = append(s.Gone, shown(&m, now))
+	}
+	return s
+}
+
+func shown(m *members.Member, now time.Duration) ShownMember {
+	s := ShownMember{Name: m.Name, Store: m.Store, Incarnation: m.Incarnation, State: m.State, Address: m.Address, KnownMs: (now - m.Since).Milliseconds()}
+	if m.State == members.Gone {
+		s.GoneMs = (now - m.Ended).Milliseconds()
+	}
+	return s
+}
+
+// History tells what has happened lately.
+func (f *Fleet) History() History {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	events, _ := f.view.History(0)
+	h := History{Events: []ShownEvent{}}
+	for _, e := range events[max(len(events)-maxShown, 0):] {
+		h.Events = append(h.Events, ShownEvent{(f.now() - e.At).Milliseconds(), e})
+	}
+	return h
+}
+
+// Figures are those for the telemetry.
+func (f *Fleet) Figures() []*dto.MetricFamily {
+	s := f.Show()
+	is := func(b bool) float64 {
+		if b {
+			return 1
+		}
+		return 0
+	}
+	states := map[string]float64{string(members.Joining): 0, string(members.Serving): 0, string(members.Leaving): 0}
+	for _, m := range s.Members {
+		states[string(m.State)]++
+	}
+	return []*dto.MetricFamily{
+		telemetry.Gauge("fleet_certain", "Whether this process has its name for itself.", is(s.Certain)),
+		telemetry.Gauge("fleet_actable", "Whether the view of the fleet is young enough to act on.", is(s.Actable)),
+		telemetry.Gauge("fleet_view_age_seconds", "How old the view of the fleet is at most.", float64(s.AgeMs)/1000),
+		telemetry.Gauges("fleet_members", "Members that are not known to have ended, by what they say of themselves.", "state", states),
+		telemetry.Counter("fleet_store_requests_total", "Requests to the store of the fleet.", s.Counts.Requests),
+		telemetry.Counter("fleet_store_failed_total", "Requests to the store of the fleet that failed.", s.Counts.Failed),
+		telemetry.Counter("fleet_joins_total", "Times that this process made its key.", s.Counts.Joins),
+	}
+}
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -93,6 +93,17 @@
 	return m
 }
 
+// Gauges are figures that go up and down, one for each value of a label, in the order of the values.
+func Gauges(name, help, label string, values map[string]float64) *dto.MetricFamily {
+	m := family(name, help, dto.MetricType_GAUGE)
+	for _, value := range slices.Sorted(maps.Keys(values)) {
+		m.Metric = append(m.Metric, &dto.Metric{
+			Label: []*dto.LabelPair{{Name: new(label), Value: new(value)}}, Gauge: &dto.Gauge{Value: new(values[value])},
+		})
+	}
+	return m
+}
+
 // Counters are figures that only grow, one for each value of a label, in the order of the values.
 func Counters(name, help, label string, counts map[string]uint64) *dto.MetricFamily {
 	m := family(name, help, dto.MetricType_COUNTER)
