Count all cold dispatchers when a cold one is given its part of the load

Checked: each set-up to a cold dispatcher was traced, with the rate that its controller held it to. Thirteen of 24 dispatchers drained and seven new ones had come. Of those that sent it any from 10.5 to 11.6 s, 103 controllers of 300, the warm rates summed to 116 a second for it alone, and to 1,387 for the seven, more than all that was offered; the parts of the cold time to 607. Ruled out: sends while it was not taken for cold (none), calls of first choice (none of its 213), second attempts (29 of 213).

To blame: rate, which divides by the lines of dispatchers that are warm and not draining, and this one's: each new one was reckoned as if no other were new. Where one is replaced that is right; where six in ten are, the sum is more than twice the whole. Now all that take calls count, those that have not told their lines with the mean of the others. A test fails without it.

--- a/control/control.go
+++ b/control/control.go
@@ -36,8 +36,7 @@
 	memory = time.Second
 	// fullRest is how long a server that answered full, or could not be reached, is left alone.
 	fullRest = 250 * time.Millisecond
-	// doubtShare of the tightest aim, doubtRest at most, is the first rest of a server in doubt; mostRest is the
-	// longest that its reported wait calls for.
+	// doubtShare of the tightest aim, doubtRest at most, is the first rest in doubt; mostRest the longest told.
 	doubtShare      = 0.33
 	doubtRest       = 500 * time.Millisecond
 	mostRest        = 4 * time.Second
@@ -222,9 +221,8 @@
 // --- Windows ---
 
 // roll lets the window of a server allow what the time since the last turn is worth, and resizes it at the
-// end of an update interval. What is not a whole call yet is carried on: N may be much less than one, but not
-// than the node's part of the rate that the server tells: own starts may be too few to say anything. What has
-// gathered is sent in one burst, so it is no more than makes the wanted wait if all nodes' bursts meet.
+// end of an update interval. N may be much less than one, but not than the node's part of the rate that the
+// server tells. What gathers makes no more than the wanted wait, if all nodes send theirs at once.
 func (c *Controller) roll(s *server) {
 	since := c.now - s.rolledAt
 	s.rolledAt = c.now
@@ -872,28 +870,30 @@
 
 // rate is how many starts a second this node makes to the server when it is warm. A new one gets what the one
 // in its place got, or its part by size of all that the node sends: that may have been nobody's first choice.
+// Others that are new have their parts as well; each reckoned as the only one, their sum was above the whole.
 func (c *Controller) rate(s *server) float64 {
 	if s.watched > 0 {
 		return max(s.ownRate(), c.leastRate())
 	}
-	rate, lines, active, before := 0.0, 0.0, 0.0, 0.0
+	rate, lines, known, others, before := 0.0, 0.0, 0.0, 0.0, 0.0
 	for _, o := range c.servers {
 		if o.watched > 0 && o.Cell == s.Cell && s.Weight == 0 {
 			before = max(before, o.ownRate())
 		}
 		if o.watched > 0 && o.Status != Removed {
-			rate += o.ownRate()
-			if o.Status == Active {
-				lines += o.size() // what a draining one took, others take now
-				active++
+			rate += o.ownRate() // what a draining one took, others take now
+		}
+		if o != s && o.Status == Active {
+			if others++; o.watched > 0 || o.size() > 1 {
+				lines, known = lines+o.size(), known+1
 			}
 		}
 	}
-	size := s.size()
-	if size <= 1 && s.Weight == 0 && active > 0 {
-		size = lines / active // its own is not told yet
+	mean, size := lines/max(known, 1), s.size()
+	if size <= 1 && s.Weight == 0 && known > 0 {
+		size = mean // its own is not told yet
 	}
-	return max(rate*size/(lines+size), before, c.leastRate())
+	return max(rate*size/(others*mean+size), before, c.leastRate())
 }
 
 // size is what a server can take against the others: its weight, or its lines.
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"reflect"
+	"slices"
 	"testing"
 	"time"
 )
@@ -416,18 +417,53 @@
 	}
 	// The one in its place may have been nobody's first choice; a new one that got as little was of no use in a rush.
 	n.after(0, ListReceived{Entries: []ServerEntry{{ID: "second", Cell: 1, StartedAt: n.now}, {ID: "b", Cell: 1, Status: Draining}}})
-	if got := n.c.rate(n.c.byID["second"]); got != 22 {
-		t.Errorf("warm rate %v, want half of 44, as b drains", got)
+	if got := n.c.rate(n.c.byID["second"]); got != 44.0/3 {
+		t.Errorf("warm rate %v, want a third of 44 beside a and new, as b drains", got)
 	}
 	n.c.byID["a"].lines = 300 // and its own are not told yet
-	if got := n.c.rate(n.c.byID["second"]); got != 22 {
-		t.Errorf("warm rate %v beside a server of many lines, want half of 44", got)
+	if got := n.c.rate(n.c.byID["second"]); got != 44.0/3 {
+		t.Errorf("warm rate %v beside a server of many lines, want a third of 44", got)
 	}
 	n.c.byID["a"].lines = 1
 	n.after(0, ListReceived{Entries: []ServerEntry{{ID: "b", Cell: 1}}})
 	n.after(0, ListReceived{Entries: []ServerEntry{{ID: "other", Cell: 7, StartedAt: n.now}}})
-	if got := n.c.rate(n.c.byID["other"]); got != 44.0/3 {
-		t.Errorf("warm rate %v of a server of no known size, want a third of 44", got)
+	if got := n.c.rate(n.c.byID["other"]); got != 44.0/5 {
+		t.Errorf("warm rate %v of a server of no known size, want a fifth of 44", got)
+	}
+}
+
+// TestColdPartsSumToTheWhole: six of ten servers are replaced within a moment. Each new one reckoned as the only one beside those that
+// take calls, their rates summed to twice what there was to send, and 300 nodes pushed one of them over with 2.7 times what it could do.
+func TestColdPartsSumToTheWhole(t *testing.T) {
+	n := newNode(t, settings())
+	var old, young []ServerEntry
+	for i := range 10 {
+		old = append(old, ServerEntry{ID: ServerID(fmt.Sprint("old", i)), Cell: i})
+	}
+	n.after(0, ListReceived{Entries: old, Whole: true})
+	for _, s := range n.c.servers {
+		s.lines = 50
+		sends(s, 10)
+	}
+	for i := range 6 {
+		old[i].Status = Draining
+		young = append(young, ServerEntry{ID: ServerID(fmt.Sprint("new", i)), Cell: 20 + i, StartedAt: n.now})
+	}
+	for told := range 2 { // before they have told their lines, and after
+		n.after(0, ListReceived{Entries: append(slices.Clone(old), young...)})
+		sum := 0.0
+		for _, e := range young {
+			s := n.c.byID[e.ID]
+			if told == 1 {
+				s.lines = 50
+			}
+		}
+		for _, e := range young {
+			sum += n.c.rate(n.c.byID[e.ID])
+		}
+		if sum < 59 || sum > 61 {
+			t.Errorf("lines told %d: six new ones beside four are to have %.1f of 100 a second together, want 60", told, sum)
+		}
 	}
 }
 
