--- a/cmd/cherryrelay/fleet_test.go
+++ b/cmd/cherryrelay/fleet_test.go
@@ -1,9 +1,11 @@
 package main
 
 import (
+	"math/rand/v2"
 	"os"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -29,13 +31,14 @@
 func newFleetSite(t *testing.T, controllers int) *fleetSite {
 	t.Helper()
 	t.Parallel()
-	d, err := peer.Dispatch("tcp", "127.0.0.1:0", "x0:1000;x1:1000")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(d.Die)
-	g, err := trial.Open(trial.Options{Directory: t.TempDir(), Program: []string{os.Args[0]}, Env: []string{asProgram + "=1"},
-		Controllers: controllers, Lease: fleetLease, Seed: 1, Dispatchers: map[string]string{"d1": d.Address()}})
+	return fleetSiteWith(t, trial.Options{Controllers: controllers,
+		Dispatchers: map[string]string{"d1": act(t, "tcp", "d1", newJudge()).Address()}})
+}
+
+func fleetSiteWith(t *testing.T, o trial.Options) *fleetSite {
+	t.Helper()
+	o.Directory, o.Program, o.Env, o.Lease = t.TempDir(), []string{os.Args[0]}, []string{asProgram + "=1"}, fleetLease
+	g, err := trial.Open(o)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -311,3 +314,52 @@
 		s.anew(n1, before)
 	}
 }
+
+// TestCallsWhileTheFleetIsHurt has callers at each of three controllers, each of which keeps its calls, while processes are killed, paused
+// and cut off and the store stalls. Callers come back to where they were, and see every call to its one end.
+func TestCallsWhileTheFleetIsHurt(t *testing.T) {
+	t.Parallel()
+	j := newJudge()
+	dispatchers := map[string]string{}
+	for _, name := range []string{"d1", "d2", "d3"} {
+		dispatchers[name] = act(t, "tcp", name, j).Address()
+	}
+	s := fleetSiteWith(t, trial.Options{Controllers: 3, Seed: 3, Dispatchers: dispatchers, Ledgers: true})
+	done := make(chan struct{})
+	var calling sync.WaitGroup
+	for i, c := range s.Controllers {
+		caller := &trial.Caller{Transport: "tcp", Addresses: []string{c.Lines}, First: (i + 1) << 32, Window: 24, Judge: j}
+		calling.Go(func() { caller.Run(done) })
+	}
+	rng := rand.New(rand.NewPCG(3, 3))
+	for round := range 12 {
+		c := s.Controllers[rng.IntN(3)]
+		switch round % 6 {
+		case 0, 3:
+			s.must(c.Kill())
+			s.must(c.Start())
+		case 1:
+			c.Pause()
+			time.Sleep(time.Duration(100+rng.IntN(300)) * time.Millisecond)
+			c.Resume()
+		case 2:
+			s.Net.Part([]string{c.Name}, []string{trial.StoreName})
+		case 4:
+			s.Store.Fault(store.Faults{Stall: true})
+		case 5:
+			s.Net.Cut("*>"+trial.StoreName, true)
+		}
+		time.Sleep(time.Duration(200+rng.IntN(300)) * time.Millisecond)
+		s.Net.Heal()
+		s.Store.Fault(store.Faults{})
+	}
+	close(done)
+	calling.Wait()
+	clean(t, j)
+	_, setUps, finals := j.Verdict()
+	if finals["answer"] < 50 {
+		t.Errorf("only %d calls were answered", finals["answer"])
+	}
+	s.all(s.Controllers...)
+	t.Logf("%d set-ups at dispatchers; callers had %v", setUps, finals)
+}
--- a/cmd/cherryrelay/resume_test.go
+++ b/cmd/cherryrelay/resume_test.go
@@ -14,14 +14,15 @@
 	"cherryrelay/internal/jsonl"
 	"cherryrelay/internal/lists/poolfile"
 	"cherryrelay/internal/peer"
+	"cherryrelay/internal/trial"
 )
 
 // desk is the program, in a process of its own, between dispatchers that act by themselves and callers of a story.
 type desk struct {
 	*process
 	transport string
-	judge     *judge
-	acting    []*acting
+	judge     *trial.Judge
+	acting    []*trial.Dispatcher
 }
 
 // begins starts the program with n dispatchers, which answer at once.
@@ -30,7 +31,7 @@
 	d := &desk{process: newProcess(t, extra), transport: transport, judge: newJudge()}
 	for i := range n {
 		a := act(t, transport, fmt.Sprint("s", i), d.judge)
-		a.quick = true
+		a.Act(true, false)
 		d.acting = append(d.acting, a)
 	}
 	d.list(longRunning)
@@ -44,7 +45,7 @@
 	var members []pool.Member
 	for i, a := range d.acting {
 		members = append(members, pool.Member{Address: a.Address(), ServerEntry: control.ServerEntry{
-			ID: control.ServerID(a.name), Cell: i, Weight: 1, StartedAt: since}})
+			ID: control.ServerID(a.Name), Cell: i, Weight: 1, StartedAt: since}})
 	}
 	path := filepath.Join(d.directory, "pool.ini")
 	d.must(os.WriteFile(path+".new", poolfile.Write("v", members), 0o600))
@@ -111,19 +112,13 @@
 
 func (d *desk) clean() {
 	d.Helper()
-	d.judge.mu.Lock()
-	defer d.judge.mu.Unlock()
-	if len(d.judge.faults) > 0 {
-		d.Errorf("dispatchers saw:\n%s", strings.Join(d.judge.faults, "\n"))
-	}
+	clean(d.T, d.judge)
 }
 
 // slow has the dispatchers leave set-ups open.
 func (d *desk) slow(slow bool) {
 	for _, a := range d.acting {
-		a.mu.Lock()
-		a.quick, a.never = !slow, slow
-		a.mu.Unlock()
+		a.Act(!slow, slow)
 	}
 }
 
@@ -187,10 +182,7 @@
 func (d *desk) waitOut(id string) {
 	d.Helper()
 	for until := time.Now().Add(peer.Patience); time.Now().Before(until); time.Sleep(time.Millisecond) {
-		d.judge.mu.Lock()
-		at := d.judge.out[id]
-		d.judge.mu.Unlock()
-		if at != "" {
+		if d.judge.Out(id) != "" {
 			return
 		}
 	}
@@ -200,7 +192,7 @@
 // endsAll has whichever dispatcher has a call end it.
 func (d *desk) endsAll(id string) {
 	for _, a := range d.acting {
-		a.end(id)
+		a.End(id)
 	}
 }
 
@@ -228,19 +220,13 @@
 
 // breakNext has the next set-up break on its way.
 func (d *desk) breakNext() {
-	a := d.acting[0]
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.breaks = 1
+	d.acting[0].Break(1)
 }
 
 func (d *desk) waitBroken(id string) {
 	d.Helper()
 	for until := time.Now().Add(peer.Patience); time.Now().Before(until); time.Sleep(time.Millisecond) {
-		d.judge.mu.Lock()
-		at := d.judge.ended[id]
-		d.judge.mu.Unlock()
-		if !at.IsZero() {
+		if !d.judge.Guarded(id).IsZero() {
 			return
 		}
 	}
@@ -396,16 +382,7 @@
 // answerAll has the dispatchers answer what they have left open.
 func (d *desk) answerAll() {
 	for _, a := range d.acting {
-		a.mu.Lock()
-		d.judge.mu.Lock()
-		for id, e := range a.links {
-			delete(a.links, id)
-			delete(d.judge.out, id)
-			d.judge.stands[id] = a.name
-			_ = e.Answer("y" + id)
-		}
-		d.judge.mu.Unlock()
-		a.mu.Unlock()
+		a.AnswerAll()
 	}
 }
 
--- /dev/null
+++ b/internal/trial/judge.go
@@ -0,0 +1,239 @@
+package trial
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+)
+
+// Judge holds what dispatchers are told and what callers hear against the rules, over all controllers: never two attempts out, none while
+// the call stands, none inside the guard, one final answer in time and one that a dispatcher gave, and nothing left over. It decides by
+// what it is told and when; it does no I/O. Its methods may be called from any goroutine.
+type Judge struct {
+	guard, deadline time.Duration
+
+	mu     sync.Mutex
+	calls  map[string]*judged
+	faults []string
+	setUps int
+	finals map[string]int
+}
+
+// judged is one call, at both ends.
+type judged struct {
+	out, stands string    // the dispatcher at which an attempt is out, and at which the call stands
+	guarded     time.Time // when its last attempt ended that may have left a trace
+	released    int       // the cause with which its dispatcher has ended it
+
+	placed   time.Time
+	answered bool
+	settled  bool
+}
+
+// tolerance is what the clocks of two ends of a loopback connection, and their goroutines, may be apart.
+const tolerance = 5 * time.Millisecond
+
+// NewJudge judges by a guard after attempts that may have left a trace, and by how long callers wait.
+func NewJudge(guard, deadline time.Duration) *Judge {
+	return &Judge{guard: guard, deadline: deadline, calls: map[string]*judged{}, finals: map[string]int{}}
+}
+
+func (j *Judge) call(id string) *judged {
+	c := j.calls[id]
+	if c == nil {
+		c = &judged{}
+		j.calls[id] = c
+	}
+	return c
+}
+
+func (j *Judge) fault(format string, args ...any) {
+	if len(j.faults) < maxFaults {
+		j.faults = append(j.faults, fmt.Sprintf(format, args...))
+	}
+}
+
+// --- What dispatchers see ---
+
+// SetUp is a set-up that has come whole to a dispatcher.
+func (j *Judge) SetUp(id, at string, when time.Time) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	c := j.call(id)
+	j.setUps++
+	switch {
+	case c.out != "":
+		j.fault("%s: a second attempt at %s while one is out at %s", id, at, c.out)
+	case c.stands != "":
+		j.fault("%s: an attempt at %s while it stands at %s", id, at, c.stands)
+	case c.released != 0:
+		j.fault("%s: an attempt at %s after it stood and ended", id, at)
+	}
+	if since := when.Sub(c.guarded); since < j.guard-tolerance {
+		j.fault("%s: sent again after %v", id, since)
+	}
+	c.out = at
+}
+
+// GivenUp is an attempt that was withdrawn, or whose connection closed, or that broke: it may have left a trace.
+func (j *Judge) GivenUp(id, at string, when time.Time) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if c := j.call(id); c.out == at {
+		c.out, c.guarded = "", when
+	}
+}
+
+// Refused is an attempt that its dispatcher has ended without a trace.
+func (j *Judge) Refused(id, at string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if c := j.call(id); c.out == at {
+		c.out = ""
+	}
+}
+
+// Answered is an attempt that its dispatcher answers: the call stands there.
+func (j *Judge) Answered(id, at string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if c := j.call(id); c.out == at {
+		c.out, c.stands = "", at
+	}
+}
+
+// Cut is a call that stood and that a controller has released.
+func (j *Judge) Cut(id, at string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if c := j.call(id); c.stands == at {
+		c.stands = ""
+	}
+}
+
+// Over is a call that stood and that its dispatcher ends; false if it does not stand there any more.
+func (j *Judge) Over(id, at string, cause int) bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	c := j.call(id)
+	if c.stands != at {
+		return false
+	}
+	c.stands, c.released = "", cause
+	return true
+}
+
+// Out and Stands are the dispatchers at which an attempt is out and at which the call stands; Guarded is when the last attempt that may
+// have left a trace ended; Released the cause of the call's end.
+func (j *Judge) Out(id string) string { return look(j, id, func(c *judged) string { return c.out }) }
+
+// Stands is the dispatcher at which the call stands.
+func (j *Judge) Stands(id string) string {
+	return look(j, id, func(c *judged) string { return c.stands })
+}
+
+// Guarded is when the last attempt that may have left a trace ended.
+func (j *Judge) Guarded(id string) time.Time {
+	return look(j, id, func(c *judged) time.Time { return c.guarded })
+}
+
+// Released is the cause with which the call's dispatcher has ended it; 0 if it has not.
+func (j *Judge) Released(id string) int {
+	return look(j, id, func(c *judged) int { return c.released })
+}
+
+func look[T any](j *Judge, id string, what func(*judged) T) T {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return what(j.call(id))
+}
+
+// --- What callers see ---
+
+// Placed is a call that a caller has sent.
+func (j *Judge) Placed(id string, when time.Time) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.call(id).placed = when
+}
+
+// Heard is a message about a call that has come to its caller: an answer with its description, or a release with what was said of it.
+// It reports whether the caller is owed more.
+func (j *Judge) Heard(id, kind, text string, cause int, when time.Time) (owed bool) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	c := j.calls[id]
+	if c == nil || c.placed.IsZero() {
+		j.fault("%s: a %s for a call that nobody has placed", id, kind)
+		return false
+	}
+	if c.settled {
+		return false // the end of one that is over, told again
+	}
+	switch kind {
+	case "answer":
+		if c.answered {
+			j.fault("%s is answered twice", id)
+		}
+		if text != Description(id) {
+			j.fault("%s has an answer that no dispatcher gave: %.40q", id, text)
+		}
+		if took := when.Sub(c.placed); took > j.deadline {
+			j.fault("%s is answered after %v", id, took)
+		}
+		c.answered = true
+		j.finals["answer"]++
+		return true
+	case "release":
+		what := fmt.Sprint("release ", cause, " ", text)
+		if c.answered {
+			what = "after the answer: " + what
+		} else if took := when.Sub(c.placed); took > j.deadline {
+			j.fault("%s has its final answer after %v", id, took)
+		}
+		j.finals[what]++
+		c.settled = true
+		return false
+	}
+	return true
+}
+
+// Description is what a dispatcher answers a call with.
+func Description(id string) string { return "y" + id }
+
+// Unsettled are the calls whose callers are owed something still.
+func (j *Judge) Unsettled() []string {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	var ids []string
+	for id, c := range j.calls {
+		if !c.placed.IsZero() && !c.settled {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// Left are the attempts that are out and the calls that stand, by dispatcher.
+func (j *Judge) Left() []string {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	var left []string
+	for id, c := range j.calls {
+		if c.out != "" || c.stands != "" {
+			left = append(left, fmt.Sprintf("%s out at %q, stands at %q", id, c.out, c.stands))
+		}
+	}
+	slices.Sort(left)
+	return left
+}
+
+// Verdict is what was found: the rules that were broken, the set-ups that came, and the final answers by kind.
+func (j *Judge) Verdict() (faults []string, setUps int, finals map[string]int) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return slices.Clone(j.faults), j.setUps, maps.Clone(j.finals)
+}
--- /dev/null
+++ b/internal/trial/judge_test.go
@@ -0,0 +1,128 @@
+package trial
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"cherryrelay/internal/membership"
+)
+
+// TestEachOffenceIsFound plays a scripted offender for each rule, beside what is right.
+func TestEachOffenceIsFound(t *testing.T) {
+	const guard, deadline = 500 * time.Millisecond, 9 * time.Second
+	begun := time.Now()
+	at := func(ms int) time.Time { return begun.Add(time.Duration(ms) * time.Millisecond) }
+	for _, c := range []struct {
+		what string
+		play func(j *Judge)
+		find string // of the fault; empty for none
+	}{
+		{"a call that is refused, broken, answered and over", func(j *Judge) {
+			j.Placed("a", at(0))
+			j.SetUp("a", "s1", at(1))
+			j.Refused("a", "s1")
+			j.SetUp("a", "s2", at(2))
+			j.GivenUp("a", "s2", at(10))
+			j.SetUp("a", "s1", at(511))
+			j.Answered("a", "s1")
+			j.Heard("a", "answer", Description("a"), 0, at(520))
+			j.Over("a", "s1", 16)
+			j.Heard("a", "release", "", 16, at(600))
+			j.Heard("a", "release", "", 16, at(601)) // told again
+		}, ""},
+		{"two attempts out", func(j *Judge) { j.SetUp("a", "s1", at(0)); j.SetUp("a", "s2", at(1)) }, "a second attempt at s2 while one is out at s1"},
+		{"an attempt while it stands", func(j *Judge) {
+			j.SetUp("a", "s1", at(0))
+			j.Answered("a", "s1")
+			j.SetUp("a", "s2", at(1))
+		}, "while it stands at s1"},
+		{"an attempt after the end", func(j *Judge) {
+			j.SetUp("a", "s1", at(0))
+			j.Answered("a", "s1")
+			j.Over("a", "s1", 16)
+			j.SetUp("a", "s2", at(1))
+		}, "after it stood and ended"},
+		{"inside the guard", func(j *Judge) {
+			j.SetUp("a", "s1", at(0))
+			j.GivenUp("a", "s1", at(100))
+			j.SetUp("a", "s1", at(590))
+		}, "sent again after 490ms"},
+		{"answered twice", func(j *Judge) {
+			j.Placed("a", at(0))
+			j.Heard("a", "answer", Description("a"), 0, at(1))
+			j.Heard("a", "answer", Description("a"), 0, at(2))
+		}, "answered twice"},
+		{"an answer that is made up", func(j *Judge) {
+			j.Placed("a", at(0))
+			j.Heard("a", "answer", "z", 0, at(1))
+		}, "no dispatcher gave"},
+		{"an answer that is late", func(j *Judge) {
+			j.Placed("a", at(0))
+			j.Heard("a", "answer", Description("a"), 0, at(9001))
+		}, "answered after 9.001s"},
+		{"a refusal that is late", func(j *Judge) {
+			j.Placed("a", at(0))
+			j.Heard("a", "release", "", 34, at(9001))
+		}, "final answer after 9.001s"},
+		{"a message of nobody's call", func(j *Judge) { j.Heard("b", "answer", "y", 0, at(0)) }, "nobody has placed"},
+	} {
+		j := NewJudge(guard, deadline)
+		c.play(j)
+		faults, _, _ := j.Verdict()
+		if text := strings.Join(faults, "; "); (text == "") != (c.find == "") || !strings.Contains(text, c.find) {
+			t.Errorf("%s: found %q, want %q", c.what, text, c.find)
+		}
+	}
+	j := NewJudge(guard, deadline)
+	j.Placed("a", at(0))
+	j.SetUp("a", "s1", at(1))
+	if got := j.Unsettled(); len(got) != 1 || len(j.Left()) != 1 {
+		t.Errorf("a call that is owed its answer: unsettled %v, left %v", got, j.Left())
+	}
+}
+
+func TestBeliefsAgainstOneAnother(t *testing.T) {
+	begun := time.Now()
+	at := func(ms int) time.Time { return begun.Add(time.Duration(ms) * time.Millisecond) }
+	sure := func(name string, incarnation, left int64) membership.Shown {
+		return membership.Shown{Name: name, Incarnation: incarnation, Certain: true, LeftMs: left, Store: 1}
+	}
+	gone := membership.Shown{Name: "n2", Gone: []membership.ShownMember{{Name: "n1", Incarnation: 5, Store: 1}}}
+	for _, c := range []struct {
+		what string
+		play func(b *Beliefs)
+		find string
+	}{
+		{"ended, and certain as the next", func(b *Beliefs) {
+			b.Sample("p1", at(0), at(1), sure("n1", 5, 10))
+			b.Sample("p2", at(20), at(21), gone)
+			b.Sample("p1", at(30), at(31), sure("n1", 9, 10))
+		}, ""},
+		{"asked before the end was told", func(b *Beliefs) {
+			b.Sample("p2", at(20), at(21), gone)
+			b.Sample("p1", at(19), at(25), sure("n1", 5, 10))
+		}, ""},
+		{"the same number in another store", func(b *Beliefs) {
+			b.Sample("p2", at(20), at(21), gone)
+			s := sure("n1", 5, 10)
+			s.Store = 2
+			b.Sample("p1", at(30), at(31), s)
+		}, ""},
+		{"certain after its end was told", func(b *Beliefs) {
+			b.Sample("p2", at(20), at(21), gone)
+			b.Sample("p1", at(30), at(31), sure("n1", 5, 10))
+		}, "9ms after p2 was told of its end"},
+		{"two at once", func(b *Beliefs) {
+			b.Sample("p1", at(0), at(1), sure("n1", 5, 100))
+			b.Sample("p2", at(50), at(51), sure("n1", 6, 100))
+		}, "while p1 is as 5 for 50ms more"},
+	} {
+		var b Beliefs
+		c.play(&b)
+		faults, samples := b.Faults()
+		if text := strings.Join(faults, "; "); (text == "") != (c.find == "") || !strings.Contains(text, c.find) || samples == 0 {
+			t.Errorf("%s: found %q, want %q", c.what, text, c.find)
+		}
+	}
+}
--- /dev/null
+++ b/internal/trial/peers.go
@@ -0,0 +1,263 @@
+package trial
+
+import (
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
+	"os"
+	"sync"
+	"time"
+
+	"cherryrelay/internal/jsonl"
+	"cherryrelay/internal/peer"
+)
+
+// Dispatcher is a stand-in whose acts go by the id of the call alone, and that tells a judge what it is told.
+type Dispatcher struct {
+	*peer.Dispatcher
+	Name  string
+	judge *Judge
+
+	mu     sync.Mutex
+	links  map[string]peer.Event // of attempts that are out, by id
+	sent   map[string]time.Time  // releases, to be sent again on the next connection
+	quick  bool
+	never  bool
+	breaks int
+}
+
+// Stand opens a dispatcher; its acts are drawn for each call.
+func Stand(transport, name string, j *Judge) (*Dispatcher, error) {
+	d, err := peer.Dispatch(transport, "127.0.0.1:0", "x0:1000000;x1:1000000")
+	if err != nil {
+		return nil, err //nolint:wrapcheck // it says what it is
+	}
+	d.TellLinks()
+	s := &Dispatcher{Dispatcher: d, Name: name, judge: j, links: map[string]peer.Event{}, sent: map[string]time.Time{}}
+	go func() {
+		for range d.Acks { // nobody waits for them
+		}
+	}()
+	go func() {
+		for e := range d.Events {
+			s.event(e)
+		}
+	}()
+	return s, nil
+}
+
+// Act has it answer everything at once, or nothing at all, or as is drawn.
+func (d *Dispatcher) Act(quick, never bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.quick, d.never = quick, never
+}
+
+// Break has so many set-ups to come break on their way.
+func (d *Dispatcher) Break(next int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.breaks = next
+}
+
+// AnswerAll answers what a dispatcher that never does has left open.
+func (d *Dispatcher) AnswerAll() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for id, e := range d.links {
+		delete(d.links, id)
+		d.judge.Answered(id, d.Name)
+		_ = e.Answer(Description(id))
+	}
+}
+
+func (d *Dispatcher) event(e peer.Event) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	switch e.Kind {
+	case "setup":
+		d.judge.SetUp(e.ID, d.Name, e.At)
+		d.links[e.ID] = e
+		d.act(e)
+	case "release":
+		if _, out := d.links[e.ID]; out {
+			delete(d.links, e.ID)
+			d.judge.GivenUp(e.ID, d.Name, e.At)
+		}
+		d.judge.Cut(e.ID, d.Name)
+	case "closed": // the set-ups that are open on it are given up
+		for id, o := range d.links {
+			if o.Beside(e) {
+				delete(d.links, id)
+				d.judge.GivenUp(id, d.Name, e.At)
+			}
+		}
+	case "opened":
+		for id, at := range d.sent { // on each: the process at the other end may be killed before it has read this
+			if time.Since(at) > 10*time.Second {
+				delete(d.sent, id)
+				continue
+			}
+			_ = e.ReleaseHere(id, d.judge.Released(id))
+		}
+	}
+}
+
+// act has the set-up answered, refused, broken or left, soon or late, by the call's id and how often it was tried.
+func (d *Dispatcher) act(e peer.Event) {
+	h := fnv.New64a()
+	_, setUps, _ := d.judge.Verdict()
+	fmt.Fprint(h, e.ID, d.Name, setUps%3)
+	draw := rand.New(rand.NewPCG(h.Sum64(), 1))
+	delay := time.Duration(draw.IntN(120)) * time.Millisecond
+	what := draw.IntN(20)
+	switch {
+	case d.breaks > 0:
+		d.breaks--
+		delay, what = 0, 0
+	case d.never:
+		return
+	case d.quick:
+		delay, what = 0, 19
+	}
+	time.AfterFunc(delay, func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		if o, out := d.links[e.ID]; !out || !o.Beside(e) || o.At != e.At {
+			return // given up meanwhile
+		}
+		delete(d.links, e.ID)
+		switch {
+		case what < 2: // the set-up broke on its way
+			d.judge.GivenUp(e.ID, d.Name, time.Now())
+			_ = e.Refuse(peer.Broken)
+		case what < 4:
+			d.judge.Refused(e.ID, d.Name)
+			_ = e.Refuse(peer.NoLine)
+		default:
+			d.judge.Answered(e.ID, d.Name)
+			_ = e.Answer(Description(e.ID))
+			if !d.quick {
+				time.AfterFunc(time.Duration(draw.IntN(1500))*time.Millisecond, func() { d.End(e.ID) })
+			}
+		}
+	})
+}
+
+// End ends a call that stands, and says so on whatever connection there is, and on the next one.
+func (d *Dispatcher) End(id string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.judge.Over(id, d.Name, 16) {
+		_ = d.Release(id, 16)
+		d.sent[id] = time.Now()
+	}
+}
+
+// Token is that of a call.
+func Token(id string) string { return "a token of " + id }
+
+// Caller comes back for its calls, at the same address or at the next of several.
+type Caller struct {
+	Transport string
+	Addresses []string
+	First     int // number of the first call
+	Window    int // how many may be under way
+	Judge     *Judge
+
+	Placed, Resumes int
+	next            int
+	at              int             // of the addresses
+	open            map[string]bool // its calls that are owed something, and whether they were answered
+}
+
+// Run places calls and sees each to its end. Done is closed when no more are to be placed; what is left then has as long as a peer's
+// patience, and the judge tells what is not settled.
+func (c *Caller) Run(done <-chan struct{}) {
+	c.open, c.next = map[string]bool{}, c.First
+	stop := time.Time{}
+	for {
+		connection, err := peer.Call(c.Transport, c.Addresses[c.at%len(c.Addresses)])
+		if err != nil {
+			time.Sleep(2 * time.Millisecond)
+		} else {
+			c.serve(connection, done)
+			_ = connection.Close()
+		}
+		c.at++
+		select {
+		case <-done:
+			if stop.IsZero() {
+				stop = time.Now().Add(peer.Patience)
+			}
+			if len(c.open) == 0 || time.Now().After(stop) {
+				return
+			}
+		default:
+		}
+	}
+}
+
+// serve uses one connection until it ends.
+func (c *Caller) serve(connection *peer.Caller, done <-chan struct{}) {
+	for id, answered := range c.open {
+		c.Resumes++
+		fields := map[string]jsonl.Value{"token": jsonl.Value(Token(id))}
+		if answered {
+			fields["answered"] = "1"
+		}
+		if connection.Send(jsonl.Message{Type: "resume", ID: id, Fields: fields}) != nil {
+			return
+		}
+	}
+	for {
+		finished := false
+		select {
+		case <-done:
+			finished = true
+		default:
+		}
+		for !finished && len(c.open) < c.Window {
+			if !c.place(connection) {
+				return
+			}
+		}
+		if len(c.open) == 0 {
+			return
+		}
+		m, err := connection.NextWithin(2 * time.Second)
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			if finished {
+				return // try on another connection what is left
+			}
+			continue
+		}
+		if err != nil {
+			return
+		}
+		if _, mine := c.open[m.ID]; !mine {
+			continue // the end of one that is over, told again
+		}
+		text := m.Description()
+		if m.Type == "release" {
+			text = string(m.Fields["error"])
+		}
+		if c.Judge.Heard(m.ID, m.Type, text, m.CauseOr(0), time.Now()) {
+			c.open[m.ID] = c.open[m.ID] || m.Type == "answer"
+		} else {
+			delete(c.open, m.ID)
+		}
+	}
+}
+
+func (c *Caller) place(connection *peer.Caller) bool {
+	id := fmt.Sprintf("%016x", c.next)
+	c.next++
+	c.Placed++
+	c.open[id] = false
+	c.Judge.Placed(id, time.Now())
+	x := "x"
+	return connection.Send(jsonl.Message{Type: "setup", ID: id, SDP: &x, Fields: map[string]jsonl.Value{
+		"class": "send-setup", "tenant": "acme", "key": jsonl.Value("k" + id), "left": "8000", "token": jsonl.Value(Token(id))}}) == nil
+}
