--- /dev/null
+++ b/cmd/cherryrelay-lab/chart.go
@@ -0,0 +1,42 @@
+package main
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+)
+
+func causes(ends map[string]*hdrhistogram.Histogram) []string {
+	return slices.Sorted(maps.Keys(ends))
+}
+
+// chart draws the share of controllers that have told a certain end by so long after the loss, a line a cause.
+func chart(path string, ends map[string]*hdrhistogram.Histogram) error {
+	p := plot.New()
+	p.Title.Text = "Told of a certain end"
+	p.X.Label.Text, p.Y.Label.Text = "ms after the loss", "share"
+	p.Y.Min, p.Y.Max, p.X.Min = 0, 1, 0
+	for i, cause := range causes(ends) {
+		var points plotter.XYs
+		for q := 0.0; q <= 100; q++ {
+			points = append(points, plotter.XY{X: float64(ends[cause].ValueAtQuantile(q)), Y: q / 100})
+		}
+		line, err := plotter.NewLine(points)
+		if err != nil {
+			return fmt.Errorf("chart: %w", err)
+		}
+		line.Color = plotutil.Color(i)
+		p.Add(line)
+		p.Legend.Add(cause, line)
+	}
+	if err := p.Save(16*vg.Centimeter, 9*vg.Centimeter, path); err != nil {
+		return fmt.Errorf("chart: %w", err)
+	}
+	return nil
+}
--- a/internal/trial/beliefs.go
+++ b/internal/trial/beliefs.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"sync"
 	"time"
 
@@ -13,7 +14,8 @@
 type Beliefs struct {
 	mu     sync.Mutex
 	gone   map[life]told
-	sure   map[string]claim // by name
+	heard  map[life]map[string]time.Time // when each process first told of an end
+	sure   map[string]claim              // by name
 	faults []string
 	count  int
 }
@@ -47,13 +49,17 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.gone == nil {
-		b.gone, b.sure = map[life]told{}, map[string]claim{}
+		b.gone, b.sure, b.heard = map[life]told{}, map[string]claim{}, map[life]map[string]time.Time{}
 	}
 	b.count++
 	for _, m := range s.Gone {
 		l := life{m.Store, m.Name, m.Incarnation}
 		if _, known := b.gone[l]; !known {
 			b.gone[l] = told{answered, process}
+			b.heard[l] = map[string]time.Time{}
+		}
+		if b.heard[l][process].IsZero() {
+			b.heard[l][process] = answered
 		}
 	}
 	if !s.Certain {
@@ -84,6 +90,13 @@
 	return append([]string(nil), b.faults...), b.count
 }
 
+// Heard tells when each process first told of the end of an incarnation.
+func (b *Beliefs) Heard(store uint64, name string, incarnation int64) map[string]time.Time {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return maps.Clone(b.heard[life{store, name, incarnation}])
+}
+
 // watchEvery is how often each process is asked.
 const watchEvery = 20 * time.Millisecond
 
--- a/internal/trial/judge.go
+++ b/internal/trial/judge.go
@@ -68,8 +68,8 @@
 		j.fault("%s: a second attempt at %s while one is out at %s", id, at, c.out)
 	case c.stands != "":
 		j.fault("%s: an attempt at %s while it stands at %s", id, at, c.stands)
-	case c.released != 0:
-		j.fault("%s: an attempt at %s after it stood and ended", id, at)
+	case c.answered: // one that stood unheard by its caller, as its controller was killed, may be tried again once it is over
+		j.fault("%s: an attempt at %s after its caller was answered", id, at)
 	}
 	if since := when.Sub(c.guarded); since < j.guard-tolerance {
 		j.fault("%s: sent again after %v", id, since)
