--- a/internal/trial/ground.go
+++ b/internal/trial/ground.go
@@ -265,7 +265,7 @@
 		return nil
 	case <-time.After(endWithin):
 		state, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", cmd.Process.Pid))
-		return fmt.Errorf("trial: %s does not end after %v (%w):\n%s", c.Name, s, errors.Join(signalled, cmd.Process.Kill()), state)
+		return fmt.Errorf("trial: %s does not end after %v (%v): %.200s", c.Name, s, errors.Join(signalled, cmd.Process.Kill()), state)
 	}
 }
 
