--- a/cmd/cherryrelay/fleet_test.go
+++ b/cmd/cherryrelay/fleet_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -10,6 +11,7 @@
 	"testing"
 	"time"
 
+	"cherryrelay/internal/commands"
 	"cherryrelay/internal/decide/members"
 	"cherryrelay/internal/fault"
 	"cherryrelay/internal/membership"
@@ -129,6 +131,13 @@
 	s := newFleetSite(t, 3)
 	n1 := s.Controllers[0]
 	first := n1.Fleet().Incarnation
+	for _, page := range []string{"show", "history"} { // what operators ask for
+		var out, faults bytes.Buffer
+		status := commands.Run([]string{"fleet", page, "--management", n1.Management}, os.Getenv, &out, &faults, nil)
+		if text := out.String(); status != commands.Yes || !strings.Contains(text, "n1") || !strings.Contains(text, "n3") || !strings.Contains(text, "serving") {
+			t.Errorf("fleet %s: status %d, %s%s", page, status, text, faults.String())
+		}
+	}
 	killed := time.Now()
 	s.must(n1.Kill())
 	s.must(n1.Start()) // within the lease: the name is still that of the one before
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -86,6 +86,14 @@
 		{"o", "[etcd]", "[ledger]\ndirectory = x\nsync = often\n[etcd]", "ledger.sync"},
 		{"o", "[etcd]", "[ledger]\ndirectory = x\nmost_mb = 3\n[etcd]", "ledger.most_mb"},
 		{"o", "[etcd]", "[ledger]\ndirectory = x\non_failure = stop\n[etcd]", "ledger.on_failure"},
+		{"o", "[etcd]", "[fleet]\nprefix = /p\n[etcd]", "fleet.endpoints"},
+		{"o", "[etcd]", "[fleet]\nendpoints = h\nprefix = /p\n[etcd]", "fleet.endpoints"},
+		{"o", "[etcd]", "[fleet]\nendpoints = h:1\n[etcd]", "fleet.prefix"},
+		{"o", "[etcd]", "[fleet]\nendpoints = h:1\nprefix = /p\nlease_ms = 999\n[etcd]", "fleet.lease_ms"},
+		{"o", "[etcd]", "[fleet]\nendpoints = h:1\nprefix = /p\nlease_ms = 30001\n[etcd]", "fleet.lease_ms"},
+		{"o", "[etcd]", "[fleet]\nendpoints = h:1\nprefix = /p\nledgers = /l\n[etcd]", "there is no [ledger]"},
+		{"o", "[etcd]", "[fleet]\nendpoints = h:1\nprefix = /p\nledgers = /l\n[ledger]\ndirectory = /l/other\n[etcd]", "ledger.directory must be"},
+		{"o", "[etcd]", "[fleet]\nendpoints = h:1\nprefix = /p\ncolour = red\n[etcd]", "unknown key \"colour\""},
 		{"o", string(operator), "{}", "it is JSON"},
 	} {
 		key, text := "LB_CONFIG", string(whole)
