Have a controller whose successor dies stay in the fleet, with a story of an upgrade

Seen on reading: who had told that it leaves could not take that back, so a process whose successor died would have been leaving for ever. The story upgrades a process of a fleet, kills the successor, and upgrades again: one name, one process at a time.

--- a/cmd/cherryrelay/fleet.go
+++ b/cmd/cherryrelay/fleet.go
@@ -70,17 +70,23 @@
 
 // tellState tells the fleet whether this controller serves.
 func (n *node) tellState() {
-	if n.fleet.left {
-		return
+	switch {
+	case n.fleet.left:
+	case n.core.Ready():
+		n.fleet.Say(members.Serving)
+	default:
+		n.fleet.Say(members.Joining)
 	}
-	state := members.Joining
-	if n.core.Ready() {
-		state = members.Serving
-	}
-	n.fleet.Say(state)
 	n.loop.After(tellStateEvery, n.tellState)
 }
 
+// stay takes back that this controller leaves: its successor is no more.
+func (n *node) stay() {
+	if n.fleet != nil {
+		n.fleet.left = false
+	}
+}
+
 // leave tells the fleet that this controller serves out what it has.
 func (n *node) leave() {
 	if n.fleet != nil {
--- a/cmd/cherryrelay/fleet_test.go
+++ b/cmd/cherryrelay/fleet_test.go
@@ -398,3 +398,30 @@
 		})
 	}
 }
+
+// TestFleetThroughAnUpgrade: the old process leaves once its successor serves, and stays if that dies; the name is one process's at a time.
+func TestFleetThroughAnUpgrade(t *testing.T) {
+	s := newFleetSite(t, 2)
+	n1, n2 := s.Controllers[0], s.Controllers[1]
+	seen := func(state members.State, incarnation int64) func() bool {
+		return func() bool {
+			return slices.ContainsFunc(n2.Fleet().Members, func(m membership.ShownMember) bool {
+				return m.Name == n1.Name && m.State == state && (m.Incarnation == incarnation) == (incarnation > 0)
+			})
+		}
+	}
+	before := n1.Fleet().Incarnation
+	for _, dies := range []bool{true, false} {
+		next, operators := n1.Beside(), fixed(t)
+		s.must(next.Start("LB_MANAGEMENT=" + operators))
+		s.until("the old process leaves", seen(members.Leaving, before))
+		if dies {
+			s.must(next.Kill())
+			s.until("the old process serves again", seen(members.Serving, before))
+			continue
+		}
+		t.Cleanup(func() { s.must(next.Kill()) })
+		s.until("the old process has ended", func() bool { return !n1.Runs() })
+		s.until("the name is the successor's", func() bool { return seen(members.Serving, 0)() && !seen(members.Serving, before)() })
+	}
+}
--- a/cmd/cherryrelay/upgrade.go
+++ b/cmd/cherryrelay/upgrade.go
@@ -231,6 +231,7 @@
 		_ = old.Close()
 	}
 	n.core.Resume()
+	n.stay()
 	for _, f := range n.fronts() {
 		if err := f.Listener().Start(); err != nil {
 			n.log.Error("callers cannot be accepted", "err", err)
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -87,7 +87,7 @@
 func (f *Fleet) Say(s members.State) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.state == s || f.state == members.Leaving { // who leaves does not come back
+	if f.state == s {
 		return
 	}
 	f.state = s
--- a/internal/trial/ground.go
+++ b/internal/trial/ground.go
@@ -241,6 +241,11 @@
 	return nil
 }
 
+// Beside is another process to be under the same files, as at an upgrade. Whoever starts it ends it.
+func (c *Controller) Beside() *Controller {
+	return &Controller{Name: c.Name, Lines: c.Lines, API: c.API, Management: c.Management, ground: c.ground, directory: c.directory}
+}
+
 // Kill ends the process at once, in the middle of whatever it does.
 func (c *Controller) Kill() error { return c.end(syscall.SIGKILL) }
 
