--- a/internal/trial/peers.go
+++ b/internal/trial/peers.go
@@ -156,6 +156,9 @@
 	}
 }
 
+// refusedPause is a caller's after a refusal: a controller that serves out refuses at once, and would be asked thousands of times a second.
+const refusedPause = 10 * time.Millisecond
+
 // Token is that of a call.
 func Token(id string) string { return "a token of " + id }
 
@@ -248,6 +251,9 @@
 		if c.Judge.Heard(m.ID, m.Type, text, m.CauseOr(0), time.Now()) {
 			c.open[m.ID] = c.open[m.ID] || m.Type == "answer"
 		} else {
+			if !c.open[m.ID] {
+				time.Sleep(refusedPause)
+			}
 			delete(c.open, m.ID)
 		}
 	}
