--- a/cmd/cherryrelay/kill_test.go
+++ b/cmd/cherryrelay/kill_test.go
@@ -22,7 +22,7 @@
 )
 
 // operatorFile is a controller of its own: with a ledger, both fronts, and a pool file.
-const operatorFile = `[controller]
+var operatorFile = `[controller]
 name = n1
 listen = %s
 management = %s
@@ -35,40 +35,7 @@
 directory = ledger
 lines = true
 %s
-[settings]
-membershipMode = pushed
-peersTotal = 1
-resolutionUs = 5000
-[settings.caps]
-connIdleUs = 600000000
-connectTimeoutUs = 500000
-maxRetryAfterUs = 2000000
-mayCancel = true
-retryAfter = true
-sendCap = 5
-[settings.familyInfo]
-guardUs = 500000
-layout = skills
-thisNode = -1
-[settings.report]
-fields = idle, circuits
-[settings.rules]
-coldUs = 15000000
-graceToAnswerUs = 20000
-startCapacity = 0.28
-tipMultiple = 2
-[class send-setup]
-aimUs = 4000000
-deadlineUs = 9000000
-worth = 1
-lateValue = 0.25
-semantics = read_like
-group = all
-windowUs = 5000000
-[limits]
-memory_mb = 256
-sockets = 1024
-`
+` + fmt.Sprintf(trial.Settings, 1)
 
 // guard is that of the operator's file.
 const guard = 500 * time.Millisecond
--- a/internal/trial/ground.go
+++ b/internal/trial/ground.go
@@ -107,7 +107,7 @@
 	return names
 }
 
-// operatorFile is that of a controller on the ground. Its settings are those that tests and trials need: short waits, all reports.
+// operatorFile is that of a controller on the ground.
 const operatorFile = `[controller]
 name = %s
 listen = %s
@@ -121,7 +121,10 @@
 endpoints = %s
 prefix = %s
 lease_ms = %d
-%s[settings]
+%s` + Settings
+
+// Settings are those that tests and trials need, for so many controllers: short waits, all reports, one class.
+const Settings = `[settings]
 membershipMode = pushed
 peersTotal = %d
 resolutionUs = 5000
