Have the upgrade story tell ends on connections whose process is known

Seen: a set-up that is open for 400 ms has the old process open a second connection, after the new process's; its end in the story is that of a loop and not of a process, so its connections stay open, and the stand-in told the end on the one that came last, to nobody. A real process closes them as it ends.

--- a/cmd/cherryrelay/upgrade_test.go
+++ b/cmd/cherryrelay/upgrade_test.go
@@ -76,7 +76,8 @@
 	}, func(old *world) {
 		idle, stood, busy := old.caller(), old.caller(), old.caller()
 		old.must(stood.SetUp(id(1), long, 0, "x"))
-		old.must(old.gets(0).Answer("y"))
+		first := old.gets(0)
+		old.must(first.Answer("y"))
 		old.hears(stood)
 		old.must(busy.SetUp(id(2), long, 1, "x"))
 		open := old.gets(1)
@@ -91,21 +92,23 @@
 		old.operates("GET", "/api/ready")
 		c := next.caller()
 		old.must(c.SetUp(id(3), long, 1, "x"))
-		old.must(old.gets(1).Answer("y"))
+		later := old.gets(1)
+		old.must(later.Answer("y"))
 		old.hears(c)
 		old.must(open.Answer("y"))
 		old.hears(busy)
 		old.isClosed(busy)
 		old.acked(1)
-		old.must(old.dispatchers[0].Release(id(1), 16)) // to the old process, whose caller has gone
+		// Ends are told on connections of a known process: the old one's stay open here, as its end is not that of a process.
+		old.must(first.ReleaseHere(id(1), 16)) // to the old one, whose caller has gone
 		old.hears(c)
 		old.must(<-old.done) // it has ended by itself
-		old.must(old.dispatchers[1].Release(id(2), 41))
+		old.must(later.ReleaseHere(id(2), 41))
 		old.hears(c)
 		// A call that only the old process can have known, ended by its caller.
 		old.must(c.Release(id(4), 31))
 		old.gets(0)
-		old.must(old.dispatchers[1].Release(id(3), 16))
+		old.must(later.ReleaseHere(id(3), 16))
 		old.hears(c) // and nothing else came for the others
 	})
 }
