Take in what a peer sent before it closed, on connections that are new and on any other

Probed: a peer that is dialled, told one byte, answers two and closes. To blame: Conn.start, which told the close ahead of netpoll's callback for what had come, when the peer closed before that callback was known. The close goes through netpoll now, which runs it after. By netpoll's code a second loss is possible, between its last look at the reader and a close (connection_onevent.go); it was not seen, and rest takes such bytes in as well. Ruled out on the way: a first count of 1 byte in 2, which was the probe's own.

--- a/internal/conn/conn.go
+++ b/internal/conn/conn.go
@@ -115,14 +115,14 @@
 // start begins to read what a dialled connection brings. It must not run on the loop: if more has come already
 // than the ring holds, it waits for the loop.
 func (c *Conn) start() error {
-	if err := c.nc.AddCloseCallback(func(netpoll.Connection) error { c.hup(); return nil }); err != nil {
+	if err := c.nc.AddCloseCallback(func(netpoll.Connection) error { c.rest(); c.hup(); return nil }); err != nil {
 		return err
 	}
 	err := c.nc.SetOnRequest(func(_ context.Context, nc netpoll.Connection) error { return c.fill(nc.Reader()) })
 	if !c.nc.IsActive() {
 		// It closed before netpoll knew whom to tell. netpoll leaves such a socket to its owner: without the close, each
-		// connection that is reset when new would keep its descriptor for good.
-		c.hup()
+		// connection that is reset when new would keep its descriptor for good. The close has the callback run, after the one
+		// that takes in what came, if that runs.
 		err = errors.Join(err, c.nc.Close())
 	}
 	return err
@@ -205,6 +205,20 @@
 	return c.ended
 }
 
+// rest takes in what a peer that has closed sent last. netpoll hands over what comes while a callback runs in another turn of that
+// callback, but not if the close comes before it begins: then the bytes are in its reader still, and would go with it. A close by
+// this side leaves them: what crosses it is not taken.
+func (c *Conn) rest() {
+	if c.isEnded() {
+		return
+	}
+	if r := c.nc.Reader(); r.Len() > 0 {
+		if err := c.fill(r); err != nil {
+			slog.Debug("what came last is lost", "err", err)
+		}
+	}
+}
+
 // hup runs when netpoll closes the connection, whoever asked for it.
 func (c *Conn) hup() {
 	c.mu.Lock()
@@ -520,7 +534,7 @@
 		c := wrap(l.loop, nc)
 		l.open.Add(1)
 		l.loop.Post(func() { c.handler = l.handler(c) })
-		if err := nc.AddCloseCallback(func(netpoll.Connection) error { l.open.Add(-1); c.hup(); return nil }); err != nil {
+		if err := nc.AddCloseCallback(func(netpoll.Connection) error { l.open.Add(-1); c.rest(); c.hup(); return nil }); err != nil {
 			slog.Warn("accepting a connection", "err", err)
 		}
 		return context.WithValue(context.Background(), key{}, c)
--- a/internal/conn/conn_test.go
+++ b/internal/conn/conn_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"github.com/cloudwego/netpoll"
+
 	"cherryrelay/internal/ring"
 )
 
@@ -171,3 +173,82 @@
 		t.Error("nothing came")
 	}
 }
+
+// TestWhatCameBeforeTheCloseOfANewConnection: what a peer had sent was lost if it closed before netpoll knew whom to tell.
+func TestWhatCameBeforeTheCloseOfANewConnection(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	for range 100 {
+		nc, err := netpoll.DialConnection("tcp", ln.Addr().String(), patience)
+		if err != nil {
+			t.Fatal(err)
+		}
+		peer, err := ln.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, err = peer.Write([]byte("last"))
+		if err := errors.Join(err, peer.Close()); err != nil {
+			t.Fatal(err)
+		}
+		for begin := time.Now(); nc.IsActive(); time.Sleep(100 * time.Microsecond) {
+			if time.Since(begin) > patience {
+				t.Fatal("netpoll does not see the close")
+			}
+		}
+		posts, heard := make(loop, 16), make(hearing, 16)
+		c := wrap(posts, nc)
+		c.handler = heard
+		if err := c.start(); err != nil {
+			t.Fatal(err)
+		}
+		text := ""
+		for open := true; open; {
+			select {
+			case f := <-posts:
+				f()
+			case more, ok := <-heard:
+				text += more
+				open = ok
+			case <-time.After(patience):
+				t.Fatal("the connection never ends")
+			}
+		}
+		if text != "last" {
+			t.Fatalf("%q came, want what was sent before the close", text)
+		}
+	}
+}
+
+// unread is a connection of netpoll's that its peer has closed, with bytes that no callback was run for.
+type unread struct {
+	netpoll.Connection
+	rest netpoll.Reader
+}
+
+func (u unread) Reader() netpoll.Reader { return u.rest }
+
+// TestRest: netpoll runs the callback of a close without one for what came between the last look at its reader and the close.
+func TestRest(t *testing.T) {
+	buffer := netpoll.NewLinkBuffer()
+	if _, err := buffer.WriteString("last"); err != nil {
+		t.Fatal(err)
+	}
+	if err := buffer.Flush(); err != nil {
+		t.Fatal(err)
+	}
+	posts, heard := make(loop, 16), make(hearing, 16)
+	c := wrap(posts, unread{rest: buffer})
+	c.handler = heard
+	c.rest()
+	c.hup()
+	for len(posts) > 0 {
+		(<-posts)()
+	}
+	if text := <-heard; text != "last" {
+		t.Errorf("%q came, want what is in the reader", text)
+	}
+}
