Release the calls of a vanished machine whose connections were all given up before

A machine that answers nothing has its connections given up as mute, one after another; then check dialled it for ever and never came to the case that has its calls told to be over (server.check: no connection went before silence). The test has a listener that takes no further connection: without the change its calls are held for 20 s and on, with it they are told after 5 s.

--- a/internal/dispatchers/dispatchers.go
+++ b/internal/dispatchers/dispatchers.go
@@ -213,17 +213,16 @@
 			s.pool.core.Died(s.ID)
 		}
 		return
+	case silent > deadAfter && s.unanswered && s.holds(): // also where all connections were given up before: as each was mute
+		s.pool.Log.Warn("dispatcher is silent", "server", s.ID, "for", silent)
+		s.drop(errors.New("dispatcher is silent"))
+		s.pool.core.Died(s.ID)
+		return
 	case len(s.links) == 0:
 		s.connect()
 	case len(s.links) < s.wanted(now) && silent <= silence: // also to one that drains: a new one brings the releases of a lost one
 		s.connect()
-	case silent > silence && (s.openSetUps() > 0 || s.pool.core.Standing(s.ID) > 0):
-		if silent > deadAfter && s.unanswered {
-			s.pool.Log.Warn("dispatcher is silent", "server", s.ID, "for", silent)
-			s.drop(errors.New("dispatcher is silent"))
-			s.pool.core.Died(s.ID)
-			return
-		}
+	case silent > silence && s.holds():
 		s.connect()
 	}
 	for _, l := range slices.Clone(s.links) {
@@ -273,6 +272,9 @@
 	return s.demand.Wanted(now, oldest, s.pool.links)
 }
 
+// holds reports whether a dispatcher has anything to say: set-ups are open at it, or calls stand.
+func (s *server) holds() bool { return s.openSetUps() > 0 || s.pool.core.Standing(s.ID) > 0 }
+
 func (s *server) openSetUps() int {
 	n := 0
 	for _, l := range s.links {
@@ -318,7 +320,7 @@
 	if len(s.links) > 0 && (s.unanswered || time.Since(s.heardAt) <= silence) {
 		return
 	}
-	if len(s.links) > 0 && s.openSetUps() == 0 && s.pool.core.Standing(s.ID) == 0 {
+	if len(s.links) > 0 && !s.holds() {
 		return // it has nothing to say
 	}
 	if !s.unanswered {
--- /dev/null
+++ b/internal/dispatchers/vanished_test.go
@@ -0,0 +1,101 @@
+package dispatchers
+
+import (
+	"log/slog"
+	"net"
+	"os"
+	"syscall"
+	"testing"
+	"time"
+
+	"cherryrelay/control"
+	"cherryrelay/internal/call"
+)
+
+// holding is a core that has a call at a dispatcher until that is no more.
+type holding struct {
+	Core // what is not asked here
+	died chan control.ServerID
+	gone bool
+}
+
+func (h *holding) Standing(control.ServerID) int {
+	if h.gone {
+		return 0
+	}
+	return 1
+}
+
+func (h *holding) Reached() {}
+
+func (h *holding) Died(id control.ServerID) {
+	if !h.gone {
+		h.gone = true
+		h.died <- id
+	}
+}
+
+// unreachable listens, and takes the first connection alone: a connection that is tried later gets no answer at all.
+func unreachable(t *testing.T) (address string) {
+	t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	if err := syscall.Listen(fd, 0); err != nil { // room for one that is not accepted
+		t.Fatal(err)
+	}
+	f := os.NewFile(uintptr(fd), "")
+	defer f.Close()
+	ln, err := net.FileListener(f)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	up := make(chan net.Conn, 1)
+	go func() {
+		c, _ := ln.Accept()
+		up <- c
+	}()
+	address = ln.Addr().String()
+	first, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = first.Close() })
+	_ = (<-up).Close()
+	for {
+		c, err := net.DialTimeout("tcp", address, 200*time.Millisecond)
+		if err != nil {
+			return address
+		}
+		t.Cleanup(func() { _ = c.Close() })
+	}
+}
+
+// TestAVanishedMachineWithNoConnectionLeft: a machine that no longer answers at all, and whose connections had been given up one by
+// one as mute, was dialled for ever, and the calls that it had were never told to be over.
+func TestAVanishedMachineWithNoConnectionLeft(t *testing.T) {
+	t.Parallel()
+	address := unreachable(t)
+	loop := call.NewLoop()
+	core := &holding{died: make(chan control.ServerID, 1)}
+	begun := time.Now()
+	loop.Post(func() {
+		p := New(loop, core, Options{ConnectTimeout: 200 * time.Millisecond, Log: slog.New(slog.DiscardHandler)})
+		p.Update(call.Update{Servers: []call.Server{{ServerEntry: control.ServerEntry{ID: "d"}, Address: address}}, Whole: true})
+	})
+	go loop.Run()
+	t.Cleanup(loop.Quit)
+	select {
+	case <-core.died:
+		if early := deadAfter - time.Since(begun); early > 0 {
+			t.Errorf("given up %v too early", early)
+		}
+	case <-time.After(4 * deadAfter):
+		t.Error("its calls are held for ever")
+	}
+}
