Draw upgrades, crawling controllers and parted and slow dispatchers in trials

A controller that crawls runs 5 ms of 50; an upgrade starts a second process under the same files, and whoever ends a controller ends both.

--- a/internal/trial/ground.go
+++ b/internal/trial/ground.go
@@ -204,9 +204,15 @@
 	Lines, API, Management string // its addresses
 	ground                 *Ground
 	directory              string
-	cmd                    *exec.Cmd
-	ended                  chan error
-	log                    diary
+	process
+	before []process // those that were there before an upgrade, which end by themselves
+	log    diary
+}
+
+// process is one that was started, and what tells of its end.
+type process struct {
+	cmd   *exec.Cmd
+	ended chan error
 }
 
 // diary is a log that may be read while it is written.
@@ -249,6 +255,29 @@
 	return &Controller{Name: c.Name, Lines: c.Lines, API: c.API, Management: c.Management, ground: c.ground, directory: c.directory}
 }
 
+// Upgrade starts another process under the same files and addresses, which is the controller's from now on. The one that serves hands over
+// to it and ends by itself.
+func (c *Controller) Upgrade() error {
+	old := c.process
+	if err := c.Start(); err != nil {
+		c.process = old
+		return err
+	}
+	c.before = append(slices.DeleteFunc(c.before, process.over), old)
+	return nil
+}
+
+// over reports whether a process has ended.
+func (p process) over() bool {
+	select {
+	case err := <-p.ended:
+		p.ended <- err
+		return true
+	default:
+		return false
+	}
+}
+
 // Kill ends the process at once, in the middle of whatever it does.
 func (c *Controller) Kill() error { return c.end(syscall.SIGKILL) }
 
@@ -262,39 +291,58 @@
 	if c.cmd == nil {
 		return nil
 	}
-	cmd := c.cmd
-	signalled := errors.Join(cmd.Process.Signal(s), cmd.Process.Signal(syscall.SIGCONT)) // one that is paused has to hear it
-	c.cmd = nil
+	all := append(slices.DeleteFunc(c.before, process.over), c.process)
+	c.process, c.before = process{}, nil
+	var err error
+	for _, p := range all { // the successor last: one that is left alone would go on
+		err = errors.Join(err, p.signal(s))
+	}
+	for _, p := range all {
+		if ended := p.wait(s); ended != nil {
+			err = errors.Join(err, fmt.Errorf("trial: %s %w", c.Name, ended))
+		}
+	}
+	return err
+}
+
+func (p process) signal(s syscall.Signal) error {
+	err := errors.Join(p.cmd.Process.Signal(s), p.cmd.Process.Signal(syscall.SIGCONT)) // one that is paused has to hear it
+	if errors.Is(err, os.ErrProcessDone) {
+		return nil
+	}
+	return err
+}
+
+func (p process) wait(s syscall.Signal) error {
 	select {
-	case err := <-c.ended:
+	case err := <-p.ended:
 		if s == syscall.SIGTERM && err != nil {
-			return fmt.Errorf("trial: %s ended with %w", c.Name, err)
+			return fmt.Errorf("ended with %w", err)
 		}
 		return nil
 	case <-time.After(endWithin):
-		state, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", cmd.Process.Pid))
-		return fmt.Errorf("trial: %s does not end after %v (%v): %.200s", c.Name, s, errors.Join(signalled, cmd.Process.Kill()), state)
+		state, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+		return fmt.Errorf("does not end after %v (%w): %.200s", s, p.cmd.Process.Kill(), state)
 	}
 }
 
 // Pause has the process do nothing until Resume, as one that is swapped out or whose machine stands still.
-func (c *Controller) Pause() { _ = c.cmd.Process.Signal(syscall.SIGSTOP) }
+func (c *Controller) Pause() { c.all(syscall.SIGSTOP) }
 
 // Resume has it go on.
-func (c *Controller) Resume() { _ = c.cmd.Process.Signal(syscall.SIGCONT) }
+func (c *Controller) Resume() { c.all(syscall.SIGCONT) }
+
+func (c *Controller) all(s syscall.Signal) {
+	for _, p := range append(slices.Clone(c.before), c.process) {
+		if p.cmd != nil {
+			_ = p.cmd.Process.Signal(s) // to one that has ended, it is for nobody
+		}
+	}
+}
 
 // Runs reports whether the process has been started and not ended by itself.
 func (c *Controller) Runs() bool {
-	if c.cmd == nil {
-		return false
-	}
-	select {
-	case err := <-c.ended:
-		c.ended <- err
-		return false
-	default:
-		return true
-	}
+	return c.cmd != nil && !c.over()
 }
 
 var api = jsoniter.ConfigCompatibleWithStandardLibrary
--- a/internal/trial/play.go
+++ b/internal/trial/play.go
@@ -234,15 +234,25 @@
 			}
 		}, func() { p.failed(c.Start()) })
 	case "pause":
-		return p.held("pause "+step.Who, func() {
-			if p.hold["down "+step.Who] == 0 {
-				c.Pause()
-			}
-		}, func() {
-			if p.hold["down "+step.Who] == 0 {
-				c.Resume()
+		return p.held("pause "+step.Who, func() { p.pause(c) }, func() { p.resume(c) })
+	case "crawl": // a tenth of its speed: it runs a tenth of the time
+		over := make(chan struct{})
+		return p.held("crawl "+step.Who, func() { go p.crawl(c, over) }, func() { close(over) })
+	case "upgrade":
+		if p.hold["down "+step.Who] == 0 && p.hold["pause "+step.Who] == 0 {
+			p.failed(c.Upgrade())
+		}
+	case "part dispatchers", "slow dispatchers":
+		rule := fault.Rule{Forth: fault.Way{Delay: slowLink, Jitter: slowLink}, Back: fault.Way{Delay: slowLink, Jitter: slowLink}}
+		if step.Do == "part dispatchers" {
+			rule = fault.Rule{Forth: fault.Way{Hole: true}, Back: fault.Way{Hole: true}, Shut: true}
+		}
+		set := func(r fault.Rule) {
+			for dispatcher := range p.o.Dispatchers {
+				p.Net.Set(step.Who+">"+dispatcher, r)
 			}
-		})
+		}
+		return p.held("dispatchers "+step.Who, func() { set(rule) }, func() { set(fault.Rule{}) })
 	case "part", "mute", "slow":
 		rule := map[string]fault.Rule{
 			"part": {Forth: fault.Way{Hole: true}, Back: fault.Way{Hole: true}, Shut: true}, "mute": {Back: fault.Way{Hole: true}},
@@ -267,6 +277,46 @@
 	return nil
 }
 
+// slowLink is how late what passes a slow link is each way, at least; at most twice that.
+const slowLink = 60 * time.Millisecond
+
+// crawlRuns and crawlRests are how long a process that crawls runs and rests, in turn.
+const crawlRuns, crawlRests = 5 * time.Millisecond, 45 * time.Millisecond
+
+// pause and resume do nothing to a controller that is down: it is started anew unpaused.
+func (p *player) pause(c *Controller) {
+	if p.hold["down "+c.Name] == 0 {
+		c.Pause()
+	}
+}
+
+func (p *player) resume(c *Controller) {
+	if p.hold["down "+c.Name] == 0 {
+		c.Resume()
+	}
+}
+
+// crawl has a controller run a part of the time, until over is closed.
+func (p *player) crawl(c *Controller, over <-chan struct{}) {
+	turn := func(do func(*Controller)) {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if p.hold["pause "+c.Name] == 0 {
+			do(c)
+		}
+	}
+	for {
+		turn(p.pause)
+		time.Sleep(crawlRests)
+		turn(p.resume)
+		select {
+		case <-over:
+			return
+		case <-time.After(crawlRuns):
+		}
+	}
+}
+
 // ends are the times from each loss to when each other controller told of its end, by cause. One that was back in time has none.
 func (p *player) ends() []Ended {
 	byCause := map[string][]int64{}
--- a/internal/trial/scenario.go
+++ b/internal/trial/scenario.go
@@ -43,7 +43,8 @@
 var deeds = map[string]struct{ who, lasts bool }{
 	"kill": {true, true}, "stop": {true, true}, "pause": {true, true}, "part": {true, true}, "mute": {true, true}, "slow": {true, true},
 	"cut": {true, false}, "stall store": {false, true}, "stop store": {false, true}, "deafen store": {false, true}, "compact": {false, false},
-	"lose answers": {false, false},
+	"lose answers": {false, false}, "part dispatchers": {true, true}, "slow dispatchers": {true, true}, "crawl": {true, true},
+	"upgrade": {true, false},
 }
 
 // The bounds of a scenario: what one machine may be asked to play.
