Take over the calls of a lost controller, once, by renames in the fleet's directory

A call whose controller was lost was lost with it: told unknown at any other, cut where it stood, its end told to nobody. Each commit looks whether the ledger is the process's still, before any byte leaves; if not, it begins anew by exec. Ledgers follow their directory (os.Root) and hold a lock that can be seen.

--- a/cmd/cherryrelay/durable.go
+++ b/cmd/cherryrelay/durable.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"log/slog"
 	"net/url"
 	"time"
 
@@ -24,10 +25,12 @@
 	ledger *ledger.Ledger
 	book   *recovery.Book
 	damage []string
+	key    []byte
+	still  func() error // whether the directory is this process's still
 }
 
 // openLedger reads a ledger and begins with what is left of it. It does not run on the loop.
-func openLedger(l *config.Ledger, name string) (*kept, error) {
+func openLedger(l *config.Ledger, name string, log *slog.Logger) (*kept, error) {
 	var key []byte
 	var err error
 	if l.KeyFile != "" {
@@ -35,15 +38,15 @@
 			return nil, fmt.Errorf("ledger: key: %w", err)
 		}
 	}
-	d, err := ledger.Directory(l.Directory)
+	d, err := directoryOf(l.Directory, log)
 	if err != nil {
-		return nil, err //nolint:wrapcheck // it says what it is
+		return nil, err
 	}
 	found, err := ledger.Read(d, name, key)
 	if err != nil {
 		return nil, errors.Join(err, d.Close())
 	}
-	k := &kept{damage: found.Damage}
+	k := &kept{damage: found.Damage, key: key, still: watchLedger(d)}
 	var bad error
 	if k.book, bad = recovery.Read(found.Records, found.Gaps); bad != nil {
 		k.damage = append(k.damage, bad.Error())
@@ -52,6 +55,7 @@
 	k.book.Forget(now)
 	k.ledger = ledger.New(d, ledger.Options{
 		Name: name, Key: key, Sync: config.Syncs[l.Sync], Segment: l.SegmentMB << 20, Most: l.MostMB << 20,
+		Look: k.still,
 		Compact: func(records [][]byte, gaps map[int]bool) ([][]byte, error) {
 			return recovery.Compact(records, gaps, time.Duration(time.Now().UnixNano()))
 		},
@@ -66,6 +70,8 @@
 	n.core.Recover(k.book, k.damage)
 	n.core.Keep(k.ledger, l.OnFailure == "refuse")
 	n.core.BeginLedger(wait)
+	n.kept = k
+	n.seek()
 	n.core.HasLedger()
 }
 
@@ -77,7 +83,7 @@
 		n.core.AwaitLedger()
 		return nil
 	}
-	k, err := openLedger(l, n.config.Name)
+	k, err := openLedger(l, n.config.Name, n.log)
 	if err != nil {
 		return err
 	}
@@ -94,7 +100,7 @@
 		var k *kept
 		var err error
 		for until := time.Now().Add(ownedFor); ; time.Sleep(ownedAgain) {
-			if k, err = openLedger(n.config.Ledger, n.config.Name); !errors.Is(err, ledger.ErrOwned) || time.Now().After(until) {
+			if k, err = openLedger(n.config.Ledger, n.config.Name, n.log); !errors.Is(err, ledger.ErrOwned) || time.Now().After(until) {
 				break
 			}
 		}
--- a/cmd/cherryrelay/node.go
+++ b/cmd/cherryrelay/node.go
@@ -18,6 +18,7 @@
 	"cherryrelay/internal/lists/files"
 	"cherryrelay/internal/lists/stored"
 	"cherryrelay/internal/management"
+	"cherryrelay/internal/takeover"
 )
 
 // node is one call controller, wired up.
@@ -35,8 +36,10 @@
 	lists   *lists.Keeper
 	files   *files.Watcher // nil without a pool file
 	store   *stored.Store  // nil without a state directory
+	kept    *kept          // what the ledger was opened with; nil without one
 	ledger  *ledger.Ledger // nil without one, or while a predecessor has it
 	fleet   *fleet         // nil without a fleet
+	room    *takeover.Room // nil without other controllers' ledgers
 	cancel  context.CancelFunc
 	bounds  callers.Bounds
 	terms   *callers.Terms
@@ -130,6 +133,7 @@
 	if err := n.followStore(ctx); err != nil {
 		return nil, err
 	}
+	n.seek()
 	n.share()
 	u.run()
 	return n, nil
@@ -192,8 +196,11 @@
 		n.store.Close()
 	}
 	var err error
+	if n.room != nil {
+		err = n.room.Close()
+	}
 	if n.ledger != nil { // before a successor is told that this one has ended
-		err = n.ledger.Close()
+		err = errors.Join(err, n.ledger.Close())
 	}
 	if n.fleet != nil {
 		err = errors.Join(err, n.fleet.close())
--- a/internal/call/core.go
+++ b/internal/call/core.go
@@ -72,6 +72,7 @@
 	orphan    *Timer        // when it is given up, or released, unless its caller comes
 	notBefore time.Duration // no attempt before that, on the clock of now
 	parked    bool          // the module does not know it yet: it waits for its caller
+	moving    bool          // it is being given to another controller
 	place     *recovery.Call
 }
 
@@ -105,6 +106,7 @@
 	figures      telemetry.Figures
 	durable      *durable // nil without a ledger
 	lost         *lost
+	passing      *passing // nil without other controllers
 	places       map[control.ServerID]Server
 	claims       []claim   // that came while a predecessor had the calls
 	releases     []*record // calls of an earlier process to be released once there is a list
@@ -250,9 +252,17 @@
 func (c *Core) GiveUp(caller Caller, id string, cause int) {
 	k := c.calls[id]
 	switch {
+	case k != nil && k.moving:
+		c.dispatchers.Release("", id, cause)
+		c.passing.finder.Ended(id, cause)
 	case k == nil:
 		// A call that stood before a restart: whichever dispatcher has it releases it. A set-up that was lost
 		// with the restart has nothing to release.
+		if c.passing != nil && ValidID(id) {
+			c.dispatchers.Release("", id, cause)
+			c.passing.finder.Ended(id, cause)
+			return
+		}
 		if cause != CauseNormal && ValidID(id) && time.Since(c.epoch) < heritage {
 			c.dispatchers.Release("", id, cause)
 			c.knowOver(id) // its caller need not be told
@@ -325,9 +335,12 @@
 	}
 }
 
+// forget has the module forget an open call.
+func (c *Core) forget(k *record) { c.tell(control.CallerLeft{ID: control.CallID(k.ID)}) }
+
 // abandon withdraws what is out for a call that its caller waits for no longer, and has the module forget it.
 func (c *Core) abandon(k *record) {
-	c.tell(control.CallerLeft{ID: control.CallID(k.ID)})
+	c.forget(k)
 	if k.out {
 		c.withdraw(k, control.Cancelled, true)
 	}
@@ -438,6 +451,10 @@
 func (c *Core) Released(server control.ServerID, id string, attempt, cause int, report []float64) {
 	k := c.calls[id]
 	switch {
+	case k != nil && k.moving:
+		c.passing.finder.Ended(id, cause)
+	case k == nil && c.passing != nil: // another controller may have it
+		c.passing.finder.Ended(id, cause)
 	case k == nil:
 		// A call from before a restart: its caller still has to hear of it.
 		c.knowOver(id)
--- a/internal/call/durable.go
+++ b/internal/call/durable.go
@@ -34,12 +34,13 @@
 
 // durable is the core's use of a ledger.
 type durable struct {
-	core   *Core
-	ledger Ledger
-	refuse bool // refuse new calls while nothing is kept
-	pause  time.Duration
-	spoilt bool   // something happened meanwhile that its state lacks
-	why    string // the last failure
+	core     *Core
+	ledger   Ledger
+	refuse   bool // refuse new calls while nothing is kept
+	pause    time.Duration
+	spoilt   bool   // something happened meanwhile that its state lacks
+	why      string // the last failure
+	watching bool
 }
 
 // Keep has all that happens to calls kept, once BeginLedger has had the state that Recover left written.
@@ -115,22 +116,47 @@
 
 // commit has all that was noted written before anything that was decided with it leaves.
 func (d *durable) commit() {
+	if !d.ledger.On() {
+		d.core.mayGoOn(ledger.ErrOff)
+	}
 	if !d.ledger.Pending() {
 		return
 	}
 	if err := d.ledger.Commit(); err != nil {
 		d.failed(err)
+		return
 	}
+	d.core.passed()
 }
 
 // failed has calls served on without a ledger, and tries to begin anew.
 func (d *durable) failed(err error) {
 	d.why = err.Error()
+	d.core.mayGoOn(err)
+	d.watch()
 	d.core.log.Error("THE STATE OF CALLS IS NOT KEPT: a restart would lose them", "err", err, "again_in", d.pause)
 	d.core.loop.After(d.pause, d.begin)
 	d.pause = min(2*d.pause, beginMost)
 }
 
+// watch holds a process whose ledger is off against what it may do without.
+func (d *durable) watch() {
+	if d.core.passing == nil || d.watching {
+		return
+	}
+	d.watching = true
+	var look func()
+	look = func() {
+		if d.ledger.On() {
+			d.watching = false
+			return
+		}
+		d.core.mayGoOn(ledger.ErrOff)
+		d.core.loop.After(lookAgain, look)
+	}
+	d.core.loop.After(lookAgain, look)
+}
+
 // begin writes the state of now, and waits beside the calls for how that comes out.
 func (d *durable) begin() {
 	state, err := d.core.state()
@@ -161,6 +187,7 @@
 			}
 		}
 		d.pause, d.why = beginLeast, ""
+		d.core.passed()
 		d.core.log.Warn("the state of calls is kept again")
 	}
 }
--- a/internal/call/recover.go
+++ b/internal/call/recover.go
@@ -208,15 +208,11 @@
 		return nil
 	}
 	k := c.calls[id]
+	if (k == nil || k.moving) && c.want(claim{caller, id, token, answered}) {
+		return nil
+	}
 	if k == nil || !recovery.Claims(token, k.Token) {
-		c.recovered.Unknown++
-		if k == nil && ValidID(id) {
-			// Nothing is known of it, so nobody will ever be told of it: it must not stand anywhere.
-			c.dispatchers.Release("", id, CauseNormal)
-			c.knowOver(id)
-			c.calls[id].Token, c.calls[id].end = recovery.Hash(token), End{Cause: CauseTemporary, Reason: ReasonUnknown}
-		}
-		caller.End(id, End{Cause: CauseTemporary, Reason: ReasonUnknown})
+		c.unknown(caller, id, token, k == nil)
 		return nil
 	}
 	c.recovered.Claimed++
@@ -258,6 +254,18 @@
 	return nil
 }
 
+// unknown tells a caller that nothing is known of a call. With cut, nobody else can have it either.
+func (c *Core) unknown(caller Caller, id, token string, cut bool) {
+	c.recovered.Unknown++
+	if cut && ValidID(id) {
+		// Nothing is known of it, so nobody will ever be told of it: it must not stand anywhere.
+		c.dispatchers.Release("", id, CauseNormal)
+		c.knowOver(id)
+		c.calls[id].Token, c.calls[id].end = recovery.Hash(token), End{Cause: CauseTemporary, Reason: ReasonUnknown}
+	}
+	caller.End(id, End{Cause: CauseTemporary, Reason: ReasonUnknown})
+}
+
 // AwaitLedger has claims wait until the calls of a predecessor are known, which has the ledger until it ends. New calls are taken
 // meanwhile, as one of the two must; they are kept from then on.
 func (c *Core) AwaitLedger() { c.awaitsLedger = true }
--- /dev/null
+++ b/internal/call/takeover.go
@@ -0,0 +1,205 @@
+package call
+
+import (
+	"bytes"
+	"errors"
+	"slices"
+	"time"
+
+	"cherryrelay/control"
+	"cherryrelay/internal/decide/recovery"
+	decide "cherryrelay/internal/decide/takeover"
+	"cherryrelay/internal/ledger"
+	"cherryrelay/internal/takeover"
+)
+
+// Finder has the calls of lost controllers, and passes on those of living ones; *takeover.Room is one.
+type Finder interface {
+	// Want has a call looked for; Arrived or Missing tells how that came out.
+	Want(id string, token []byte) bool
+	// Kept tells that calls which arrived are in the own ledger.
+	Kept(ids ...string)
+	// Ended tells the end of a call that is not held here.
+	Ended(id string, cause int)
+	// Give has a call's file written; Given tells when it is. Gone tells that the call is held here no more.
+	Give(c *takeover.Call) error
+	Gone(ids ...string)
+}
+
+// passing is the core's part in calls that pass between controllers.
+type passing struct {
+	finder  Finder
+	certain func() bool // whether this process has its name for itself, as far as is known
+	letGo   func(error) // does not return: this process begins anew
+	held    bool        // calls have been kept: another controller may take them
+	claims  map[string][]claim
+	kept    []string // arrived, and not told to be kept
+	gone    []string // let go, and not told to be gone
+}
+
+// Seek has calls that are not known here looked for among those of other controllers. LetGo ends the process's work at once, before another
+// word leaves it; it is for a process that may hold its calls no more.
+func (c *Core) Seek(f Finder, certain func() bool, letGo func(error)) {
+	c.passing = &passing{finder: f, certain: certain, letGo: letGo, claims: map[string][]claim{}, held: c.durable != nil && c.durable.ledger.On()}
+}
+
+// want has a call looked for that somebody has come for. It reports whether it is.
+func (c *Core) want(claim claim) bool {
+	p := c.passing
+	if p == nil || !ValidID(claim.id) || !p.finder.Want(claim.id, recovery.Hash(claim.token)) {
+		return false
+	}
+	p.claims[claim.id] = append(p.claims[claim.id], claim)
+	return true
+}
+
+// Arrived takes up a call that was another controller's. Over is the cause of its end, if a dispatcher has told that already; else -1.
+func (c *Core) Arrived(from *takeover.Call, over int) {
+	p, id := c.passing, from.ID()
+	if k := c.calls[id]; k != nil && !k.moving {
+		p.kept = append(p.kept, id) // it is here already: an earlier process was lost between the two steps of keeping it
+		c.claimed(id)
+		return
+	}
+	rules := recovery.Rules{Guard: c.decisions.ReleaseGuard, MaxAttempts: c.decisions.MaxAttempts}
+	for _, d := range from.Book().Plan(c.now(), rules) {
+		d = decide.Found(d, from.MayLive)
+		if c.recovered.Acts == nil {
+			c.recovered.Acts, c.recovered.Why = map[string]int{}, map[string]int{}
+		}
+		c.recover(d)
+	}
+	k := c.calls[id]
+	if k == nil {
+		p.kept = append(p.kept, id) // nothing is owed
+		c.Missing(id, false)
+		return
+	}
+	c.noteAll(k)
+	p.kept = append(p.kept, id)
+	c.checkRecovered()
+	c.claimed(id)
+	if over >= 0 && k.state == stands {
+		c.finish(k, over, nil)
+	}
+}
+
+// noteAll has all that is known of a call kept.
+func (c *Core) noteAll(k *record) {
+	if c.durable == nil {
+		return
+	}
+	for _, e := range c.known(k).Events() {
+		c.durable.append(e)
+	}
+}
+
+// claimed gives a call to those that have waited for it.
+func (c *Core) claimed(id string) {
+	claims := c.passing.claims[id]
+	delete(c.passing.claims, id)
+	for _, claim := range claims {
+		if err := c.Claim(claim.caller, claim.id, claim.token, claim.answered); err != nil {
+			c.log.Error("claim that cannot be served", "id", claim.id, "err", err)
+		}
+	}
+}
+
+// Missing tells those that have waited for a call that nothing is known of it; cut, that nobody can have it.
+func (c *Core) Missing(id string, cut bool) {
+	claims := c.passing.claims[id]
+	delete(c.passing.claims, id)
+	for _, claim := range claims {
+		c.unknown(claim.caller, claim.id, claim.token, cut)
+	}
+}
+
+// Elsewhere takes in ends that dispatchers told to other controllers, and returns the calls that are held here.
+func (c *Core) Elsewhere(ends map[string]int) (mine []string) {
+	for id, cause := range ends {
+		if k := c.calls[id]; k != nil && k.state == stands && !k.moving {
+			c.finish(k, cause, nil)
+			mine = append(mine, id)
+		}
+	}
+	return mine
+}
+
+// Wanted gives calls away whose callers have come back elsewhere, as the hash of the token shows. What is out for one is withdrawn first, so
+// that all that is known of it can be written.
+func (c *Core) Wanted(calls map[string][]byte) {
+	for id, token := range calls {
+		k := c.calls[id]
+		if k == nil || k.moving || len(k.Token) == 0 || !bytes.Equal(k.Token, token) || k.end.Reason == ReasonUnknown {
+			continue
+		}
+		if k.out {
+			c.withdraw(k, control.Cancelled, true)
+		}
+		if k.state == open && !k.parked {
+			c.forget(k)
+		}
+		c.stopTimers(k)
+		k.moving = true
+		known := c.known(k)
+		if err := c.passing.finder.Give(&takeover.Call{Events: known.Events(), LastUs: c.now().Microseconds()}); err != nil {
+			c.log.Error("a call cannot be given to another controller", "id", id, "err", err)
+		}
+	}
+}
+
+// Given lets a call go whose file is written.
+func (c *Core) Given(id string) {
+	k := c.calls[id]
+	if k == nil || !k.moving {
+		return
+	}
+	c.note(k, recovery.Left, nil)
+	switch {
+	case k.state == open:
+		c.settle(k)
+	case k.state == stands:
+		if c.standing[k.Caller]--; c.standing[k.Caller] == 0 {
+			delete(c.standing, k.Caller)
+		}
+	default:
+		c.ended = slices.DeleteFunc(c.ended, func(o *record) bool { return o == k })
+	}
+	delete(c.calls, id)
+	c.passing.gone = append(c.passing.gone, id)
+	if claims := c.passing.claims[id]; len(claims) > 0 { // its caller is here again
+		c.passing.finder.Want(id, recovery.Hash(claims[0].token))
+	}
+}
+
+// passed tells the finder what the ledger has by now. It comes after a commit.
+func (c *Core) passed() {
+	p := c.passing
+	if p == nil || c.durable != nil && !c.durable.ledger.On() {
+		return
+	}
+	p.held = true
+	if len(p.kept) > 0 {
+		p.finder.Kept(p.kept...)
+		p.kept = nil
+	}
+	if len(p.gone) > 0 {
+		p.finder.Gone(p.gone...)
+		p.gone = nil
+	}
+}
+
+// mayGoOn ends this process's work if its calls may be another's: its ledger was taken, or nothing is written and it is not certain either
+// that nobody may take it.
+func (c *Core) mayGoOn(err error) {
+	p := c.passing
+	if p == nil {
+		return
+	}
+	if errors.Is(err, ledger.ErrTaken) || p.held && !c.durable.ledger.On() && !p.certain() {
+		p.letGo(err)
+	}
+}
+
+// lookAgain is the pace at which a process without a ledger looks whether it may go on.
+const lookAgain = 50 * time.Millisecond
--- a/internal/decide/recovery/book.go
+++ b/internal/decide/recovery/book.go
@@ -255,3 +255,6 @@
 	}
 	return b, err
 }
+
+// Alive tells that the process was alive at a time, whether or not an event says so.
+func (b *Book) Alive(at time.Duration) { b.last = max(b.last, at) }
--- a/internal/decide/takeover/steps.go
+++ b/internal/decide/takeover/steps.go
@@ -34,6 +34,7 @@
 const (
 	SealedDir = ".sealed"
 	EndsDir   = ".ends"
+	WantedDir = ".wanted"
 	DoneDir   = ".done"
 
 	inDir   = "in"
@@ -43,7 +44,7 @@
 
 // Prepare makes the directories beside those of the controllers.
 func Prepare(f Files) error {
-	for _, dir := range []string{SealedDir, EndsDir, DoneDir} {
+	for _, dir := range []string{SealedDir, EndsDir, WantedDir, DoneDir} {
 		if err := ensure(f, dir); err != nil {
 			return err
 		}
@@ -118,7 +119,12 @@
 
 // Inherit takes a sealed ledger from its taker, which is lost as well.
 func Inherit(f Files, s Sealed, taker string) (Sealed, error) {
-	mine := Sealed{s.Name, s.Number, taker}
+	return InheritAs(f, s, s.Number, taker)
+}
+
+// InheritAs is Inherit under another number.
+func InheritAs(f Files, s Sealed, number, taker string) (Sealed, error) {
+	mine := Sealed{s.Name, number, taker}
 	if mine == s {
 		return s, nil
 	}
@@ -193,6 +199,18 @@
 	return ids, true, err //nolint:wrapcheck // it says what it is
 }
 
+// PrepareHanded makes the ledger of a living controller that holds the calls which it gives to others: one that is sealed and laid out
+// from the start, with no call.
+func PrepareHanded(f Files, s Sealed) error {
+	return errors.Join(ensure(f, s.Path()), ensure(f, s.open()))
+}
+
+// Hand lays out a call that its controller gives away: its file is in the controller's in/, and its own ledger has let it go. Before that
+// the records count, after it the file: so it is in one place at each moment.
+func Hand(f Files, hand Sealed, id string) error {
+	return f.Rename(path.Join(In(hand.Taker), id), path.Join(hand.open(), id)) //nolint:wrapcheck // it says what it is
+}
+
 // Finish drops a sealed ledger of which every call is taken. A call that is taken from it at the same time would go with it, so it is for
 // the taker that saw it empty once it was laid out: nothing is ever added.
 func Finish(f Files, s Sealed) error {
--- a/internal/ledger/disk.go
+++ b/internal/ledger/disk.go
@@ -35,45 +35,107 @@
 // lockName is a file that one process at a time holds. The lock goes with its owner, however that ends.
 const lockName = "lock"
 
-// directory is a Disk.
+// directory is a Disk. Its files are those of the directory that was opened, wherever its name goes.
 type directory struct {
 	path string
+	root *os.Root
 	lock *os.File
 }
 
+// ErrTaken is the error of a directory that is not at its path any more: another process has taken it, with all that is in it.
+var ErrTaken = errors.New("ledger: another controller has taken it")
+
+// The locks of open files (fcntl(2)), which package syscall lacks: one that is held can be seen without being taken.
+const ofdGetLock, ofdSetLock = 36, 37
+
 // Directory takes a directory, making it if need be. ErrOwned says that another process has it.
 func Directory(path string) (Disk, error) {
 	if err := os.MkdirAll(path, 0o700); err != nil {
 		return nil, fmt.Errorf("ledger: %w", err)
 	}
-	lock, err := os.OpenFile(filepath.Join(path, lockName), os.O_CREATE|os.O_RDWR, 0o600)
+	root, err := os.OpenRoot(path)
 	if err != nil {
 		return nil, fmt.Errorf("ledger: %w", err)
 	}
-	if err := syscall.Flock(int(lock.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
-		_ = lock.Close()
+	d := &directory{path: path, root: root}
+	if d.lock, err = root.OpenFile(lockName, os.O_CREATE|os.O_RDWR, 0o600); err != nil {
+		return nil, errors.Join(fmt.Errorf("ledger: %w", err), d.Close())
+	}
+	if err := syscall.Flock(int(d.lock.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
 		if errors.Is(err, syscall.EWOULDBLOCK) {
-			return nil, fmt.Errorf("%w: %s", ErrOwned, path)
+			err = ErrOwned
 		}
-		return nil, fmt.Errorf("ledger: locking %s: %w", path, err)
+		return nil, errors.Join(fmt.Errorf("%w: %s", err, path), d.Close())
+	}
+	if err := syscall.FcntlFlock(d.lock.Fd(), ofdSetLock, &syscall.Flock_t{Type: syscall.F_WRLCK}); err != nil {
+		return nil, errors.Join(fmt.Errorf("ledger: locking %s: %w", path, err), d.Close())
 	}
-	return &directory{path, lock}, nil
+	if err := d.still(); err != nil { // taken while it was opened
+		return nil, errors.Join(err, d.Close())
+	}
+	return d, nil
+}
+
+// Held reports whether a process has a directory. It is seen without being taken, so that its owner is not kept from it.
+func Held(path string) (bool, error) {
+	lock, err := os.OpenFile(filepath.Join(path, lockName), os.O_RDWR, 0)
+	if errors.Is(err, os.ErrNotExist) {
+		_, err = os.Stat(path)
+		if errors.Is(err, os.ErrNotExist) {
+			return false, nil
+		}
+		return true, nil // what never had a lock is no ledger, and nobody's to take
+	}
+	if err != nil {
+		return false, fmt.Errorf("ledger: %w", err)
+	}
+	defer lock.Close()
+	l := syscall.Flock_t{Type: syscall.F_WRLCK}
+	if err := syscall.FcntlFlock(lock.Fd(), ofdGetLock, &l); err != nil {
+		return false, fmt.Errorf("ledger: looking at %s: %w", path, err)
+	}
+	return l.Type != syscall.F_UNLCK, nil
+}
+
+// Still reports whether a directory is at its path still; ErrTaken says that it is not.
+func Still(d Disk) error {
+	if dir, is := d.(*directory); is {
+		return dir.still()
+	}
+	return nil
+}
+
+func (d *directory) still() error {
+	mine, err := d.root.Stat(".")
+	if err != nil {
+		return fmt.Errorf("ledger: %w", err)
+	}
+	there, err := os.Stat(d.path)
+	switch {
+	case errors.Is(err, os.ErrNotExist) || err == nil && !os.SameFile(mine, there):
+		return fmt.Errorf("%w: %s", ErrTaken, d.path)
+	case err != nil:
+		return fmt.Errorf("ledger: %w", err)
+	}
+	return nil
 }
 
 // ReadOnly is a directory that is looked at, also while another process has it. Nothing may be written there.
 func ReadOnly(path string) (Disk, error) {
-	if info, err := os.Stat(path); err != nil {
+	root, err := os.OpenRoot(path)
+	if err != nil {
 		return nil, fmt.Errorf("ledger: %w", err)
-	} else if !info.IsDir() {
-		return nil, fmt.Errorf("ledger: %s is no directory", path)
 	}
-	return &directory{path, nil}, nil
+	return &directory{path: path, root: root}, nil
 }
 
-func (d *directory) in(name string) string { return filepath.Join(d.path, name) }
-
 func (d *directory) List() ([]string, error) {
-	entries, err := os.ReadDir(d.path)
+	f, err := d.root.Open(".")
+	if err != nil {
+		return nil, err //nolint:wrapcheck // it says what it is
+	}
+	defer f.Close()
+	entries, err := f.ReadDir(-1)
 	if err != nil {
 		return nil, err //nolint:wrapcheck // it says what it is
 	}
@@ -87,18 +149,18 @@
 	return names, nil
 }
 
-func (d *directory) Read(name string) ([]byte, error) { return os.ReadFile(d.in(name)) }
+func (d *directory) Read(name string) ([]byte, error) { return d.root.ReadFile(name) }
 
 func (d *directory) Create(name string) (File, error) {
-	return os.OpenFile(d.in(name), os.O_CREATE|os.O_TRUNC|os.O_WRONLY|os.O_APPEND, 0o600)
+	return d.root.OpenFile(name, os.O_CREATE|os.O_TRUNC|os.O_WRONLY|os.O_APPEND, 0o600)
 }
 
-func (d *directory) Rename(from, to string) error { return os.Rename(d.in(from), d.in(to)) }
+func (d *directory) Rename(from, to string) error { return d.root.Rename(from, to) }
 
-func (d *directory) Remove(name string) error { return os.Remove(d.in(name)) }
+func (d *directory) Remove(name string) error { return d.root.Remove(name) }
 
 func (d *directory) Sync() error {
-	f, err := os.Open(d.path)
+	f, err := d.root.Open(".")
 	if err != nil {
 		return err //nolint:wrapcheck // it says what it is
 	}
@@ -106,8 +168,9 @@
 }
 
 func (d *directory) Close() error {
-	if d.lock == nil {
-		return nil
+	err := d.root.Close()
+	if d.lock != nil {
+		err = errors.Join(err, d.lock.Close())
 	}
-	return d.lock.Close()
+	return err
 }
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -53,6 +53,8 @@
 	Most     int64
 	// Compact makes the least of records; it runs beside the owner, on what has been written.
 	Compact func(records [][]byte, gaps map[int]bool) ([][]byte, error)
+	// Look comes after each write, before its commit returns; its error is the commit's. Nil for none.
+	Look func() error
 }
 
 // Figures are counted from the start of the process.
@@ -321,6 +323,9 @@
 			}
 			err = w.write(r)
 		}
+		if err == nil && w.o.Look != nil {
+			err = w.o.Look()
+		}
 		w.failed = err != nil
 		w.files.Store(w.total)
 		w.tell(result{r.generation, err})
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -123,6 +123,24 @@
 	return incarnation, until - now, ok
 }
 
+// Life is as which incarnation, of which store, this process has its name for itself now; not ok if it is not certain.
+func (f *Fleet) Life() (store uint64, incarnation int64, ok bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	incarnation, _, ok = f.view.Certain(f.now())
+	return f.view.Cluster(), incarnation, ok
+}
+
+// HasEnded reports whether an incarnation has certainly ended, and nobody is a member under its name, by a view that may be acted on.
+func (f *Fleet) HasEnded(store uint64, name string, incarnation int64) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.view.Actable(f.now()) || !f.view.HasEnded(store, name, incarnation) {
+		return false
+	}
+	return !slices.ContainsFunc(f.view.Members(), func(m members.Member) bool { return m.Name == name })
+}
+
 // request counts a request and bounds it.
 func (f *Fleet) request(ctx context.Context, do func(context.Context) error) error {
 	ctx, cancel := context.WithTimeout(ctx, f.o.Lease/renewals)
--- a/internal/trial/play.go
+++ b/internal/trial/play.go
@@ -111,9 +111,13 @@
 	done := make(chan struct{})
 	var calling sync.WaitGroup
 	var callers []*Caller
-	for i, c := range p.Controllers {
+	var fronts []string
+	for _, c := range p.Controllers {
+		fronts = append(fronts, c.Lines)
+	}
+	for i := range p.Controllers {
 		for k := range s.Callers {
-			caller := &Caller{Transport: "tcp", Addresses: []string{c.Lines}, First: (i*maxControllers + k + 1) << 32, Window: s.Window, Judge: p.judge,
+			caller := &Caller{Transport: "tcp", Addresses: fronts, at: i, First: (i*maxControllers + k + 1) << 32, Window: s.Window, Judge: p.judge,
 				Patience: tellDeadline}
 			callers = append(callers, caller)
 			calling.Go(func() { caller.Run(done) })
