Write the page of takeovers, with fleet takeovers, and mend what its stories showed

The first stories of several processes showed two faults. A call that was taken from another controller was cut where its dispatcher has another address there: the ground's proxies, in the field any translation; of calls from others the start of the dispatcher counts. A caller whose call was looked for was closed as silent after 2 s: what is looked for is owed now.

--- /dev/null
+++ b/cmd/cherryrelay/takeover_test.go
@@ -0,0 +1,262 @@
+package main
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	"cherryrelay/internal/jsonl"
+	"cherryrelay/internal/peer"
+	"cherryrelay/internal/takeover"
+	"cherryrelay/internal/trial"
+)
+
+// survivors is a site whose controllers keep their calls in one directory, under load by callers that come back wherever they are answered.
+type survivors struct {
+	*fleetSite
+	judge       *trial.Judge
+	dispatchers []*trial.Dispatcher
+	callers     []*trial.Caller
+	done        chan struct{}
+	calling     sync.WaitGroup
+}
+
+func newSurvivors(t *testing.T, controllers, window int, transport string) *survivors {
+	t.Helper()
+	s := &survivors{judge: newJudge(), done: make(chan struct{})}
+	addresses := map[string]string{}
+	for _, name := range []string{"d1", "d2", "d3"} {
+		d := act(t, "tcp", name, s.judge)
+		s.dispatchers = append(s.dispatchers, d)
+		addresses[name] = d.Address()
+	}
+	s.fleetSite = fleetSiteWith(t, trial.Options{Controllers: controllers, Seed: 7, Dispatchers: addresses, Ledgers: true})
+	fronts := s.fronts(transport)
+	for i := range s.Controllers {
+		if window == 0 {
+			break
+		}
+		c := &trial.Caller{Transport: transport, Addresses: fronts, First: (i + 1) << 32, Window: window, Judge: s.judge}
+		c.From(i)
+		s.callers = append(s.callers, c)
+		s.calling.Go(func() { c.Run(s.done) })
+	}
+	return s
+}
+
+func (s *survivors) fronts(transport string) []string {
+	var all []string
+	for _, c := range s.Controllers {
+		if transport == "ws" {
+			all = append(all, c.API)
+		} else {
+			all = append(all, c.Lines)
+		}
+	}
+	return all
+}
+
+// settle lets the callers come to an end, and holds all calls against the rules: every caller has its answer and its end, nothing is left
+// at a dispatcher, and nobody was told that nothing is known of a call that was taken.
+func (s *survivors) settle() map[string]int {
+	s.Helper()
+	close(s.done)
+	s.calling.Wait()
+	answered(s.T, s.judge)
+	faults, _, finals := s.judge.Verdict()
+	unanswered, untold := s.judge.Unsettled()
+	if len(faults)+len(unanswered)+len(untold) > 0 {
+		s.Errorf("faults %v, without an answer %v, without an end %v", faults, unanswered, untold)
+	}
+	s.until("nothing is left at the dispatchers", func() bool { return len(s.judge.Left()) == 0 })
+	s.Log(finals)
+	return finals
+}
+
+// took is what a controller tells of its takeovers.
+func took(c *trial.Controller) (s takeover.Shown) {
+	_, _ = c.Ask(takeover.Path, &s) // one that does not answer has taken nothing, as far as can be seen
+	return s
+}
+
+// sealed waits until one of the controllers has the ledger of a lost one.
+func (s *survivors) sealed(name string, by ...*trial.Controller) {
+	s.Helper()
+	s.until("the ledger of "+name+" is taken", func() bool {
+		for _, c := range by {
+			for _, told := range took(c).Told {
+				if told.Name == name {
+					return true
+				}
+			}
+		}
+		return false
+	})
+}
+
+// TestALostControllersCallsGoOn: one of three is killed for good under load, over each front. Its callers come back at the others and find
+// every call: those that were open are answered, those that stood are told their end.
+func TestALostControllersCallsGoOn(t *testing.T) {
+	for _, transport := range []string{"tcp", "ws"} {
+		t.Run(transport, func(t *testing.T) {
+			t.Parallel()
+			s := newSurvivors(t, 3, 16, transport)
+			time.Sleep(700 * time.Millisecond)
+			s.must(s.Controllers[1].Kill())
+			s.sealed("n2", s.Controllers[0], s.Controllers[2])
+			time.Sleep(time.Second)
+			finals := s.settle()
+			if finals["answer"] < 50 {
+				t.Errorf("only %v", finals)
+			}
+		})
+	}
+}
+
+// TestTheTakerIsLostToo: all but one of four are killed, each soon after the one before, so that takers are lost with what they had taken.
+func TestTheTakerIsLostToo(t *testing.T) {
+	t.Parallel()
+	s := newSurvivors(t, 4, 12, "tcp")
+	time.Sleep(500 * time.Millisecond)
+	for i, c := range s.Controllers[:3] {
+		s.must(c.Kill())
+		time.Sleep(time.Duration(250+150*i) * time.Millisecond)
+	}
+	s.sealed("n3", s.Controllers[3])
+	time.Sleep(time.Second)
+	s.settle()
+	if shown := took(s.Controllers[3]); shown.Sealed == 0 || shown.Failed > 0 {
+		t.Errorf("the last one took %+v", shown)
+	}
+}
+
+// TestAPausedControllerLetsGo: one stands still for longer than its lease, under load, and goes on with what it has in hand. Others have its
+// calls by then, and it begins anew without them.
+func TestAPausedControllerLetsGo(t *testing.T) {
+	t.Parallel()
+	s := newSurvivors(t, 3, 16, "tcp")
+	time.Sleep(500 * time.Millisecond)
+	n1 := s.Controllers[0]
+	before := n1.Fleet().Incarnation
+	n1.Pause()
+	s.sealed("n1", s.Controllers[1], s.Controllers[2])
+	time.Sleep(300 * time.Millisecond)
+	n1.Resume()
+	s.anew(n1, before)
+	time.Sleep(500 * time.Millisecond)
+	s.settle()
+}
+
+// TestAControllerThatIsCutOffLetsGo: one that does not reach the store, but its callers, dispatchers and files, is taken over once its
+// lease has ended; it sees that before it says another word.
+func TestAControllerThatIsCutOffLetsGo(t *testing.T) {
+	t.Parallel()
+	s := newSurvivors(t, 3, 16, "tcp")
+	time.Sleep(500 * time.Millisecond)
+	n1 := s.Controllers[0]
+	before := n1.Fleet().Incarnation
+	s.Net.Part([]string{"n1"}, []string{trial.StoreName})
+	s.sealed("n1", s.Controllers[1], s.Controllers[2])
+	time.Sleep(300 * time.Millisecond)
+	s.Net.Heal()
+	s.anew(n1, before)
+	s.settle()
+}
+
+// TestTheStoreIsLost: nobody is certain of anybody's end, and nobody is taken over; calls go on.
+func TestTheStoreIsLost(t *testing.T) {
+	t.Parallel()
+	s := newSurvivors(t, 3, 8, "tcp")
+	s.StopStore()
+	time.Sleep(3 * time.Second) // three leases
+	s.must(s.StartStore())
+	s.all(s.Controllers...)
+	for _, c := range s.Controllers {
+		if shown := took(c); shown.Sealed > 0 {
+			t.Errorf("%s took %+v", c.Name, shown)
+		}
+	}
+	s.settle()
+}
+
+// call is one call of a story: placed at a controller, and resumed at others.
+func (s *survivors) place(at *trial.Controller, id string) *peer.Caller {
+	s.Helper()
+	c, err := peer.Call("tcp", at.Lines)
+	s.must(err)
+	s.Cleanup(func() { _ = c.Close() })
+	s.judge.Placed(id, time.Now())
+	x := "x"
+	s.must(c.Send(jsonl.Message{Type: "setup", ID: id, SDP: &x, Fields: map[string]jsonl.Value{
+		"class": "send-setup", "tenant": "acme", "key": jsonl.Value("k" + id), "left": "8000", "token": jsonl.Value(trial.Token(id))}}))
+	return c
+}
+
+func (s *survivors) resume(at *trial.Controller, id, token string, answered bool) *peer.Caller {
+	s.Helper()
+	c, err := peer.Call("tcp", at.Lines)
+	s.must(err)
+	s.Cleanup(func() { _ = c.Close() })
+	fields := map[string]jsonl.Value{"token": jsonl.Value(token)}
+	if answered {
+		fields["answered"] = "1"
+	}
+	s.must(c.Send(jsonl.Message{Type: "resume", ID: id, Fields: fields}))
+	return c
+}
+
+func (s *survivors) hears(c *peer.Caller, kind string) *jsonl.Message {
+	s.Helper()
+	m, err := c.Next()
+	if err != nil || m.Type != kind {
+		s.Fatalf("heard %+v, %v, want %s", m, err, kind)
+	}
+	return m
+}
+
+// TestACallerComesBackElsewhere while its controller lives: it finds its call there, and is told its end there.
+func TestACallerComesBackElsewhere(t *testing.T) {
+	t.Parallel()
+	s := newSurvivors(t, 2, 0, "tcp")
+	for _, d := range s.dispatchers {
+		d.Act(true, false)
+	}
+	first := s.place(s.Controllers[0], id(1))
+	s.hears(first, "answer")
+	s.must(first.Close())
+	begun := time.Now()
+	second := s.resume(s.Controllers[1], id(1), trial.Token(id(1)), false)
+	if m := s.hears(second, "answer"); m.Description() != trial.Description(id(1)) {
+		t.Errorf("answer %q", m.Description())
+	}
+	t.Logf("after %v", time.Since(begun))
+	for _, d := range s.dispatchers {
+		if s.judge.Stands(id(1)) == d.Name {
+			d.End(id(1))
+		}
+	}
+	s.hears(second, "release")
+	if given := took(s.Controllers[0]).Given; given != 1 {
+		t.Errorf("n1 gave %d calls", given)
+	}
+}
+
+// TestAStrangerGetsNothing: who comes with another token is told that nothing is known, and the call goes on.
+func TestAStrangerGetsNothing(t *testing.T) {
+	t.Parallel()
+	s := newSurvivors(t, 2, 0, "tcp")
+	for _, d := range s.dispatchers {
+		d.Act(true, false)
+	}
+	first := s.place(s.Controllers[0], id(1))
+	s.hears(first, "answer")
+	stranger := s.resume(s.Controllers[1], id(1), "a token of somebody else", false)
+	if m := s.hears(stranger, "release"); m.CauseOr(0) != 41 {
+		t.Errorf("the stranger heard %+v", m)
+	}
+	if s.judge.Stands(id(1)) == "" {
+		t.Error("the call was cut")
+	}
+	s.must(first.Release(id(1), 16))
+	s.until("its caller ends it", func() bool { return s.judge.Stands(id(1)) == "" })
+}
--- a/internal/call/core.go
+++ b/internal/call/core.go
@@ -290,6 +290,7 @@
 // CallerClosed ends the set-ups of a connection that has closed: no answer is owed for them. Calls that stand go
 // on.
 func (c *Core) CallerClosed(caller Caller) {
+	c.passing.left(caller)
 	for _, id := range c.openOf(caller) {
 		if k := c.calls[id]; k.Token != nil && c.draining.IsZero() {
 			c.lose(k)
@@ -311,8 +312,13 @@
 // openOf asks no call but the caller's own: connections come and go by hundreds.
 func (c *Core) openOf(caller Caller) []string { return slices.Sorted(maps.Keys(c.owing[caller])) }
 
-// Owes is the number of set-ups without an answer that came from the caller.
-func (c *Core) Owes(caller Caller) int { return len(c.owing[caller]) }
+// Owes is the number of set-ups without an answer that came from the caller, and of calls that it has come for and that are looked for.
+func (c *Core) Owes(caller Caller) int {
+	if c.passing != nil {
+		return len(c.owing[caller]) + c.passing.waiting[caller]
+	}
+	return len(c.owing[caller])
+}
 
 // StandingOf is the number of calls of the caller that stand.
 func (c *Core) StandingOf(caller Caller) int { return c.standing[caller] }
--- a/internal/call/takeover.go
+++ b/internal/call/takeover.go
@@ -29,18 +29,19 @@
 // passing is the core's part in calls that pass between controllers.
 type passing struct {
 	finder  Finder
-	certain func() bool // whether this process has its name for itself, as far as is known
-	letGo   func(error) // does not return: this process begins anew
-	held    bool        // calls have been kept: another controller may take them
-	claims  map[string][]claim
-	kept    []string // arrived, and not told to be kept
-	gone    []string // let go, and not told to be gone
+	certain func() bool        // whether this process has its name for itself, as far as is known
+	letGo   func(error)        // does not return: this process begins anew
+	held    bool               // calls have been kept: another controller may take them
+	claims  map[string][]claim // that wait for their call to be found
+	waiting map[Caller]int     // how many of each
+	kept    []string           // arrived, and not told to be kept
+	gone    []string           // let go, and not told to be gone
 }
 
 // Seek has calls that are not known here looked for among those of other controllers. LetGo ends the process's work at once, before another
 // word leaves it; it is for a process that may hold its calls no more.
 func (c *Core) Seek(f Finder, certain func() bool, letGo func(error)) {
-	c.passing = &passing{finder: f, certain: certain, letGo: letGo, claims: map[string][]claim{}, held: c.durable != nil && c.durable.ledger.On()}
+	c.passing = &passing{finder: f, certain: certain, letGo: letGo, claims: map[string][]claim{}, waiting: map[Caller]int{}, held: c.durable != nil && c.durable.ledger.On()}
 }
 
 // want has a call looked for that somebody has come for. It reports whether it is.
@@ -50,9 +51,35 @@
 		return false
 	}
 	p.claims[claim.id] = append(p.claims[claim.id], claim)
+	p.waiting[claim.caller]++
 	return true
 }
 
+// came takes the claims that have waited for a call.
+func (p *passing) came(id string) []claim {
+	claims := p.claims[id]
+	delete(p.claims, id)
+	for _, claim := range claims {
+		if p.waiting[claim.caller]--; p.waiting[claim.caller] <= 0 {
+			delete(p.waiting, claim.caller)
+		}
+	}
+	return claims
+}
+
+// left drops the claims of a caller that has gone: it comes again, here or elsewhere.
+func (p *passing) left(caller Caller) {
+	if p == nil || p.waiting[caller] == 0 {
+		return
+	}
+	delete(p.waiting, caller)
+	for id, claims := range p.claims {
+		if p.claims[id] = slices.DeleteFunc(claims, func(o claim) bool { return o.caller == caller }); len(p.claims[id]) == 0 {
+			delete(p.claims, id) // the call may still come, and then waits for it as any that is left
+		}
+	}
+}
+
 // Arrived takes up a call that was another controller's. Over is the cause of its end, if a dispatcher has told that already; else -1.
 func (c *Core) Arrived(from *takeover.Call, over int) {
 	p, id := c.passing, from.ID()
@@ -64,6 +91,7 @@
 	rules := recovery.Rules{Guard: c.decisions.ReleaseGuard, MaxAttempts: c.decisions.MaxAttempts}
 	for _, d := range from.Book().Plan(c.now(), rules) {
 		d = decide.Found(d, from.MayLive)
+		d.Call.Foreign = true
 		if c.recovered.Acts == nil {
 			c.recovered.Acts, c.recovered.Why = map[string]int{}, map[string]int{}
 		}
@@ -96,8 +124,7 @@
 
 // claimed gives a call to those that have waited for it.
 func (c *Core) claimed(id string) {
-	claims := c.passing.claims[id]
-	delete(c.passing.claims, id)
+	claims := c.passing.came(id)
 	for _, claim := range claims {
 		if err := c.Claim(claim.caller, claim.id, claim.token, claim.answered); err != nil {
 			c.log.Error("claim that cannot be served", "id", claim.id, "err", err)
@@ -107,8 +134,7 @@
 
 // Missing tells those that have waited for a call that nothing is known of it; cut, that nobody can have it.
 func (c *Core) Missing(id string, cut bool) {
-	claims := c.passing.claims[id]
-	delete(c.passing.claims, id)
+	claims := c.passing.came(id)
 	for _, claim := range claims {
 		c.unknown(claim.caller, claim.id, claim.token, cut)
 	}
--- a/internal/commands/fleet.go
+++ b/internal/commands/fleet.go
@@ -9,6 +9,7 @@
 	"github.com/spf13/cobra"
 
 	"cherryrelay/internal/membership"
+	"cherryrelay/internal/takeover"
 )
 
 func fleetCommand(getenv func(string) string) *cobra.Command {
@@ -18,6 +19,7 @@
 	}
 	c.AddCommand(
 		fleetPage(getenv, "show", "Show the members, and how far they are certain", membership.Path, printFleet),
+		fleetPage(getenv, "takeovers", "Show whose calls a controller has taken over, and what passed between controllers", takeover.Path, printTakeovers),
 		fleetPage(getenv, "history", "Show what has happened lately, oldest first", membership.HistoryPath, printFleetHistory),
 	)
 	return c
@@ -42,6 +44,27 @@
 
 func millis(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
 
+func printTakeovers(out io.Writer, s takeover.Shown) error {
+	fmt.Fprintf(out, "%d ledgers taken; %d calls found for their callers, %d left over, %d given to others, %d unknown; %d ends passed on; %d steps failed; %d calls looked for; a look takes %v\n",
+		s.Sealed, s.Found, s.Left, s.Given, s.Unknown, s.Ends, s.Failed, s.Waiting, millis(s.LookMs))
+	if len(s.Told) == 0 {
+		return nil
+	}
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "when\twhose\tcalls\ttook\tits process")
+	for _, t := range s.Told {
+		state := "dead"
+		switch {
+		case t.From != "" && t.From != t.Name:
+			state = "taken by " + t.From + " before, which is lost as well"
+		case t.Held:
+			state = "may live: paused, or cut off from the store"
+		}
+		fmt.Fprintf(table, "%s\t%s\t%d\t%v\t%s\n", t.At.Format(time.DateTime), t.Name, t.Calls, millis(t.TookMs), state)
+	}
+	return table.Flush() //nolint:wrapcheck // it says what it is
+}
+
 func printFleet(out io.Writer, s membership.Shown) error {
 	switch {
 	case s.Certain:
--- a/internal/decide/recovery/book.go
+++ b/internal/decide/recovery/book.go
@@ -33,6 +33,7 @@
 	HoldOff   time.Duration
 	At        time.Duration // of the last event
 	Doubtful  bool          // something of it may be lost
+	Foreign   bool          // it was another controller's, which may reach the same dispatcher at another address
 }
 
 // Deadline is when its caller gives up.
--- a/internal/decide/recovery/plan.go
+++ b/internal/decide/recovery/plan.go
@@ -126,7 +126,7 @@
 	switch {
 	case !p.Listed:
 		return false, "its dispatcher is off the list"
-	case p.Address != c.Address:
+	case p.Address != c.Address && !c.Foreign:
 		return false, "its dispatcher is at another address"
 	case p.Started > c.Started && p.Started > c.At:
 		return false, "its dispatcher has started anew"
--- a/internal/trial/peers.go
+++ b/internal/trial/peers.go
@@ -177,6 +177,9 @@
 	open            map[string]bool // its calls that are owed something, and whether they were answered
 }
 
+// From has the caller begin at one of its addresses.
+func (c *Caller) From(address int) { c.at = address }
+
 // Run places calls and sees each to its end, until done is closed and nothing is left, or it has had patience enough: the judge tells
 // what is not settled.
 func (c *Caller) Run(done <-chan struct{}) {
