Hold the room of takeovers to its part over a directory, without processes

Two rooms and a ledger: that of a dead process goes to who comes for a call and the rest to its taker, once; that of an owner that lives is taken once its end is certain, and its next commit says so; a living owner gives a call, and hears ends that are told elsewhere; spoilt files are used for nothing. A look is one stat now.

--- a/internal/ledger/disk.go
+++ b/internal/ledger/disk.go
@@ -39,6 +39,7 @@
 type directory struct {
 	path string
 	root *os.Root
+	mine os.FileInfo // of the directory that was opened
 	lock *os.File
 }
 
@@ -58,6 +59,9 @@
 		return nil, fmt.Errorf("ledger: %w", err)
 	}
 	d := &directory{path: path, root: root}
+	if d.mine, err = root.Stat("."); err != nil {
+		return nil, errors.Join(fmt.Errorf("ledger: %w", err), d.Close())
+	}
 	if d.lock, err = root.OpenFile(lockName, os.O_CREATE|os.O_RDWR, 0o600); err != nil {
 		return nil, errors.Join(fmt.Errorf("ledger: %w", err), d.Close())
 	}
@@ -106,13 +110,9 @@
 }
 
 func (d *directory) still() error {
-	mine, err := d.root.Stat(".")
-	if err != nil {
-		return fmt.Errorf("ledger: %w", err)
-	}
 	there, err := os.Stat(d.path)
 	switch {
-	case errors.Is(err, os.ErrNotExist) || err == nil && !os.SameFile(mine, there):
+	case errors.Is(err, os.ErrNotExist) || err == nil && !os.SameFile(d.mine, there):
 		return fmt.Errorf("%w: %s", ErrTaken, d.path)
 	case err != nil:
 		return fmt.Errorf("ledger: %w", err)
--- a/internal/takeover/room.go
+++ b/internal/takeover/room.go
@@ -447,10 +447,10 @@
 		}
 	}
 	slices.SortFunc(taken, func(a, b *Call) int { return int(a.Events[0].DeadlineUs - b.Events[0].DeadlineUs) })
+	r.count(func(s *Shown) { s.Left += uint64(len(taken)) })
 	for _, c := range taken {
 		r.arrive(c)
 	}
-	r.count(func(s *Shown) { s.Left += uint64(len(taken)) })
 }
 
 // opens reads a call's file that is in the own in/ now. One that is spoilt is dropped: nothing of it can be trusted.
--- /dev/null
+++ b/internal/takeover/room_test.go
@@ -0,0 +1,236 @@
+package takeover
+
+import (
+	"errors"
+	"fmt"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"cherryrelay/internal/decide/recovery"
+	decide "cherryrelay/internal/decide/takeover"
+	"cherryrelay/internal/ledger"
+)
+
+const patience = 20 * time.Second
+
+// core notes what its room tells it.
+type core struct {
+	room *Room
+	mu   sync.Mutex
+	said []string
+	has  map[string]bool // calls held here
+}
+
+func (c *core) say(format string, args ...any) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.said = append(c.said, fmt.Sprintf(format, args...))
+}
+
+func (c *core) Arrived(call *Call, over int) {
+	c.say("arrived %s %d may live %v", call.ID(), over, call.MayLive)
+	c.room.Kept(call.ID())
+}
+func (c *core) Missing(id string, cut bool) { c.say("missing %s cut %v", id, cut) }
+func (c *core) Elsewhere(ends map[string]int) (mine []string) {
+	for id, cause := range ends {
+		if c.has[id] {
+			c.say("elsewhere %s %d", id, cause)
+			mine = append(mine, id)
+		}
+	}
+	return mine
+}
+func (c *core) Wanted(calls map[string][]byte) {
+	for id := range calls {
+		if c.has[id] {
+			delete(c.has, id)
+			c.say("wanted %s", id)
+			if err := c.room.Give(&Call{Events: events(id)}); err != nil {
+				c.say("%v", err)
+			}
+		}
+	}
+}
+func (c *core) Given(id string) { c.say("given %s", id); c.room.Gone(id) }
+
+// words are all that was said to some cores.
+func words(cores ...*core) (all []string) {
+	for _, c := range cores {
+		c.mu.Lock()
+		all = append(all, c.said...)
+		c.mu.Unlock()
+	}
+	return all
+}
+
+// heard waits until something was said to one of some cores.
+func heard(t *testing.T, what string, cores ...*core) {
+	t.Helper()
+	for begun := time.Now(); !slices.Contains(words(cores...), what); time.Sleep(time.Millisecond) {
+		if time.Since(begun) > patience {
+			t.Fatalf("%q was never said, but %q", what, words(cores...))
+		}
+	}
+}
+
+func (c *core) heard(t *testing.T, what string) { t.Helper(); heard(t, what, c) }
+
+func events(id string) []recovery.Event {
+	now := time.Now().UnixMicro()
+	return []recovery.Event{{Kind: recovery.Took, ID: id, AtUs: now, DeadlineUs: now + 9e6, Class: "c", Token: recovery.Hash("a token of a caller")}}
+}
+
+// owner has a ledger of its own with a call in it.
+func owner(t *testing.T, site, name string, ids ...string) (ledger.Disk, *ledger.Ledger) {
+	t.Helper()
+	d, err := ledger.Directory(filepath.Join(site, name))
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := ledger.New(d, ledger.Options{Name: name, Look: func() error { return ledger.Still(d) }}, nil)
+	if err := l.BeginAndWait(nil, patience); err != nil {
+		t.Fatal(err)
+	}
+	for _, id := range ids {
+		for _, e := range events(id) {
+			text, err := e.Encode()
+			if err := errors.Join(err, l.Append(text), l.Commit()); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	return d, l
+}
+
+// controller has a room at a site, and runs what the room posts.
+func controller(t *testing.T, site, name string, fleet decide.Fleet, has ...string) (*core, *ledger.Ledger) {
+	t.Helper()
+	d, l := owner(t, site, name, has...)
+	c := &core{has: map[string]bool{}}
+	for _, id := range has {
+		c.has[id] = true
+	}
+	posts := make(chan func(), 1024)
+	t.Cleanup(func() { close(posts) })
+	go func() {
+		for f := range posts {
+			f()
+		}
+	}()
+	ready := make(chan struct{})
+	room, err := Open(c, Options{Ledgers: site, Name: name, Lease: time.Second, Fleet: fleet, Post: func(f func()) { <-ready; posts <- f },
+		Still: func() error { return ledger.Still(d) }, Taken: func(err error) { c.say("taken %v", errors.Is(err, ledger.ErrTaken)) },
+		Certain: func() (decide.Life, bool) { return decide.Life{Store: 1, Incarnation: int64(len(name))}, true }}, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.room = room
+	close(ready)
+	t.Cleanup(func() { _ = errors.Join(room.Close(), l.Close()) })
+	return c, l
+}
+
+// TestTheLedgerOfADeadProcess: its calls go to whoever comes for them, once, and what is left to the one that took it.
+func TestTheLedgerOfADeadProcess(t *testing.T) {
+	t.Parallel()
+	site := t.TempDir()
+	a, _ := controller(t, site, "a", nil)
+	b, _ := controller(t, site, "bb", nil)
+	_, l := owner(t, site, "lost", "01", "02")
+	if err := l.Close(); err != nil {
+		t.Fatal(err)
+	}
+	b.room.Want("01", recovery.Hash("t"))
+	b.heard(t, "arrived 01 -1 may live false")
+	a.room.Ended("02", 41) // told here, of a call that nobody has yet
+	heard(t, "arrived 02 41 may live false", a, b)
+	if left := a.room.Show().Left + b.room.Show().Left; left != 1 {
+		t.Errorf("%d calls were left over", left)
+	}
+	b.room.Want("03", recovery.Hash("t"))
+	b.heard(t, "missing 03 cut false")
+	for begun := time.Now(); ; time.Sleep(time.Millisecond) {
+		sealed, _ := filepath.Glob(filepath.Join(site, decide.SealedDir, "lost@*"))
+		done, _ := filepath.Glob(filepath.Join(site, decide.DoneDir, "lost@*"))
+		if len(sealed)+len(done) == 0 {
+			break
+		}
+		if time.Since(begun) > patience {
+			t.Fatalf("%v and %v are left", sealed, done)
+		}
+	}
+}
+
+// ended is a fleet in which some have ended.
+type ended map[string]int64
+
+func (e ended) HasEnded(name string, l decide.Life) bool { return e[name] == l.Incarnation }
+
+// TestAnOwnerThatLives: its ledger is taken once its end as a member is certain, its next commit says so, and its room ends its work.
+func TestAnOwnerThatLives(t *testing.T) {
+	t.Parallel()
+	site := t.TempDir()
+	lost, l := controller(t, site, "lost", nil, "01")
+	a, _ := controller(t, site, "a", ended{"lost": 4})
+	a.room.Want("01", recovery.Hash("t"))
+	a.heard(t, "arrived 01 -1 may live true")
+	lost.heard(t, "taken true")
+	if err := errors.Join(l.Append([]byte("x")), l.Commit()); !errors.Is(err, ledger.ErrTaken) {
+		t.Errorf("a commit after that: %v", err)
+	}
+}
+
+// TestACallerThatIsElsewhere: a living owner gives the call, once; ends that are told elsewhere come to it.
+func TestACallerThatIsElsewhere(t *testing.T) {
+	t.Parallel()
+	site := t.TempDir()
+	a, _ := controller(t, site, "a", nil, "01", "02")
+	b, _ := controller(t, site, "bb", nil)
+	b.room.Want("01", recovery.Hash("t"))
+	a.heard(t, "given 01")
+	b.heard(t, "arrived 01 -1 may live false")
+	b.room.Ended("02", 16)
+	a.heard(t, "elsewhere 02 16")
+}
+
+// TestSpoiltFiles: whatever is wrong with a call's file, nothing of it is used, and it is gone.
+func TestSpoiltFiles(t *testing.T) {
+	t.Parallel()
+	whole, err := encode(&Call{Events: events("01")}, []byte("key"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if c, err := decode(whole, []byte("key")); err != nil || c.ID() != "01" {
+		t.Fatalf("read as %v, %v", c, err)
+	}
+	flipped := slices.Clone(whole)
+	flipped[len(flipped)-1] ^= 1
+	for _, text := range [][]byte{nil, whole[:len(magic)], whole[:len(whole)-1], flipped, []byte("cherryrelay call 2\n" + string(whole[len(magic):]))} {
+		if c, err := decode(text, []byte("key")); !errors.Is(err, errSpoilt) {
+			t.Errorf("%d bytes are read as %v, %v", len(text), c, err)
+		}
+	}
+	if _, err := decode(whole, nil); !errors.Is(err, errSpoilt) {
+		t.Errorf("without its key: %v", err)
+	}
+	site := t.TempDir()
+	in := filepath.Join(site, "a", "in")
+	if err := errors.Join(os.MkdirAll(in, 0o700), os.WriteFile(filepath.Join(in, "01"), flipped, 0o600)); err != nil {
+		t.Fatal(err)
+	}
+	a, _ := controller(t, site, "a", nil)
+	for begun := time.Now(); a.room.Show().Failed == 0; time.Sleep(time.Millisecond) {
+		if time.Since(begun) > patience {
+			t.Fatal("a spoilt file is not told")
+		}
+	}
+	if left, _ := os.ReadDir(in); len(left) > 0 && a.room.Show().Failed > 1 {
+		t.Errorf("%v is left", left)
+	}
+}
