Read on a connection that was given up until its dispatcher closes it, 5 s at most

Ruled out: calls whose answer comes after they were withdrawn and that are set up again. To blame: link.retire, which reads on for 0.5 s (lingerFor). A dispatcher that stands still for longer has not seen the close; as it goes on, it tells the end there, into a socket that is gone, and again only on a connection that opens later: the one in its place is open already. The story has just that and fails without the change over every mix of transports (no release in 20 s).

--- a/cmd/cherryrelay/stories_test.go
+++ b/cmd/cherryrelay/stories_test.go
@@ -645,3 +645,24 @@
 		}
 	})
 }
+
+// TestAnEndOnAConnectionThatWasGivenUp: a dispatcher stands still, and a connection to it is given up as dead. As it goes on, it tells the
+// end of a call there, before it sees that the connection has closed; a new one is open already, so it is told nowhere else.
+func TestAnEndOnAConnectionThatWasGivenUp(t *testing.T) {
+	story(t, []string{"d0: setup 1 x", "caller: answer 1 y", "caller: release 2 42 wait 2000", "caller: release 1 16"}, func(w *world) {
+		c := w.caller()
+		w.must(c.SetUp(id(1), long, 0, "x"))
+		stands := w.gets(0)
+		w.must(stands.Answer("y"))
+		w.hears(c)
+		d := w.dispatchers[0]
+		d.Rest()
+		w.dispatchers[1].Die()
+		w.must(c.SetUp(id(2), 300*time.Millisecond, 0, "x"))
+		w.hears(c)
+		time.Sleep(time.Second) // longer than what was sent before takes to arrive
+		w.must(stands.ReleaseHere(id(1), 16))
+		w.hears(c)
+		d.Wake()
+	})
+}
--- a/internal/dispatchers/dispatchers.go
+++ b/internal/dispatchers/dispatchers.go
@@ -32,9 +32,10 @@
 	deadAfter = 5 * time.Second
 	// forgetAfter is how long a withdrawn attempt is kept for the answer that its dispatcher may still send.
 	forgetAfter = 10 * time.Second
-	// lingerFor is how long a connection that is given up is still read: longer than what its dispatcher has sent is on its
-	// way, and so short that the end of a call is told in time.
-	lingerFor = 500 * time.Millisecond
+	// lingerFor is how long a connection that is given up is still read, unless its dispatcher closes it first. One that stands still for
+	// a while has not seen the end yet: as it goes on, it may tell the end of a call there before it does, and tells it again only on the
+	// next connection that opens after that. What stands still for longer is no more (deadAfter).
+	lingerFor = deadAfter
 	// muteFor is how long after the end of a set-up nothing may have come on a connection before it is given up.
 	muteFor = 100 * time.Millisecond
 	// owedWeight is how many open set-ups one counts for that was given up without an answer.
@@ -113,6 +114,7 @@
 	call.Server
 	pool       *Pool
 	links      []*link
+	lingering  []*link // given up, and still read; MaxLinks at most
 	dialing    bool
 	redialAt   time.Time
 	redial     time.Duration
--- a/internal/dispatchers/link.go
+++ b/internal/dispatchers/link.go
@@ -268,11 +268,17 @@
 	l.Closed(conn.ErrClosedHere)
 	l.retired, l.invites = true, invites
 	l.conn.Finish(lingerFor)
+	s := l.server
+	if s.lingering = append(s.lingering, l); len(s.lingering) > MaxLinks { // of one dispatcher, so many are held at most
+		s.lingering[0].conn.Close(conn.ErrClosedHere)
+		s.lingering = s.lingering[1:]
+	}
 }
 
 // Closed ends the set-ups that were open on the connection.
 func (l *link) Closed(reason error) {
 	if l.closed {
+		l.server.lingering = slices.DeleteFunc(l.server.lingering, func(o *link) bool { return o == l })
 		return
 	}
 	l.closed = true
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -38,8 +38,9 @@
 // stream is a connection that reads into a ring.
 type stream struct {
 	net.Conn
-	in *ring.Buffer
-	mu sync.Mutex // one writer at a time
+	in   *ring.Buffer
+	mu   sync.Mutex    // one writer at a time
+	rest *sync.RWMutex // held while nothing is to be taken in; nil for never
 }
 
 func newStream(nc net.Conn) *stream { return &stream{Conn: nc, in: ring.New(64 << 10)} }
@@ -48,6 +49,10 @@
 func (s *stream) more() error {
 	buf := make([]byte, min(4096, s.in.Free()))
 	n, err := s.Read(buf)
+	if s.rest != nil {
+		s.rest.RLock()
+		defer s.rest.RUnlock()
+	}
 	s.in.Write(buf[:n])
 	if n > 0 {
 		return nil
@@ -200,11 +205,18 @@
 	ln        net.Listener
 	ws        bool
 	report    string
+	rest      sync.RWMutex
 
 	mu    sync.Mutex
 	links []*link
 }
 
+// Rest has it take nothing in, nor see that a connection has closed, until Wake. What it is told to send it does send.
+func (d *Dispatcher) Rest() { d.rest.Lock() }
+
+// Wake ends a Rest.
+func (d *Dispatcher) Wake() { d.rest.Unlock() }
+
 type link struct {
 	*stream
 	d *Dispatcher
@@ -223,7 +235,9 @@
 			if err != nil {
 				return
 			}
-			go d.serve(&link{stream: newStream(nc), d: d})
+			l := &link{stream: newStream(nc), d: d}
+			l.stream.rest = &d.rest
+			go d.serve(l)
 		}
 	}()
 	return d, nil
