Open a connection for ends that were told to a lost controller alone, and wait after a lost store

Whoever takes a call that stands opens one more connection to its dispatcher, which tells it there again. After a store that was lost for three leases the first controller to be back took the ledgers of the others, which were about to come back: it must have been certain for two leases itself.

--- a/cmd/cherryrelay/takeover_test.go
+++ b/cmd/cherryrelay/takeover_test.go
@@ -176,6 +176,7 @@
 			t.Errorf("%s took %+v", c.Name, shown)
 		}
 	}
+	time.Sleep(time.Second)
 	s.settle()
 }
 
--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -117,6 +117,8 @@
 	// Release cuts a call that stands; an empty server stands for all of them.
 	Release(server control.ServerID, id string, cause int)
 	Probe(control.ServerID)
+	// Renew opens one more connection: a dispatcher tells on it what it told last on one that is lost.
+	Renew(control.ServerID)
 }
 
 // Server is a line of the list of dispatchers.
--- a/internal/call/core_test.go
+++ b/internal/call/core_test.go
@@ -34,6 +34,8 @@
 func (s *site) Answer(id, _ string) error             { s.answers[id]++; return nil }
 func (s *site) End(id string, _ End)                  { s.finals[id]++ }
 func (s *site) Over(id string, _ End)                 { s.overs[id]++ }
+func (s *site) Renew(control.ServerID)                {}
+
 func (s *site) Withdraw(_ control.ServerID, id string, _ int) {
 	delete(s.out, id)
 	s.ready[id] = time.Now().Add(guard)
--- a/internal/call/durable_test.go
+++ b/internal/call/durable_test.go
@@ -58,6 +58,7 @@
 
 func (mute) Update(Update)                          {}
 func (mute) SetUp(control.ServerID, SetUp)          {}
+func (mute) Renew(control.ServerID)                 {}
 func (mute) Withdraw(control.ServerID, string, int) {}
 func (mute) Release(control.ServerID, string, int)  {}
 func (mute) Probe(control.ServerID)                 {}
--- a/internal/call/takeover.go
+++ b/internal/call/takeover.go
@@ -106,6 +106,9 @@
 	c.noteAll(k)
 	p.kept = append(p.kept, id)
 	c.checkRecovered()
+	if k.state == stands { // its end may have been told to the one that had it, which told nobody
+		c.dispatchers.Renew(k.server)
+	}
 	c.claimed(id)
 	if over >= 0 && k.state == stands {
 		c.finish(k, over, nil)
--- a/internal/dispatchers/dispatchers.go
+++ b/internal/dispatchers/dispatchers.go
@@ -114,7 +114,8 @@
 	call.Server
 	pool       *Pool
 	links      []*link
-	lingering  []*link // given up, and still read; MaxLinks at most
+	renewAt    time.Time // when one more connection is due, however many there are; zero if none is
+	lingering  []*link   // given up, and still read; MaxLinks at most
 	dialing    bool
 	redialAt   time.Time
 	redial     time.Duration
@@ -243,6 +244,7 @@
 		}
 	}
 	s.trim()
+	s.renew(now)
 	s.expire(now)
 }
 
@@ -462,6 +464,30 @@
 	}
 }
 
+// Renew opens one more connection to a dispatcher, soon: others that ask meanwhile are served by the same. Where there are as many as there
+// may be, one that has nothing to do makes room.
+func (p *Pool) Renew(id control.ServerID) {
+	if s := p.servers[id]; s != nil && s.renewAt.IsZero() {
+		s.renewAt = time.Now().Add(checkEvery)
+	}
+}
+
+// renew does what Renew asked for.
+func (s *server) renew(now time.Time) {
+	if s.renewAt.IsZero() || now.Before(s.renewAt) || s.dialing {
+		return
+	}
+	if len(s.links) >= s.pool.links {
+		idle := slices.IndexFunc(s.links, func(l *link) bool { return l.open() == 0 })
+		if idle < 0 {
+			return // later
+		}
+		s.links[idle].retire()
+	}
+	s.renewAt = time.Time{}
+	s.connect()
+}
+
 // Probe asks a dispatcher for a report.
 func (p *Pool) Probe(id control.ServerID) {
 	if s := p.servers[id]; s != nil {
--- a/internal/takeover/room.go
+++ b/internal/takeover/room.go
@@ -31,6 +31,8 @@
 	lookEvery, lookEach = 50 * time.Millisecond, 500 * time.Microsecond
 	// keepEnds is how long the end of a call waits for who holds the call: as long as a call that is over is known.
 	keepEnds = recovery.Remember
+	// settled is how many leases a process must have been certain of its name before it takes the ledger of an owner that may live.
+	settled = 2
 	// maxWants bounds the calls that are looked for at once, as many as one connection may resume.
 	maxWants = 16 << 10
 	// maxTold bounds what operators are shown of takeovers, the latest.
@@ -125,6 +127,7 @@
 	// The rest is the room's own goroutine's.
 	watch, heirs *decide.Watch
 	owner        decide.Life
+	certain      time.Duration                   // since when this process has been certain of its name, as owner
 	pending      map[string]bool                 // calls of the own in/ that the core has been told of
 	opened       map[decide.Sealed]time.Duration // since when calls of the own sealed ledgers wait
 	wrote        map[string]time.Duration        // ends that were written, and when
@@ -296,9 +299,13 @@
 		return
 	}
 	life, ok := r.o.Certain()
+	if !ok {
+		r.certain = r.now()
+	}
 	if !ok || life == r.owner {
 		return
 	}
+	r.certain = r.now()
 	text, err := json.Marshal(life)
 	at := filepath.Join(r.o.Name, OwnerName)
 	if err == nil {
@@ -333,7 +340,9 @@
 func (nobody) HasEnded(string, decide.Life) bool { return false }
 
 func (r *Room) fleet() decide.Fleet {
-	if r.o.Fleet == nil {
+	// A store that was lost for long has ended everybody's lease: who is the first to be back must not take what the others are about to
+	// come back for.
+	if r.o.Fleet == nil || r.owner == (decide.Life{}) || r.now()-r.certain < settled*r.o.Lease {
 		return nobody{}
 	}
 	return r.o.Fleet
