Close every descriptor as a controller begins anew

Two stories had final answers after 10 s: a controller that had let go and begun anew by exec kept its callers' connections open, and they waited for a word on them. netpoll's sockets are not closed by exec; all beyond the standard ones are marked so now.

--- a/cmd/cherryrelay/takeover.go
+++ b/cmd/cherryrelay/takeover.go
@@ -6,6 +6,7 @@
 	"io/fs"
 	"log/slog"
 	"os"
+	"strconv"
 	"syscall"
 
 	decide "cherryrelay/internal/decide/takeover"
@@ -53,6 +54,9 @@
 func (n *node) beginAnew(why error) {
 	n.log.Error("THE CALLS OF THIS CONTROLLER ARE ANOTHER'S: it begins anew without them", "err", why)
 	own, err := os.Executable()
+	if err == nil {
+		err = closeAtExec()
+	}
 	if err == nil {
 		err = syscall.Exec(own, os.Args, os.Environ())
 	}
@@ -60,6 +64,22 @@
 	os.Exit(1)
 }
 
+// closeAtExec has every descriptor beyond the standard ones close as the program is started again: netpoll's sockets would stay open, with
+// callers and dispatchers at their other ends that wait for a word.
+func closeAtExec() error {
+	const dir, standard = "/proc/self/fd", 2
+	open, err := os.ReadDir(dir)
+	if err != nil {
+		return fmt.Errorf("descriptors: %w", err)
+	}
+	for _, e := range open {
+		if fd, err := strconv.Atoi(e.Name()); err == nil && fd > standard {
+			syscall.CloseOnExec(fd)
+		}
+	}
+	return nil
+}
+
 // watchLedger has each commit of a ledger look whether it is this process's still.
 func watchLedger(d ledger.Disk) func() error { return func() error { return ledger.Still(d) } }
 
