--- a/cmd/cherryrelay-lab/main.go
+++ b/cmd/cherryrelay-lab/main.go
@@ -179,11 +179,14 @@
 	return os.WriteFile(filepath.Join(t.out, fmt.Sprintf("%d.json", r.Seed)), append(text, '\n'), 0o644) //nolint:wrapcheck // it says what it is
 }
 
+// firstWord is the line for how long callers waited for a word of an open call whose connection was lost.
+const firstWord = "a lost connection"
+
 // summary is what many seeds came to.
 type summary struct {
 	seeds, failed                     int
 	calls, setUps, unanswered, untold int
-	deeds, samples                    int
+	deeds, samples, resumes           int
 	requests                          int
 	took                              int64
 	ends                              map[string]*hdrhistogram.Histogram // milliseconds to a certain end, by cause
@@ -193,6 +196,10 @@
 	s.seeds++
 	s.calls, s.setUps, s.unanswered, s.untold = s.calls+r.Calls, s.setUps+r.SetUps, s.unanswered+r.Unanswered, s.untold+r.Untold
 	s.deeds, s.samples, s.requests, s.took = s.deeds+len(r.Plan), s.samples+r.Samples, s.requests+r.Store.Sum(), s.took+r.TookMs
+	s.resumes += r.Resumes
+	if len(r.WordsMs) > 0 {
+		r.EndsMs = append(r.EndsMs, trial.Ended{Cause: firstWord, Ms: r.WordsMs})
+	}
 	for _, e := range r.EndsMs {
 		h := s.ends[e.Cause]
 		if h == nil {
@@ -209,11 +216,11 @@
 	if s.seeds == 0 {
 		return errors.New("nothing was played")
 	}
-	fmt.Fprintf(out, "%d seeds, %d broke a rule; %d controllers, lease %v; %d deeds, %d calls, %d set-ups, %d unanswered, %d ends untold; %d samples of beliefs; %.1f store requests a second a controller\n",
-		s.seeds, s.failed, scenario.Controllers, scenario.Lease, s.deeds, s.calls, s.setUps, s.unanswered, s.untold, s.samples,
+	fmt.Fprintf(out, "%d seeds, %d broke a rule; %d controllers, lease %v; %d deeds, %d calls, %d set-ups, %d resumes, %d unanswered, %d ends untold; %d samples of beliefs; %.1f store requests a second a controller\n",
+		s.seeds, s.failed, scenario.Controllers, scenario.Lease, s.deeds, s.calls, s.setUps, s.resumes, s.unanswered, s.untold, s.samples,
 		float64(s.requests)/(float64(s.took)/1000)/float64(scenario.Controllers))
 	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(table, "to a certain end after\tcount\tp50 ms\tp90 ms\tp99 ms\tmax ms")
+	fmt.Fprintln(table, "to a certain end, or a word, after\tcount\tp50 ms\tp90 ms\tp99 ms\tmax ms")
 	for _, cause := range causes(s.ends) {
 		h := s.ends[cause]
 		fmt.Fprintf(table, "%s\t%d\t%d\t%d\t%d\t%d\n", cause, h.TotalCount(), h.ValueAtQuantile(50), h.ValueAtQuantile(90), h.ValueAtQuantile(99), h.Max())
--- a/cmd/cherryrelay/takeover_test.go
+++ b/cmd/cherryrelay/takeover_test.go
@@ -215,8 +215,9 @@
 	return m
 }
 
-// TestACallerComesBackElsewhere while its controller lives: it finds its call there, and is told its end there.
-func TestACallerComesBackElsewhere(t *testing.T) {
+// standing has two controllers, and a call that stands at the first.
+func standing(t *testing.T) (*survivors, *peer.Caller) {
+	t.Helper()
 	t.Parallel()
 	s := newSurvivors(t, 2, 0, "tcp")
 	for _, d := range s.dispatchers {
@@ -224,6 +225,12 @@
 	}
 	first := s.place(s.Controllers[0], id(1))
 	s.hears(first, "answer")
+	return s, first
+}
+
+// TestACallerComesBackElsewhere while its controller lives: it finds its call there, and is told its end there.
+func TestACallerComesBackElsewhere(t *testing.T) {
+	s, first := standing(t)
 	s.must(first.Close())
 	begun := time.Now()
 	second := s.resume(s.Controllers[1], id(1), trial.Token(id(1)), false)
@@ -244,13 +251,7 @@
 
 // TestAStrangerGetsNothing: who comes with another token is told that nothing is known, and the call goes on.
 func TestAStrangerGetsNothing(t *testing.T) {
-	t.Parallel()
-	s := newSurvivors(t, 2, 0, "tcp")
-	for _, d := range s.dispatchers {
-		d.Act(true, false)
-	}
-	first := s.place(s.Controllers[0], id(1))
-	s.hears(first, "answer")
+	s, first := standing(t)
 	stranger := s.resume(s.Controllers[1], id(1), "a token of somebody else", false)
 	if m := s.hears(stranger, "release"); m.CauseOr(0) != 41 {
 		t.Errorf("the stranger heard %+v", m)
--- a/internal/trial/peers.go
+++ b/internal/trial/peers.go
@@ -176,6 +176,9 @@
 	Patience  time.Duration // with what is left once no more are to be placed; 0 for a peer's
 
 	Placed, Resumes int
+	Words           []time.Duration // from each loss of a connection to the first word of each call that was owed something
+	lost            time.Time       // when the last connection was lost
+	unheard         map[string]bool // calls that were resumed and have had no word since
 	next            int
 	at              int             // of the addresses
 	open            map[string]bool // its calls that are owed something, and whether they were answered
@@ -187,7 +190,7 @@
 // Run places calls and sees each to its end, until done is closed and nothing is left, or it has had patience enough: the judge tells
 // what is not settled.
 func (c *Caller) Run(done <-chan struct{}) {
-	c.open, c.next = map[string]bool{}, c.First
+	c.open, c.next, c.unheard = map[string]bool{}, c.First, map[string]bool{}
 	stop := time.Time{}
 	for {
 		connection, err := peer.Call(c.Transport, c.Addresses[c.at%len(c.Addresses)])
@@ -196,6 +199,9 @@
 		} else {
 			c.serve(connection, done)
 			_ = connection.Close()
+			if len(c.unheard) == 0 { // else it was lost again before all was heard
+				c.lost = time.Now()
+			}
 		}
 		c.at++
 		select {
@@ -215,6 +221,9 @@
 func (c *Caller) serve(connection *peer.Caller, done <-chan struct{}) {
 	for id, answered := range c.open {
 		c.Resumes++
+		if !answered { // one that stands has no word to come but its end
+			c.unheard[id] = true
+		}
 		fields := map[string]jsonl.Value{"token": jsonl.Value(Token(id))}
 		if answered {
 			fields["answered"] = "1"
@@ -251,6 +260,10 @@
 		if _, mine := c.open[m.ID]; !mine {
 			continue // the end of one that is over, told again
 		}
+		if c.unheard[m.ID] {
+			delete(c.unheard, m.ID)
+			c.Words = append(c.Words, time.Since(c.lost))
+		}
 		text := m.Description()
 		if m.Type == "release" {
 			text = string(m.Fields["error"])
--- a/internal/trial/play.go
+++ b/internal/trial/play.go
@@ -26,6 +26,8 @@
 	Untold     int            `json:"untold"`   // ends that were told to a controller that did not hold the call
 	Together   bool           `json:"together"` // in the end all controllers were certain and saw one another
 	EndsMs     []Ended        `json:"ends_ms"`
+	WordsMs    []int64        `json:"words_ms"` // from the loss of a connection to the first word of each call that was open on it
+	Resumes    int            `json:"resumes"`
 	Store      store.Counts   `json:"store"`
 	TookMs     int64          `json:"took_ms"`
 }
@@ -137,6 +139,10 @@
 	r.Beliefs, r.Samples = p.beliefs.Faults()
 	for _, c := range callers {
 		r.Calls += c.Placed
+		r.Resumes += c.Resumes
+		for _, w := range c.Words {
+			r.WordsMs = append(r.WordsMs, w.Milliseconds())
+		}
 	}
 	for _, err := range p.errs {
 		r.Faults = append(r.Faults, err.Error())
