Search how a living owner gives its call to whoever comes for it

An owner that gives, one that comes, one that takes the owner's ledger, a crash anywhere: the call is in one place in the end. Letting go before the file is written loses it and laying out before letting go doubles it; the search finds both.

--- a/internal/decide/takeover/search_test.go
+++ b/internal/decide/takeover/search_test.go
@@ -239,6 +239,10 @@
 		if name == newDir || name == DoneDir {
 			return // a copy that counts for nothing
 		}
+		if opened := n.dir[openDir]; opened != nil && n.dir["records"] == nil { // what a living owner has given
+			count += len(opened.dir)
+			return
+		}
 		if records := n.dir["records"]; records != nil {
 			if opened := n.dir[openDir]; opened != nil {
 				count += len(opened.dir)
@@ -311,6 +315,81 @@
 	}
 }
 
+// give has a living owner give its call to whoever comes for it: its file is written, the ledger lets go of it, and then it is laid out.
+func (p *place) give(t *search.Turn, name string, own *node) {
+	f := stepped{p.root, t}
+	hand := Sealed{name, "handed", name}
+	if !p.word(t, name, own, "a.") {
+		return
+	}
+	let := func() bool { // written, and looked at, as every turn of the ledger is
+		t.Step()
+		own.dir["records"].text = ""
+		t.Step()
+		mine := p.root.at(name) == own
+		t.Saw(mine)
+		return mine
+	}
+	text := own.dir["records"].text
+	if p.bad == "let go before it is written" && !let() {
+		return
+	}
+	if f.Write(path.Join(In(name), "c"), []byte(text)) != nil {
+		return
+	}
+	if p.bad == "laid out before it is let go" {
+		_ = Hand(f, hand, "c")
+	}
+	if p.bad != "let go before it is written" && !let() {
+		return
+	}
+	if p.bad != "laid out before it is let go" {
+		_ = Hand(f, hand, "c")
+	}
+}
+
+// giving is a world in which n1 gives its call, n2 comes for it, and n3 takes what n1 has.
+func giving(bad offence) func() search.World {
+	return func() search.World {
+		p := &place{root: &node{dir: map[string]*node{SealedDir: {dir: map[string]*node{}}, DoneDir: {dir: map[string]*node{}}}}, bad: bad}
+		own := p.controller("n1")
+		own.dir["records"].text = "n1."
+		n2, n3 := p.controller("n2"), p.controller("n3")
+		p.root.at(SealedDir).dir[path.Base(Sealed{"n1", "handed", "n1"}.Path())] = &node{dir: map[string]*node{openDir: {dir: map[string]*node{}}}}
+		return search.World{
+			Processes: []*search.Process{
+				{Name: "n1", Crashes: true, Run: func(t *search.Turn) { p.give(t, "n1", own) }},
+				{Name: "n2", Crashes: true, Run: func(t *search.Turn) { p.take(t, "n2", n2) }},
+				{Name: "n3", Crashes: true, Run: func(t *search.Turn) { p.take(t, "n3", n3, "n1") }},
+			},
+			Digest: func() string { return p.root.String() + fmt.Sprint(p.sent) },
+			Check:  p.check,
+			End: func() error {
+				if n := p.kept(); n != 1 {
+					return fmt.Errorf("the call is in %d places: %v", n, p.root)
+				}
+				return p.wrong
+			},
+		}
+	}
+}
+
+// TestALivingOwnerGives: in every order of the steps, with a crash anywhere, the call that is given is in one place in the end.
+func TestALivingOwnerGives(t *testing.T) {
+	r, err := search.Explore(giving(""), search.Bounds{Crashes: 1})
+	if err != nil || !r.Whole {
+		t.Fatalf("%+v, %v", r, err)
+	}
+	t.Logf("%+v", r)
+	for _, bad := range []offence{"let go before it is written", "laid out before it is let go"} {
+		if r, err := search.Explore(giving(bad), search.Bounds{Crashes: 1}); err == nil {
+			t.Errorf("%s: not found in %+v", bad, r)
+		} else {
+			t.Logf("%s: %v", bad, err)
+		}
+	}
+}
+
 // TestOffencesAreFound: each step done wrongly leads to what must not be.
 func TestOffencesAreFound(t *testing.T) {
 	for _, bad := range []offence{"no look", "look before write", "copied", "deleted before it is kept", "laid out in place"} {
