Tell a caller that nothing is known of its call once every owner has looked

Eight controllers, a kill each 2 s, a lease of 3 s: a call that was lost before it was taken was looked for over 5 s at one controller after another, and one had its final answer after 12.8 s. A living owner now says, from its loop, that it has looked at what is wanted; 1 s later nothing of it is missing, and the caller is told. Only an owner that stands still, or a ledger that is not laid out yet, keeps it waiting.

--- a/internal/decide/takeover/watch.go
+++ b/internal/decide/takeover/watch.go
@@ -20,6 +20,8 @@
 	comeWithin = recovery.ResumeWithin
 	// waitBeyond is how long beyond a lease a resume waits for a call that may be in a ledger which is not sealed yet.
 	waitBeyond = 2 * time.Second
+	// AskedWithin is how long after an owner has looked at what others want it has given what it has of it: some looks, and a commit.
+	AskedWithin = time.Second
 )
 
 // Life is one incarnation of a member, by the number of its store.
@@ -122,12 +124,12 @@
 )
 
 // Claim says what to answer, so long after the caller came; others is how many ledgers of other controllers there are, sealed ones with
-// calls that wait included.
-func Claim(waited, lease time.Duration, others int) Answer {
+// calls that wait included. Doubt says that one of their owners has not looked at what is wanted since, and may have the call.
+func Claim(waited, lease time.Duration, others int, doubt bool) Answer {
 	switch {
 	case others == 0:
 		return UnknownCut
-	case waited < lease+waitBeyond:
+	case waited < lease+waitBeyond && doubt:
 		return Wait
 	}
 	return Unknown
--- a/internal/takeover/room.go
+++ b/internal/takeover/room.go
@@ -15,6 +15,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	dto "github.com/prometheus/client_model/go"
@@ -101,6 +102,27 @@
 	token []byte
 }
 
+// lookedName is the file in a ledger that its owner writes after each look at what others want, while there is anything. Its time and that of
+// what is wanted are the file system's.
+const lookedName = "looked"
+
+// lookedAt is when the last of the owners of other ledgers has looked; zero if one of them has not, or may not live.
+func (r *Room) lookedAt(others []string) (least time.Time) {
+	for i, name := range others {
+		info, err := r.files.root.Stat(filepath.Join(name, lookedName))
+		if err != nil {
+			return time.Time{}
+		}
+		if held, err := ledger.Held(filepath.Join(r.o.Ledgers, name)); err != nil || !held {
+			return time.Time{} // it is about to be sealed
+		}
+		if at := info.ModTime(); i == 0 || at.Before(least) {
+			least = at
+		}
+	}
+	return least
+}
+
 // Path is where operators ask.
 const Path = "/api/fleet/takeovers"
 
@@ -112,6 +134,8 @@
 	files files
 	begun time.Time
 
+	answered atomic.Bool // the core has been asked for all that others wanted at the last look
+
 	wake   chan struct{}
 	ended  chan struct{}
 	cancel context.CancelFunc
@@ -131,7 +155,7 @@
 	pending      map[string]bool                 // calls of the own in/ that the core has been told of
 	opened       map[decide.Sealed]time.Duration // since when calls of the own sealed ledgers wait
 	wrote        map[string]time.Duration        // ends that were written, and when
-	asked        map[string]bool                 // calls that others were asked for
+	asked        map[string]time.Time            // calls that others were asked for, and when
 }
 
 // Open makes the room of a controller that has its ledger. It works until Close.
@@ -143,7 +167,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &Room{o: o, core: core, log: log, files: files{root}, begun: time.Now(), wake: make(chan struct{}, 1), ended: make(chan struct{}), cancel: cancel,
 		wants: map[string]want{}, ends: map[string]int{}, gives: map[string][]byte{}, watch: decide.NewWatch(o.Name), heirs: decide.NewWatch(o.Name),
-		pending: map[string]bool{}, opened: map[decide.Sealed]time.Duration{}, wrote: map[string]time.Duration{}, asked: map[string]bool{}}
+		pending: map[string]bool{}, opened: map[decide.Sealed]time.Duration{}, wrote: map[string]time.Duration{}, asked: map[string]time.Time{}}
 	if err := errors.Join(decide.Prepare(r.files), decide.PrepareOwn(r.files, o.Name), decide.PrepareHanded(r.files, r.hand())); err != nil {
 		cancel()
 		return nil, errors.Join(err, root.Close())
@@ -288,7 +312,10 @@
 			r.mine(s)
 		}
 	}
-	r.find(busy)
+	r.find(busy, others, slices.ContainsFunc(sealed, func(s decide.Sealed) bool {
+		_, opened, err := decide.Waiting(r.files, s)
+		return err != nil || !opened
+	}))
 	r.pass()
 	return len(names) + len(sealed)
 }
@@ -544,16 +571,20 @@
 }
 
 // find looks for the calls that callers have come for.
-func (r *Room) find(others int) {
+func (r *Room) find(busy int, others []string, unopened bool) {
 	r.mu.Lock()
 	wants := maps.Clone(r.wants)
 	r.shown.Waiting = len(wants)
 	r.mu.Unlock()
+	if len(wants) == 0 {
+		return
+	}
+	looked := r.lookedAt(others)
 	done := func(id string) {
 		r.mu.Lock()
 		delete(r.wants, id)
 		r.mu.Unlock()
-		if r.asked[id] {
+		if !r.asked[id].IsZero() {
 			delete(r.asked, id)
 			r.failed(r.files.Remove(filepath.Join(decide.WantedDir, id)))
 		}
@@ -569,15 +600,20 @@
 			continue
 		}
 		r.failed(err)
-		if answer := decide.Claim(r.now()-want.since, r.o.Lease, others); answer != decide.Wait {
+		asked := r.asked[id]
+		doubt := unopened || asked.IsZero() || len(others) > 0 && looked.Sub(asked) < decide.AskedWithin
+		if answer := decide.Claim(r.now()-want.since, r.o.Lease, busy, doubt); answer != decide.Wait {
 			done(id)
 			r.count(func(s *Shown) { s.Unknown++ })
 			r.o.Post(func() { r.core.Missing(id, answer == decide.UnknownCut) })
 			continue
 		}
-		if !r.asked[id] { // whoever has it and lost its caller gives it
-			r.asked[id] = true
-			r.failed(r.files.Write(filepath.Join(decide.WantedDir, id), []byte(hex.EncodeToString(want.token))))
+		if asked.IsZero() { // whoever has it and lost its caller gives it
+			at := filepath.Join(decide.WantedDir, id)
+			r.failed(r.files.Write(at, []byte(hex.EncodeToString(want.token))))
+			if info, err := r.files.root.Stat(at); err == nil {
+				r.asked[id] = info.ModTime()
+			}
 		}
 	}
 }
@@ -628,7 +664,7 @@
 	r.failed(err)
 	calls := map[string][]byte{}
 	for _, id := range wanted {
-		if r.asked[id] || r.pending[id] {
+		if !r.asked[id].IsZero() || r.pending[id] {
 			continue
 		}
 		if text, err := r.files.Read(filepath.Join(decide.WantedDir, id)); err == nil {
@@ -637,8 +673,14 @@
 			}
 		}
 	}
-	if len(calls) > 0 {
-		r.o.Post(func() { r.core.Wanted(calls) })
+	if r.answered.Swap(false) {
+		r.failed(r.files.Write(filepath.Join(r.o.Name, lookedName), []byte(r.o.Name)))
+	}
+	if len(wanted) > 0 {
+		r.o.Post(func() {
+			r.core.Wanted(calls)
+			r.answered.Store(true) // by the loop: one that stands still has not looked
+		})
 	}
 }
 
