--- /dev/null
+++ b/cmd/cherryrelay/crossings_test.go
@@ -0,0 +1,376 @@
+package main
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"cherryrelay/control"
+	"cherryrelay/internal/call"
+	"cherryrelay/internal/callers"
+	"cherryrelay/internal/jsonl"
+	"cherryrelay/internal/peer"
+	"cherryrelay/internal/settings"
+	"cherryrelay/internal/websocket"
+)
+
+// What ends things crosses what begins them: docs/crossings.md has the table. Here each order is forced.
+
+// unlike are three customers' settings that have nothing in common but what the rules are made of.
+func unlike(t *testing.T) map[string]*settings.Settings {
+	t.Helper()
+	two, three := testSettings(t), testSettings(t)
+	class := func(s *settings.Settings, name string, aim, deadline time.Duration) {
+		n := len(s.RequestClasses)
+		s.RequestClasses = append(s.RequestClasses, s.RequestClasses[0])
+		c := &s.RequestClasses[n]
+		c.Name, c.AimUs, c.DeadlineUs = name, aim.Microseconds(), deadline.Microseconds()
+		s.FamilyInfo.AllowedPools = append(s.FamilyInfo.AllowedPools, []int{0, 1})
+		s.FamilyInfo.ClassWidth = append(s.FamilyInfo.ClassWidth, 1)
+	}
+	two.RequestClasses[0].Name = "booking"
+	class(two, "query", 10*time.Second, 30*time.Second)
+	two.FamilyInfo.GuardUs, two.Tenants = 300_000, nil
+	three.RequestClasses[0].Name = "a"
+	class(three, "b", 9*time.Second, 25*time.Second)
+	class(three, "c", 15*time.Second, 50*time.Second)
+	three.FamilyInfo.GuardUs, three.Tenants[0].Name = 900_000, "north"
+	all := map[string]*settings.Settings{"one class": testSettings(t), "two classes": two, "three classes": three}
+	for _, s := range all {
+		s.Caps.ConnectTimeoutUs = 5_000_000 // longer than a connection that comes up late takes
+	}
+	return all
+}
+
+// crossing is a world of unlike settings; with late, no connection to its first dispatcher comes up before that is opened.
+func crossing(t *testing.T, transport, dispatchers string, late bool, s *settings.Settings) *world {
+	t.Helper()
+	var d [2]*peer.Dispatcher
+	for i := range d {
+		var err error
+		if late && i == 0 {
+			d[i], err = peer.DispatchLate(dispatchers, "x0:40;x1:40")
+		} else {
+			d[i], err = peer.Dispatch(dispatchers, "127.0.0.1:0", "x0:40;x1:40")
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	return newWorldOf(t, "127.0.0.1:0", "127.0.0.1:0", transport, d, callers.Bounds{Silent: long, Idle: long}, s)
+}
+
+// asks is a caller that names the last class and the first tenant of the settings.
+func (w *world) asks() *peer.Caller {
+	w.Helper()
+	c := w.caller()
+	s := w.node.config.Settings
+	c.Class, c.Tenant = s.RequestClasses[len(s.RequestClasses)-1].Name, ""
+	if len(s.Tenants) > 0 {
+		c.Tenant = s.Tenants[0].Name
+	}
+	return c
+}
+
+// told has the node take in changes of its list, and returns once it has.
+func (w *world) told(d int, status control.ServerStatus) {
+	w.Helper()
+	s := w.list.Servers[d]
+	s.Status = status
+	taken := make(chan struct{})
+	w.node.loop.Post(func() { w.node.core.Update(call.Update{Servers: []call.Server{s}}); close(taken) })
+	<-taken
+}
+
+// holds stops the loop and returns what lets it go on.
+func (w *world) holds() (free func()) {
+	held, freed := make(chan struct{}), make(chan struct{})
+	w.node.loop.Post(func() { close(held); <-freed })
+	<-held
+	return func() { close(freed) }
+}
+
+// queued waits until so many things lie before the loop.
+func (w *world) queued(n int) {
+	w.Helper()
+	for until := time.Now().Add(peer.Patience); w.node.loop.Waiting() < n; time.Sleep(time.Millisecond) {
+		if time.Now().After(until) {
+			w.Fatalf("%d things lie before the loop, want %d", w.node.loop.Waiting(), n)
+		}
+	}
+}
+
+// full has a dispatcher without a free line, and waits until the node knows: what follows on the same connection has come through.
+func (w *world) full(c *peer.Caller, mark int) {
+	w.Helper()
+	w.must(c.SetUp(id(mark+0x10), 20*time.Second, 0, "stands, so that its caller is told ends"))
+	w.must(w.gets(0).Answer("y"))
+	w.hears(c)
+	for i, d := range w.dispatchers {
+		w.linked(i, 1)
+		w.must(d.Report("x0:0;x1:40"))
+		w.must(d.Release(id(mark+i), 16))
+		if m, err := c.Next(); err != nil || m.ID != id(mark+i) {
+			w.Fatalf("%+v, %v: want the end of a call of before", m, err)
+		}
+	}
+	w.must(c.Release(id(mark+0x10), 31))
+	w.gets(0)
+	w.taken(0)
+}
+
+// ways are those in which a caller leaves a set-up.
+var ways = map[string]func(w *world, c *peer.Caller, n int) error{
+	"release":    func(_ *world, c *peer.Caller, n int) error { return c.Release(id(n), call.CauseNormal) },
+	"FIN":        func(_ *world, c *peer.Caller, _ int) error { return c.Close() },
+	"RST":        func(_ *world, c *peer.Caller, _ int) error { return c.Reset() },
+	"half-close": func(_ *world, c *peer.Caller, _ int) error { return c.CloseWrite() },
+	"close frame": func(w *world, c *peer.Caller, _ int) error {
+		if w.transport != "ws" {
+			return c.Close()
+		}
+		return c.SendRaw(websocket.AppendClose(nil, 1001, "", true))
+	},
+}
+
+// waits are the states in which a set-up waits. Each leaves the set-up n waiting; then has what it waits for come.
+var waits = map[string]struct {
+	late bool
+	hold func(w *world, c *peer.Caller, n int) (then func())
+}{
+	"credit": {false, func(w *world, c *peer.Caller, n int) func() {
+		other := w.asks()
+		w.full(other, 0x500)
+		w.must(c.SetUp(id(n), 20*time.Second, 0, "x"))
+		w.taken(1)
+		return func() {
+			for _, d := range w.dispatchers {
+				w.must(d.Report("x0:40;x1:40"))
+			}
+		}
+	}},
+	"guard": {false, func(w *world, c *peer.Caller, n int) func() {
+		w.must(c.SetUp(id(n), 20*time.Second, 0, "x"))
+		w.must(w.gets(0).Reset())
+		return func() {}
+	}},
+	"guard, draining": {false, func(w *world, c *peer.Caller, n int) func() {
+		w.must(c.SetUp(id(n), 20*time.Second, 0, "x"))
+		e := w.gets(0)
+		w.node.drain()
+		w.must(e.Reset())
+		return func() {}
+	}},
+	"a connection that comes up late": {true, func(w *world, c *peer.Caller, n int) func() {
+		w.must(c.SetUp(id(n), 20*time.Second, 0, "x"))
+		w.taken(1)
+		return w.dispatchers[0].Open
+	}},
+}
+
+// taken waits until the node has so many open set-ups.
+func (w *world) taken(n int) {
+	w.Helper()
+	for until := time.Now().Add(peer.Patience); ; time.Sleep(time.Millisecond) {
+		text := make(chan string)
+		w.node.loop.Post(func() {
+			figures, err := w.node.core.Telemetry()
+			text <- figures + fmt.Sprint(err)
+		})
+		if strings.Contains(<-text, fmt.Sprintf("\nedge_lb_in_flight %d\n", n)) {
+			return
+		}
+		if time.Now().After(until) {
+			w.Fatalf("never %d set-ups open", n)
+		}
+	}
+}
+
+// leftAfter is how long after a caller has left a set-up of it may still go out.
+const leftAfter = 300 * time.Millisecond
+
+// TestWhoHasLeftIsNotSentOn: over both fronts, every way of leaving in every state of waiting, with unlike settings. What the set-up
+// waited for comes as its caller has left.
+func TestWhoHasLeftIsNotSentOn(t *testing.T) {
+	customers := unlike(t)
+	for name, wait := range waits {
+		for customer := range customers {
+			for way, leave := range ways {
+				for _, transport := range []string{"tcp", "ws"} {
+					t.Run(strings.Join([]string{name, customer, way, transport}, ", "), func(t *testing.T) {
+						t.Parallel()
+						s := *customers[customer]
+						w := crossing(t, transport, "tcp", wait.late, &s)
+						c := w.asks()
+						then := wait.hold(w, c, 1)
+						left := time.Now()
+						w.must(leave(w, c, 1))
+						then()
+						w.taken(0)
+						if wait.late {
+							w.linked(0, 1) // a second later
+						}
+						time.Sleep(time.Duration(s.FamilyInfo.GuardUs)*time.Microsecond + 100*time.Millisecond) // longer than any wait of its own
+						for last, d := range w.dispatchers {
+							for len(d.Events) > 0 {
+								if e := <-d.Events; e.Kind == "setup" && e.ID == id(1) && e.At.Sub(left) > leftAfter {
+									t.Errorf("d%d was sent the set-up %v after its caller had left", last, e.At.Sub(left))
+								}
+							}
+						}
+					})
+				}
+			}
+		}
+	}
+}
+
+// TestLeftBehindASetUp: a set-up comes with its caller's end, in one segment or behind more than a connection takes in at once, while
+// the loop is busy. Nothing is sent, and nothing is owed.
+func TestLeftBehindASetUp(t *testing.T) {
+	for name, more := range map[string]int{"one segment": 0, "more than is read at once": 600} {
+		for _, transport := range []string{"tcp", "ws"} {
+			t.Run(name+", "+transport, func(t *testing.T) {
+				t.Parallel()
+				w := crossing(t, transport, "tcp", false, testSettings(t))
+				c := w.caller()
+				w.linked(0, 1)
+				text, err := jsonl.Append(nil, c.Asks(id(1), long, 0, "x"))
+				w.must(err)
+				bytes := c.Frame(text)
+				for range more {
+					bytes = append(bytes, c.Frame([]byte(`{"type":"progress","id":"`+id(2)+`","fields":{}}`))...)
+				}
+				free := w.holds()
+				w.must(c.SendRaw(bytes))
+				w.must(c.Close())
+				w.queued(1)
+				time.Sleep(50 * time.Millisecond) // for the end to come as well; later, it is seen as the set-up is about to go out
+				free()
+				w.taken(0)
+				other := w.caller()
+				w.must(other.SetUp(id(3), long, 0, "y"))
+				if e := w.gets(0); e.ID != id(3) {
+					t.Errorf("a %s for %s went out: its caller had left before", e.Kind, e.ID)
+				}
+			})
+		}
+	}
+}
+
+// TestADrainWhileAConnectionComesUp: a set-up waits for the connection to a dispatcher, which is told to be leaving before that comes
+// up. It was sent a second later, beyond any customer's grace; it goes elsewhere at once.
+func TestADrainWhileAConnectionComesUp(t *testing.T) {
+	for customer, s := range unlike(t) {
+		for _, status := range []control.ServerStatus{control.Draining, control.Removed} {
+			t.Run(fmt.Sprint(customer, ", ", status), func(t *testing.T) {
+				t.Parallel()
+				s := *s
+				w := crossing(t, "tcp", "tcp", true, &s)
+				c := w.asks()
+				w.must(c.SetUp(id(1), 20*time.Second, 0, "x"))
+				w.taken(1)
+				w.told(0, status)
+				w.dispatchers[0].Open()
+				w.must(w.gets(1).Answer("y"))
+				w.hears(c)
+				if status == control.Draining {
+					w.linked(0, 1)
+				} else {
+					time.Sleep(1200 * time.Millisecond) // when it would come up
+				}
+				w.must(c.SetUp(id(2), 20*time.Second, 0, "x"))
+				w.must(w.gets(1).Answer("y"))
+				w.hears(c)
+				if len(w.dispatchers[0].Events) > 0 {
+					t.Errorf("a dispatcher that is leaving was sent %+v", <-w.dispatchers[0].Events)
+				}
+				want := []string{"d1: setup 1 x", "caller: answer 1 y", "d1: setup 2 x", "caller: answer 2 y"}
+				if diff := cmp.Diff(want, w.said); diff != "" {
+					t.Errorf("what the peers saw (-want +got):\n%s", diff)
+				}
+			})
+		}
+	}
+}
+
+// TestAnEndOnAConnectionThatBreaks: a dispatcher tells the end of a call as the connection breaks, and once more on the next that is
+// opened. There was none: another connection was open, and one was enough.
+func TestAnEndOnAConnectionThatBreaks(t *testing.T) {
+	for name, breaks := range map[string]func(e peer.Event) error{
+		"spoilt ahead of it": func(e peer.Event) error {
+			return e.SendRaw([]byte("\x00\x01\x02 spoilt\r\n\r\nBYE sip:caller@net SIP/2.0\r\nCall-ID: " + e.ID +
+				"\r\nCSeq: 2 BYE\r\nReason: Q.850;cause=16\r\nContent-Length: 0\r\n\r\n"))
+		},
+		"cut inside it": func(e peer.Event) error {
+			return e.SendRaw([]byte("BYE sip:caller@net SIP/2.0\r\nCall-ID: " + e.ID + "\r\nCSeq: 2 B"))
+		},
+		"reset": peer.Event.Reset,
+	} {
+		for _, transport := range []string{"tcp", "ws"} {
+			t.Run(name+", "+transport, func(t *testing.T) {
+				t.Parallel()
+				w := crossing(t, transport, "tcp", false, testSettings(t))
+				w.linked(0, 1)
+				c := w.caller()
+				w.must(c.SetUp(id(1), long, 0, "x"))
+				e := w.gets(0)
+				w.linked(0, 2) // one without a word for long has another connection opened
+				w.must(e.Answer("y"))
+				w.hears(c)
+				d := w.dispatchers[0]
+				d.TellLinks()
+				w.must(breaks(e))
+				broke := time.Now()
+				for {
+					o, err := d.Next()
+					w.must(err)
+					if o.Kind == "opened" {
+						w.must(o.ReleaseHere(id(1), call.CauseNormal))
+						break
+					}
+				}
+				w.hears(c)
+				if took := time.Since(broke); took > time.Second {
+					t.Errorf("told after %v", took)
+				}
+				want := []string{"d0: setup 1 x", "caller: answer 1 y", "caller: release 1 16"}
+				if diff := cmp.Diff(want, w.said); diff != "" {
+					t.Errorf("what the peers saw (-want +got):\n%s", diff)
+				}
+			})
+		}
+	}
+}
+
+// TestAnAnswerThatCrossesItsCallersEnd: the caller has gone, and the answer is taken in before that is. The call stood on, with nobody
+// who knew of it, until its dispatcher's line ended it.
+func TestAnAnswerThatCrossesItsCallersEnd(t *testing.T) {
+	for way, leave := range ways {
+		if way == "release" {
+			continue // it lies behind the answer, and ends the call that stands then
+		}
+		for _, transport := range []string{"tcp", "ws"} {
+			t.Run(way+", "+transport, func(t *testing.T) {
+				t.Parallel()
+				w := crossing(t, transport, "tcp", false, testSettings(t))
+				c := w.caller()
+				w.must(c.SetUp(id(1), long, 0, "x"))
+				e := w.gets(0)
+				free := w.holds()
+				before := w.node.loop.Waiting()
+				w.must(e.Answer("y"))
+				w.queued(before + 1) // the answer comes first
+				w.must(leave(w, c, 1))
+				w.queued(before + 2)
+				free()
+				if o := w.gets(0); o.Kind != "release" || o.ID != id(1) {
+					t.Errorf("got %+v, want the release of a call that nobody has", o)
+				}
+			})
+		}
+	}
+}
--- /dev/null
+++ b/cmd/cherryrelay/paused_test.go
@@ -0,0 +1,154 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"cherryrelay/internal/call"
+	"cherryrelay/internal/peer"
+)
+
+// A process is stopped and goes on. What is overdue then and what has come meanwhile wait in the same instant: the order decides.
+
+// paused is the program beside two scripted dispatchers, without a ledger.
+func paused(t *testing.T) (*process, [2]*peer.Dispatcher) {
+	t.Helper()
+	p := newProcess(t, "off")
+	var d [2]*peer.Dispatcher
+	pool := "[pool]\nformat = 1\nversion = 1\nservers = 2\n"
+	for i := range d {
+		var err error
+		if d[i], err = peer.Dispatch("tcp", "127.0.0.1:0", "x0:40;x1:40"); err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(d[i].Die)
+		pool += fmt.Sprintf("[server d%d]\naddress = %s\ngroup = %d\nweight = 1\n", i, d[i].Address(), i)
+	}
+	if err := os.WriteFile(filepath.Join(p.directory, "pool.ini"), []byte(pool+"[end]\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	p.start()
+	return p, d
+}
+
+func (p *process) signal(s syscall.Signal) {
+	p.Helper()
+	if err := p.cmd.Process.Signal(s); err != nil {
+		p.Fatal(err)
+	}
+}
+
+// comes waits for a set-up at either dispatcher.
+func comes(t *testing.T, d [2]*peer.Dispatcher) peer.Event {
+	t.Helper()
+	for patience := time.After(peer.Patience); ; {
+		var e peer.Event
+		select {
+		case e = <-d[0].Events:
+		case e = <-d[1].Events:
+		case <-patience:
+			t.Fatal("no set-up comes")
+		}
+		if e.Kind == "setup" {
+			return e
+		}
+	}
+}
+
+// TestWhoLeavesDuringAPauseIsNotSentOn: the guard of a call ends while the process stands still, and its caller leaves meanwhile. It was
+// sent on, as the timer and the word of the caller's end were ready at once.
+func TestWhoLeavesDuringAPauseIsNotSentOn(t *testing.T) {
+	t.Parallel()
+	p, d := paused(t)
+	for n := 1; n <= 12; n++ {
+		c, err := peer.Call("tcp", p.lines)
+		if err != nil {
+			t.Fatal(err)
+		}
+		other, err := peer.Call("tcp", p.lines)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := c.SetUp(id(n), 9*time.Second, n%2, "x"); err != nil {
+			t.Fatal(err)
+		}
+		if err := comes(t, d).Refuse(peer.Broken); err != nil { // from here the guard counts
+			t.Fatal(err)
+		}
+		if err := other.SetUp(id(0x100+n), 9*time.Second, (n+1)%2, "x"); err != nil {
+			t.Fatal(err)
+		}
+		e := comes(t, d) // the refusal came before: the guard's timer runs
+		p.signal(syscall.SIGSTOP)
+		if n%3 == 0 {
+			err = c.Reset()
+		} else if n%3 == 1 {
+			err = c.Release(id(n), call.CauseNormal)
+		} else {
+			err = c.Close()
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(guard + 100*time.Millisecond)
+		p.signal(syscall.SIGCONT)
+		if err := e.Answer("y"); err != nil {
+			t.Fatal(err)
+		}
+		if m, err := other.Next(); err != nil || m.Type != "answer" {
+			t.Fatalf("%+v, %v: want an answer", m, err)
+		}
+		if err := other.SetUp(id(0x200+n), 9*time.Second, n%2, "x"); err != nil {
+			t.Fatal(err)
+		}
+		for {
+			e := comes(t, d)
+			if e.ID == id(0x200+n) {
+				break
+			}
+			t.Errorf("round %d: %s was sent on, and its caller had left %v before", n, e.ID, guard)
+		}
+		_, _ = c.Close(), other.Close()
+	}
+}
+
+// TestWhatComesDuringAPauseBeforeTheEnd: SIGTERM; the process stands still while a set-up comes in time, and goes on when nothing more
+// would. It ended with the set-up unread.
+func TestWhatComesDuringAPauseBeforeTheEnd(t *testing.T) {
+	t.Parallel()
+	for round := 0; round < 4; {
+		p, _ := paused(t)
+		c, err := peer.Call("tcp", p.lines)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := c.SetUp(id(1), 9*time.Second, 0, "x"); err != nil { // so that the connection is known to be open
+			t.Fatal(err)
+		}
+		if err := c.Release(id(1), call.CauseNormal); err != nil {
+			t.Fatal(err)
+		}
+		p.signal(syscall.SIGTERM)
+		since := time.Now()
+		p.waitLog("draining")
+		p.signal(syscall.SIGSTOP)
+		err = c.SetUp(id(2), 4*time.Second, 0, "x")
+		inTime := err == nil && time.Since(since) < 500*time.Millisecond
+		time.Sleep(time.Until(since.Add(time.Second)))
+		p.signal(syscall.SIGCONT)
+		if !inTime {
+			p.kill()
+			continue // this machine was too slow for the order; again
+		}
+		if m, err := c.Next(); err != nil || m.ID != id(2) {
+			t.Errorf("%+v, %v: want a final answer to a set-up that came in time", m, err)
+		}
+		round++
+		p.kill()
+		_ = c.Close()
+	}
+}
--- a/cmd/cherryrelay/stories_test.go
+++ b/cmd/cherryrelay/stories_test.go
@@ -18,6 +18,7 @@
 	"cherryrelay/internal/config"
 	"cherryrelay/internal/jsonl"
 	"cherryrelay/internal/peer"
+	"cherryrelay/internal/settings"
 	"cherryrelay/internal/websocket"
 )
 
@@ -61,21 +62,30 @@
 }
 
 func newWorldAt(t *testing.T, lines, api, transport, dispatchers string, bounds callers.Bounds) *world {
+	t.Helper()
+	var d [2]*peer.Dispatcher
+	for i := range d {
+		var err error
+		if d[i], err = peer.Dispatch(dispatchers, "127.0.0.1:0", "x0:40;x1:40"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return newWorldOf(t, lines, api, transport, d, bounds, testSettings(t))
+}
+
+func newWorldOf(t *testing.T, lines, api, transport string, dispatchers [2]*peer.Dispatcher, bounds callers.Bounds, s *settings.Settings) *world {
 	c := new(config.Config)
 	c.Listen, c.Management, c.Seed = lines, "127.0.0.1:0", "1"
 	c.WebSocket = &config.WebSocket{Listen: api, Path: peer.Path}
-	c.Settings = testSettings(t)
+	c.Settings = s
 	n, err := startWithin(c, slog.New(slog.DiscardHandler), bounds)
 	if err != nil {
 		t.Fatal(err)
 	}
-	w := &world{T: t, node: n, transport: transport, done: make(chan error, 1)}
+	w := &world{T: t, node: n, transport: transport, done: make(chan error, 1), dispatchers: dispatchers}
 	go func() { w.done <- n.run() }()
 	var u call.Update
-	for i := range w.dispatchers {
-		d, err := peer.Dispatch(dispatchers, "127.0.0.1:0", "x0:40;x1:40")
-		w.must(err)
-		w.dispatchers[i] = d
+	for i, d := range w.dispatchers {
 		u.Servers = append(u.Servers, call.Server{
 			ServerEntry: control.ServerEntry{ID: control.ServerID(fmt.Sprint("d", i)), Cell: i}, Address: d.Address()})
 	}
--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -68,6 +68,8 @@
 	Answer(id, description string) error
 	// End is the final answer to a call that does not stand.
 	End(id string, end End)
+	// Left reports whether who waits there has gone, also where that has not been told yet. What it has said last is taken in first.
+	Left() bool
 	// Over tells that a call that stood has ended. No connection owns it: if this one has closed since, another
 	// one carries the news.
 	Over(id string, end End)
@@ -79,6 +81,8 @@
 	Release(id string, end End)
 	// Open is the number of its connections.
 	Open() int
+	// Quiet reports whether nothing that callers have sent waits to be taken in, and nothing to be sent to them.
+	Quiet() bool
 }
 
 // MaxDescription leaves room for the headers around it in a message of 16 KiB, whatever the wire.
--- a/internal/call/core.go
+++ b/internal/call/core.go
@@ -292,12 +292,17 @@
 func (c *Core) CallerClosed(caller Caller) {
 	c.passing.left(caller)
 	for _, id := range c.openOf(caller) {
-		if k := c.calls[id]; k.Token != nil && c.draining.IsZero() {
-			c.lose(k)
-			continue
-		}
-		c.GiveUp(caller, id, CauseNormal)
+		c.callerLeft(c.calls[id])
+	}
+}
+
+// callerLeft ends an open call whose caller's connection has closed, or keeps it for one that can come back.
+func (c *Core) callerLeft(k *record) {
+	if k.Token != nil && c.draining.IsZero() {
+		c.lose(k)
+		return
 	}
+	c.GiveUp(k.Caller, k.ID, CauseNormal)
 }
 
 // CallerBroke answers the set-ups of a connection that is about to be closed for a fault of its peer.
@@ -406,6 +411,9 @@
 		// one is about to stand as.
 		return
 	}
+	if k != nil && k.state == open && k.Caller.Left() && k.state == open {
+		c.callerLeft(k) // before the answer came: whoever leaves later has had it, and its call stands
+	}
 	if k == nil || !k.out || k.server != server || attempt >= 0 && attempt != k.attempts-1 {
 		c.dispatchers.Release(server, id, CauseNormal)
 		return
@@ -691,6 +699,13 @@
 		}
 		return
 	}
+	if k.Caller.Left() || k.state != open { // while it waited; that is told in a later turn, or was lying unread
+		if k.attempts++; k.state == open {
+			c.callerLeft(k)
+		}
+		c.tell(control.AttemptEnded{ID: a.ID, Server: a.Server, Attempt: k.attempts - 1, Outcome: control.NotSent, CallOver: k.state == over})
+		return
+	}
 	now := time.Now()
 	limit := k.Deadline.Sub(now) - early
 	if a.Limit > 0 {
@@ -733,15 +748,7 @@
 	since := c.draining
 	c.log.Info("draining", "open", c.owed)
 	c.loop.After(lateArrivals+time.Millisecond, func() {}) // a turn in which to leave
-	longest := time.Duration(0)
-	for _, class := range c.decisions.Classes {
-		longest = max(longest, class.Deadline)
-	}
-	most := killMost
-	if c.Superseded() {
-		most = killMostSuperseded
-	}
-	c.loop.After(min(longest, most)+killAfter-inReserve, func() {
+	c.loop.After(c.endsWithin(), func() {
 		if !c.draining.Equal(since) {
 			return // it serves again
 		}
@@ -753,6 +760,24 @@
 	})
 }
 
+// endsWithin is how long after SIGTERM everything is answered, in reserve before the SIGKILL that may follow.
+func (c *Core) endsWithin() time.Duration {
+	longest := time.Duration(0)
+	for _, class := range c.decisions.Classes {
+		longest = max(longest, class.Deadline)
+	}
+	most := killMost
+	if c.Superseded() {
+		most = killMostSuperseded
+	}
+	return min(longest, most) + killAfter - inReserve
+}
+
+// quiet reports whether callers have sent nothing that is not taken in yet.
+func (c *Core) quiet() bool {
+	return !slices.ContainsFunc(c.fronts, func(f Front) bool { return !f.Quiet() })
+}
+
 func (c *Core) allOpen() []string {
 	var ids []string
 	for id, k := range c.calls {
@@ -764,9 +789,13 @@
 	return ids
 }
 
-// leave ends the loop of a controller that drains once nothing is owed and nothing new can arrive.
+// leave ends the loop of a controller that drains once nothing is owed, nothing new can arrive, and what has arrived is taken in: a
+// set-up may have come in time and lie unread, if this process had to wait for its core.
 func (c *Core) leave() {
-	if !c.draining.IsZero() && !c.left && c.owed == 0 && time.Since(c.draining) > lateArrivals && !c.keepsCallers() {
+	if c.draining.IsZero() || c.left || c.owed > 0 {
+		return
+	}
+	if since := time.Since(c.draining); since > lateArrivals && !c.keepsCallers() && (c.quiet() || since > c.endsWithin()) {
 		c.left = true
 		c.log.Info("served out")
 		c.loop.Quit()
--- a/internal/call/core_test.go
+++ b/internal/call/core_test.go
@@ -33,6 +33,7 @@
 func (s *site) Probe(control.ServerID)                {}
 func (s *site) Answer(id, _ string) error             { s.answers[id]++; return nil }
 func (s *site) End(id string, _ End)                  { s.finals[id]++ }
+func (s *site) Left() bool                            { return false }
 func (s *site) Over(id string, _ End)                 { s.overs[id]++ }
 func (s *site) Renew(control.ServerID)                {}
 
--- a/internal/call/loop.go
+++ b/internal/call/loop.go
@@ -6,6 +6,17 @@
 	"time"
 )
 
+const (
+	// overdue is how late a timer is after which the process counts as having been paused, or kept from its core.
+	overdue = 50 * time.Millisecond
+	// catchUpStep and catchUpSteps bound how long what came meanwhile is waited for; it is all in once nothing more comes for
+	// catchUpStill steps.
+	catchUpStep                = time.Millisecond
+	catchUpSteps, catchUpStill = 20, 3
+	// catchUpAgain is the least time between two: a loop that has more to do than it can is late all the time.
+	catchUpAgain = 100 * time.Millisecond
+)
+
 // Loop is the event loop that owns the module and all call state. Everything that touches them runs in a
 // function given to Post or After.
 type Loop struct {
@@ -15,8 +26,10 @@
 	quit   chan struct{}
 	once   sync.Once
 	timers timers
-	turn   func()
-	commit func() // nil if nothing need be kept before words leave
+	// caughtUp is when the loop last took in what came during a pause.
+	caughtUp time.Time
+	turn     func()
+	commit   func() // nil if nothing need be kept before words leave
 }
 
 // NewLoop returns a Loop that calls turn at the end of each round, when all that was ready has been taken in.
@@ -35,6 +48,13 @@
 	}
 }
 
+// Waiting is the number of functions that were posted and have not run; any goroutine may call it.
+func (l *Loop) Waiting() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.queue)
+}
+
 // OnCommit has f run before anything leaves the process that was decided since it ran last. It must do nothing if nothing was.
 func (l *Loop) OnCommit(f func()) { l.commit = f }
 
@@ -74,7 +94,9 @@
 	idle := time.NewTimer(time.Hour)
 	defer idle.Stop()
 	for {
+		l.catchUp()
 		for l.round() {
+			l.catchUp()
 		}
 		wait := time.Hour
 		if len(l.timers) > 0 {
@@ -97,6 +119,22 @@
 	}
 }
 
+// catchUp has what came during a pause taken in before what is overdue runs. Both wait in the same instant after it, and a set-up that
+// was held would go out though its caller has left, or its dispatcher drains, with the word of that unread in a socket.
+func (l *Loop) catchUp() {
+	if len(l.timers) == 0 || time.Since(l.timers[0].at) < overdue || time.Since(l.caughtUp) < catchUpAgain {
+		return
+	}
+	defer func() { l.caughtUp = time.Now() }()
+	for still, waits, step := 0, 0, 0; still < catchUpStill && step < catchUpSteps; step++ {
+		time.Sleep(catchUpStep)
+		n := l.Waiting()
+		if still++; n != waits {
+			still, waits = 0, n
+		}
+	}
+}
+
 // round takes in all that is ready, then gives the core its turn. It reports whether there was anything.
 func (l *Loop) round() bool {
 	l.mu.Lock()
--- a/internal/call/recover_test.go
+++ b/internal/call/recover_test.go
@@ -21,9 +21,11 @@
 func (s *stage) say(format string, args ...any) {
 	s.said = append(s.said, fmt.Sprintf(format, args...))
 }
+func (s *stage) Quiet() bool                                  { return true }
 func (s *stage) Open() int                                    { return 1 }
 func (s *stage) Answer(id, d string) error                    { s.say("answer %s %s", id, d); return nil }
 func (s *stage) End(id string, e End)                         { s.say("end %s %d %s", id, e.Cause, e.Reason) }
+func (s *stage) Left() bool                                   { return false }
 func (s *stage) Over(id string, e End)                        { s.say("over %s %d %s", id, e.Cause, e.Reason) }
 func (s *stage) SetUp(server control.ServerID, a SetUp)       { s.say("set-up %s", a.ID) }
 func (s *stage) Release(_ control.ServerID, id string, _ int) { s.say("dispatchers release %s", id) }
--- a/internal/call/succession.go
+++ b/internal/call/succession.go
@@ -97,6 +97,7 @@
 
 func (h *heir) Answer(string, string) error { return nil } // none of its calls is open
 func (h *heir) End(string, End)             {}
+func (h *heir) Left() bool                  { return false }
 
 func (h *heir) Over(id string, end End) {
 	for _, f := range h.core.fronts {
--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -29,6 +29,8 @@
 	lookSoon = 10 * time.Millisecond
 	// settle is how long a connection is left to bring what its caller connected for.
 	settle = 100 * time.Millisecond
+	// wholeWithin is how long the rest of a message is waited for that a controller which ends has had the beginning of.
+	wholeWithin = 500 * time.Millisecond
 	// maxResumed calls may be resumed on one connection: a large gateway's, and a bound for who guesses.
 	maxResumed = 16 << 10
 	// maxFaults set-ups that make no sense are answered; who sends more sends nothing else.
@@ -286,15 +288,17 @@
 // stood rather than one that only asked, since that may be anybody's, and of these the one that was used last.
 func (f *Front) release(r release) {
 	hears := slices.DeleteFunc(slices.Clone(f.open), func(c *Conn) bool { return !c.hears() })
-	if len(hears) == 0 {
-		f.pending = slices.DeleteFunc(f.pending, func(o release) bool { return time.Since(o.at) > keep })
-		f.pending = append(f.pending, r)
-		return
-	}
-	best := slices.MaxFunc(hears, func(a, b *Conn) int {
-		return cmp.Or(cmp.Compare(a.rank(), b.rank()), a.usedAt.Compare(b.usedAt))
+	slices.SortStableFunc(hears, func(a, b *Conn) int {
+		return cmp.Or(cmp.Compare(b.rank(), a.rank()), b.usedAt.Compare(a.usedAt))
 	})
-	best.release(r)
+	for _, c := range hears {
+		if !c.gone() {
+			c.release(r)
+			return
+		}
+	}
+	f.pending = slices.DeleteFunc(f.pending, func(o release) bool { return time.Since(o.at) > keep })
+	f.pending = append(f.pending, r)
 }
 
 // rank says how much a connection is to be counted on.
@@ -467,7 +471,7 @@
 // Over sends the end of a call that stood, on another connection if this one has closed since.
 func (c *Conn) Over(id string, end call.End) {
 	r := release{id, end, time.Now()}
-	if c.closed {
+	if c.gone() {
 		c.front.release(r)
 		return
 	}
@@ -521,7 +525,25 @@
 	c.sent = nil
 }
 
+// Left reports whether the caller has gone. What it has said last is taken in before.
+func (c *Conn) Left() bool {
+	if !c.closed {
+		c.conn.Hear()
+	}
+	return c.gone()
+}
+
+// gone reports whether the caller has closed its side.
+func (c *Conn) gone() bool { return c.closed || c.conn.Left() }
+
 // Open is the number of connections.
 func (f *Front) Open() int { return len(f.all) }
 
+// Quiet reports whether no connection has anything unread, half a message, or words that wait for the socket.
+func (f *Front) Quiet() bool {
+	return !slices.ContainsFunc(f.all, func(c *Conn) bool {
+		return !c.closed && (c.partial && time.Since(c.since) < wholeWithin || c.conn.Unsent() > 0 || !c.conn.Quiet())
+	})
+}
+
 var _ call.Caller = (*Conn)(nil)
--- a/internal/conn/conn.go
+++ b/internal/conn/conn.go
@@ -13,6 +13,7 @@
 	"log/slog"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -48,6 +49,9 @@
 // ErrRefused is the reason of a dial that the other machine has turned down: nothing listens there.
 var ErrRefused = errors.New("connection refused")
 
+// ErrReset is the reason of a connection that ended by a reset: unlike at an end in good order, what its peer sent last may be lost.
+var ErrReset = fmt.Errorf("reset: %w", io.EOF)
+
 // ErrClosedHere is the reason of a connection that this side closed without a fault.
 var ErrClosedHere = errors.New("closed by this side")
 
@@ -100,14 +104,19 @@
 	told         bool
 	queued, left uint64 // bytes that were put into the outbound ring, and that the socket has taken
 	marks        []mark
+	tickets      Ticket
 }
 
-// mark is a function that waits for all bytes up to a place to leave.
+// mark is a function that waits for all bytes of a message to leave.
 type mark struct {
-	at   uint64
-	then func()
+	from, at uint64
+	then     func()
+	ticket   Ticket
 }
 
+// Ticket names a message that WriteThen has queued; 0 names none.
+type Ticket uint64
+
 func wrap(loop Poster, nc netpoll.Connection) *Conn {
 	return &Conn{loop: loop, nc: nc, in: ring.New(inSize), out: ring.New(outSize), space: make(chan struct{}, 1)}
 }
@@ -224,6 +233,11 @@
 	c.mu.Lock()
 	if c.reason == nil {
 		c.reason = io.EOF
+		if fd, ok := c.nc.(netpoll.Conn); ok {
+			if _, err := syscall.Getpeername(fd.Fd()); errors.Is(err, syscall.ENOTCONN) {
+				c.reason = ErrReset // a socket whose peer has only closed its side still has one
+			}
+		}
 	}
 	c.ended = true
 	c.mu.Unlock()
@@ -258,12 +272,34 @@
 	c.queued += uint64(len(p))
 }
 
-// WriteThen is Write with a function that runs once the last byte has gone to the socket, if it ever does.
-func (c *Conn) WriteThen(p []byte, then func()) {
+// WriteThen is Write with a function that runs once the last byte has gone to the socket, if it ever does. The ticket is what
+// Recall takes.
+func (c *Conn) WriteThen(p []byte, then func()) Ticket {
 	before := c.queued
-	if c.Write(p); c.queued > before {
-		c.marks = append(c.marks, mark{c.queued, then})
+	if c.Write(p); c.queued == before {
+		return 0
+	}
+	c.tickets++
+	c.marks = append(c.marks, mark{before, c.queued, then, c.tickets})
+	return c.tickets
+}
+
+// Recall takes back a message of which no byte has left yet, and reports whether it was one. Its function does not run then.
+func (c *Conn) Recall(t Ticket) bool {
+	i := slices.IndexFunc(c.marks, func(m mark) bool { return m.ticket == t })
+	if t == 0 || i < 0 || c.told || c.marks[i].from < c.left {
+		return false
+	}
+	m := c.marks[i]
+	n := m.at - m.from
+	c.out.Cut(int(m.from-c.left), int(n))
+	c.queued -= n
+	c.marks = slices.Delete(c.marks, i, i+1)
+	for j := range c.marks[i:] {
+		c.marks[i+j].from -= n
+		c.marks[i+j].at -= n
 	}
+	return true
 }
 
 // took notes that the socket has taken bytes.
@@ -386,6 +422,33 @@
 	return n <= 0
 }
 
+// Hear has the handler take in at once what has come and waits for its turn. Only the loop may call it, and no handler of callers.
+func (c *Conn) Hear() {
+	c.mu.Lock()
+	waits := c.posted
+	c.mu.Unlock()
+	if waits {
+		c.read()
+	}
+}
+
+// Left reports whether the peer has closed its side or reset the connection, also where nobody has looked at that yet: after a
+// pause, what is overdue runs beside what has come meanwhile.
+func (c *Conn) Left() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	fd, ok := c.nc.(netpoll.Conn)
+	if c.ended || !ok {
+		return true
+	}
+	n, _, err := syscall.Recvfrom(fd.Fd(), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	switch {
+	case n > 0 || errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EINTR):
+		return false
+	}
+	return true
+}
+
 // Remote is the peer's address.
 func (c *Conn) Remote() string { return c.nc.RemoteAddr().String() }
 
--- a/internal/conn/conn_test.go
+++ b/internal/conn/conn_test.go
@@ -1,13 +1,16 @@
 package conn
 
 import (
+	"bytes"
 	"errors"
+	"io"
 	"net"
 	"os"
 	"testing"
 	"time"
 
 	"github.com/cloudwego/netpoll"
+	"github.com/google/go-cmp/cmp"
 
 	"cherryrelay/internal/ring"
 )
@@ -252,3 +255,109 @@
 		t.Errorf("%q came, want what is in the reader", text)
 	}
 }
+
+// TestRecall: what still lies whole in the queue can be taken back, and nothing around it changes.
+func TestRecall(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	posts := make(loop, 1024)
+	go func() {
+		for f := range posts {
+			f()
+		}
+	}()
+	up := make(chan *Conn, 1)
+	Dial(posts, ln.Addr().String(), patience, func(c *Conn) Handler { up <- c; return make(ended, 1) }, func(error) {})
+	peer, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer peer.Close()
+	c := <-up
+	var want []byte
+	var left []string
+	wrote := make(chan struct{})
+	posts <- func() {
+		defer close(wrote)
+		first := Ticket(0)
+		for fill := bytes.Repeat([]byte("."), 16<<10); c.Unsent() == 0; { // until the peer, which does not read, takes no more
+			first = c.WriteThen(fill, func() {})
+			want = append(want, fill...)
+			c.Flush()
+		}
+		if c.Unsent() < 16<<10 && c.Recall(first) {
+			t.Error("what has left in part was taken back")
+		}
+		message := func(name string) Ticket { return c.WriteThen([]byte(name), func() { left = append(left, name) }) }
+		a, b, d := message("<a>"), message("<bb>"), message("<d>")
+		if !c.Recall(b) || c.Recall(b) || c.Recall(0) || !c.Recall(d) {
+			t.Error("what lies whole in the queue is taken back once")
+		}
+		message("<eeee>")
+		if a == 0 || c.queued-c.left != uint64(c.Unsent()) {
+			t.Errorf("%d bytes are counted as waiting, and %d wait", c.queued-c.left, c.Unsent())
+		}
+		want = append(want, "<a><eeee>"...)
+	}
+	<-wrote
+	got := make([]byte, len(want))
+	if _, err := io.ReadFull(peer, got); err != nil || !bytes.Equal(got, want) {
+		t.Errorf("%v: the last that came is %q, want %q", err, got[len(got)-16:], want[len(want)-16:])
+	}
+	done := make(chan struct{})
+	posts <- func() { close(done) }
+	<-done
+	if diff := cmp.Diff([]string{"<a>", "<eeee>"}, left); diff != "" {
+		t.Errorf("what was told to have left (-want +got):\n%s", diff)
+	}
+	c.Close(ErrClosedHere)
+}
+
+// TestLeft: a peer's close and its reset are known before anybody has looked at them, and a reset is told from a close.
+func TestLeft(t *testing.T) {
+	for name, test := range map[string]struct {
+		leave  func(*net.TCPConn) error
+		reason error
+	}{
+		"close":      {func(c *net.TCPConn) error { return c.Close() }, io.EOF},
+		"half-close": {func(c *net.TCPConn) error { return c.CloseWrite() }, io.EOF},
+		"reset":      {func(c *net.TCPConn) error { return errors.Join(c.SetLinger(0), c.Close()) }, ErrReset},
+	} {
+		t.Run(name, func(t *testing.T) {
+			ln, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer ln.Close()
+			posts, up, end := make(loop, 1024), make(chan *Conn, 1), make(ended, 1)
+			Dial(posts, ln.Addr().String(), patience, func(c *Conn) Handler { up <- c; return end }, func(error) {})
+			peer, err := ln.AcceptTCP()
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer peer.Close()
+			(<-posts)()
+			c := <-up
+			if c.Left() {
+				t.Error("it has left before it did")
+			}
+			if err := test.leave(peer); err != nil {
+				t.Fatal(err)
+			}
+			for until := time.Now().Add(patience); !c.Left(); time.Sleep(time.Millisecond) { // no function of the loop runs meanwhile
+				if time.Now().After(until) {
+					t.Fatal("never known")
+				}
+			}
+			for len(end) == 0 {
+				(<-posts)()
+			}
+			if reason := <-end; !errors.Is(reason, test.reason) || errors.Is(reason, ErrReset) != errors.Is(test.reason, ErrReset) {
+				t.Errorf("ended with %v, want %v", reason, test.reason)
+			}
+		})
+	}
+}
--- a/internal/dispatchers/dispatchers.go
+++ b/internal/dispatchers/dispatchers.go
@@ -4,6 +4,7 @@
 import (
 	"errors"
 	"log/slog"
+	"maps"
 	"slices"
 	"time"
 
@@ -104,7 +105,7 @@
 			return
 		}
 		if l.open() == 0 {
-			l.retire()
+			l.retire(conn.ErrClosedHere)
 		}
 	}
 }
@@ -188,6 +189,27 @@
 		if u.Whole && !named[s.ID] {
 			s.Status = control.Removed
 		}
+		if s.Status != control.Active {
+			s.callBack()
+		}
+	}
+}
+
+// callBack takes back what has not gone out to a dispatcher that drains or is gone: set-ups that wait for a connection, which may come
+// up after the time in which the last may arrive there, and those that lie in a queue. They go elsewhere at once, as never sent.
+func (s *server) callBack() {
+	waited := s.waiting
+	s.waiting = nil
+	for _, w := range waited {
+		s.pool.core.Ended(s.ID, w.ID, w.Attempt, control.NotSent, false, nil)
+	}
+	for _, l := range s.links {
+		for _, id := range slices.Sorted(maps.Keys(l.invites)) {
+			if i := l.invites[id]; i.withdrawn.IsZero() && l.conn.Recall(i.ticket) {
+				delete(l.invites, id)
+				s.pool.core.Ended(s.ID, id, i.attempt, control.NotSent, false, nil)
+			}
+		}
 	}
 }
 
@@ -236,11 +258,11 @@
 		}
 		if l.overtaken() || l.open() == 0 && l.mute(now) {
 			s.pool.Log.Warn("connection to dispatcher is open but dead", "server", s.ID, "open", l.open())
-			l.retire()
+			l.retire(errDead)
 			continue
 		}
 		if len(l.invites) == 0 && s.heardAt.Sub(l.heardAt) > deadAfter {
-			l.retire() // the others are alive, and this one has nothing to do
+			l.retire(conn.ErrClosedHere) // the others are alive, and this one has nothing to do
 		}
 	}
 	s.trim()
@@ -410,7 +432,7 @@
 	}
 	for _, l := range s.links {
 		if l.open() == 0 && !l.sound(now) {
-			l.retire()
+			l.retire(conn.ErrClosedHere)
 			return true
 		}
 	}
@@ -444,8 +466,7 @@
 	s.waiting = slices.DeleteFunc(s.waiting, func(w waiting) bool { return w.ID == callID })
 	for _, l := range s.links {
 		if i := l.invites[callID]; i != nil && i.attempt == attempt && i.withdrawn.IsZero() {
-			i.withdrawn = time.Now()
-			l.send(l.wire.Cancel(callID, attempt, i.called))
+			l.withdraw(callID, i)
 		}
 	}
 }
@@ -482,7 +503,7 @@
 		if idle < 0 {
 			return // later
 		}
-		s.links[idle].retire()
+		s.links[idle].retire(conn.ErrClosedHere)
 	}
 	s.renewAt = time.Time{}
 	s.connect()
--- a/internal/dispatchers/link.go
+++ b/internal/dispatchers/link.go
@@ -16,6 +16,9 @@
 // errCutShort ends a connection inside a message.
 var errCutShort = errors.New("a message that does not end")
 
+// errDead ends a connection that brings nothing while others do.
+var errDead = errors.New("a connection that is open but dead")
+
 // errNoise is an answer whose description cannot be what its dispatcher meant.
 var errNoise = &websocket.Error{Code: websocket.BadData, Text: "answer that came spoilt"}
 
@@ -68,6 +71,7 @@
 	sentAt    time.Time
 	called    string
 	withdrawn time.Time // when it was given up, if it was
+	ticket    conn.Ticket
 }
 
 // link is one connection to a dispatcher.
@@ -93,8 +97,20 @@
 }
 
 func (l *link) setUp(a call.SetUp) {
-	l.invites[a.ID] = &invite{attempt: a.Attempt, called: a.Called, sentAt: time.Now()}
-	l.conn.WriteThen(l.wire.SetUp(a), l.server.pool.core.Written)
+	i := &invite{attempt: a.Attempt, called: a.Called, sentAt: time.Now()}
+	l.invites[a.ID] = i
+	i.ticket = l.conn.WriteThen(l.wire.SetUp(a), l.server.pool.core.Written)
+}
+
+// withdraw gives a set-up up. One that still lies in the queue does not go out at all: its caller may have left long before the
+// dispatcher reads on, or the dispatcher may drain by then.
+func (l *link) withdraw(id string, i *invite) {
+	if l.conn.Recall(i.ticket) {
+		delete(l.invites, id)
+		return
+	}
+	i.withdrawn = time.Now()
+	l.send(l.wire.Cancel(id, i.attempt, i.called))
 }
 
 // Data takes in what a dispatcher has sent.
@@ -263,9 +279,9 @@
 
 // retire gives the connection up. Its set-ups end at once, but an end of a call may be on its way here: a dispatcher that
 // has sent it does not send it again. So this side is closed alone, and the rest is read until the dispatcher closes too.
-func (l *link) retire() {
+func (l *link) retire(reason error) {
 	invites := l.invites
-	l.Closed(conn.ErrClosedHere)
+	l.Closed(reason)
 	l.retired, l.invites = true, invites
 	l.conn.Finish(lingerFor)
 	s := l.server
@@ -278,12 +294,15 @@
 // Closed ends the set-ups that were open on the connection.
 func (l *link) Closed(reason error) {
 	if l.closed {
+		if errors.Is(reason, conn.ErrClosedHere) { // its dispatcher has not closed it: what was told there never came
+			l.server.pool.Renew(l.server.ID)
+		}
 		l.server.lingering = slices.DeleteFunc(l.server.lingering, func(o *link) bool { return o == l })
 		return
 	}
 	l.closed = true
 	s := l.server
-	if !errors.Is(reason, io.EOF) && !errors.Is(reason, conn.ErrClosedHere) {
+	if !errors.Is(reason, io.EOF) && !errors.Is(reason, conn.ErrClosedHere) && !errors.Is(reason, errDead) {
 		s.pool.Log.Warn("connection to dispatcher closed", "server", s.ID, "reason", reason)
 	}
 	s.links = slices.DeleteFunc(s.links, func(o *link) bool { return o == l })
@@ -301,7 +320,14 @@
 	if now := time.Now(); now.Sub(l.openedAt) < redialLeast {
 		s.redialAt = now.Add(redialLeast) // a dispatcher that closes whatever is new is not dialled without pause
 	}
+	before := s.dialing
 	if len(s.links) == 0 || len(s.links) < s.wanted(time.Now()) {
 		s.connect()
 	}
+	inOrder := errors.Is(reason, conn.ErrClosedHere) || errors.Is(reason, io.EOF) && !errors.Is(reason, conn.ErrReset)
+	if !inOrder && (before || !s.dialing) {
+		// It may have taken ends of calls along: behind what was spoilt, unread as it was reset, or swallowed while it was dead. Its
+		// dispatcher tells them once more, on the next connection that opens; the others that are open bring nothing of them.
+		s.pool.Renew(s.ID)
+	}
 }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -7,11 +7,13 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"cherryrelay/internal/jsonl"
@@ -73,6 +75,8 @@
 	ws   bool
 	line jsonl.Decoder
 	dec  websocket.Decoder
+
+	Class, Tenant string // of its set-ups
 }
 
 // Path is where the call-control API is served and dispatched to.
@@ -84,7 +88,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("caller: %w", err)
 	}
-	c := &Caller{stream: newStream(nc), ws: transport == "ws"}
+	c := &Caller{stream: newStream(nc), ws: transport == "ws", Class: "send-setup", Tenant: "acme"}
 	if !c.ws {
 		return c, nil
 	}
@@ -124,10 +128,32 @@
 
 // SetUp sends a set-up with that much time left, for the dispatcher of first choice.
 func (c *Caller) SetUp(id string, left time.Duration, first int, sdp string) error {
-	return c.Send(jsonl.Message{Type: "setup", ID: id, SDP: &sdp, Fields: map[string]jsonl.Value{
-		"class": "send-setup", "tenant": "acme", "key": jsonl.Value("k" + id), "left": jsonl.Value(strconv.Itoa(int(left.Milliseconds()))),
+	return c.Send(c.Asks(id, left, first, sdp))
+}
+
+// Asks is what SetUp sends.
+func (c *Caller) Asks(id string, left time.Duration, first int, sdp string) jsonl.Message {
+	return jsonl.Message{Type: "setup", ID: id, SDP: &sdp, Fields: map[string]jsonl.Value{
+		"class": jsonl.Value(c.Class), "tenant": jsonl.Value(c.Tenant), "key": jsonl.Value("k" + id), "left": jsonl.Value(strconv.Itoa(int(left.Milliseconds()))),
 		"extras": jsonl.Value(fmt.Sprintf("dest:%d;width:1;via:-1", first)),
-	}})
+	}}
+}
+
+// Reset leaves without a word in order.
+func (c *Caller) Reset() error {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	return c.Close()
+}
+
+// CloseWrite ends the caller's side alone.
+func (c *Caller) CloseWrite() error {
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return errors.New("caller: no TCP")
+	}
+	return tcp.CloseWrite()
 }
 
 // Release gives up a set-up or ends a call.
@@ -228,10 +254,55 @@
 	if err != nil {
 		return nil, fmt.Errorf("dispatcher: %w", err)
 	}
-	d := &Dispatcher{Events: make(chan Event, 1024), Acks: make(chan Event, 1024), ln: ln, ws: transport == "ws", report: report}
+	d := dispatcher(ln, transport, report)
+	d.Open()
+	return d, nil
+}
+
+func dispatcher(ln net.Listener, transport, report string) *Dispatcher {
+	return &Dispatcher{Events: make(chan Event, 1024), Acks: make(chan Event, 1024), ln: ln, ws: transport == "ws", report: report}
+}
+
+// DispatchLate is a dispatcher to which connections do not come up before it is opened: what dials it gets no answer, and tries
+// again after a second, as a kernel does.
+func DispatchLate(transport, report string) (*Dispatcher, error) {
+	ln, err := full()
+	if err != nil {
+		return nil, fmt.Errorf("late dispatcher: %w", err)
+	}
+	return dispatcher(ln, transport, report), nil
+}
+
+// full listens with as many connections waiting as it may have.
+func full() (net.Listener, error) {
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	if err != nil {
+		return nil, err
+	}
+	err = errors.Join(syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}), syscall.Listen(fd, 0))
+	f := os.NewFile(uintptr(fd), "")
+	defer f.Close()
+	if err != nil {
+		return nil, err
+	}
+	ln, err := net.FileListener(f)
+	if err != nil {
+		return nil, err
+	}
+	for {
+		filler, err := net.DialTimeout("tcp", ln.Addr().String(), 200*time.Millisecond)
+		if err != nil {
+			return ln, nil //nolint:nilerr // it is full
+		}
+		defer filler.Close()
+	}
+}
+
+// Open has a late dispatcher take connections.
+func (d *Dispatcher) Open() {
 	go func() {
 		for {
-			nc, err := ln.Accept()
+			nc, err := d.ln.Accept()
 			if err != nil {
 				return
 			}
@@ -240,7 +311,18 @@
 			go d.serve(l)
 		}
 	}()
-	return d, nil
+}
+
+// Report tells all that are connected of another state.
+func (d *Dispatcher) Report(report string) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.report = report
+	var err error
+	for _, l := range d.links {
+		err = errors.Join(err, l.write(d.state()))
+	}
+	return err
 }
 
 // TellLinks has Events tell of connections that come from now on, too.
@@ -305,8 +387,8 @@
 			}
 		}
 	}
-	_ = l.write(d.state())
 	d.mu.Lock()
+	_ = l.write(d.state())
 	d.links = append(d.links, l)
 	d.mu.Unlock()
 	if d.tellLinks.Load() {
@@ -428,6 +510,17 @@
 // ReleaseHere ends a call that stands, on the connection of the event.
 func (e Event) ReleaseHere(id string, cause int) error { return e.link.release(id, cause) }
 
+// SendRaw writes bytes as they are, on the connection of the event.
+func (e Event) SendRaw(p []byte) error { return e.link.write(p) }
+
+// Reset resets the connection of the event, and no other.
+func (e Event) Reset() error {
+	if tcp, ok := e.link.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	return e.link.Close()
+}
+
 // Beside reports whether two events came on the same connection.
 func (e Event) Beside(o Event) bool { return e.link == o.link }
 
--- a/internal/ring/ring.go
+++ b/internal/ring/ring.go
@@ -131,3 +131,14 @@
 
 // Discard takes n bytes out.
 func (b *Buffer) Discard(n int) { b.head.Add(uint64(min(n, b.Len()))) }
+
+// Cut takes n bytes out of the middle, from the place from on. Only who both writes and reads may call it.
+func (b *Buffer) Cut(from, n int) {
+	all := b.Peek(b.Len())
+	if from < 0 || n <= 0 || from+n > len(all) {
+		return
+	}
+	rest := append([]byte(nil), all[from+n:]...)
+	b.tail.Store(b.head.Load() + uint64(from))
+	b.Write(rest)
+}
--- a/internal/ring/ring_test.go
+++ b/internal/ring/ring_test.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"slices"
 	"testing"
+
+	"pgregory.net/rapid"
 )
 
 // FuzzBuffer holds a ring against a plain queue.
@@ -92,3 +94,28 @@
 		n += len(p)
 	}
 }
+
+// TestCut takes bytes out of the middle, wherever the ring's end lies, and finds what a plain slice has.
+func TestCut(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b, model := New(1<<12), []byte(nil)
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			switch p := rapid.SliceOfN(rapid.Byte(), 0, 700).Draw(t, "bytes"); rapid.IntRange(0, 2).Draw(t, "step") {
+			case 0:
+				model = append(model, p[:b.Write(p)]...)
+			case 1:
+				n := rapid.IntRange(0, len(model)).Draw(t, "read")
+				b.Discard(n)
+				model = model[n:]
+			case 2:
+				from := rapid.IntRange(0, len(model)).Draw(t, "from")
+				n := rapid.IntRange(0, len(model)-from).Draw(t, "cut")
+				b.Cut(from, n)
+				model = append(append([]byte(nil), model[:from]...), model[from+n:]...)
+			}
+			if got := b.Peek(b.Len()); !bytes.Equal(got, model) {
+				t.Fatalf("%d bytes, want %d", len(got), len(model))
+			}
+		}
+	})
+}
