Force more crossings: settings swapped, signals in a drain, half a set-up, a late connection, a watch

Need: rows of the table of crossings that had no test. No fault was found by these: another customer's settings while calls wait, are out and stand, over all ordered pairs of three unlike settings and both fronts; SIGTERM twice with SIGHUP between, as a process; half a set-up as a controller that drains could end; a connection that comes up after its time-out; a list's watch that is refused, brings numbers again, tells the whole list without a dispatcher, and is moved inside an event.

--- a/cmd/cherryrelay/crossings_test.go
+++ b/cmd/cherryrelay/crossings_test.go
@@ -374,3 +374,121 @@
 		}
 	}
 }
+
+// TestACustomersSettingsForAnothers: the settings of one customer are swapped for those of an unlike one while calls wait, are out and
+// stand. Their classes and tenants are gone, and they come to their end all the same; what comes then keeps to the new ones alone.
+func TestACustomersSettingsForAnothers(t *testing.T) {
+	customers := unlike(t)
+	for from := range customers {
+		for to := range customers {
+			if from == to {
+				continue
+			}
+			for _, transport := range []string{"tcp", "ws"} {
+				t.Run(from+" for "+to+", "+transport, func(t *testing.T) {
+					t.Parallel()
+					before, after := *customers[from], *customers[to]
+					w := crossing(t, transport, "tcp", false, &before)
+					c := w.asks()
+					w.must(c.SetUp(id(1), 20*time.Second, 0, "stands"))
+					stands := w.gets(0)
+					w.must(stands.Answer("y"))
+					w.hears(c)
+					w.must(c.SetUp(id(2), 20*time.Second, 1, "in the guard"))
+					broke := w.gets(1)
+					w.must(broke.Refuse(peer.Broken))
+					w.must(c.SetUp(id(3), 20*time.Second, 1, "out"))
+					out := w.gets(1)
+					old := c.Class
+					config := *w.node.config
+					config.Settings = &after
+					w.node.reload(&config, nil)
+					again := w.comes() // after the guard, under the class that it came with
+					if again.ID != id(2) || again.Class != old || again.At.Sub(broke.At) < time.Duration(before.FamilyInfo.GuardUs)*time.Microsecond {
+						t.Errorf("%s of class %s after %v: want the call in the guard, of class %s", again.ID, again.Class, again.At.Sub(broke.At), old)
+					}
+					w.must(again.Answer("z"))
+					w.hears(c)
+					w.must(out.Answer("z"))
+					w.hears(c)
+					w.must(stands.ReleaseHere(id(1), call.CauseNormal))
+					w.hears(c)
+					w.must(c.SetUp(id(4), 20*time.Second, 0, "of a class that is gone"))
+					w.hears(c)
+					next := w.asks()
+					if next.Class == old {
+						t.Fatalf("%s names %q as well: they are not unlike", to, old)
+					}
+					w.must(next.SetUp(id(5), 20*time.Second, 0, "new"))
+					e := w.comes()
+					w.must(e.Answer("z"))
+					w.hears(next)
+					if e.Class != next.Class {
+						t.Errorf("sent as %q, want %q", e.Class, next.Class)
+					}
+					want := []string{"d0: setup 1 stands", "caller: answer 1 y", "d1: setup 2 in the guard", "d1: setup 3 out",
+						"caller: answer 2 z", "caller: answer 3 z", "caller: release 1 16", "caller: release 4 100", "caller: answer 5 z"}
+					if diff := cmp.Diff(want, w.said); diff != "" {
+						t.Errorf("what the peers saw (-want +got):\n%s", diff)
+					}
+				})
+			}
+		}
+	}
+}
+
+// comes waits for a set-up at either dispatcher.
+func (w *world) comes() peer.Event { w.Helper(); return comes(w.T, w.dispatchers) }
+
+// TestHalfASetUpWhenItWouldEnd: a controller that drains has had the beginning of a set-up when it could end. It hears the rest, and
+// answers it.
+func TestHalfASetUpWhenItWouldEnd(t *testing.T) {
+	t.Parallel()
+	for _, transport := range []string{"tcp", "ws"} {
+		for inOrder := false; !inOrder; { // a machine that is too slow for the order tries again
+			w := crossing(t, transport, "tcp", false, testSettings(t))
+			c := w.caller()
+			text, err := jsonl.Append(nil, c.Asks(id(1), 20*time.Second, 0, "x"))
+			w.must(err)
+			whole := c.Frame(text)
+			drained := time.Now()
+			w.node.drain()
+			time.Sleep(600 * time.Millisecond)
+			half := time.Now()
+			w.must(c.SendRaw(whole[:len(whole)/2]))
+			begun := time.Since(drained) < 680*time.Millisecond
+			time.Sleep(300 * time.Millisecond) // beyond the time after which it would end
+			err = c.SendRaw(whole[len(whole)/2:])
+			if inOrder = begun && time.Since(half) < 450*time.Millisecond; !inOrder {
+				continue
+			}
+			w.must(err)
+			if m, err := c.Next(); err != nil || m.ID != id(1) || m.Type != "release" || m.Fields["wait"] == "" {
+				t.Errorf("%s: %+v, %v: want a refusal with a time to come back", transport, m, err)
+			}
+			w.must(<-w.done)
+		}
+	}
+}
+
+// TestAConnectionThatIsLateIsLetGo: a connection would come up after its time-out. The set-up goes elsewhere when that is over, and
+// the late connection brings it nowhere a second time.
+func TestAConnectionThatIsLateIsLetGo(t *testing.T) {
+	t.Parallel()
+	s := testSettings(t)
+	s.Caps.ConnectTimeoutUs = 300_000
+	w := crossing(t, "tcp", "tcp", true, s)
+	c := w.caller()
+	w.must(c.SetUp(id(1), 20*time.Second, 0, "x"))
+	e := w.gets(1)
+	w.dispatchers[0].Open()
+	w.must(e.Answer("y"))
+	w.hears(c)
+	w.linked(0, 1)
+	w.must(c.SetUp(id(2), 20*time.Second, 1, "x"))
+	w.must(w.gets(1).Answer("y"))
+	w.hears(c)
+	if len(w.dispatchers[0].Events) > 0 {
+		t.Errorf("sent where it had waited in vain: %+v", <-w.dispatchers[0].Events)
+	}
+}
--- a/cmd/cherryrelay/paused_test.go
+++ b/cmd/cherryrelay/paused_test.go
@@ -152,3 +152,47 @@
 		_ = c.Close()
 	}
 }
+
+// TestSignalsInADrain: SIGTERM comes twice and SIGHUP between, with a set-up out and one that comes behind them. Both are answered, and
+// the program ends in good order.
+func TestSignalsInADrain(t *testing.T) {
+	t.Parallel()
+	for _, signals := range [][]syscall.Signal{
+		{syscall.SIGTERM, syscall.SIGTERM}, {syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM}, {syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP},
+	} {
+		p, d := paused(t)
+		c, err := peer.Call("tcp", p.lines)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		if err := c.SetUp(id(1), 9*time.Second, 0, "x"); err != nil {
+			t.Fatal(err)
+		}
+		e := comes(t, d)
+		for _, s := range signals {
+			p.signal(s)
+		}
+		p.waitLog("draining")
+		if err := c.SetUp(id(2), 9*time.Second, 1, "x"); err != nil {
+			t.Fatal(err)
+		}
+		for _, e := range []peer.Event{e, comes(t, d)} {
+			if err := e.Answer("y"); err != nil {
+				t.Fatal(err)
+			}
+			if m, err := c.Next(); err != nil || m.ID != e.ID || m.Type != "answer" {
+				t.Errorf("%v: %+v, %v: want the answer to %s", signals, m, err, e.ID)
+			}
+		}
+		select {
+		case err := <-p.ended:
+			if err != nil {
+				t.Errorf("%v: ended with %v:\n%s", signals, err, p.log)
+			}
+			p.cmd = nil
+		case <-time.After(peer.Patience):
+			t.Fatalf("%v: it does not end", signals)
+		}
+	}
+}
--- a/internal/lists/coordinator/coordinator_test.go
+++ b/internal/lists/coordinator/coordinator_test.go
@@ -76,3 +76,52 @@
 	}
 	cancel()
 }
+
+// TestWhatAWatchBringsAgain: a coordinator that refuses for a while, comes back with numbers that were told already, and tells the whole
+// list without a dispatcher; and one that the stream is moved to while an event of the old one is on its way.
+func TestWhatAWatchBringsAgain(t *testing.T) {
+	serve := func(play func(n int, w http.ResponseWriter, r *http.Request)) string {
+		asked := 0
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			asked++
+			play(asked, w, r)
+			_ = http.NewResponseController(w).Flush()
+			<-r.Context().Done()
+		}))
+		t.Cleanup(server.Close)
+		t.Cleanup(server.CloseClientConnections)
+		return strings.TrimPrefix(server.URL, "http://")
+	}
+	whole := func(index int) string {
+		return fmt.Sprintf("id: %d\ndata: {\"index\":%d,\"endpoints\":{\"snapshot\":true,\"endpoints\":[]}}\n\n", index, index)
+	}
+	half := make(chan struct{})
+	old := serve(func(n int, w http.ResponseWriter, _ *http.Request) {
+		switch n {
+		case 1, 2:
+			w.WriteHeader(http.StatusServiceUnavailable)
+			panic(http.ErrAbortHandler)
+		default:
+			_, _ = io.WriteString(w, whole(2)+event(3, "a", "active")+whole(4)+event(5, "b", "active")[:60]) // 2 and 3 were told before
+			close(half)
+		}
+	})
+	next := serve(func(_ int, w http.ResponseWriter, r *http.Request) {
+		if after := r.Header.Get("Last-Event-ID"); after != "4" {
+			t.Errorf("asked for what follows %s, want 4: the event on its way has not come", after)
+		}
+		_, _ = io.WriteString(w, event(5, "c", "leaving"))
+	})
+	updates := make(chan call.Update, 8)
+	s := New(old, 3, slog.New(slog.DiscardHandler), func(u call.Update) { updates <- u })
+	go s.Run(t.Context())
+	if diff := cmp.Diff(call.Update{Whole: true}, <-updates); diff != "" {
+		t.Errorf("the first that is new (-want +got):\n%s", diff)
+	}
+	<-half
+	s.Move(next)
+	entry := control.ServerEntry{ID: "c", Status: control.Draining, Cell: 2, Zone: "east", StartedAt: 5 * time.Second}
+	if diff := cmp.Diff(call.Update{Servers: []call.Server{{ServerEntry: entry, Address: "127.0.0.1:1"}}}, <-updates); diff != "" {
+		t.Errorf("after the move (-want +got):\n%s", diff)
+	}
+}
