--- a/cmd/cherryrelay/crossings_test.go
+++ b/cmd/cherryrelay/crossings_test.go
@@ -492,3 +492,38 @@
 		t.Errorf("sent where it had waited in vain: %+v", <-w.dispatchers[0].Events)
 	}
 }
+
+// TestWhoLeavesDuringAnUpgradeIsNotSentOn: a set-up is in the guard as a successor begins to serve, and its caller leaves the old process.
+func TestWhoLeavesDuringAnUpgradeIsNotSentOn(t *testing.T) {
+	for way, leave := range ways {
+		t.Run(way, func(t *testing.T) {
+			upgrades(t, []string{"d0: setup 1 x", "d1: setup 2 x", "caller: answer 2 y", "caller: release 2 16"}, func(old *world) {
+				c := old.caller()
+				old.must(c.SetUp(id(1), long, 0, "x"))
+				first := old.gets(0)
+				next := old.another()
+				next.knows()
+				next.ready()
+				old.must(first.Refuse(peer.Broken))
+				old.acked(0) // it is in the guard now
+				old.must(leave(old, c, 1))
+				old.taken(0)
+				other := next.caller()
+				old.must(other.SetUp(id(2), long, 1, "x"))
+				e := old.gets(1)
+				old.must(e.Answer("y"))
+				old.hears(other)
+				time.Sleep(guard + 100*time.Millisecond)
+				old.must(e.ReleaseHere(id(2), call.CauseNormal))
+				old.hears(other)
+				for i, d := range old.dispatchers {
+					for len(d.Events) > 0 {
+						if e := <-d.Events; e.Kind == "setup" {
+							t.Errorf("d%d was sent %s, whose caller had left", i, e.ID)
+						}
+					}
+				}
+			})
+		})
+	}
+}
--- a/internal/call/core_test.go
+++ b/internal/call/core_test.go
@@ -26,6 +26,7 @@
 	drained  map[control.ServerID]bool
 	setUps   int
 	react    func(server control.ServerID, a SetUp)
+	settings *settings.Settings
 }
 
 func (s *site) Update(Update)                         {}
@@ -92,7 +93,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &site{t: t, core: core, out: map[string]control.ServerID{}, ready: map[string]time.Time{}, finals: map[string]int{},
+	s := &site{t: t, core: core, settings: set, out: map[string]control.ServerID{}, ready: map[string]time.Time{}, finals: map[string]int{},
 		answers: map[string]int{}, overs: map[string]int{}, drained: map[control.ServerID]bool{}}
 	core.Serve(s)
 	return s
--- a/internal/call/recover.go
+++ b/internal/call/recover.go
@@ -248,7 +248,12 @@
 		}
 		if k.parked {
 			k.parked = false
-			c.offer(k, c.class(k.Class))
+			class := c.class(k.Class)
+			if class < 0 { // other settings came meanwhile, without it: the module would never hear of the call
+				c.final(k, End{Cause: CauseTemporary, Reason: ReasonFailed})
+				break
+			}
+			c.offer(k, class)
 		}
 	}
 	return nil
--- a/internal/call/recover_test.go
+++ b/internal/call/recover_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -171,3 +172,32 @@
 		t.Errorf("%d calls are left", n)
 	}
 }
+
+// TestAClassThatGoesWhileACallWaitsForItsCaller: its caller, as it comes, is answered at once. The module never heard of the call, and it
+// was answered at its limit only.
+func TestAClassThatGoesWhileACallWaitsForItsCaller(t *testing.T) {
+	const id = "00000000000000aa"
+	site := newSite(t)
+	core := site.core
+	s := &stage{core: core}
+	core.Serve(s)
+	core.AddFront(atFront{s})
+	b := recovery.NewBook()
+	b.Apply(taken(id, core.now()))
+	core.Recover(b, nil)
+	core.Update(Update{Whole: true, Servers: []Server{{ServerEntry: control.ServerEntry{ID: "a"}, Address: "127.0.0.1:1"}}})
+	core.turn()
+	other := *site.settings
+	other.RequestClasses = slices.Clone(other.RequestClasses)
+	other.RequestClasses[0].Name = "another"
+	if err := core.Retune(&other); err != nil {
+		t.Fatal(err)
+	}
+	if err := core.Claim(s, id, callToken, false); err != nil {
+		t.Fatal(err)
+	}
+	core.turn()
+	if diff := cmp.Diff([]string{"dispatchers release " + id, "end " + id + " 41 failed"}, s.said); diff != "" {
+		t.Errorf("what its caller is told (-want +got):\n%s", diff)
+	}
+}
