Send what waited for a connection at the end of the turn in which that came up

Cause: server.opened flushed the set-ups that had waited at once. The end of a caller that lay right behind the connection in the loop was taken in after they had left: seen in a story that holds the loop until both lie there, five ways of leaving, each sent on. Now they go out with the turn, and a withdrawal takes them back whole. Ruled out: Pool.Withdraw, which finds what waits in any other order.

--- a/cmd/cherryrelay/crossings_test.go
+++ b/cmd/cherryrelay/crossings_test.go
@@ -527,3 +527,33 @@
 		})
 	}
 }
+
+// TestWhoLeavesAsAConnectionComesUp: the connection that a set-up waits for is up, and behind that lies the end of its caller.
+func TestWhoLeavesAsAConnectionComesUp(t *testing.T) {
+	for way, leave := range ways {
+		t.Run(way, func(t *testing.T) {
+			t.Parallel()
+			s := testSettings(t)
+			s.Caps.ConnectTimeoutUs = 5_000_000
+			w := crossing(t, "tcp", "tcp", true, s)
+			c := w.caller()
+			w.must(c.SetUp(id(1), 20*time.Second, 0, "x"))
+			w.taken(1)
+			free := w.holds()
+			before := w.node.loop.Waiting()
+			w.dispatchers[0].Open()
+			w.queued(before + 1) // a second later
+			w.linked(0, 1)
+			now := w.node.loop.Waiting()
+			w.must(leave(w, c, 1))
+			w.queued(now + 1)
+			free()
+			w.taken(0)
+			other := w.caller()
+			w.must(other.SetUp(id(2), long, 0, "y"))
+			if e := w.gets(0); e.ID != id(2) {
+				t.Errorf("a %s for %s came: its caller had left", e.Kind, e.ID)
+			}
+		})
+	}
+}
--- a/internal/dispatchers/dispatchers.go
+++ b/internal/dispatchers/dispatchers.go
@@ -363,10 +363,10 @@
 	s.redial, s.unanswered = 0, false
 	s.links = append(s.links, l)
 	l.send(l.wire.Hello())
+	l.conn.Flush()
 	if l.ready() {
-		s.ready(l)
+		s.ready(l) // it goes out at the end of the turn: who has left meanwhile is seen before
 	}
-	l.conn.Flush()
 }
 
 // ready sends what has waited for a connection.
