Tell an end once more that a connection got which turns out to be for tests

Cause: an end that no connection is known for, as after a restart, goes to one that has been silent for 0.1 s (Conn.hears). If a test comes on that later, who made it takes the next message for its result, or passes over it, and tested made unheard forget what was sent there: the end is told to nobody. A story has it, over both fronts; before, no caller ever heard. Ruled out: pending, which keeps ends for 30 s, and deliver, which runs with each look.

--- a/cmd/cherryrelay/crossings_test.go
+++ b/cmd/cherryrelay/crossings_test.go
@@ -557,3 +557,29 @@
 		})
 	}
 }
+
+// TestAnEndIsNotATestsResult: an end that no connection is known for goes to one that has been silent for a while. That turns out to be
+// for tests, where nobody minds it: it is told once more, to a caller.
+func TestAnEndIsNotATestsResult(t *testing.T) {
+	for _, transport := range []string{"tcp", "ws"} {
+		t.Run(transport, func(t *testing.T) {
+			t.Parallel()
+			w := crossing(t, transport, "tcp", false, testSettings(t))
+			w.linked(0, 1)
+			tester := w.connect()
+			w.must(w.dispatchers[0].Release(id(0x77), 41))
+			w.hears(tester) // it has said nothing, and nobody else is there
+			w.must(tester.Send(jsonl.Message{Type: "ping", ID: id(0)}))
+			w.hears(tester)
+			c := w.caller()
+			w.must(c.SetUp(id(1), long, 0, "x"))
+			w.hears(c)
+			w.must(w.gets(0).Answer("y"))
+			w.hears(c)
+			want := []string{"caller: release 77 41", "caller: pong  1", "caller: release 77 41", "d0: setup 1 x", "caller: answer 1 y"}
+			if diff := cmp.Diff(want, w.said); diff != "" {
+				t.Errorf("what the peers saw (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -405,6 +405,9 @@
 		}
 		return c.front.core.Claim(c, m.ID, string(m.Fields["token"]), m.Fields["answered"] == "1")
 	case "ping":
+		if !c.tested && !c.asked {
+			c.passOn()
+		}
 		c.tested = true
 		passed := 0
 		if c.front.core.Ready() {
@@ -498,6 +501,16 @@
 	c.sent = append(c.sent, r)
 }
 
+// passOn has others told what this connection was while it said nothing: it is for tests, and who made it has taken an end for the
+// result of one.
+func (c *Conn) passOn() {
+	sent := c.sent
+	c.sent, c.tested = nil, true
+	for _, r := range sent {
+		c.front.release(r)
+	}
+}
+
 // unheard reports whether a release that was sent may not have been read: it is recent, or nobody ever spoke here.
 func (c *Conn) unheard(r release) bool {
 	age := time.Since(r.at)
