Tell a caller in time that its call is not found yet, where it says how long it waits

A resume of a call that no controller here knows is looked for, for the lease and 2 s at most (decide/takeover.Claim), and nothing in Core.want knows when its caller gives up: lost 4.5 s before that, with a lease of 3 s, it is told up to 0.5 s late. Ruled out: the core's own limit (a call that is held here is answered 3 ms before its time), and calls that arrive, whose records have the deadline.

Change: `resume` may say how long the caller waits still (`left`, as a set-up does; without it nothing changes). An open call that is still looked for then is answered 25 ms before, as unknown, and is looked for on: what stands of it has to be released. The trials' callers say it.

--- a/cmd/cherryrelay/endings_test.go
+++ b/cmd/cherryrelay/endings_test.go
@@ -357,3 +357,44 @@
 		_, _ = c.Close(), other.Close()
 	}
 }
+
+// nowhere finds no call, and goes on looking.
+type nowhere struct{ call.Finder }
+
+func (nowhere) Want(string, []byte) bool { return true }
+
+// TestACallThatIsLookedForIsAnsweredInTime: callers come back for calls that other controllers may have. Each is told by when it gives
+// its call up, the one that says nothing of that only once all have looked.
+func TestACallThatIsLookedForIsAnsweredInTime(t *testing.T) {
+	t.Parallel()
+	w := crossing(t, "ws", "tcp", false, testSettings(t))
+	set := make(chan struct{})
+	w.node.loop.Post(func() {
+		w.node.core.Seek(nowhere{}, func() bool { return true }, func(err error) { t.Error(err) })
+		close(set)
+	})
+	<-set
+	c := w.caller()
+	begun := time.Now()
+	for n, left := range []string{"1200", "600", "900", ""} {
+		fields := map[string]jsonl.Value{"token": "a token of some caller"}
+		if left != "" {
+			fields["left"] = jsonl.Value(left)
+		}
+		w.must(c.Send(jsonl.Message{Type: "resume", ID: id(n), Fields: fields}))
+	}
+	for _, want := range []struct {
+		id int
+		by time.Duration
+	}{{1, 600 * time.Millisecond}, {2, 900 * time.Millisecond}, {0, 1200 * time.Millisecond}} {
+		m, err := c.Next()
+		w.must(err)
+		if took := time.Since(begun); m.ID != id(want.id) || m.Type != "release" || m.Fields["error"] != "unknown" || took < want.by-100*time.Millisecond {
+			t.Errorf("%+v after %v: want the final answer to %d by %v", m, took, want.id, want.by)
+		}
+	}
+	w.node.loop.Post(func() { w.node.core.Missing(id(3), false) })
+	if m, err := c.Next(); err != nil || m.ID != id(3) || m.Fields["error"] != "unknown" {
+		t.Errorf("%+v, %v: want the answer to the last", m, err)
+	}
+}
--- a/internal/call/core.go
+++ b/internal/call/core.go
@@ -109,7 +109,7 @@
 	lost         *lost
 	passing      *passing // nil without other controllers
 	places       map[control.ServerID]Server
-	claims       []claim   // that came while a predecessor had the calls
+	claims       []Claim   // that came while a predecessor had the calls
 	releases     []*record // calls of an earlier process to be released once there is a list
 	unchecked    []*record // those that stood, until there is one
 	recovered    Recovered
--- a/internal/call/recover.go
+++ b/internal/call/recover.go
@@ -183,11 +183,12 @@
 	}
 }
 
-// claim is one that has to wait.
-type claim struct {
-	caller    Caller
-	id, token string
-	answered  bool
+// Claim is a caller's word that a call of another connection is its own.
+type Claim struct {
+	Caller    Caller
+	ID, Token string
+	Answered  bool
+	By        time.Time // when its caller gives an open call up; zero if it does not say so
 }
 
 // maxClaims bounds claims that wait for a predecessor to end: as many as its callers can have had.
@@ -199,16 +200,17 @@
 // Claim is a caller's word that a call is its own, on whatever connection it has now. It gets what it is owed: the final
 // answer if there is one, the one to come if not, and the end of a call that stands. An error calls for the end of its
 // connection.
-func (c *Core) Claim(caller Caller, id, token string, answered bool) error {
+func (c *Core) Claim(claim Claim) error {
 	if c.awaitsLedger {
 		if len(c.claims) >= maxClaims {
 			return ErrTooManyClaims
 		}
-		c.claims = append(c.claims, claim{caller, id, token, answered})
+		c.claims = append(c.claims, claim)
 		return nil
 	}
+	caller, id, token, answered := claim.Caller, claim.ID, claim.Token, claim.Answered
 	k := c.calls[id]
-	if (k == nil || k.moving) && c.want(claim{caller, id, token, answered}) {
+	if (k == nil || k.moving) && c.want(claim) {
 		return nil
 	}
 	if k == nil || !recovery.Claims(token, k.Token) {
@@ -284,8 +286,8 @@
 	claims := c.claims
 	c.claims = nil
 	for _, claim := range claims {
-		if err := c.Claim(claim.caller, claim.id, claim.token, claim.answered); err != nil {
-			c.log.Error("claim that cannot be served", "id", claim.id, "err", err)
+		if err := c.Claim(claim); err != nil {
+			c.log.Error("claim that cannot be served", "id", claim.ID, "err", err)
 		}
 	}
 }
--- a/internal/call/recover_test.go
+++ b/internal/call/recover_test.go
@@ -106,13 +106,13 @@
 			expect("at once", test.atOnce)
 			core.Update(Update{Whole: true, Servers: []Server{{ServerEntry: control.ServerEntry{ID: "a"}, Address: "127.0.0.1:1"}}})
 			expect("when the list has come", test.listed)
-			if err := core.Claim(s, id, callToken, false); err != nil {
+			if err := core.Claim(Claim{Caller: s, ID: id, Token: callToken}); err != nil {
 				t.Fatal(err)
 			}
 			time.Sleep(guard + 20*time.Millisecond) // an attempt waits for the guard
 			core.tell(control.Woken{})
 			expect("when its caller comes", test.claimed)
-			if err := core.Claim(s, id, callToken, false); err != nil {
+			if err := core.Claim(Claim{Caller: s, ID: id, Token: callToken}); err != nil {
 				t.Fatal(err)
 			}
 			if test.acts["fail"]+test.acts["keep"]+test.acts["await"]+test.acts["adopt"] > 0 {
@@ -193,7 +193,7 @@
 	if err := core.Retune(&other); err != nil {
 		t.Fatal(err)
 	}
-	if err := core.Claim(s, id, callToken, false); err != nil {
+	if err := core.Claim(Claim{Caller: s, ID: id, Token: callToken}); err != nil {
 		t.Fatal(err)
 	}
 	core.turn()
--- a/internal/call/takeover.go
+++ b/internal/call/takeover.go
@@ -32,7 +32,7 @@
 	certain func() bool        // whether this process has its name for itself, as far as is known
 	letGo   func(error)        // does not return: this process begins anew
 	held    bool               // calls have been kept: another controller may take them
-	claims  map[string][]claim // that wait for their call to be found
+	claims  map[string][]Claim // that wait for their call to be found
 	waiting map[Caller]int     // how many of each
 	kept    []string           // arrived, and not told to be kept
 	gone    []string           // let go, and not told to be gone
@@ -41,32 +41,53 @@
 // Seek has calls that are not known here looked for among those of other controllers. LetGo ends the process's work at once, before another
 // word leaves it; it is for a process that may hold its calls no more.
 func (c *Core) Seek(f Finder, certain func() bool, letGo func(error)) {
-	c.passing = &passing{finder: f, certain: certain, letGo: letGo, claims: map[string][]claim{}, waiting: map[Caller]int{}, held: c.durable != nil && c.durable.ledger.On()}
+	c.passing = &passing{finder: f, certain: certain, letGo: letGo, claims: map[string][]Claim{}, waiting: map[Caller]int{}, held: c.durable != nil && c.durable.ledger.On()}
 }
 
 // want has a call looked for that somebody has come for. It reports whether it is.
-func (c *Core) want(claim claim) bool {
+func (c *Core) want(claim Claim) bool {
 	p := c.passing
-	if p == nil || !ValidID(claim.id) || !p.finder.Want(claim.id, recovery.Hash(claim.token)) {
+	if p == nil || !ValidID(claim.ID) || !p.finder.Want(claim.ID, recovery.Hash(claim.Token)) {
 		return false
 	}
-	p.claims[claim.id] = append(p.claims[claim.id], claim)
-	p.waiting[claim.caller]++
+	p.claims[claim.ID] = append(p.claims[claim.ID], claim)
+	p.waiting[claim.Caller]++
+	if !claim.Answered && !claim.By.IsZero() {
+		c.loop.After(max(time.Until(claim.By)-early, 0), func() { c.tooLate(claim) })
+	}
 	return true
 }
 
+// tooLate tells a caller whose time for an open call is over that nothing is known of it yet, as a final answer is owed by then. The call
+// goes on being looked for: what stands of it, wherever, has to be released.
+func (c *Core) tooLate(claim Claim) {
+	p := c.passing
+	if !slices.Contains(p.claims[claim.ID], claim) {
+		return // found, or missed, or its caller has gone
+	}
+	p.drop(claim)
+	c.unknown(claim.Caller, claim.ID, claim.Token, false)
+}
+
 // came takes the claims that have waited for a call.
-func (p *passing) came(id string) []claim {
+func (p *passing) came(id string) []Claim {
 	claims := p.claims[id]
-	delete(p.claims, id)
-	for _, claim := range claims {
-		if p.waiting[claim.caller]--; p.waiting[claim.caller] <= 0 {
-			delete(p.waiting, claim.caller)
-		}
+	for _, claim := range slices.Clone(claims) {
+		p.drop(claim)
 	}
 	return claims
 }
 
+// drop forgets a claim that waits.
+func (p *passing) drop(claim Claim) {
+	if p.claims[claim.ID] = slices.DeleteFunc(slices.Clone(p.claims[claim.ID]), func(o Claim) bool { return o == claim }); len(p.claims[claim.ID]) == 0 {
+		delete(p.claims, claim.ID)
+	}
+	if p.waiting[claim.Caller]--; p.waiting[claim.Caller] <= 0 {
+		delete(p.waiting, claim.Caller)
+	}
+}
+
 // left drops the claims of a caller that has gone: it comes again, here or elsewhere.
 func (p *passing) left(caller Caller) {
 	if p == nil || p.waiting[caller] == 0 {
@@ -74,7 +95,7 @@
 	}
 	delete(p.waiting, caller)
 	for id, claims := range p.claims {
-		if p.claims[id] = slices.DeleteFunc(claims, func(o claim) bool { return o.caller == caller }); len(p.claims[id]) == 0 {
+		if p.claims[id] = slices.DeleteFunc(claims, func(o Claim) bool { return o.Caller == caller }); len(p.claims[id]) == 0 {
 			delete(p.claims, id) // the call may still come, and then waits for it as any that is left
 		}
 	}
@@ -129,8 +150,8 @@
 func (c *Core) claimed(id string) {
 	claims := c.passing.came(id)
 	for _, claim := range claims {
-		if err := c.Claim(claim.caller, claim.id, claim.token, claim.answered); err != nil {
-			c.log.Error("claim that cannot be served", "id", claim.id, "err", err)
+		if err := c.Claim(claim); err != nil {
+			c.log.Error("claim that cannot be served", "id", claim.ID, "err", err)
 		}
 	}
 }
@@ -139,7 +160,7 @@
 func (c *Core) Missing(id string, cut bool) {
 	claims := c.passing.came(id)
 	for _, claim := range claims {
-		c.unknown(claim.caller, claim.id, claim.token, cut)
+		c.unknown(claim.Caller, claim.ID, claim.Token, cut)
 	}
 }
 
@@ -197,7 +218,7 @@
 	delete(c.calls, id)
 	c.passing.gone = append(c.passing.gone, id)
 	if claims := c.passing.claims[id]; len(claims) > 0 { // its caller is here again
-		c.passing.finder.Want(id, recovery.Hash(claims[0].token))
+		c.passing.finder.Want(id, recovery.Hash(claims[0].Token))
 	}
 }
 
--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -33,6 +33,8 @@
 	wholeWithin = 500 * time.Millisecond
 	// maxResumed calls may be resumed on one connection: a large gateway's, and a bound for who guesses.
 	maxResumed = 16 << 10
+	// longest is more than any caller waits for an answer; beyond that, the time left that a resume names says nothing.
+	longest = time.Hour
 	// maxFaults set-ups that make no sense are answered; who sends more sends nothing else.
 	maxFaults = 8
 )
@@ -69,7 +71,7 @@
 	Reject(call.Request)
 	GiveUp(caller call.Caller, id string, cause int)
 	// Claim is a caller's word that a call of another connection is its own.
-	Claim(caller call.Caller, id, token string, answered bool) error
+	Claim(call.Claim) error
 	CallerClosed(call.Caller)
 	CallerBroke(call.Caller)
 	// Owes is the number of set-ups without an answer that came from the caller.
@@ -403,7 +405,11 @@
 		if c.resumed++; c.resumed > maxResumed {
 			return call.ErrTooManyClaims
 		}
-		return c.front.core.Claim(c, m.ID, string(m.Fields["token"]), m.Fields["answered"] == "1")
+		claim := call.Claim{Caller: c, ID: m.ID, Token: string(m.Fields["token"]), Answered: m.Fields["answered"] == "1"}
+		if left, err := m.Int("left"); err == nil && left >= 0 && left <= longest.Milliseconds() {
+			claim.By = at.Add(time.Duration(left) * time.Millisecond)
+		}
+		return c.front.core.Claim(claim)
 	case "ping":
 		if !c.tested && !c.asked {
 			c.passOn()
--- a/internal/trial/peers.go
+++ b/internal/trial/peers.go
@@ -7,6 +7,7 @@
 	"hash/fnv"
 	"math/rand/v2"
 	"os"
+	"strconv"
 	"sync"
 	"time"
 
@@ -163,6 +164,9 @@
 // (docs/takeover.md) before it says that nothing is known of it.
 const resumeWithin = 5 * time.Second
 
+// left is how long a caller waits for the answer to a set-up.
+const left = 8 * time.Second
+
 // Token is that of a call.
 func Token(id string) string { return "a token of " + id }
 
@@ -180,8 +184,9 @@
 	lost            time.Time       // when the last connection was lost
 	unheard         map[string]bool // calls that were resumed and have had no word since
 	next            int
-	at              int             // of the addresses
-	open            map[string]bool // its calls that are owed something, and whether they were answered
+	at              int                  // of the addresses
+	open            map[string]bool      // its calls that are owed something, and whether they were answered
+	until           map[string]time.Time // when each is given up, unless it stands
 }
 
 // From has the caller begin at one of its addresses.
@@ -190,7 +195,7 @@
 // Run places calls and sees each to its end, until done is closed and nothing is left, or it has had patience enough: the judge tells
 // what is not settled.
 func (c *Caller) Run(done <-chan struct{}) {
-	c.open, c.next, c.unheard = map[string]bool{}, c.First, map[string]bool{}
+	c.open, c.next, c.unheard, c.until = map[string]bool{}, c.First, map[string]bool{}, map[string]time.Time{}
 	stop := time.Time{}
 	for {
 		connection, err := peer.Call(c.Transport, c.Addresses[c.at%len(c.Addresses)])
@@ -227,6 +232,8 @@
 		fields := map[string]jsonl.Value{"token": jsonl.Value(Token(id))}
 		if answered {
 			fields["answered"] = "1"
+		} else {
+			fields["left"] = jsonl.Value(strconv.FormatInt(max(time.Until(c.until[id]), 0).Milliseconds(), 10))
 		}
 		if connection.Send(jsonl.Message{Type: "resume", ID: id, Fields: fields}) != nil {
 			return
@@ -275,6 +282,7 @@
 				time.Sleep(refusedPause)
 			}
 			delete(c.open, m.ID)
+			delete(c.until, m.ID)
 		}
 	}
 }
@@ -283,9 +291,9 @@
 	id := fmt.Sprintf("%016x", c.next)
 	c.next++
 	c.Placed++
-	c.open[id] = false
+	c.open[id], c.until[id] = false, time.Now().Add(left)
 	c.Judge.Placed(id, time.Now())
 	x := "x"
 	return connection.Send(jsonl.Message{Type: "setup", ID: id, SDP: &x, Fields: map[string]jsonl.Value{
-		"class": "send-setup", "tenant": "acme", "key": jsonl.Value("k" + id), "left": "8000", "token": jsonl.Value(Token(id))}}) == nil
+		"class": "send-setup", "tenant": "acme", "key": jsonl.Value("k" + id), "left": jsonl.Value(strconv.Itoa(int(left.Milliseconds()))), "token": jsonl.Value(Token(id))}}) == nil
 }
