Open a new connection where one is let go with nothing to do while calls stand

Cause, found by reading for docs/crossings.md: a connection that is given up in good order has its own side closed and is read until its dispatcher closes it. A reset in that moment looks like the close (getpeername fails after both), so an end on its way there could be lost, and is told again only on the next connection that opens. Where connections make room for another one, that follows anyway; for one that is idle or beyond the limit (check, trim) nothing did. It can't be forced over loopback, where what came ahead of a reset is read, so it has no test.

--- a/internal/dispatchers/dispatchers.go
+++ b/internal/dispatchers/dispatchers.go
@@ -119,11 +119,21 @@
 			return
 		}
 		if l.open() == 0 {
-			l.retire(conn.ErrClosedHere)
+			s.letGo(l)
 		}
 	}
 }
 
+// letGo gives up a connection that has nothing to do. An end may be on its way there, and its dispatcher may reset it in the moment in
+// which it closes: while calls stand, another connection brings what has been told since.
+func (s *server) letGo(l *link) {
+	reason := conn.ErrClosedHere
+	if s.pool.core.Standing(s.ID) > 0 {
+		reason = errDead
+	}
+	l.retire(reason)
+}
+
 // server is one dispatcher and the connections to it.
 type server struct {
 	call.Server
@@ -279,7 +289,7 @@
 			continue
 		}
 		if l.open() == 0 && s.heardAt.Sub(l.heardAt) > deadAfter {
-			l.retire(conn.ErrClosedHere) // the others are alive, and this one has nothing to do
+			s.letGo(l) // the others are alive, and this one has nothing to do
 		}
 	}
 	s.trim()
