--- a/cmd/cherryrelay/crossings_test.go
+++ b/cmd/cherryrelay/crossings_test.go
@@ -543,7 +543,7 @@
 			free := w.holds()
 			before := w.node.loop.Waiting()
 			w.dispatchers[0].Open()
-			w.queued(before + 1) // a second later
+			w.queued(before + 2) // a second later: the connection, and what its dispatcher says first
 			w.linked(0, 1)
 			now := w.node.loop.Waiting()
 			w.must(leave(w, c, 1))
--- a/cmd/cherryrelay/endings_test.go
+++ b/cmd/cherryrelay/endings_test.go
@@ -38,6 +38,8 @@
 				w.must(c.SetUp(id(1), long, 0, "x"))
 				live := w.gets(0)
 				w.linked(0, 2) // one without a word for long has another connection opened
+				w.must(w.dispatchers[0].Release(id(0x66), call.CauseNormal))
+				w.hears(c) // on that: the node has it
 				place := func(n int) peer.Event {
 					w.must(c.SetUp(id(n), long, 0, "x"))
 					e := w.gets(0)
--- a/cmd/cherryrelay/node.go
+++ b/cmd/cherryrelay/node.go
@@ -80,6 +80,7 @@
 	})
 	core.Serve(pool)
 	core.OnFlush(pool.Flush)
+	loop.OnPause(pool.Heard)
 	keeper := lists.New(log, func(u call.Update) { loop.Post(func() { core.Update(u) }) })
 	for i := range c.Known.Updates {
 		u, err := c.Known.Updates[i].Update()
@@ -181,6 +182,7 @@
 	f := callers.New(n.loop, n.core, n.log, tcp, format, n.bounds, n.terms)
 	n.core.AddFront(f)
 	n.core.OnFlush(f.Flush)
+	n.loop.OnPause(f.Heard)
 	n.log.Info("serving", "address", f.Address())
 	return f, nil
 }
--- a/internal/call/loop.go
+++ b/internal/call/loop.go
@@ -11,10 +11,11 @@
 	// overdue is how late a timer is after which the process counts as having been paused, or kept from its core.
 	overdue = 50 * time.Millisecond
 	// catchUpStep and catchUpSteps bound how long what came meanwhile is waited for; it is all in once nothing more comes for
-	// catchUpStill steps, and nothing is known to be unread. What is known is waited for up to catchUpKnown steps.
+	// catchUpStill steps, and nothing is known to be unread. What is known is waited for up to catchUpKnown steps, on a machine that is
+	// too busy to read: less than the time after which nothing may be sent on for one who has left.
 	catchUpStep                = time.Millisecond
 	catchUpSteps, catchUpStill = 20, 3
-	catchUpKnown               = 60
+	catchUpKnown               = 250
 	// catchUpAgain is the least time between two: a loop that has more to do than it can is late all the time.
 	catchUpAgain = 100 * time.Millisecond
 )
@@ -61,7 +62,7 @@
 // OnCommit has f run before anything leaves the process that was decided since it ran last. It must do nothing if nothing was.
 func (l *Loop) OnCommit(f func()) { l.commit = f }
 
-// OnPause names what tells whether all that has come is with the loop, for a loop that goes on after a pause.
+// OnPause names what tells whether all that has come is with the loop, for a loop that goes on after a pause. It runs on the loop.
 func (l *Loop) OnPause(quiet func() bool) { l.quiet = append(l.quiet, quiet) }
 
 // Commit runs what OnCommit was given; whatever writes to a socket calls it first. Only the loop may call it.
--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -565,4 +565,9 @@
 	})
 }
 
+// Heard reports whether all that callers have sent is with the loop, as far as it may be.
+func (f *Front) Heard() bool {
+	return !slices.ContainsFunc(f.all, func(c *Conn) bool { return !c.closed && c.conn.Unread() })
+}
+
 var _ call.Caller = (*Conn)(nil)
--- a/internal/conn/conn.go
+++ b/internal/conn/conn.go
@@ -422,6 +422,22 @@
 	return n <= 0
 }
 
+// Unread reports whether bytes wait that the ring could take and has not. After a pause they may tell what must be known before what is
+// overdue is done.
+func (c *Conn) Unread() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	fd, ok := c.nc.(netpoll.Conn)
+	if c.ended || !ok || c.in.Free() == 0 {
+		return false
+	}
+	if c.nc.Reader().Len() > 0 {
+		return true
+	}
+	n, _, _ := syscall.Recvfrom(fd.Fd(), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	return n > 0
+}
+
 // Hear has the handler take in at once what has come and waits for its turn. Only the loop may call it, and no handler of callers.
 func (c *Conn) Hear() {
 	c.mu.Lock()
--- a/internal/dispatchers/dispatchers.go
+++ b/internal/dispatchers/dispatchers.go
@@ -595,6 +595,13 @@
 	}
 }
 
+// Heard reports whether all that dispatchers have sent is with the loop, as far as it may be.
+func (p *Pool) Heard() bool {
+	return !slices.ContainsFunc(p.order, func(s *server) bool {
+		return slices.ContainsFunc(s.links, func(l *link) bool { return l.conn.Unread() })
+	})
+}
+
 // Flush sends what was written since the last time.
 func (p *Pool) Flush() {
 	for _, s := range p.order {
