Hold the list's stream to the times by which what it would have told counts as told

Need: an open point of docs/crossings.md. A break, a stop with the connection open, a move, each with one try gone by without an answer: asked again within 2, 4 and 4 s. No fault was found.

--- a/internal/lists/coordinator/coordinator_test.go
+++ b/internal/lists/coordinator/coordinator_test.go
@@ -125,3 +125,54 @@
 		t.Errorf("after the move (-want +got):\n%s", diff)
 	}
 }
+
+// TestWhatCountsAsTold: what a coordinator would have told counts as told 2 s after a break, and 4 s after it stopped or another took its
+// place, come or not. By then it has been asked again, even if it has let one try go by without a word.
+func TestWhatCountsAsTold(t *testing.T) {
+	for name, test := range map[string]struct {
+		within time.Duration
+		ends   func(s *Stream, to string) (closes bool)
+	}{
+		"a break": {2 * time.Second, func(*Stream, string) bool { return true }},
+		"a stop":  {4 * time.Second, func(*Stream, string) bool { return false }},
+		"a move":  {4 * time.Second, func(s *Stream, to string) bool { s.Move(to); return false }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			asked, ended := make(chan time.Time, 8), make(chan time.Time, 1)
+			var s *Stream
+			var to string
+			tries := 0
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				switch tries++; tries {
+				case 1:
+					_, _ = io.WriteString(w, event(4, "a", "active"))
+					_ = http.NewResponseController(w).Flush()
+					asked <- time.Time{}
+					ended <- time.Now()
+					if test.ends(s, to) {
+						panic(http.ErrAbortHandler)
+					}
+				case 2: // after a break it is refused; else it has stopped here as well
+					if name == "a break" {
+						w.WriteHeader(http.StatusServiceUnavailable)
+						return
+					}
+				default:
+					asked <- time.Now()
+				}
+				<-r.Context().Done()
+			}))
+			t.Cleanup(server.Close)
+			t.Cleanup(server.CloseClientConnections)
+			address := strings.TrimPrefix(server.URL, "http://")
+			to = strings.Replace(address, "127.0.0.1", "[::ffff:127.0.0.1]", 1) // another name of the same
+			s = New(address, 3, slog.New(slog.DiscardHandler), func(call.Update) {})
+			go s.Run(t.Context())
+			<-asked
+			if took := (<-asked).Sub(<-ended); took > test.within {
+				t.Errorf("asked again after %v, want %v at most", took, test.within)
+			}
+		})
+	}
+}
