Count bytes that are on their way from socket to loop as unread after a pause

By reading conn.fill and netpoll's reader; the very instant was not traced. Now a connection on which bytes were seen is unread until the loop is told of them, and the first look is at once.

--- a/internal/call/loop.go
+++ b/internal/call/loop.go
@@ -136,7 +136,9 @@
 	unread := func(quiet func() bool) bool { return !quiet() }
 	known := false
 	for still, waits, step := 0, 0, 0; still < catchUpStill && (step < catchUpSteps || known && step < catchUpKnown); step++ {
-		time.Sleep(catchUpStep)
+		if step > 0 { // the first look is at once: what is read from a socket by then is not seen there
+			time.Sleep(catchUpStep)
+		}
 		known = slices.ContainsFunc(l.quiet, unread)
 		n := l.Waiting()
 		if still++; n != waits || known {
--- a/internal/conn/conn.go
+++ b/internal/conn/conn.go
@@ -94,6 +94,8 @@
 
 	mu     sync.Mutex // guards the fields below, and the socket against a write after its close
 	posted bool
+	moves  bool      // what came is being put into the ring
+	sought bool      // Unread has seen bytes that the loop was not told of yet
 	at     time.Time // arrival of the oldest bytes that the loop has not looked at
 	ended  bool      // netpoll closes or has closed the socket
 	closed bool      // this side did
@@ -141,6 +143,14 @@
 // is full; the loop empties every ring each turn, so the wait is short. netpoll reads on meanwhile without bound, so a
 // peer that is too far ahead is dropped.
 func (c *Conn) fill(r netpoll.Reader) error {
+	c.mu.Lock()
+	c.moves = true
+	c.mu.Unlock()
+	defer func() {
+		c.mu.Lock()
+		c.moves = false
+		c.mu.Unlock()
+	}()
 	for n := r.Len(); n > 0; n = r.Len() {
 		if n > maxBacklog {
 			return errors.Join(r.Skip(n), r.Release(), c.flooded())
@@ -183,6 +193,7 @@
 func (c *Conn) notify() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.sought = false
 	if !c.posted {
 		c.posted, c.at = true, time.Now()
 		c.loop.Post(c.read)
@@ -431,11 +442,14 @@
 	if c.ended || !ok || c.in.Free() == 0 {
 		return false
 	}
-	if c.nc.Reader().Len() > 0 {
-		return true
+	if c.nc.Reader().Len() == 0 && !c.moves {
+		n, _, _ := syscall.Recvfrom(fd.Fd(), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		if n <= 0 {
+			return c.sought // neither here nor there: netpoll has read it, and does not show it yet
+		}
 	}
-	n, _, _ := syscall.Recvfrom(fd.Fd(), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	return n > 0
+	c.sought = true
+	return true
 }
 
 // Hear has the handler take in at once what has come and waits for its turn. Only the loop may call it, and no handler of callers.
