--- a/cmd/cherryrelay/endings_test.go
+++ b/cmd/cherryrelay/endings_test.go
@@ -298,24 +298,7 @@
 		events <- strings.TrimSuffix(e, ",") + "]}}\n\n"
 	}
 	for n := 1; n <= 6; n++ {
-		c, err := peer.Call("tcp", p.lines)
-		if err != nil {
-			t.Fatal(err)
-		}
-		other, err := peer.Call("tcp", p.lines)
-		if err != nil {
-			t.Fatal(err)
-		}
-		if err := c.SetUp(id(n), 8*time.Second, n%2, "x"); err != nil {
-			t.Fatal(err)
-		}
-		if err := comes(t, d).Refuse(peer.Broken); err != nil { // from here the guard counts
-			t.Fatal(err)
-		}
-		if err := other.SetUp(id(0x100+n), 8*time.Second, (n+1)%2, "x"); err != nil {
-			t.Fatal(err)
-		}
-		e := comes(t, d) // the refusal came before: the guard's timer runs
+		c, other, e := inGuard(t, p, d, n)
 		p.signal(syscall.SIGSTOP)
 		tells("leaving")
 		time.Sleep(guard + 100*time.Millisecond) // the grace is no longer than the guard
--- a/cmd/cherryrelay/paused_test.go
+++ b/cmd/cherryrelay/paused_test.go
@@ -59,39 +59,36 @@
 	}
 }
 
+// inGuard leaves a set-up of a caller in the guard, and one of another out.
+func inGuard(t *testing.T, p *process, d [2]*peer.Dispatcher, n int) (c, other *peer.Caller, out peer.Event) {
+	t.Helper()
+	must := func(err error) {
+		t.Helper()
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	var err error
+	c, err = peer.Call("tcp", p.lines)
+	must(err)
+	other, err = peer.Call("tcp", p.lines)
+	must(err)
+	must(c.SetUp(id(n), 8*time.Second, n%2, "x"))
+	must(comes(t, d).Refuse(peer.Broken)) // from here the guard counts
+	must(other.SetUp(id(0x100+n), 8*time.Second, (n+1)%2, "x"))
+	return c, other, comes(t, d) // the refusal came before: the guard's timer runs
+}
+
 // TestWhoLeavesDuringAPauseIsNotSentOn: the guard of a call ends while the process stands still, and its caller leaves meanwhile. It was
 // sent on, as the timer and the word of the caller's end were ready at once.
 func TestWhoLeavesDuringAPauseIsNotSentOn(t *testing.T) {
 	t.Parallel()
 	p, d := paused(t)
 	for n := 1; n <= 12; n++ {
-		c, err := peer.Call("tcp", p.lines)
-		if err != nil {
-			t.Fatal(err)
-		}
-		other, err := peer.Call("tcp", p.lines)
-		if err != nil {
-			t.Fatal(err)
-		}
-		if err := c.SetUp(id(n), 9*time.Second, n%2, "x"); err != nil {
-			t.Fatal(err)
-		}
-		if err := comes(t, d).Refuse(peer.Broken); err != nil { // from here the guard counts
-			t.Fatal(err)
-		}
-		if err := other.SetUp(id(0x100+n), 9*time.Second, (n+1)%2, "x"); err != nil {
-			t.Fatal(err)
-		}
-		e := comes(t, d) // the refusal came before: the guard's timer runs
+		c, other, e := inGuard(t, p, d, n)
 		p.signal(syscall.SIGSTOP)
-		if n%3 == 0 {
-			err = c.Reset()
-		} else if n%3 == 1 {
-			err = c.Release(id(n), call.CauseNormal)
-		} else {
-			err = c.Close()
-		}
-		if err != nil {
+		leave := []func() error{c.Reset, func() error { return c.Release(id(n), call.CauseNormal) }, c.Close}[n%3]
+		if err := leave(); err != nil {
 			t.Fatal(err)
 		}
 		time.Sleep(guard + 100*time.Millisecond)
