Look after a pause at callers with a set-up open alone, and bound the wait by time

Who has no set-up open can't take one back. The bounds counted steps of 1 ms, which take longer on a busy machine.

--- a/internal/call/loop.go
+++ b/internal/call/loop.go
@@ -10,12 +10,11 @@
 const (
 	// overdue is how late a timer is after which the process counts as having been paused, or kept from its core.
 	overdue = 50 * time.Millisecond
-	// catchUpStep and catchUpSteps bound how long what came meanwhile is waited for; it is all in once nothing more comes for
-	// catchUpStill steps, and nothing is known to be unread. What is known is waited for up to catchUpKnown steps, on a machine that is
+	// catchUpStep and catchUpMost bound how long what came meanwhile is waited for; it is all in once nothing more comes for
+	// catchUpStill steps, and nothing is known to be unread. What is known is waited for longer, up to catchUpKnown, on a machine that is
 	// too busy to read: less than the time after which nothing may be sent on for one who has left.
-	catchUpStep                = time.Millisecond
-	catchUpSteps, catchUpStill = 20, 3
-	catchUpKnown               = 250
+	catchUpStep, catchUpStill = time.Millisecond, 3
+	catchUpMost, catchUpKnown = 20 * time.Millisecond, 250 * time.Millisecond
 	// catchUpAgain is the least time between two: a loop that has more to do than it can is late all the time.
 	catchUpAgain = 100 * time.Millisecond
 )
@@ -135,8 +134,9 @@
 	defer func() { l.caughtUp = time.Now() }()
 	unread := func(quiet func() bool) bool { return !quiet() }
 	known := false
-	for still, waits, step := 0, 0, 0; still < catchUpStill && (step < catchUpSteps || known && step < catchUpKnown); step++ {
-		if step > 0 { // the first look is at once: what is read from a socket by then is not seen there
+	begun, still, waits := time.Now(), 0, 0
+	for took := time.Duration(0); still < catchUpStill && (took < catchUpMost || known && took < catchUpKnown); took = time.Since(begun) {
+		if took > 0 { // the first look is at once: what is read from a socket by then is not seen there
 			time.Sleep(catchUpStep)
 		}
 		known = slices.ContainsFunc(l.quiet, unread)
--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -565,9 +565,10 @@
 	})
 }
 
-// Heard reports whether all that callers have sent is with the loop, as far as it may be.
+// Heard reports whether all is with the loop, as far as it may be, that was sent by callers with a set-up open: another's word cannot take
+// one back. Of very many connections, few have one.
 func (f *Front) Heard() bool {
-	return !slices.ContainsFunc(f.all, func(c *Conn) bool { return !c.closed && c.conn.Unread() })
+	return !slices.ContainsFunc(f.all, func(c *Conn) bool { return !c.closed && f.core.Owes(c) > 0 && c.conn.Unread() })
 }
 
 var _ call.Caller = (*Conn)(nil)
