--- /dev/null
+++ b/internal/call/loop_test.go
@@ -0,0 +1,44 @@
+package call
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// TestWhatIsUnreadAfterAPause: a pause makes a timer overdue, and a word that came meanwhile is known to lie unread for longer than what is
+// merely hoped for is waited for. It is taken in first; one that never comes is not waited for beyond a bound.
+func TestWhatIsUnreadAfterAPause(t *testing.T) {
+	const looks = 30 // of a millisecond at least, beyond catchUpMost
+	for name, test := range map[string]struct {
+		comes bool
+		want  []string
+	}{"it comes": {true, []string{"word", "timer"}}, "it never comes": {false, []string{"timer"}}} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			l := NewLoop()
+			var order []string
+			looked := 0
+			l.OnPause(func() bool {
+				if looked++; looked == looks && test.comes {
+					l.Post(func() { order = append(order, "word") })
+				}
+				return looked >= looks && test.comes
+			})
+			var begun time.Time
+			l.Post(func() {
+				begun = time.Now()
+				l.After(0, func() { time.Sleep(2 * overdue) }) // the pause
+				l.After(overdue/4, func() { order = append(order, "timer"); l.Quit() })
+			})
+			l.Run()
+			if diff := cmp.Diff(test.want, order); diff != "" {
+				t.Errorf("the order after a pause (-want +got):\n%s", diff)
+			}
+			if took := time.Since(begun); !test.comes && took < 2*overdue+catchUpKnown {
+				t.Errorf("it was not waited for: %v", took)
+			}
+		})
+	}
+}
