See a pause that falls into the middle of a round of the loop

Found by reading Loop.round again: it ran what was posted, then overdue timers and the core's turn, and looked for a pause only between rounds. One that falls into what was posted, as on a core that is taken away, had what was held go out with its caller's word unread. Now a round looks once, after taking in and before timers and turn, in place of two looks around it. The test has that order, and fails without the change.

--- a/internal/call/loop.go
+++ b/internal/call/loop.go
@@ -100,9 +100,7 @@
 	idle := time.NewTimer(time.Hour)
 	defer idle.Stop()
 	for {
-		l.catchUp()
 		for l.round() {
-			l.catchUp()
 		}
 		wait := time.Hour
 		if len(l.timers) > 0 {
@@ -126,10 +124,11 @@
 }
 
 // catchUp has what came during a pause taken in before what is overdue runs. Both wait in the same instant after it, and a set-up that
-// was held would go out though its caller has left, or its dispatcher drains, with the word of that unread in a socket.
-func (l *Loop) catchUp() {
+// was held would go out though its caller has left, or its dispatcher drains, with the word of that unread in a socket. It reports
+// whether there was a pause.
+func (l *Loop) catchUp() bool {
 	if len(l.timers) == 0 || time.Since(l.timers[0].at) < overdue || time.Since(l.caughtUp) < catchUpAgain {
-		return
+		return false
 	}
 	defer func() { l.caughtUp = time.Now() }()
 	unread := func(quiet func() bool) bool { return !quiet() }
@@ -145,10 +144,11 @@
 			still, waits = 0, n
 		}
 	}
+	return true
 }
 
-// round takes in all that is ready, then gives the core its turn. It reports whether there was anything.
-func (l *Loop) round() bool {
+// takeIn runs what was posted, and reports whether there was anything.
+func (l *Loop) takeIn() bool {
 	l.mu.Lock()
 	queue := l.queue
 	l.queue = nil
@@ -156,6 +156,16 @@
 	for _, f := range queue {
 		f()
 	}
+	return len(queue) > 0
+}
+
+// round takes in all that is ready, then gives the core its turn. It reports whether there was anything. A pause may have come before or
+// while what was ready was taken in.
+func (l *Loop) round() bool {
+	came := l.takeIn()
+	if l.catchUp() {
+		came = l.takeIn() || came
+	}
 	now, due := time.Now(), 0
 	for len(l.timers) > 0 && !l.timers[0].at.After(now) {
 		t, ok := heap.Pop(&l.timers).(*Timer)
@@ -164,7 +174,7 @@
 		}
 		due++
 	}
-	if len(queue) == 0 && due == 0 {
+	if !came && due == 0 {
 		return false
 	}
 	if l.turn != nil {
--- a/internal/call/loop_test.go
+++ b/internal/call/loop_test.go
@@ -13,8 +13,13 @@
 	const looks = 30 // of a millisecond at least, beyond catchUpMost
 	for name, test := range map[string]struct {
 		comes bool
+		early bool // the pause falls into what was posted, before the timers of the same round
 		want  []string
-	}{"it comes": {true, []string{"word", "timer"}}, "it never comes": {false, []string{"timer"}}} {
+	}{
+		"it comes":                       {true, false, []string{"word", "timer"}},
+		"it never comes":                 {false, false, []string{"timer"}},
+		"it comes, the pause in a round": {true, true, []string{"word", "timer"}},
+	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			l := NewLoop()
@@ -29,8 +34,13 @@
 			var begun time.Time
 			l.Post(func() {
 				begun = time.Now()
-				l.After(0, func() { time.Sleep(2 * overdue) }) // the pause
+				if !test.early {
+					l.After(0, func() { time.Sleep(2 * overdue) }) // the pause
+				}
 				l.After(overdue/4, func() { order = append(order, "timer"); l.Quit() })
+				if test.early {
+					time.Sleep(2 * overdue)
+				}
 			})
 			l.Run()
 			if diff := cmp.Diff(test.want, order); diff != "" {
