--- a/internal/decide/pool/bench_test.go
+++ b/internal/decide/pool/bench_test.go
@@ -52,6 +52,9 @@
 		})
 		b.Run(fmt.Sprint("plain/", n), func(b *testing.B) {
 			inForce, told, twice := plain(nil, &sets[1])
+			if twice || len(told) != n {
+				b.Fatal(twice, len(told))
+			}
 			b.ReportAllocs()
 			for i := 0; b.Loop(); i++ {
 				if inForce, told, twice = plain(inForce, &sets[i%2]); twice || len(told) != n {
