--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -85,7 +85,6 @@
 	requests   chan request
 	results    chan result
 	generation int
-	began      chan error // of a Begin under way; nil without
 	ended      chan struct{}
 	figures    Figures
 	files      atomic.Int64
@@ -104,7 +103,6 @@
 	next       uint64   // number that follows the batch
 	begin      bool     // write a snapshot of state first, and begin a segment
 	state      [][]byte //
-	old        []string // files that the snapshot stands for
 }
 
 type result struct {
