--- a/Makefile
+++ b/Makefile
@@ -17,6 +17,7 @@
 lint:
 	test -z "$$(gofmt -l $$(git ls-files '*.go' ':!journal/**'))"
 	go vet ./...
+	go tool staticcheck ./...
 
 run: build
 	LB_CONFIG=$${LB_CONFIG:-example/config.json} bin/cherryrelay
