--- /dev/null
+++ b/internal/decide/subset/subset.go
@@ -0,0 +1,353 @@
+// Package subset decides which of the listed dispatchers one controller connects to: a deterministic subset by rendezvous hashing
+// (Thaler and Ravishankar, "Using name-based mappings to increase hit rates", 1998), its own zone first. Each controller ranks all
+// dispatchers by a hash of its own identity and theirs, and takes the first ones; so no controller needs to know of another, a restarted
+// one finds the same dispatchers, and one that comes or goes moves no others' places. There is no I/O here, and the clock is an
+// argument. docs/subset.md weighs the alternatives.
+package subset
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"cherryrelay/control"
+)
+
+const (
+	// DefaultSize is the least size, rounded, at which hashing leaves no dispatcher with more than 1.5 times the mean number of
+	// controllers, at 3,000 of each: with a mean of n, the chance that one has more falls with exp(-0.108 n).
+	DefaultSize = 96
+	// DefaultQuiet is how long there must have been no need before a subset that has grown gives places back.
+	DefaultQuiet = time.Minute
+	// MaxSize bounds sizes: each dispatcher in a subset is a connection.
+	MaxSize = 1 << 20
+	// defaultGrowth is how many times its size a subset may grow to.
+	defaultGrowth = 8
+	// spareShare of the places go to other zones than the own one, so that the own one can be lost while it is still listed.
+	spareShare = 1.0 / 8
+	// grownShare is as much of the places that need has added: what refuses is more likely to be one zone than the rest.
+	grownShare = 1.0 / 2
+	// growth is the factor by which a subset grows at once, and shrinks.
+	growth = 2
+)
+
+// Options say what one controller's subset is.
+type Options struct {
+	Identity string        // the controller's; it must be another's never, and the same after a restart
+	Zone     string        // whose dispatchers are preferred; empty for none
+	Size     int           // dispatchers in the subset; 0 for DefaultSize
+	Most     int           // as many after growth; 0 for eight times the size
+	Quiet    time.Duration // without need until a subset shrinks; 0 for DefaultQuiet
+}
+
+// WithDefaults fills in what is not given.
+func (o Options) WithDefaults() Options {
+	o.Size = cmp.Or(o.Size, DefaultSize)
+	o.Most = cmp.Or(o.Most, min(defaultGrowth*o.Size, MaxSize))
+	o.Quiet = cmp.Or(o.Quiet, DefaultQuiet)
+	return o
+}
+
+// Check reports what a subset could not be made by.
+func (o Options) Check() error {
+	o = o.WithDefaults()
+	switch {
+	case o.Size < 1 || o.Size > MaxSize:
+		return fmt.Errorf("size: %d is not from 1 to %d", o.Size, MaxSize)
+	case o.Most < o.Size || o.Most > MaxSize:
+		return fmt.Errorf("most: %d is not from the size, %d, to %d", o.Most, o.Size, MaxSize)
+	case o.Quiet < 0:
+		return fmt.Errorf("quiet: %v is below zero", o.Quiet)
+	}
+	return nil
+}
+
+// Entry is a listed dispatcher.
+type Entry struct {
+	ID     control.ServerID
+	Zone   string
+	Cell   int  // the group that a call's first choice names
+	Active bool // false: it drains, and fills no place
+}
+
+// member is an entry with its places in the rankings.
+type member struct {
+	Entry
+	score uint64
+	zone  *ranking // the own zone's or the others'
+	inZone,
+	inCell *slot
+	places   int  // in how many rankings it is chosen
+	reported bool // it is in the subset as far as Changes has told
+}
+
+// before reports whether a member ranks before another one.
+func (m *member) before(o *member) bool {
+	if m.score != o.score {
+		return m.score > o.score
+	}
+	return m.ID < o.ID
+}
+
+// cell is a group of dispatchers; it has places of its own while calls have it as their first choice.
+type cell struct {
+	*ranking
+	inSubset int // its dispatchers in the subset, by whatever ranking
+	usedAt   time.Duration
+	used     bool
+}
+
+// Subset is one controller's. It is not safe for concurrent use. Times are on any clock that does not go back.
+type Subset struct {
+	options Options
+	seed    uint64
+	members map[control.ServerID]*member
+	near    *ranking // of the own zone, or of all if no zone is preferred
+	far     *ranking // of the other zones
+	cells   map[int]*cell
+	used    map[int]*cell // those with places of their own
+	target  int           // size by now
+	needAt  time.Duration // when more was last needed, or the size last changed
+	touched map[*member]bool
+	onMoved func(*member, int)
+	chosen  int // members in the subset
+	growths int
+}
+
+// New returns the subset of an empty list. The options must pass Check.
+func New(o Options) *Subset {
+	o = o.WithDefaults()
+	s := &Subset{
+		options: o, seed: xxhash.Sum64String(o.Identity), target: o.Size, touched: map[*member]bool{},
+		members: map[control.ServerID]*member{}, cells: map[int]*cell{}, used: map[int]*cell{},
+	}
+	s.onMoved = s.moved
+	s.near, s.far = newRanking(s.onMoved), newRanking(s.onMoved)
+	return s
+}
+
+// moved counts the places of a member.
+func (s *Subset) moved(m *member, by int) {
+	before := m.places > 0
+	m.places += by
+	if after := m.places > 0; before != after {
+		s.touched[m] = true
+		s.chosen += by
+		s.cells[m.Cell].inSubset += by
+	}
+}
+
+// score is the weight of a dispatcher for this controller, as rendezvous hashing has it.
+func (s *Subset) score(id control.ServerID) uint64 {
+	d := xxhash.NewWithSeed(s.seed)
+	_, _ = d.WriteString(string(id)) // it never fails
+	return d.Sum64()
+}
+
+// Put takes in a dispatcher, or what has changed of it.
+func (s *Subset) Put(e Entry) {
+	m := s.members[e.ID]
+	switch {
+	case m == nil:
+		m = &member{score: s.score(e.ID)}
+		s.members[e.ID] = m
+	case m.Entry == e:
+		return
+	}
+	s.unrank(m)
+	m.Entry = e
+	s.rank(m)
+	s.balance()
+}
+
+// Remove forgets a dispatcher that is listed no more. Changes does not tell of it.
+func (s *Subset) Remove(id control.ServerID) {
+	m := s.members[id]
+	if m == nil {
+		return
+	}
+	s.unrank(m)
+	delete(s.members, id)
+	delete(s.touched, m)
+	s.balance()
+}
+
+func (s *Subset) rank(m *member) {
+	if !m.Active {
+		return
+	}
+	c := s.cells[m.Cell]
+	if c == nil {
+		c = &cell{ranking: newRanking(s.onMoved)}
+		s.cells[m.Cell] = c
+	}
+	m.inCell = c.add(m)
+	m.zone = s.near
+	if s.options.Zone != "" && m.Zone != s.options.Zone {
+		m.zone = s.far
+	}
+	m.inZone = m.zone.add(m)
+}
+
+func (s *Subset) unrank(m *member) {
+	if m.inZone == nil {
+		return
+	}
+	m.zone.remove(m.inZone)
+	c := s.cells[m.Cell]
+	c.remove(m.inCell)
+	m.zone, m.inZone, m.inCell = nil, nil, nil
+	if c.len() == 0 && !c.used {
+		delete(s.cells, m.Cell)
+	}
+}
+
+// balance shares the places out between the own zone and the others: what one can't fill, the other may.
+func (s *Subset) balance() {
+	grown := float64(s.target - s.options.Size)
+	spare := int(math.Ceil(spareShare*float64(s.options.Size) + grownShare*grown))
+	near := min(s.near.len(), s.target-min(spare, s.far.len()))
+	s.near.resize(near)
+	s.far.resize(s.target - near)
+}
+
+// Use gives the dispatchers of a call's first choice places of their own, as many as the subset has at most: those that rank first.
+// Where all groups in use would have more than the options' Most, the one that was used least lately gives its places back.
+func (s *Subset) Use(now time.Duration, group int) {
+	c := s.cells[group]
+	if c == nil {
+		return
+	}
+	c.usedAt = now
+	if c.used {
+		return
+	}
+	c.used = true
+	s.used[group] = c
+	c.resize(s.target)
+	for s.extra() > s.options.Most && len(s.used) > 1 {
+		s.disuse(s.stalest())
+	}
+}
+
+// extra is the number of places that groups in use have.
+func (s *Subset) extra() int {
+	n := 0
+	for _, c := range s.used {
+		n += c.chosen.Len()
+	}
+	return n
+}
+
+// stalest is the group whose last use is the longest ago.
+func (s *Subset) stalest() int {
+	stalest, found := 0, false
+	for group, c := range s.used {
+		if !found || c.usedAt < s.used[stalest].usedAt || c.usedAt == s.used[stalest].usedAt && group < stalest {
+			stalest, found = group, true
+		}
+	}
+	return stalest
+}
+
+func (s *Subset) disuse(group int) {
+	c := s.used[group]
+	c.used = false
+	delete(s.used, group)
+	c.resize(0)
+	if c.len() == 0 {
+		delete(s.cells, group)
+	}
+}
+
+// Grow gives the subset more places, as it has dispatchers that refuse or are full. It reports whether that brought any dispatcher.
+func (s *Subset) Grow(now time.Duration) bool {
+	s.needAt = now
+	before := s.chosen
+	for s.chosen == before && s.target < s.options.Most && s.target < s.Active() {
+		s.resize(min(growth*s.target, s.options.Most))
+	}
+	if s.chosen == before {
+		return false
+	}
+	s.growths++
+	return true
+}
+
+// Need notes that all places are still needed.
+func (s *Subset) Need(now time.Duration) { s.needAt = now }
+
+// Rest gives back what has not been needed for long: half of the places at a time, and groups that no call has had as first choice. Its
+// cost goes by the groups in use.
+func (s *Subset) Rest(now time.Duration) {
+	for group, c := range s.used {
+		if now-c.usedAt >= s.options.Quiet {
+			s.disuse(group)
+		}
+	}
+	if s.target > s.options.Size && now-s.needAt >= s.options.Quiet {
+		s.needAt = now
+		s.resize(max(s.target/growth, s.options.Size))
+	}
+}
+
+// Resting reports whether there is nothing to give back.
+func (s *Subset) Resting() bool { return s.target == s.options.Size && len(s.used) == 0 }
+
+func (s *Subset) resize(target int) {
+	s.target = target
+	s.balance()
+	for _, c := range s.used {
+		c.resize(target)
+	}
+}
+
+// Changes are the dispatchers that have joined and left the subset since it was last asked, by name. One that drains has left; one
+// that was removed is not named.
+func (s *Subset) Changes() (joined, left []control.ServerID) {
+	for m := range s.touched {
+		in := m.places > 0
+		switch {
+		case in && !m.reported:
+			joined = append(joined, m.ID)
+		case !in && m.reported:
+			left = append(left, m.ID)
+		}
+		m.reported = in
+	}
+	clear(s.touched)
+	slices.Sort(joined)
+	slices.Sort(left)
+	return joined, left
+}
+
+// Has reports whether a dispatcher is in the subset.
+func (s *Subset) Has(id control.ServerID) bool {
+	m := s.members[id]
+	return m != nil && m.places > 0
+}
+
+// HasCell reports whether a dispatcher of the group is in the subset.
+func (s *Subset) HasCell(group int) bool {
+	c := s.cells[group]
+	return c != nil && c.inSubset > 0
+}
+
+// Listed is the number of dispatchers in the list.
+func (s *Subset) Listed() int { return len(s.members) }
+
+// Active is the number of those that can fill a place.
+func (s *Subset) Active() int { return s.near.len() + s.far.len() }
+
+// Len is the number of dispatchers in the subset.
+func (s *Subset) Len() int { return s.chosen }
+
+// Size is the number of dispatchers that the subset has without need.
+func (s *Subset) Size() int { return s.options.Size }
+
+// Growths is how often it has grown.
+func (s *Subset) Growths() int { return s.growths }
