--- a/internal/takeover/room_test.go
+++ b/internal/takeover/room_test.go
@@ -109,7 +109,7 @@
 }
 
 // controller has a room at a site, and runs what the room posts.
-func controller(t *testing.T, site, name string, fleet decide.Fleet, has ...string) (*core, *ledger.Ledger) {
+func controller(t *testing.T, site, name string, fleet decide.Membership, has ...string) (*core, *ledger.Ledger) {
 	t.Helper()
 	d, l := owner(t, site, name, has...)
 	c := &core{has: map[string]bool{}}
@@ -157,7 +157,7 @@
 	b.heard(t, "missing 03 cut false")
 	for begun := time.Now(); ; time.Sleep(time.Millisecond) {
 		sealed, _ := filepath.Glob(filepath.Join(site, decide.SealedDir, "lost@*"))
-		done, _ := filepath.Glob(filepath.Join(site, decide.DoneDir, "lost@*"))
+		done, _ := filepath.Glob(filepath.Join(site, decide.TrashDir, "lost@*"))
 		if len(sealed)+len(done) == 0 {
 			break
 		}
@@ -212,11 +212,11 @@
 	flipped := slices.Clone(whole)
 	flipped[len(flipped)-1] ^= 1
 	for _, text := range [][]byte{nil, whole[:len(magic)], whole[:len(whole)-1], flipped, []byte("cherryrelay call 2\n" + string(whole[len(magic):]))} {
-		if c, err := decode(text, []byte("key")); !errors.Is(err, errSpoilt) {
+		if c, err := decode(text, []byte("key")); !errors.Is(err, errDamaged) {
 			t.Errorf("%d bytes are read as %v, %v", len(text), c, err)
 		}
 	}
-	if _, err := decode(whole, nil); !errors.Is(err, errSpoilt) {
+	if _, err := decode(whole, nil); !errors.Is(err, errDamaged) {
 		t.Errorf("without its key: %v", err)
 	}
 	site := t.TempDir()
