--- a/internal/ledger/disk.go
+++ b/internal/ledger/disk.go
@@ -10,46 +10,47 @@
 	"syscall"
 )
 
-// Disk is a directory of the ledger's own. Tests have one that fails.
+// Disk is the directory of one ledger. Tests inject faults with their own.
 type Disk interface {
-	// List names the files.
+	// List returns the sorted names of the files.
 	List() ([]string, error)
 	Read(name string) ([]byte, error)
-	// Create opens a new file, in place of one that is there.
+	// Create creates a file, or truncates the one of that name.
 	Create(name string) (File, error)
 	Rename(from, to string) error
 	Remove(name string) error
-	// Sync has what was created, renamed and removed outlast the machine.
+	// Sync makes creations, renames and removals survive a crash of the machine.
 	Sync() error
-	// Close gives the directory up to the next owner.
+	// Close releases the directory to the next owner.
 	Close() error
 }
 
-// File is one that is written.
+// File is a file opened for writing.
 type File interface {
 	io.Writer
 	Sync() error
 	Close() error
 }
 
-// lockName is a file that one process at a time holds. The lock goes with its owner, however that ends.
+// lockName is the file whose lock the owner of a ledger holds. The kernel releases it when the process ends.
 const lockName = "lock"
 
-// directory is a Disk. Its files are those of the directory that was opened, wherever its name goes.
+// directory implements Disk. It refers to the directory that was opened, also after that is renamed.
 type directory struct {
-	path string
-	root *os.Root
-	mine os.FileInfo // of the directory that was opened
-	lock *os.File
+	path   string
+	root   *os.Root
+	opened os.FileInfo // of the directory that was opened
+	lock   *os.File
 }
 
-// ErrTaken is the error of a directory that is not at its path any more: another process has taken it, with all that is in it.
+// ErrTaken is the error of a directory that is not at its path any more: another process has sealed it.
 var ErrTaken = errors.New("ledger: another controller has taken it")
 
-// The locks of open files (fcntl(2)), which package syscall lacks: one that is held can be seen without being taken.
+// The fcntl(2) commands for locks of open file descriptions, which package syscall lacks. Unlike flock(2), they can be tested without being
+// acquired.
 const ofdGetLock, ofdSetLock = 36, 37
 
-// Directory takes a directory, making it if need be. ErrOwned says that another process has it.
+// Directory opens and locks a directory, and creates it if need be. ErrOwned says that another process holds the lock.
 func Directory(path string) (Disk, error) {
 	if err := os.MkdirAll(path, 0o700); err != nil {
 		return nil, fmt.Errorf("ledger: %w", err)
@@ -59,7 +60,7 @@
 		return nil, fmt.Errorf("ledger: %w", err)
 	}
 	d := &directory{path: path, root: root}
-	if d.mine, err = root.Stat("."); err != nil {
+	if d.opened, err = root.Stat("."); err != nil {
 		return nil, errors.Join(fmt.Errorf("ledger: %w", err), d.Close())
 	}
 	if d.lock, err = root.OpenFile(lockName, os.O_CREATE|os.O_RDWR, 0o600); err != nil {
@@ -74,13 +75,13 @@
 	if err := syscall.FcntlFlock(d.lock.Fd(), ofdSetLock, &syscall.Flock_t{Type: syscall.F_WRLCK}); err != nil {
 		return nil, errors.Join(fmt.Errorf("ledger: locking %s: %w", path, err), d.Close())
 	}
-	if err := d.still(); err != nil { // taken while it was opened
+	if err := d.checkPath(); err != nil { // sealed while it was opened
 		return nil, errors.Join(err, d.Close())
 	}
 	return d, nil
 }
 
-// Held reports whether a process has a directory. It is seen without being taken, so that its owner is not kept from it.
+// Held reports whether a process holds the lock of a directory. It does not acquire the lock, which would keep an owner from it.
 func Held(path string) (bool, error) {
 	lock, err := os.OpenFile(filepath.Join(path, lockName), os.O_RDWR, 0)
 	if errors.Is(err, os.ErrNotExist) {
@@ -88,7 +89,7 @@
 		if errors.Is(err, os.ErrNotExist) {
 			return false, nil
 		}
-		return true, nil // what never had a lock is no ledger, and nobody's to take
+		return true, nil // a directory without a lock file is no ledger: it is not to be sealed
 	}
 	if err != nil {
 		return false, fmt.Errorf("ledger: %w", err)
@@ -101,18 +102,18 @@
 	return l.Type != syscall.F_UNLCK, nil
 }
 
-// Still reports whether a directory is at its path still; ErrTaken says that it is not.
+// Still checks that a directory is still at its path; ErrTaken says that it is not.
 func Still(d Disk) error {
 	if dir, is := d.(*directory); is {
-		return dir.still()
+		return dir.checkPath()
 	}
 	return nil
 }
 
-func (d *directory) still() error {
+func (d *directory) checkPath() error {
 	there, err := os.Stat(d.path)
 	switch {
-	case errors.Is(err, os.ErrNotExist) || err == nil && !os.SameFile(d.mine, there):
+	case errors.Is(err, os.ErrNotExist) || err == nil && !os.SameFile(d.opened, there):
 		return fmt.Errorf("%w: %s", ErrTaken, d.path)
 	case err != nil:
 		return fmt.Errorf("ledger: %w", err)
@@ -120,7 +121,7 @@
 	return nil
 }
 
-// ReadOnly is a directory that is looked at, also while another process has it. Nothing may be written there.
+// ReadOnly opens a directory for reading, also while another process holds its lock.
 func ReadOnly(path string) (Disk, error) {
 	root, err := os.OpenRoot(path)
 	if err != nil {
@@ -132,12 +133,12 @@
 func (d *directory) List() ([]string, error) {
 	f, err := d.root.Open(".")
 	if err != nil {
-		return nil, err //nolint:wrapcheck // it says what it is
+		return nil, err //nolint:wrapcheck // its error names the path
 	}
 	defer f.Close()
 	entries, err := f.ReadDir(-1)
 	if err != nil {
-		return nil, err //nolint:wrapcheck // it says what it is
+		return nil, err //nolint:wrapcheck // its error names the path
 	}
 	var names []string
 	for _, e := range entries {
@@ -162,7 +163,7 @@
 func (d *directory) Sync() error {
 	f, err := d.root.Open(".")
 	if err != nil {
-		return err //nolint:wrapcheck // it says what it is
+		return err //nolint:wrapcheck // its error names the path
 	}
 	return errors.Join(f.Sync(), f.Close())
 }
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -219,9 +219,9 @@
 	}
 	later := d.copy()
 	for name := range later.files {
-		h := head{segmentMagic, nameHash("n1"), true, 1, 1}.append(nil)
+		h := header{segmentMagic, ownerHash("n1"), true, 1, 1}.append(nil)
 		copy(h[8:], []byte{version + 1})
-		h = h[:headSize-8]
+		h = h[:headerSize-8]
 		later.files[name] = append(h, sumOf(h)...)
 	}
 	if _, err := Read(later, o.Name, o.Key); !errors.Is(err, ErrForm) {
@@ -414,7 +414,7 @@
 	disk.Lock()
 	d := newMemory()
 	l, _ := begin(t, d, o)
-	l.o.Patience = long
+	l.options.Patience = long
 	record := func(i int) []byte { return []byte(fmt.Sprintf("k%d=%d", i%10, i)) }
 	most := int64(0)
 	push := func(i int) error {
@@ -442,7 +442,7 @@
 		t.Errorf("%d bytes, %d allowed", most, o.Most)
 	}
 	disk.Lock() // no further one ends in time
-	l.o.Patience = 20 * time.Millisecond
+	l.options.Patience = 20 * time.Millisecond
 	var err error
 	for end := i + 10000; err == nil && i < end; i++ {
 		err = push(i)
@@ -451,7 +451,7 @@
 		t.Fatalf("%v with %+v", err, l.Figures())
 	}
 	disk.Unlock()
-	l.o.Patience = long
+	l.options.Patience = long
 	if err := l.BeginAndWait([][]byte{record(0)}, long); err != nil {
 		t.Fatal(err)
 	}
@@ -479,7 +479,7 @@
 			o := options()
 			l, _ := begin(t, d, o)
 			commit(t, l, "before")
-			l.o.Patience = test.patience
+			l.options.Patience = test.patience
 			d.set(func() { test.fail(d) })
 			if err := l.Append([]byte("a record that does not fit")); err != nil {
 				t.Fatal(err)
@@ -501,7 +501,7 @@
 				}
 			}
 			d.set(func() { test.heal(d) })
-			l.o.Patience = long
+			l.options.Patience = long
 			if err := l.Begin([][]byte{[]byte("state")}); err != nil {
 				t.Fatal(err)
 			}
--- a/internal/ledger/read.go
+++ b/internal/ledger/read.go
@@ -13,37 +13,43 @@
 	ErrOwned = errors.New("ledger: another process holds the directory")
 	// ErrDamaged is the error of a file that is not what was written.
 	ErrDamaged = errors.New("ledger: damaged")
-	// ErrForm is the error of a file of another form, as a later program writes it.
+	// ErrForm is the error of a file of another version of the format, as a later program writes it.
 	ErrForm = errors.New("ledger: another form")
-	// ErrName is the error of a ledger of another controller.
+	// ErrName is the error of a ledger whose owner is another controller.
 	ErrName = errors.New("ledger: it is another controller's")
-	// ErrKey is the error of a ledger that was written with a key, or without one, where it is otherwise now.
+	// ErrKey is the error of a ledger that was written with another key than the configured one, or without a key.
 	ErrKey = errors.New("ledger: it was not written with the key that is configured")
 )
 
-// Found is what a ledger holds.
+// Found is the content of a ledger.
 type Found struct {
 	Records [][]byte
-	// Gaps names the places in Records before which others may be missing; len(Records) is the end.
+	// Gaps holds the indexes in Records before which records may be missing; len(Records) is the end.
 	Gaps map[int]bool
-	// Damage says, for people, what was found to be wrong. A torn end is none: a crash leaves one.
+	// Damage describes what is wrong, for operators. A torn end is no damage: a crash leaves one.
 	Damage   []string
-	Torn     bool // the last segment had a torn end
+	Torn     bool // the last segment has a torn end
 	Files    int
 	Bytes    int64
-	Snapshot int // records of the snapshot among Records
-	last     uint64
-	old      []string // the files that were read
+	Snapshot int // number of Records that are the snapshot's
+	lastSeq  uint64
+	files    []string // the files that were read
 }
 
-// Gapped reports whether anything is missing.
+// Gapped reports whether records may be missing.
 func (f *Found) Gapped() bool { return len(f.Gaps) > 0 }
 
-func segmentName(first uint64) string { return fmt.Sprintf("%016x.segment", first) }
-func snapshotName(last uint64) string { return fmt.Sprintf("%016x.snapshot", last) }
+// The suffixes of file names. The number before them is the first sequence number of a segment, the last one of a snapshot.
+const (
+	segmentSuffix  = ".segment"
+	snapshotSuffix = ".snapshot"
+)
+
+func segmentName(first uint64) string { return fmt.Sprintf("%016x%s", first, segmentSuffix) }
+func snapshotName(last uint64) string { return fmt.Sprintf("%016x%s", last, snapshotSuffix) }
 
-// number reads the number of a file's name.
-func number(name, suffix string) (uint64, bool) {
+// parseFileNumber reads the number in a file's name.
+func parseFileNumber(name, suffix string) (uint64, bool) {
 	digits, ok := strings.CutSuffix(name, suffix)
 	if !ok || len(digits) != 16 {
 		return 0, false
@@ -52,147 +58,152 @@
 	return n, err == nil
 }
 
-// Read reads all that a directory holds, and changes nothing. An empty name stands for any owner's.
+// Read reads a ledger without changing it. An empty name accepts any owner.
 func Read(d Disk, name string, key []byte) (*Found, error) {
-	r := &reading{Found: &Found{Gaps: map[int]bool{}}, disk: d, name: name, key: key}
+	r := newReader(d, name, key)
 	names, err := d.List()
 	if err != nil {
 		return nil, fmt.Errorf("ledger: %w", err)
 	}
 	var segments, snapshots []uint64
 	for _, n := range names {
-		if first, ok := number(n, ".segment"); ok {
+		if first, ok := parseFileNumber(n, segmentSuffix); ok {
 			segments = append(segments, first)
-			r.old = append(r.old, n)
+			r.files = append(r.files, n)
 		}
-		if last, ok := number(n, ".snapshot"); ok {
+		if last, ok := parseFileNumber(n, snapshotSuffix); ok {
 			snapshots = append(snapshots, last)
-			r.old = append(r.old, n)
+			r.files = append(r.files, n)
 		}
-		if strings.HasSuffix(n, ".new") {
-			r.old = append(r.old, n) // a snapshot whose writer was killed
+		if strings.HasSuffix(n, tempSuffix) {
+			r.files = append(r.files, n) // a snapshot whose writer was killed
 		}
 	}
 	slices.Sort(segments)
 	slices.Sort(snapshots)
-	if err := r.snapshot(snapshots); err != nil {
+	if err := r.readSnapshots(snapshots); err != nil {
 		return nil, err
 	}
-	segments = slices.DeleteFunc(segments, func(first uint64) bool { return first <= r.last })
+	segments = slices.DeleteFunc(segments, func(first uint64) bool { return first <= r.lastSeq })
 	for i, first := range segments {
-		if err := r.segment(first, i == len(segments)-1); err != nil {
+		if err := r.readSegment(first, i == len(segments)-1); err != nil {
 			return nil, err
 		}
 	}
 	return r.Found, nil
 }
 
-type reading struct {
+// reader reads the files of a ledger in order.
+type reader struct {
 	*Found
-	disk Disk
-	name string
-	key  []byte
-	any  bool // something was read that numbers can be held against
+	disk     Disk
+	name     string
+	key      []byte
+	numbered bool // lastSeq is known: the next sequence number can be checked
+}
+
+func newReader(d Disk, name string, key []byte) *reader {
+	return &reader{Found: &Found{Gaps: map[int]bool{}}, disk: d, name: name, key: key}
 }
 
-func (r *reading) damage(format string, args ...any) {
-	const most = 50 // what is no ledger at all has damage everywhere
-	if len(r.Damage) < most {
+func (r *reader) addDamage(format string, args ...any) {
+	const maxDamage = 50 // a file that is no ledger at all has damage everywhere
+	if len(r.Damage) < maxDamage {
 		r.Damage = append(r.Damage, fmt.Sprintf(format, args...))
 	}
 }
 
-func (r *reading) gap(format string, args ...any) {
+func (r *reader) addGap(format string, args ...any) {
 	r.Gaps[len(r.Records)] = true
-	r.damage(format, args...)
+	r.addDamage(format, args...)
 }
 
-// open reads a file and its head. A head that is damaged is no error, but no file either.
-func (r *reading) open(name, magic string, first uint64) (text []byte, f framer, err error) {
+// openFile reads a file and its header. It returns no text, and no error, if the header is damaged.
+func (r *reader) openFile(name, magic string, first uint64) (text []byte, f framer, err error) {
 	text, err = r.disk.Read(name)
 	if err != nil {
 		return nil, f, fmt.Errorf("ledger: %w", err)
 	}
 	r.Files++
 	r.Bytes += int64(len(text))
-	h, err := readHead(text)
+	h, err := decodeHeader(text)
 	switch {
 	case errors.Is(err, ErrDamaged):
 		return nil, f, nil
 	case err != nil:
 		return nil, f, fmt.Errorf("%s: %w", name, err)
-	case h.magic != magic || h.first != first: // it has been given another's name
+	case h.magic != magic || h.first != first: // it has been renamed
 		return nil, f, nil
-	case r.name != "" && h.name != nameHash(r.name):
+	case r.name != "" && h.owner != ownerHash(r.name):
 		return nil, f, fmt.Errorf("%s: %w", name, ErrName)
 	case h.mac != (r.key != nil):
 		return nil, f, fmt.Errorf("%s: %w", name, ErrKey)
 	}
-	return text[headSize:], framer{r.key, h.epoch}, nil
+	return text[headerSize:], framer{r.key, h.epoch}, nil
 }
 
-// snapshot reads the newest one that is whole.
-func (r *reading) snapshot(all []uint64) error {
+// readSnapshots reads the newest complete snapshot.
+func (r *reader) readSnapshots(all []uint64) error {
 	for i, last := range slices.Backward(all) {
-		text, f, err := r.open(snapshotName(last), snapshotMagic, last)
+		text, f, err := r.openFile(snapshotName(last), snapshotMagic, last)
 		if err != nil {
 			return err
 		}
 		if text != nil {
-			if s := f.read(text); s.whole && len(s.holes) == 0 && !s.torn {
-				r.Records, r.Snapshot, r.last, r.any = s.records, len(s.records), last, true
+			if s := f.scan(text); s.complete && len(s.gaps) == 0 && !s.torn {
+				r.Records, r.Snapshot, r.lastSeq, r.numbered = s.records, len(s.records), last, true
 				if i < len(all)-1 {
-					r.gap("an older snapshot is used")
+					r.addGap("an older snapshot is used")
 				}
 				return nil
 			}
 		}
-		r.damage("snapshot %s is not whole", snapshotName(last))
+		r.addDamage("snapshot %s is not whole", snapshotName(last))
 	}
 	if len(all) > 0 {
-		r.gap("no snapshot is whole")
+		r.addGap("no snapshot is whole")
 	}
 	return nil
 }
 
-// segment reads one segment after the others.
-func (r *reading) segment(first uint64, isLast bool) error {
+// readSegment reads the next segment.
+func (r *reader) readSegment(first uint64, isLast bool) error {
 	name := segmentName(first)
-	text, f, err := r.open(name, segmentMagic, first)
+	text, f, err := r.openFile(name, segmentMagic, first)
 	if err != nil {
 		return err
 	}
-	if r.any && first != r.last+1 {
-		r.gap("records are missing before %s", name)
+	if r.numbered && first != r.lastSeq+1 {
+		r.addGap("records are missing before %s", name)
 	}
 	if text == nil {
 		if isLast {
-			r.Torn = true // it had just been begun
+			r.Torn = true // its writer was killed as it was created
 			return nil
 		}
-		r.gap("%s has no head", name)
+		r.addGap("%s has no head", name)
 		return nil
 	}
-	r.any = true
+	r.numbered = true
 	expected := first
-	s := f.read(text)
+	s := f.scan(text)
 	for i, record := range s.records {
 		switch {
 		case s.seqs[i] < expected:
-			r.damage("record %d of %s comes again", s.seqs[i], name)
+			r.addDamage("record %d of %s comes again", s.seqs[i], name)
 			continue
-		case s.seqs[i] > expected || s.holes[i]:
-			r.gap("records are missing in %s", name)
+		case s.seqs[i] > expected || s.gaps[i]:
+			r.addGap("records are missing in %s", name)
 		}
 		expected = s.seqs[i] + 1
 		r.Records = append(r.Records, record)
 	}
-	r.last = expected - 1
+	r.lastSeq = expected - 1
 	switch {
-	case s.torn && isLast || s.holes[len(s.records)] && isLast:
+	case s.torn && isLast || s.gaps[len(s.records)] && isLast:
 		r.Torn = true
-	case s.torn || s.holes[len(s.records)]:
-		r.gap("the end of %s cannot be read", name)
+	case s.torn || s.gaps[len(s.records)]:
+		r.addGap("the end of %s cannot be read", name)
 	}
 	return nil
 }
--- /dev/null
+++ b/internal/ledger/writer.go
@@ -0,0 +1,197 @@
+package ledger
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+)
+
+// writer owns the files of a ledger. It runs in a goroutine of its own.
+type writer struct {
+	*Ledger
+	epoch       uint64 // first sequence number of the current epoch
+	sizes       map[string]int64
+	currentSize int64    // of the open segment
+	totalSize   int64    // of all files
+	closed      []string // closed segments since the last snapshot
+	lastClosed  uint64   // last sequence number of those
+	base        string   // the snapshot before them
+	obsolete    []string // files of earlier processes, replaced by the first snapshot
+	failed      bool
+	compactions chan compaction // nil while none is running
+}
+
+// run serves requests until the ledger is closed.
+func (w *writer) run() {
+	defer close(w.done)
+	stop := make(chan struct{})
+	var syncer sync.WaitGroup
+	if w.options.Sync == SyncInterval {
+		syncer.Go(func() { w.syncPeriodically(stop) })
+	}
+	for r := range w.requests {
+		w.serve(r)
+		w.pollCompaction()
+		if w.shouldCompact() {
+			w.startCompaction()
+		}
+	}
+	if w.compactions != nil {
+		w.awaitCompaction()
+	}
+	close(stop)
+	syncer.Wait()
+	w.closeSegment()
+}
+
+// serve executes one request and reports its result.
+func (w *writer) serve(r request) {
+	err := w.execute(r)
+	if err == nil && w.options.Look != nil {
+		err = w.options.Look()
+	}
+	w.failed = err != nil
+	w.totalBytes.Store(w.totalSize)
+	w.report(writeResult{r.generation, err})
+}
+
+func (w *writer) execute(r request) error {
+	switch {
+	case r.newEpoch:
+		if w.compactions != nil { // it reads files that are about to be removed
+			<-w.compactions
+			w.compactions = nil
+		}
+		return w.beginEpoch(r)
+	case w.failed:
+		return ErrOff
+	}
+	if w.compactions != nil && w.totalSize+int64(len(r.batch)) > w.options.Most {
+		// Compaction lags behind the writes. The bound on the size holds: the commit waits for the compaction, and its owner no longer than
+		// its timeout.
+		w.awaitCompaction()
+	}
+	return w.write(r)
+}
+
+// report sends a result. If nobody has received the earlier ones, the oldest is dropped.
+func (w *writer) report(r writeResult) {
+	for {
+		select {
+		case w.results <- r:
+			return
+		default:
+		}
+		select {
+		case <-w.results:
+		default:
+		}
+	}
+}
+
+// syncPeriodically syncs the open segment concurrently with the writer: commits do not wait for it.
+func (w *writer) syncPeriodically(stop chan struct{}) {
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(syncInterval):
+			w.mu.Lock()
+			f := w.file
+			w.mu.Unlock()
+			if f != nil {
+				_ = f.Sync() // the next write fails as well
+			}
+		}
+	}
+}
+
+// write appends a batch to the open segment, and opens the next one when it is large enough.
+func (w *writer) write(r request) error {
+	if w.totalSize+int64(len(r.batch)) > w.options.Most {
+		return ErrFull
+	}
+	n, err := w.file.Write(r.batch)
+	w.currentSize += int64(n)
+	w.totalSize += int64(n)
+	if err == nil && w.options.Sync == SyncAlways {
+		err = w.file.Sync()
+	}
+	if err != nil {
+		return fmt.Errorf("ledger: %w", err)
+	}
+	if w.currentSize < w.options.Segment {
+		return nil
+	}
+	w.closed, w.lastClosed = append(w.closed, w.current), r.nextSeq-1
+	w.sizes[w.current] = w.currentSize
+	return w.openSegment(r.nextSeq)
+}
+
+// openSegment closes the open segment and opens one that begins with a sequence number.
+func (w *writer) openSegment(first uint64) error {
+	w.closeSegment()
+	name := segmentName(first)
+	f, err := w.disk.Create(name)
+	if err != nil {
+		return fmt.Errorf("ledger: %w", err)
+	}
+	n, err := f.Write(w.header(segmentMagic, first, w.epoch))
+	w.mu.Lock()
+	w.file = f
+	w.mu.Unlock()
+	w.current, w.currentSize = name, int64(n)
+	w.totalSize += int64(n)
+	if err == nil && w.options.Sync != SyncNone {
+		err = errors.Join(f.Sync(), w.disk.Sync())
+	}
+	if err != nil {
+		return fmt.Errorf("ledger: %w", err)
+	}
+	return nil
+}
+
+// header encodes the header of one of this ledger's files.
+func (w *writer) header(magic string, first, epoch uint64) []byte {
+	h := header{magic: magic, owner: ownerHash(w.options.Name), mac: w.options.Key != nil, first: first, epoch: epoch}
+	return h.append(nil)
+}
+
+func (w *writer) closeSegment() {
+	w.mu.Lock()
+	f := w.file
+	w.file = nil
+	w.mu.Unlock()
+	if f != nil {
+		_ = f.Close()
+	}
+}
+
+// beginEpoch replaces all files by a snapshot of a state, and opens a segment.
+func (w *writer) beginEpoch(r request) error {
+	last := r.nextSeq - 1
+	size, err := w.writeSnapshot(last, r.state)
+	if err != nil {
+		return err
+	}
+	replaced := slices.Concat(w.obsolete, w.closed)
+	for _, name := range []string{w.current, w.base} {
+		if name != "" {
+			replaced = append(replaced, name)
+		}
+	}
+	w.closeSegment()
+	w.obsolete, w.closed, w.current, w.base = nil, nil, "", snapshotName(last)
+	w.removeFiles(replaced)
+	w.totalSize, w.epoch, w.sizes = size, r.nextSeq, map[string]int64{w.base: size}
+	return w.openSegment(r.nextSeq)
+}
+
+// removeFiles removes files that a snapshot replaces. One that cannot be removed does no harm.
+func (w *writer) removeFiles(names []string) {
+	for _, name := range names {
+		_ = w.disk.Remove(name)
+	}
+}
