--- a/internal/membership/page.go
+++ b/internal/membership/page.go
@@ -17,7 +17,7 @@
 )
 
 // maxShown bounds the members and the lines of a page, which must be below 64 KiB.
-const maxShown = 300
+const maxPageMembers = 300
 
 // Shown is what operators are told of the fleet. Times are in milliseconds, as this process's monotonic clock has them.
 type Shown struct {
@@ -76,24 +76,24 @@
 	now := f.now()
 	incarnation, until, certain := f.view.Certain(now)
 	age, known := f.view.Age(now)
-	s := Shown{Name: f.o.Name, State: f.state, Incarnation: incarnation, Certain: certain, Holder: f.holder, Known: known,
-		AgeMs: age.Milliseconds(), Actable: f.view.Actable(now), Store: f.view.Cluster(), Revision: f.view.Revision(), LeaseMs: f.o.Lease.Milliseconds(),
+	s := Shown{Name: f.options.Name, State: f.state, Incarnation: incarnation, Certain: certain, Holder: f.holder, Known: known,
+		AgeMs: age.Milliseconds(), Actable: f.view.Actable(now), Store: f.view.Cluster(), Revision: f.view.Revision(), LeaseMs: f.options.Lease.Milliseconds(),
 		Counts: f.counts, Members: []ShownMember{}, Gone: []ShownMember{}}
 	if certain {
 		s.LeftMs = (until - now).Milliseconds()
 	}
 	all, gone := f.view.Members(), f.view.Gone()
-	s.More = max(len(all)-maxShown, 0)
-	for _, m := range all[:min(len(all), maxShown)] {
-		s.Members = append(s.Members, shown(&m, now))
+	s.More = max(len(all)-maxPageMembers, 0)
+	for _, m := range all[:min(len(all), maxPageMembers)] {
+		s.Members = append(s.Members, pageMember(&m, now))
 	}
-	for _, m := range gone[max(len(gone)-maxShown/10, 0):] {
-		s.Gone = append(s.Gone, shown(&m, now))
+	for _, m := range gone[max(len(gone)-maxPageMembers/10, 0):] {
+		s.Gone = append(s.Gone, pageMember(&m, now))
 	}
 	return s
 }
 
-func shown(m *members.Member, now time.Duration) ShownMember {
+func pageMember(m *members.Member, now time.Duration) ShownMember {
 	s := ShownMember{Name: m.Name, Store: m.Store, Incarnation: m.Incarnation, State: m.State, Address: m.Address, KnownMs: (now - m.Since).Milliseconds()}
 	if m.State == members.Gone {
 		s.GoneMs = (now - m.Ended).Milliseconds()
@@ -107,7 +107,7 @@
 	defer f.mu.Unlock()
 	events, _ := f.view.History(0)
 	h := History{Events: []ShownEvent{}}
-	for _, e := range events[max(len(events)-maxShown, 0):] {
+	for _, e := range events[max(len(events)-maxPageMembers, 0):] {
 		h.Events = append(h.Events, ShownEvent{(f.now() - e.At).Milliseconds(), e})
 	}
 	return h
--- /dev/null
+++ b/internal/membership/watch.go
@@ -0,0 +1,125 @@
+package membership
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	jsoniter "github.com/json-iterator/go"
+	"go.etcd.io/etcd/api/v3/mvccpb"
+	clientv3 "go.etcd.io/etcd/client/v3"
+
+	"cherryrelay/internal/decide/members"
+)
+
+// watchMembers keeps the view of the members up to date. When a watch ends, all keys are read again.
+func (f *Fleet) watchMembers(ctx context.Context) {
+	for ctx.Err() == nil {
+		revision, err := f.readMembers(ctx)
+		if err == nil {
+			err = f.watch(ctx, revision+1)
+		}
+		if ctx.Err() == nil {
+			f.log.Info("fleet: the members are read anew", "err", err)
+			sleep(ctx, f.options.Lease/retryFraction)
+		}
+	}
+}
+
+func (f *Fleet) readMembers(ctx context.Context) (int64, error) {
+	sent := f.now()
+	var resp *clientv3.GetResponse
+	if err := f.request(ctx, func(ctx context.Context) (err error) {
+		resp, err = f.client.Get(ctx, f.options.Prefix, clientv3.WithPrefix())
+		return err
+	}); err != nil {
+		return 0, fmt.Errorf("fleet: reading the members: %w", err)
+	}
+	f.checkStore(resp.Header)
+	var entries []members.Entry
+	for _, kv := range resp.Kvs {
+		entries = append(entries, f.decodeEntry(kv))
+	}
+	f.updateView(func(now time.Duration, v *members.View) { v.Read(now, sent, resp.Header.Revision, entries) })
+	f.mu.Lock()
+	f.counts.Reads++
+	f.mu.Unlock()
+	return resp.Header.Revision, nil
+}
+
+// decodeEntry decodes a member's key. One with an invalid value still holds its name.
+func (f *Fleet) decodeEntry(kv *mvccpb.KeyValue) members.Entry {
+	var v record
+	if err := jsoniter.ConfigDefault.Unmarshal(kv.Value, &v); err != nil || !v.State.Known() {
+		f.log.Error("fleet: a member's key that cannot be read", "key", string(kv.Key), "err", err)
+		v = record{State: members.Joining}
+	}
+	return members.Entry{Name: f.memberName(kv), Incarnation: kv.CreateRevision, Revision: kv.ModRevision,
+		State: v.State, Address: v.Address}
+}
+
+var (
+	errStoreChanged = errors.New("the store is another one")
+	errWatchStalled = errors.New("the watch tells nothing")
+)
+
+// watch applies changes until the watch ends, another store answers, or the watch stalls: the store's revision is ahead of it for a TTL.
+func (f *Fleet) watch(ctx context.Context, revision int64) error {
+	ctx, cancel := context.WithCancel(clientv3.WithRequireLeader(ctx))
+	defer cancel()
+	responses := f.client.Watch(ctx, f.options.Prefix, clientv3.WithPrefix(), clientv3.WithRev(revision))
+	behindSince := time.Duration(0) // zero if the watch is not behind
+	ticker := time.NewTicker(f.options.Lease / renewalsPerLease)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-f.storeChanged:
+			return errStoreChanged
+		case <-ticker.C:
+			behind := false
+			f.updateView(func(_ time.Duration, v *members.View) { behind = v.Behind() })
+			switch now := f.now(); {
+			case !behind:
+				behindSince = 0
+			case behindSince == 0:
+				behindSince = now
+			case now-behindSince > f.options.Lease:
+				return errWatchStalled
+			}
+		case resp, more := <-responses:
+			if !more {
+				return errors.New("the watch ended")
+			}
+			if err := resp.Err(); err != nil {
+				return fmt.Errorf("watching: %w", err)
+			}
+			if len(resp.Events) > 0 || resp.IsProgressNotify() {
+				complete, changes := f.decodeChanges(&resp)
+				f.updateView(func(now time.Duration, v *members.View) { v.Watched(now, complete, changes) })
+			}
+		}
+	}
+}
+
+// decodeChanges returns the changes in a watch's response, and the revision up to which they are complete. The revision in the header may be
+// ahead of them.
+func (f *Fleet) decodeChanges(resp *clientv3.WatchResponse) (complete int64, changes []members.Change) {
+	complete = resp.Header.Revision
+	for _, e := range resp.Events {
+		complete = e.Kv.ModRevision
+		if e.Type == mvccpb.Event_DELETE {
+			deleted := members.Entry{Name: f.memberName(e.Kv), Revision: e.Kv.ModRevision}
+			changes = append(changes, members.Change{Entry: deleted, Deleted: true})
+		} else {
+			changes = append(changes, members.Change{Entry: f.decodeEntry(e.Kv)})
+		}
+	}
+	return complete, changes
+}
+
+// memberName is the name of the member whose key it is.
+func (f *Fleet) memberName(kv *mvccpb.KeyValue) string {
+	return strings.TrimPrefix(string(kv.Key), f.options.Prefix)
+}
