--- a/internal/decide/recovery/book.go
+++ b/internal/decide/recovery/book.go
@@ -6,23 +6,23 @@
 	"time"
 )
 
-// State is how far a call has come.
+// State is the state of a call.
 type State int
 
 // The states.
 const (
-	Open     State = iota // owed a final answer
-	Standing              // answered
-	Answered              // had a final answer, and did not stand
-	Ended                 // stood, and is over
+	Open     State = iota // its caller waits for a final answer
+	Standing              // established
+	Answered              // rejected: it had a final answer and was not established
+	Ended                 // established, and terminated
 )
 
-// Call is what is known of one call.
+// Call is the replayed state of one call.
 type Call struct {
-	Event           // as it was taken; of one whose taking is not known, only the id
-	State     State //
+	Event     // as it was accepted; only the id if that event is lost
+	State     State
 	Attempts  int
-	Out       bool // an attempt was under way
+	Out       bool // an attempt was in progress
 	Server    string
 	Address   string
 	Started   time.Duration
@@ -32,109 +32,121 @@
 	Reason    string
 	HoldOff   time.Duration
 	At        time.Duration // of the last event
-	Doubtful  bool          // something of it may be lost
-	Foreign   bool          // it was another controller's, which may reach the same dispatcher at another address
+	Doubtful  bool          // events of it may be lost
+	Foreign   bool          // claimed from another controller, which may reach the same dispatcher at another address
 }
 
 // Deadline is when its caller gives up.
-func (c *Call) Deadline() time.Duration { return micros(c.DeadlineUs) }
+func (c *Call) Deadline() time.Duration { return microseconds(c.DeadlineUs) }
 
-// TakenAt is when it was taken.
-func (c *Call) TakenAt() time.Duration { return micros(c.AtUs) }
+// TakenAt is when it was accepted.
+func (c *Call) TakenAt() time.Duration { return microseconds(c.AtUs) }
 
-// Remember is how long a call that is over is known, so that who resumes it late still hears.
+// Remember is how long a call is kept after its end, so that a caller that resumes it late is told.
 const Remember = 20 * time.Second
 
-// Book makes calls of events. It is not safe for concurrent use.
+// Book replays events into calls. It is not safe for concurrent use.
 type Book struct {
-	calls  map[string]*Call
-	last   time.Duration // of all events
-	gapped bool
-	strays int // events that do not fit
+	calls      map[string]*Call
+	last       time.Duration // of all events
+	gapped     bool
+	unexpected int // events that do not fit
 }
 
 // NewBook returns an empty Book.
 func NewBook() *Book { return &Book{calls: map[string]*Call{}} }
 
-// Gap tells that events may be missing here: they may have been about any call.
+// Gap records that events may be missing here, of any call.
 func (b *Book) Gap() {
 	b.gapped = true
 	for _, c := range b.calls {
-		c.Doubtful = c.Doubtful || c.State == Open || c.State == Standing
+		c.Doubtful = c.Doubtful || c.unresolved()
 	}
 }
 
-// Apply takes in one event. Those that do not fit what is known make their call doubtful: something has been lost.
+// Apply replays one event. One that is unexpected in the state of its call makes the call doubtful: events have been lost.
 func (b *Book) Apply(e Event) {
-	at := micros(e.AtUs)
+	at := microseconds(e.AtUs)
 	b.last = max(b.last, at)
 	c := b.calls[e.ID]
 	if e.Kind == Took {
 		if c != nil { // an id is never used again
-			b.stray(c)
+			b.recordUnexpected(c)
 			return
 		}
 		b.calls[e.ID] = &Call{Event: e, At: at}
 		return
 	}
 	if c == nil {
-		// Its beginning was lost, or it was forgotten as over. What it says of a call that may stand still counts.
-		b.strays++
+		// Its first event was lost, or it was forgotten after its end. What the event says of a call that may be established still counts.
+		b.unexpected++
 		c = &Call{Event: Event{ID: e.ID, AtUs: e.AtUs}, Doubtful: true}
 		b.calls[e.ID] = c
 	}
 	c.At = max(c.At, at)
+	b.applyTo(c, e)
+}
+
+// applyTo replays an event that follows the first one of its call.
+func (b *Book) applyTo(c *Call, e Event) {
 	switch e.Kind {
 	case Sent:
 		if c.State != Open || c.Out || e.Attempt != c.Attempts {
-			b.stray(c)
+			b.recordUnexpected(c)
 		}
 		c.Out, c.Attempts = true, max(c.Attempts, e.Attempt+1)
-		c.Server, c.Address, c.Started = e.Server, e.Address, micros(e.StartedUs)
+		c.setServer(e)
 	case Back:
 		if c.State != Open || !c.Out || e.Attempt != c.Attempts-1 {
-			b.stray(c)
+			b.recordUnexpected(c)
 		}
-		c.Out, c.NotBefore = false, max(c.NotBefore, micros(e.NotBeforeUs))
+		c.Out, c.NotBefore = false, max(c.NotBefore, microseconds(e.NotBeforeUs))
 	case Stood:
 		if c.State != Open || !c.Out && c.Server != "" {
-			b.stray(c)
+			b.recordUnexpected(c)
 		}
 		if c.State == Open {
 			c.State, c.Out, c.Answer = Standing, false, e.Description
 		}
 		c.Attempts = max(c.Attempts, e.Attempt+1)
-		c.Server, c.Address, c.Started = e.Server, e.Address, micros(e.StartedUs)
+		c.setServer(e)
 	case Final, Left:
 		if c.State != Open {
-			b.stray(c)
+			b.recordUnexpected(c)
 			return
 		}
 		c.finish(Answered, e)
 		if e.Kind == Left {
-			delete(b.calls, e.ID) // nobody will ask
+			delete(b.calls, e.ID) // its caller does not come back
 		}
 	case Over:
 		if c.State != Standing {
-			b.stray(c)
+			b.recordUnexpected(c)
 		}
 		c.finish(Ended, e)
 	}
 }
 
-func (b *Book) stray(c *Call) {
-	b.strays++
-	c.Doubtful = c.Doubtful || c.State == Open || c.State == Standing
+func (c *Call) setServer(e Event) {
+	c.Server, c.Address, c.Started = e.Server, e.Address, microseconds(e.StartedUs)
+}
+
+// unresolved reports whether the loss of events can matter to the call.
+func (c *Call) unresolved() bool { return c.State == Open || c.State == Standing }
+
+func (b *Book) recordUnexpected(c *Call) {
+	b.unexpected++
+	c.Doubtful = c.Doubtful || c.unresolved()
 }
 
 func (c *Call) finish(s State, e Event) {
 	c.State, c.Out = s, false
-	c.Cause, c.Reason, c.HoldOff = e.Cause, e.Reason, micros(e.HoldOffUs)
-	c.Doubtful = false // whatever was lost, this is how it ended
+	c.Cause, c.Reason, c.HoldOff = e.Cause, e.Reason, microseconds(e.HoldOffUs)
+	c.Doubtful = false // the end is certain, whatever was lost
 	c.Description = ""
 }
 
-// Forget drops calls that have long been over.
+// Forget drops calls that ended more than Remember ago.
 func (b *Book) Forget(now time.Duration) {
 	for id, c := range b.calls {
 		if c.State >= Answered && now-c.At > Remember {
@@ -143,7 +155,7 @@
 	}
 }
 
-// Calls are all that are known, by id.
+// Calls returns all calls, sorted by id.
 func (b *Book) Calls() []*Call {
 	all := make([]*Call, 0, len(b.calls))
 	for _, c := range b.calls {
@@ -153,14 +165,13 @@
 	return all
 }
 
-// Last is when the last event happened: the process was alive then.
+// Last returns the last time at which the process is known to have been alive.
 func (b *Book) Last() time.Duration { return b.last }
 
-// Strays is how many events did not fit.
-func (b *Book) Strays() int { return b.strays }
+// Strays returns the number of unexpected or unreadable events.
+func (b *Book) Strays() int { return b.unexpected }
 
-// Events are the least that makes the same Book, but for what was doubtful, which stays so: a call of which only its end
-// is known has no Took.
+// Events returns the fewest events that replay to the same Book. Doubtful calls stay doubtful: one of which only the end is known has no Took.
 func (b *Book) Events() []Event {
 	var all []Event
 	for _, c := range b.Calls() {
@@ -169,7 +180,7 @@
 	return all
 }
 
-// Events are the least that makes the same call.
+// Events returns the fewest events that replay to the same call.
 func (c *Call) Events() []Event {
 	var all []Event
 	place := Event{ID: c.ID, AtUs: c.At.Microseconds(), Server: c.Server, Address: c.Address, StartedUs: c.Started.Microseconds()}
@@ -188,7 +199,7 @@
 	switch c.State {
 	case Open:
 		if c.Attempts > 0 || c.Doubtful {
-			all = append(all, catchUp(sent)...)
+			all = append(all, replayAttempts(sent)...)
 		}
 		if c.Attempts > 0 && !c.Out && !c.Doubtful {
 			all = append(all, back)
@@ -207,19 +218,18 @@
 	return all
 }
 
-// catchUp gives an attempt those before it, of which nothing but their number counts any more.
-func catchUp(sent Event) []Event {
+// replayAttempts returns an attempt and those before it, of which only the number matters.
+func replayAttempts(sent Event) []Event {
 	var all []Event
 	for n := range sent.Attempt {
-		s, b := sent, sent
-		s.Attempt, b.Attempt, b.Kind = n, n, Back
-		all = append(all, s, b)
+		earlier, failed := sent, sent
+		earlier.Attempt, failed.Attempt, failed.Kind = n, n, Back
+		all = append(all, earlier, failed)
 	}
 	return append(all, sent)
 }
 
-// Compact makes the least of a log: the events in their encoding, with whether some are missing before each. What was lost
-// stays doubtful.
+// Compact reduces encoded events to the fewest that replay to the same calls. Gaps are those of Read.
 func Compact(records [][]byte, gaps map[int]bool, now time.Duration) ([][]byte, error) {
 	b, err := Read(records, gaps)
 	b.Forget(max(now, b.last))
@@ -234,8 +244,8 @@
 	return out, err
 }
 
-// Read makes a Book of records; gaps names those before which others may be missing. One that cannot be read counts as
-// missing, and the last error is returned beside the Book.
+// Read replays records into a Book; gaps holds the indexes before which records may be missing. An unreadable record counts as missing, and
+// the last error is returned with the Book.
 func Read(records [][]byte, gaps map[int]bool) (b *Book, err error) {
 	b = NewBook()
 	for i, text := range records {
@@ -245,7 +255,7 @@
 		e, bad := Decode(text)
 		if bad != nil {
 			err = bad
-			b.strays++
+			b.unexpected++
 			b.Gap()
 			continue
 		}
@@ -257,5 +267,5 @@
 	return b, err
 }
 
-// Alive tells that the process was alive at a time, whether or not an event says so.
+// Alive records that the process was alive at a time.
 func (b *Book) Alive(at time.Duration) { b.last = max(b.last, at) }
--- a/internal/decide/recovery/event.go
+++ b/internal/decide/recovery/event.go
@@ -1,6 +1,5 @@
-// Package recovery decides what becomes of calls when a controller comes back after it was killed. Its Book makes calls of the
-// events that were kept; its Plan says what to do with each. There is no I/O here, and the clock is an argument: the Unix
-// clock, as a duration since 1970.
+// Package recovery decides what becomes of calls when a controller restarts after it was killed. A Book replays the logged events into calls;
+// its Plan decides on each. There is no I/O here, and the clock is an argument: Unix time, as a duration since 1970.
 package recovery
 
 import (
@@ -10,21 +9,21 @@
 	"github.com/fxamacker/cbor/v2"
 )
 
-// Kind is what an event tells.
+// Kind is the kind of an event.
 type Kind uint8
 
-// The kinds. Their numbers are on disk: new ones are added, none is used again.
+// The kinds. Their numbers are on disk: new ones may be added, none may be reused.
 const (
-	Took  Kind = 1 // a set-up was taken: its caller is owed a final answer
-	Sent  Kind = 2 // an attempt goes out
-	Back  Kind = 3 // the attempt has come to nothing
-	Stood Kind = 4 // the call stands
-	Final Kind = 5 // the final answer to a call that does not stand
-	Over  Kind = 6 // a call that stood has ended
-	Left  Kind = 7 // its caller waits no more: nothing is owed
+	Took  Kind = 1 // a set-up was accepted: its caller waits for a final answer
+	Sent  Kind = 2 // an attempt was sent
+	Back  Kind = 3 // the attempt failed
+	Stood Kind = 4 // the call was established
+	Final Kind = 5 // the call was rejected
+	Over  Kind = 6 // the established call was terminated
+	Left  Kind = 7 // the caller gave the set-up up: it needs no answer
 )
 
-// Event is one thing that happened to a call. Times are microseconds of the Unix clock.
+// Event is an event of a call. Times are Unix times in microseconds.
 type Event struct {
 	Kind Kind   `cbor:"1,keyasint"`
 	ID   string `cbor:"2,keyasint"`
@@ -37,7 +36,7 @@
 	Again       bool   `cbor:"7,keyasint,omitempty"`
 	Description string `cbor:"8,keyasint,omitempty"` // of the set-up; of the answer in Stood
 	DeadlineUs  int64  `cbor:"9,keyasint,omitempty"`
-	Token       []byte `cbor:"10,keyasint,omitempty"` // hash of what its caller can claim it with
+	Token       []byte `cbor:"10,keyasint,omitempty"` // hash of the token that its caller can claim it with
 
 	// Sent, Back and Stood.
 	Attempt     int    `cbor:"11,keyasint,omitempty"`
@@ -52,13 +51,13 @@
 	HoldOffUs int64  `cbor:"18,keyasint,omitempty"`
 }
 
-// maxID and maxText bound what an event may hold; what is beyond them was not written by this program.
+// maxID and maxText bound the sizes in an event; a larger one was not written by this program.
 const (
 	maxID   = 64
 	maxText = 64 << 10
 )
 
-// modes of the encoding: times are numbers, and what is written twice is the same.
+// The modes of the encoding, which is deterministic.
 var (
 	encoder = must(cbor.CoreDetEncOptions().EncMode())
 	decoder = must(cbor.DecOptions{DupMapKey: cbor.DupMapKeyEnforcedAPF, MaxNestedLevels: 4, MaxMapPairs: 64, MaxArrayElements: 64}.DecMode())
@@ -71,7 +70,7 @@
 	return v
 }
 
-// Encode writes an event.
+// Encode encodes an event as CBOR.
 func (e *Event) Encode() ([]byte, error) {
 	text, err := encoder.Marshal(e)
 	if err != nil {
@@ -80,7 +79,7 @@
 	return text, nil
 }
 
-// Decode reads an event. Keys that are not known here are passed over; a kind that is not is an error.
+// Decode decodes an event. Unknown keys are ignored; an unknown kind is an error.
 func Decode(text []byte) (Event, error) {
 	var e Event
 	if err := decoder.Unmarshal(text, &e); err != nil {
@@ -95,4 +94,4 @@
 	return e, nil
 }
 
-func micros(us int64) time.Duration { return time.Duration(us) * time.Microsecond }
+func microseconds(us int64) time.Duration { return time.Duration(us) * time.Microsecond }
--- a/internal/decide/recovery/plan.go
+++ b/internal/decide/recovery/plan.go
@@ -7,57 +7,57 @@
 )
 
 const (
-	// ResumeWithin is how long after the return a call that is open waits for its caller. It dials again at once; a front
-	// that moves it takes up to some seconds, but then its call has little time left.
+	// ResumeWithin is how long after the restart an open call waits for its caller. Callers dial again at once; a load balancer may take
+	// some seconds to move one, but then its call has little time left.
 	ResumeWithin = 3 * time.Second
-	// ClaimWithin is how long a call that stands, and whose caller may not have heard so, is left standing for it to ask.
+	// ClaimWithin is how long an established call, whose caller may not have received the answer, waits to be claimed.
 	ClaimWithin = 5 * time.Second
-	// untold is how long before the last that is known of a process its words may not have reached their callers.
-	untold = time.Second
-	// MaxToken and MinToken bound what a caller claims its calls with. Shorter ones can be guessed.
+	// unconfirmedWindow is how long before its last known event a process may have sent messages that did not reach their receivers.
+	unconfirmedWindow = time.Second
+	// MinToken and MaxToken bound the length of the tokens with which callers claim calls. Shorter ones can be guessed.
 	MinToken, MaxToken = 16, 64
 )
 
-// Rules are the settings that matter here.
+// Rules are the settings that recovery depends on.
 type Rules struct {
-	Guard       time.Duration // least gap after an attempt that may have left a trace
+	Guard       time.Duration // least delay after an attempt that may have had an effect
 	MaxAttempts int           // for each call; 0 for no limit
 }
 
-// Act is what is to be done with a call.
+// Act is the action decided on for a call.
 type Act int
 
 // The acts.
 const (
-	Await Act = iota + 1 // it is open: kept for who resumes it until the decision's Until
-	Adopt                // it stands
-	Tell                 // it has ended, and its caller may not know: told at once, and to who resumes it
-	Keep                 // it had its answer, which is told to who resumes it
-	Fail                 // its time ran out while nobody served: told to who resumes it
-	Cut                  // it cannot be trusted: released everywhere, and told as failed or cut
+	Await Act = iota + 1 // it is open: wait until the decision's Until for its caller to resume it
+	Adopt                // it is established: keep it
+	Tell                 // it was terminated, and its caller may not know: notify it at once, and when it resumes
+	Keep                 // it was rejected: repeat that to its caller when it resumes
+	Fail                 // it expired during the outage: tell its caller when it resumes
+	Cut                  // its state is not trusted: release it at all dispatchers, and report it as failed or cut
 )
 
 func (a Act) String() string {
 	return [...]string{"", "await", "adopt", "tell", "keep", "fail", "cut"}[a]
 }
 
-// Decision is what to do with one call.
+// Decision is the decision on one call.
 type Decision struct {
 	*Call
 	Act Act
 	Why string
-	// Until is when an Await ends without its caller; of an Adopt, when a call of which its caller may not know is released,
-	// or 0 if it knows.
+	// Until is when an Await ends without its caller; of an Adopt, when a call whose caller may not know of it is released, or 0 if the
+	// caller knows.
 	Until time.Duration
-	// Left is how long its caller still waits, at most: for an Await.
+	// Left is how long the caller of an Await still waits, at most.
 	Left time.Duration
-	// NotBefore is the earliest that an attempt may go out: for an Await.
+	// NotBefore is the earliest time for the next attempt of an Await.
 	NotBefore time.Duration
-	// Release has the dispatchers told to release what may stand of it.
+	// Release means that dispatchers are told to release the call, in case an attempt had an effect.
 	Release bool
 }
 
-// Plan says what to do with each call at the return, in the order of their ids.
+// Plan decides on each call at the restart, sorted by id.
 func (b *Book) Plan(now time.Duration, r Rules) []Decision {
 	var all []Decision
 	for _, c := range b.Calls() {
@@ -69,7 +69,7 @@
 func (b *Book) decide(now time.Duration, r Rules, c *Call) Decision {
 	d := Decision{Call: c}
 	switch {
-	case c.State == Ended && b.last-c.At <= untold:
+	case c.State == Ended && b.last-c.At <= unconfirmedWindow:
 		d.Act, d.Why = Tell, "ended, perhaps not told"
 	case c.State == Ended || c.State == Answered:
 		d.Act, d.Why = Keep, "over"
@@ -77,18 +77,18 @@
 		d.Act, d.Why, d.Release = Cut, "something of it was lost", true
 	case c.State == Standing:
 		d.Act, d.Why = Adopt, "stands"
-		if b.last-c.At <= untold && len(c.Token) > 0 {
+		if b.last-c.At <= unconfirmedWindow && len(c.Token) > 0 {
 			d.Why, d.Until = "stands, perhaps not told", now+ClaimWithin
 		}
 	default:
-		d = b.open(now, r, c, d)
+		d = b.decideOpen(now, r, c, d)
 	}
 	return d
 }
 
-// open decides on a call that is owed its final answer. Whatever was out was given up when its connection broke; it may have
-// run, and what may stand of it is released.
-func (b *Book) open(now time.Duration, r Rules, c *Call, d Decision) Decision {
+// decideOpen decides on a call whose caller waits for its final answer. An attempt that was in progress was abandoned as its connection broke;
+// it may have had an effect, so it is released.
+func (b *Book) decideOpen(now time.Duration, r Rules, c *Call, d Decision) Decision {
 	// The time left by the Unix clock, but never more than was left when it was last known to be alive: a clock that was
 	// set back must not stretch it.
 	d.Left = min(c.Deadline()-now, c.Deadline()-max(c.TakenAt(), min(b.last, c.Deadline())))
@@ -113,15 +113,15 @@
 	return d
 }
 
-// Place is where a dispatcher is, as a list has it.
+// Place is a dispatcher's entry in the list.
 type Place struct {
 	Address string
 	Started time.Duration
 	Listed  bool
 }
 
-// Stands reports whether a call that stood at a server can be trusted to stand there, now that a list has come; if not,
-// why. A server that is off the list has gone, and one at another address or of a later start is another process.
+// Stands reports whether an established call can still be so at its dispatcher, by its entry in the list; if not, why. A dispatcher that is
+// not listed has gone, and one at another address or with a later start is another process.
 func (c *Call) Stands(p Place) (ok bool, why string) {
 	switch {
 	case !p.Listed:
@@ -134,7 +134,7 @@
 	return true, ""
 }
 
-// Hash is what is kept of a token. Whoever reads the ledger learns no token from it.
+// Hash returns the hash of a token, which is logged in place of the token.
 func Hash(token string) []byte {
 	if token == "" {
 		return nil
@@ -143,10 +143,10 @@
 	return sum[:16]
 }
 
-// ValidToken reports whether a token may be used.
+// ValidToken reports whether the length of a token is allowed.
 func ValidToken(token string) bool { return len(token) >= MinToken && len(token) <= MaxToken }
 
-// Claims reports whether a token is that of a hash. A call without one can't be claimed.
+// Claims reports whether a token has a hash, in constant time. A call without a hash cannot be claimed.
 func Claims(token string, hash []byte) bool {
 	return len(hash) > 0 && ValidToken(token) && subtle.ConstantTimeCompare(Hash(token), hash) == 1
 }
--- a/internal/decide/recovery/recovery_test.go
+++ b/internal/decide/recovery/recovery_test.go
@@ -255,7 +255,7 @@
 				t.Fatal(err)
 			}
 			records = append(records, text)
-			lastAt = max(lastAt, micros(e.AtUs))
+			lastAt = max(lastAt, microseconds(e.AtUs))
 			switch e.Kind {
 			case Sent:
 				attempts[e.ID]++
