--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -1,5 +1,5 @@
-// Package handover lets a process that starts beside the one that serves take over its listening sockets. They talk over a
-// Unix socket, since only that passes descriptors (SCM_RIGHTS): netpoll, which serves all other sockets, has no such call.
+// Package handover passes the listening sockets of a process to its successor, which starts while the first one still serves. They talk over a
+// Unix socket, as only that passes descriptors (SCM_RIGHTS): netpoll, which serves all other sockets, does not support it.
 package handover
 
 import (
@@ -20,24 +20,24 @@
 )
 
 const (
-	// greeting names what both ends speak.
+	// greeting names the protocol and its version.
 	greeting = "cherryrelay-handover-1"
-	// answerWithin bounds each step of the opening. Whatever else listens at the path must not hold up a start.
-	answerWithin = time.Second
-	// maxListeners is how many sockets are taken: two fronts have one each.
+	// replyTimeout bounds each step of the handshake: a stranger that listens at the path must not block a start.
+	replyTimeout = time.Second
+	// maxListeners bounds the sockets that are passed: two fronts have one each.
 	maxListeners = 4
-	// maxLine bounds a message.
-	maxLine = 4 << 10
-	// backlog is how many messages may wait for the other process; it reads without pause.
-	backlog = 1 << 10
-	// sendWithin bounds how long one that does not read is waited for.
-	sendWithin = time.Second
+	// maxMessageSize bounds a message, in bytes.
+	maxMessageSize = 4 << 10
+	// sendQueueSize bounds the messages that wait for the other process, which reads continuously.
+	sendQueueSize = 1 << 10
+	// writeTimeout bounds a write to a process that does not read.
+	writeTimeout = time.Second
 )
 
-// ErrBusy is the answer of a process that another successor is with.
+// ErrBusy is the error of a process that already has a successor.
 var ErrBusy = errors.New("another successor is starting")
 
-// Message is what the two processes tell each other.
+// Message is a message between the two processes, one line of JSON.
 type Message struct {
 	Hello     string   `json:"hello,omitempty"`
 	Busy      bool     `json:"busy,omitempty"`
@@ -50,7 +50,7 @@
 	Server    string   `json:"server,omitempty"`
 }
 
-// Path is where the process that serves callers at the address is asked; empty if the address is no fixed one.
+// Path returns the path of the Unix socket of the process that listens for callers at an address; empty if the address has no fixed port.
 func Path(listen string) string {
 	if _, port, err := net.SplitHostPort(listen); err != nil || port == "0" {
 		return ""
@@ -60,9 +60,9 @@
 	return filepath.Join(os.TempDir(), fmt.Sprintf("cherryrelay-%x", sum.Sum64()))
 }
 
-// Peer is the other process. Its messages come one by one, and Gone comes last.
+// Peer is the connection to the other process.
 type Peer struct {
-	nc    *net.UnixConn
+	conn  *net.UnixConn
 	lines *bufio.Scanner
 	send  chan Message
 	done  chan struct{}
@@ -70,8 +70,8 @@
 }
 
 func newPeer(nc *net.UnixConn) *Peer {
-	p := &Peer{nc: nc, lines: bufio.NewScanner(nc), send: make(chan Message, backlog), done: make(chan struct{})}
-	p.lines.Buffer(make([]byte, 512), maxLine)
+	p := &Peer{conn: nc, lines: bufio.NewScanner(nc), send: make(chan Message, sendQueueSize), done: make(chan struct{})}
+	p.lines.Buffer(make([]byte, 512), maxMessageSize)
 	return p
 }
 
@@ -80,10 +80,10 @@
 	if err != nil {
 		return fmt.Errorf("handover: %w", err)
 	}
-	if err := p.nc.SetWriteDeadline(time.Now().Add(sendWithin)); err != nil {
+	if err := p.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return fmt.Errorf("handover: %w", err)
 	}
-	if _, err = p.nc.Write(append(text, '\n')); err != nil {
+	if _, err = p.conn.Write(append(text, '\n')); err != nil {
 		return fmt.Errorf("handover: %w", err)
 	}
 	return nil
@@ -99,23 +99,23 @@
 	return m, nil
 }
 
-// Run tells what comes and sends what is given to Send, until either end closes.
+// Run passes received messages to take, one at a time, and sends those queued by Send, until either end closes. It calls gone last.
 func (p *Peer) Run(take func(Message), gone func()) {
 	go func() {
 		defer close(p.done)
 		for m := range p.send {
 			if p.write(m) != nil {
-				_ = p.nc.Close() // the reader below tells
+				_ = p.conn.Close() // the reader below tells
 				return
 			}
 		}
-		_ = p.nc.Close()
+		_ = p.conn.Close()
 	}()
 	go func() {
 		for {
 			m, err := p.read()
 			if err != nil {
-				_ = p.nc.Close()
+				_ = p.conn.Close()
 				gone()
 				return
 			}
@@ -124,7 +124,7 @@
 	}()
 }
 
-// Send queues a message and reports whether there was room. Only one goroutine may call it, and not after Finish.
+// Send queues a message. It returns false if the queue is full or the connection closed. Only one goroutine may call it, and not after Finish.
 func (p *Peer) Send(m Message) bool {
 	select {
 	case <-p.done:
@@ -139,7 +139,7 @@
 	}
 }
 
-// Last is Send for the last words, which may be many: it waits for room.
+// Last is Send for the last messages, which may be many: it waits for room in the queue.
 func (p *Peer) Last(m Message) {
 	select {
 	case <-p.done:
@@ -147,46 +147,67 @@
 	}
 }
 
-// Finish closes once all that was queued is sent.
+// Finish closes the connection once the queue is sent, or after a timeout.
 func (p *Peer) Finish() {
 	p.once.Do(func() { close(p.send) })
 	select {
 	case <-p.done:
-	case <-time.After(sendWithin):
+	case <-time.After(writeTimeout):
 	}
 }
 
-// Ask takes over the sockets of the process that serves, by their addresses. fs.ErrNotExist and ECONNREFUSED mean that
-// there is none.
+// Ask takes over the listening sockets of the serving process, by their addresses. The errors fs.ErrNotExist and ECONNREFUSED mean that there
+// is no such process.
 func Ask(path string) (_ *Peer, _ map[string]*net.TCPListener, err error) {
-	info, err := os.Lstat(path)
-	if err != nil {
-		return nil, nil, fmt.Errorf("handover: %w", err)
-	}
-	if info.Mode().Type() != fs.ModeSocket || !own(info) {
-		return nil, nil, fmt.Errorf("handover: %s is not a socket of this user", path)
-	}
-	c, err := net.DialTimeout("unix", path, answerWithin)
+	nc, err := dial(path)
 	if err != nil {
-		return nil, nil, fmt.Errorf("handover: %w", err)
-	}
-	nc, ok := c.(*net.UnixConn)
-	if !ok {
-		return nil, nil, errors.Join(errors.New("handover: no Unix socket"), c.Close())
+		return nil, nil, err
 	}
 	defer func() {
 		if err != nil {
 			err = errors.Join(err, nc.Close())
 		}
 	}()
-	p := newPeer(nc)
-	if err := nc.SetReadDeadline(time.Now().Add(answerWithin)); err != nil {
+	if err := nc.SetReadDeadline(time.Now().Add(replyTimeout)); err != nil {
 		return nil, nil, fmt.Errorf("handover: %w", err)
 	}
+	p := newPeer(nc)
 	if err := p.write(Message{Hello: greeting}); err != nil {
 		return nil, nil, err
 	}
-	files, m, err := receive(nc)
+	listeners, err := receiveListeners(nc)
+	if err != nil {
+		return nil, nil, err
+	}
+	if err := nc.SetReadDeadline(time.Time{}); err != nil {
+		return nil, nil, fmt.Errorf("handover: %w", err)
+	}
+	return p, listeners, nil
+}
+
+// dial connects to the Unix socket at a path, which must belong to this user.
+func dial(path string) (*net.UnixConn, error) {
+	info, err := os.Lstat(path)
+	if err != nil {
+		return nil, fmt.Errorf("handover: %w", err)
+	}
+	if info.Mode().Type() != fs.ModeSocket || !ownedByUser(info) {
+		return nil, fmt.Errorf("handover: %s is not a socket of this user", path)
+	}
+	c, err := net.DialTimeout("unix", path, replyTimeout)
+	if err != nil {
+		return nil, fmt.Errorf("handover: %w", err)
+	}
+	nc, ok := c.(*net.UnixConn)
+	if !ok {
+		return nil, errors.Join(errors.New("handover: no Unix socket"), c.Close())
+	}
+	return nc, nil
+}
+
+// receiveListeners reads the reply of the serving process, and returns its listeners by their addresses.
+func receiveListeners(nc *net.UnixConn) (map[string]*net.TCPListener, error) {
+	files, m, err := receiveSockets(nc)
 	defer func() {
 		for _, f := range files {
 			_ = f.Close() // the listeners have copies
@@ -194,34 +215,38 @@
 	}()
 	switch {
 	case err != nil:
-		return nil, nil, err
+		return nil, err
 	case m.Busy:
-		return nil, nil, ErrBusy
+		return nil, ErrBusy
 	case m.Hello != greeting || len(files) == 0 || len(files) != len(m.Listeners):
-		return nil, nil, fmt.Errorf("handover: %q with %d sockets is no answer", m.Hello, len(files))
+		return nil, fmt.Errorf("handover: %q with %d sockets is no answer", m.Hello, len(files))
 	}
 	listeners := map[string]*net.TCPListener{}
 	for i, f := range files {
-		ln, err := net.FileListener(f)
-		if err != nil {
-			return nil, nil, fmt.Errorf("handover: %s: %w", m.Listeners[i], err)
-		}
-		tcp, ok := ln.(*net.TCPListener)
-		if !ok {
-			return nil, nil, errors.Join(fmt.Errorf("handover: %s: no TCP socket", m.Listeners[i]), ln.Close())
+		if listeners[m.Listeners[i]], err = listener(f); err != nil {
+			return nil, fmt.Errorf("handover: %s: %w", m.Listeners[i], err)
 		}
-		listeners[m.Listeners[i]] = tcp
 	}
-	if err := nc.SetReadDeadline(time.Time{}); err != nil {
-		return nil, nil, fmt.Errorf("handover: %w", err)
+	return listeners, nil
+}
+
+// listener returns a listener with a copy of a descriptor.
+func listener(f *os.File) (*net.TCPListener, error) {
+	ln, err := net.FileListener(f)
+	if err != nil {
+		return nil, err //nolint:wrapcheck // the caller wraps it
 	}
-	return p, listeners, nil
+	tcp, ok := ln.(*net.TCPListener)
+	if !ok {
+		return nil, errors.Join(errors.New("no TCP socket"), ln.Close())
+	}
+	return tcp, nil
 }
 
-// receive reads the one message that has descriptors with it.
-func receive(nc *net.UnixConn) ([]*os.File, Message, error) {
+// receiveSockets reads the one message that carries descriptors.
+func receiveSockets(nc *net.UnixConn) ([]*os.File, Message, error) {
 	var m Message
-	line, rights := make([]byte, maxLine), make([]byte, syscall.CmsgSpace(4*maxListeners))
+	line, rights := make([]byte, maxMessageSize), make([]byte, syscall.CmsgSpace(4*maxListeners))
 	n, k, _, _, err := nc.ReadMsgUnix(line, rights)
 	if err != nil {
 		return nil, m, fmt.Errorf("handover: %w", err)
@@ -247,13 +272,13 @@
 	return files, m, nil
 }
 
-// Socket is one to hand over.
+// Socket is a listening socket to hand over.
 type Socket struct {
 	Address string
 	File    *os.File
 }
 
-// Server is asked by successors.
+// Server accepts successors.
 type Server struct {
 	ln   *net.UnixListener
 	path string
@@ -261,13 +286,13 @@
 	log  *slog.Logger
 }
 
-// Serve has successors ask at the path. What an earlier process left there is replaced. begin says what to hand over, and
-// nothing if another successor is there; then it is to call Run.
+// Serve accepts successors at a path, and replaces the socket of an earlier process there. begin returns the sockets to hand over, or none if
+// there is a successor already; if it returns sockets, it also has to call Run.
 func Serve(path string, log *slog.Logger, begin func(*Peer) []Socket) (*Server, error) {
-	if info, err := os.Lstat(path); err == nil && (info.Mode().Type() != fs.ModeSocket || !own(info)) {
+	if info, err := os.Lstat(path); err == nil && (info.Mode().Type() != fs.ModeSocket || !ownedByUser(info)) {
 		return nil, fmt.Errorf("handover: %s is not a socket of this user", path)
 	}
-	// The name is taken over at once, so that no successor finds none.
+	// The name is replaced atomically: a successor always finds a socket.
 	mine := fmt.Sprintf("%s.%d", path, os.Getpid())
 	_ = os.Remove(mine) // of a process that had the same number
 	ln, err := net.ListenUnix("unix", &net.UnixAddr{Name: mine, Net: "unix"})
@@ -286,7 +311,7 @@
 	return s, nil
 }
 
-// accept takes one successor at a time: a second one waits for the first one's opening, which is bounded.
+// accept serves one successor at a time: a second one waits for the first one's handshake, which is bounded.
 func (s *Server) accept(begin func(*Peer) []Socket) {
 	for {
 		nc, err := s.ln.AcceptUnix()
@@ -295,19 +320,19 @@
 		}
 		if err != nil {
 			s.log.Error("successors cannot be taken", "err", err)
-			time.Sleep(answerWithin)
+			time.Sleep(replyTimeout)
 			continue
 		}
-		if err := s.open(nc, begin); err != nil {
+		if err := s.handshake(nc, begin); err != nil {
 			s.log.Warn("no successor", "err", err)
 			_ = nc.Close()
 		}
 	}
 }
 
-func (s *Server) open(nc *net.UnixConn, begin func(*Peer) []Socket) error {
+func (s *Server) handshake(nc *net.UnixConn, begin func(*Peer) []Socket) error {
 	p := newPeer(nc)
-	if err := nc.SetReadDeadline(time.Now().Add(answerWithin)); err != nil {
+	if err := nc.SetReadDeadline(time.Now().Add(replyTimeout)); err != nil {
 		return fmt.Errorf("handover: %w", err)
 	}
 	m, err := p.read()
@@ -341,7 +366,7 @@
 	return nil
 }
 
-// Close asks for no more successors. The path goes too, unless it is another process's by now.
+// Close accepts no more successors. It removes the path unless another process has replaced it.
 func (s *Server) Close() error {
 	err := s.ln.Close()
 	if info, e := os.Lstat(s.path); e == nil && os.SameFile(info, s.info) {
@@ -350,8 +375,8 @@
 	return err
 }
 
-// own reports whether a file is this user's.
-func own(info os.FileInfo) bool {
+// ownedByUser reports whether a file belongs to this process's user.
+func ownedByUser(info os.FileInfo) bool {
 	stat, ok := info.Sys().(*syscall.Stat_t)
 	return ok && int(stat.Uid) == os.Getuid()
 }
