--- a/internal/inifile/inifile.go
+++ b/internal/inifile/inifile.go
@@ -1,6 +1,6 @@
-// Package inifile reads INI files that people write, with the line of every section and key. The values come from
-// gopkg.in/ini.v1. A pass in front of it gives the lines, which it does not tell, and refuses what people here do not mean:
-// values that go on in the next line, quotes, keys outside of a section, a key twice. What the two read must agree.
+// Package inifile parses INI files with the line numbers of sections and keys. The values come from gopkg.in/ini.v1. A scan before it finds the
+// line numbers, which ini.v1 does not give, and rejects what is likely a mistake: continuation lines, quotes, keys outside of a section,
+// duplicate keys. The two results must agree.
 package inifile
 
 import (
@@ -13,10 +13,10 @@
 	"gopkg.in/ini.v1"
 )
 
-// File is what a file holds, in its order.
+// File is the content of a file, in order.
 type File struct{ Sections []Section }
 
-// Section is one section. Names may come more than once; what that means is for the reader to say.
+// Section is one section. Names may repeat; their meaning is up to the caller.
 type Section struct {
 	Name string
 	Line int
@@ -29,7 +29,7 @@
 	Line        int
 }
 
-// Get is the key of a name; nil if it is not there.
+// Get returns the key of a name; nil if there is none.
 func (s *Section) Get(name string) *Key {
 	for i := range s.Keys {
 		if s.Keys[i].Name == name {
@@ -39,13 +39,13 @@
 	return nil
 }
 
-// Named is the rest of the name of a section with a first word, such as "s-1" of [server s-1], if it is such a section.
+// Named returns the rest of the section's name after a first word, such as "s-1" of [server s-1]; ok is false for another first word.
 func (s *Section) Named(word string) (rest string, ok bool) {
 	first, rest, _ := strings.Cut(s.Name, " ")
 	return strings.TrimSpace(rest), first == word
 }
 
-// Fault is what is wrong with a line.
+// Fault is an error in a line.
 type Fault struct {
 	Line int // 0 for the whole file
 	Text string
@@ -58,27 +58,27 @@
 	return f.Text
 }
 
-// maxLine bounds a line; no value here is near it.
+// maxLine bounds the length of a line, in bytes.
 const maxLine = 4096
 
-// options have ini.v1 read lines as people here write them.
-var options = ini.LoadOptions{
+// parserOptions disable the features of ini.v1 that the scan rejects.
+var parserOptions = ini.LoadOptions{
 	AllowNonUniqueSections: true, IgnoreContinuation: true, SpaceBeforeInlineComment: true, PreserveSurroundedQuote: true,
 	KeyValueDelimiters: "=",
 }
 
-// Parse reads a file. If there are faults, there is no file.
+// Parse parses a file. It returns either a file or faults.
 func Parse(text []byte) (*File, []Fault) {
-	f, faults := lines(text)
+	f, faults := scanLines(text)
 	if len(faults) > 0 {
 		return nil, faults
 	}
-	// Another byte order mark would be taken off by it, too.
-	read, err := ini.LoadSources(options, text)
+	// ini.v1 would strip another byte order mark, too.
+	read, err := ini.LoadSources(parserOptions, text)
 	if err != nil {
 		return nil, []Fault{{0, "cannot be read: " + strings.Join(strings.Fields(err.Error()), " ")}}
 	}
-	sections := read.Sections()[1:] // the first stands for what is outside of all sections
+	sections := read.Sections()[1:] // the first holds keys outside of all sections
 	if len(sections) != len(f.Sections) {
 		return nil, []Fault{{0, fmt.Sprintf("can be read in two ways: %d sections, or %d", len(f.Sections), len(sections))}}
 	}
@@ -98,13 +98,13 @@
 	return f, nil
 }
 
-// lines finds sections and keys, without the values.
-func lines(text []byte) (*File, []Fault) {
+// scanLines finds sections and keys, without the values.
+func scanLines(text []byte) (*File, []Fault) {
 	f := &File{}
 	var faults []Fault
 	number := 0
 	add := func(format string, args ...any) {
-		if len(faults) < 100 { // what is no INI at all has a fault in each line
+		if len(faults) < 100 { // a file that is not INI at all has a fault in each line
 			faults = append(faults, Fault{number, fmt.Sprintf(format, args...)})
 		}
 	}
--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -1,4 +1,4 @@
-// Package logs bounds what is logged: peers that misbehave by thousands must not fill the log or the processor.
+// Package logs limits the rate of log messages: thousands of misbehaving peers must not fill the log or keep the processor busy.
 package logs
 
 import (
@@ -11,13 +11,13 @@
 )
 
 const (
-	// burst lines of one text are logged at once, and pace more each second.
-	burst, pace = 30, 2
-	// maxTexts bounds the texts that are told apart. The program has fewer.
-	maxTexts = 256
+	// burst and refillRate (per second) are those of each message's token bucket.
+	burst, refillRate = 30, 2
+	// maxMessages bounds the distinct messages with a bucket. The program has fewer.
+	maxMessages = 256
 )
 
-// Handler writes records as text or json, from a level on: debug, info, warn or error. Empty ones are text and info.
+// Handler returns a handler that writes records as text (the default) or json, from a level on: debug, info (the default), warn or error.
 func Handler(out io.Writer, format, level string) (slog.Handler, error) {
 	o := &slog.HandlerOptions{}
 	if level != "" {
@@ -36,33 +36,34 @@
 	return nil, fmt.Errorf("log format: %q is neither text nor json", format)
 }
 
-// Bounded passes records on to another handler, but of each text no more than burst at once and pace a second. A line
-// that is passed on after others were not tells how many. Debug records are not bounded: who asks for them wants all.
+// Bounded limits the rate of each message with a token bucket before another handler. The first record after dropped ones has their number
+// as not_logged. Debug records are not limited.
 type Bounded struct {
 	slog.Handler
-	state *state
+	limiter *limiter
 }
 
-type state struct {
-	mu    sync.Mutex
-	texts map[string]*budget
+// limiter holds a token bucket for each message.
+type limiter struct {
+	mu      sync.Mutex
+	buckets map[string]*bucket
 }
 
-type budget struct {
-	left    float64
-	at      time.Time
-	dropped int
+type bucket struct {
+	tokens     float64
+	refilledAt time.Time
+	dropped    int
 }
 
-// Bound returns a bounded handler.
+// Bound returns a handler that limits what it passes to another one.
 func Bound(h slog.Handler) *Bounded {
-	return &Bounded{Handler: h, state: &state{texts: map[string]*budget{}}}
+	return &Bounded{Handler: h, limiter: &limiter{buckets: map[string]*bucket{}}}
 }
 
-// Handle passes a record on if it is within the bound.
+// Handle passes a record on if its bucket has a token.
 func (b *Bounded) Handle(ctx context.Context, r slog.Record) error {
 	if r.Level > slog.LevelDebug {
-		dropped, ok := b.state.take(r.Message, r.Time)
+		dropped, ok := b.limiter.allow(r.Message, r.Time)
 		if !ok {
 			return nil
 		}
@@ -70,38 +71,38 @@
 			r.AddAttrs(slog.Int("not_logged", dropped))
 		}
 	}
-	return b.Handler.Handle(ctx, r) //nolint:wrapcheck // it only passes on
+	return b.Handler.Handle(ctx, r) //nolint:wrapcheck // it is a wrapper
 }
 
-// take reports whether a line may be logged, and how many of its text were not since the last one.
-func (s *state) take(text string, now time.Time) (dropped int, ok bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	t := s.texts[text]
-	if t == nil {
-		if len(s.texts) >= maxTexts {
-			clear(s.texts)
+// allow takes a token of a message. It returns false if there is none, and else the number of records dropped since the last one.
+func (l *limiter) allow(message string, now time.Time) (dropped int, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	b := l.buckets[message]
+	if b == nil {
+		if len(l.buckets) >= maxMessages {
+			clear(l.buckets)
 		}
-		t = &budget{left: burst, at: now}
-		s.texts[text] = t
+		b = &bucket{tokens: burst, refilledAt: now}
+		l.buckets[message] = b
 	}
-	t.left = min(burst, t.left+pace*now.Sub(t.at).Seconds())
-	t.at = now
-	if t.left < 1 {
-		t.dropped++
+	b.tokens = min(burst, b.tokens+refillRate*now.Sub(b.refilledAt).Seconds())
+	b.refilledAt = now
+	if b.tokens < 1 {
+		b.dropped++
 		return 0, false
 	}
-	t.left--
-	dropped, t.dropped = t.dropped, 0
+	b.tokens--
+	dropped, b.dropped = b.dropped, 0
 	return dropped, true
 }
 
-// WithAttrs keeps the bound.
+// WithAttrs shares the limit.
 func (b *Bounded) WithAttrs(attrs []slog.Attr) slog.Handler {
-	return &Bounded{Handler: b.Handler.WithAttrs(attrs), state: b.state}
+	return &Bounded{Handler: b.Handler.WithAttrs(attrs), limiter: b.limiter}
 }
 
-// WithGroup keeps the bound.
+// WithGroup shares the limit.
 func (b *Bounded) WithGroup(name string) slog.Handler {
-	return &Bounded{Handler: b.Handler.WithGroup(name), state: b.state}
+	return &Bounded{Handler: b.Handler.WithGroup(name), limiter: b.limiter}
 }
