--- a/internal/inifile/inifile.go
+++ b/internal/inifile/inifile.go
@@ -98,68 +98,93 @@
 	return f, nil
 }
 
+// maxFaults bounds the faults that are reported: a file that is not INI at all has one in each line.
+const maxFaults = 100
+
+// scanner finds the sections and keys of a file, without the values.
+type scanner struct {
+	file   File
+	faults []Fault
+	line   int
+	keys   map[string]int // lines of the keys of the current section
+}
+
+func (s *scanner) fault(format string, args ...any) {
+	if len(s.faults) < maxFaults {
+		s.faults = append(s.faults, Fault{s.line, fmt.Sprintf(format, args...)})
+	}
+}
+
 // scanLines finds sections and keys, without the values.
 func scanLines(text []byte) (*File, []Fault) {
-	f := &File{}
-	var faults []Fault
-	number := 0
-	add := func(format string, args ...any) {
-		if len(faults) < 100 { // a file that is not INI at all has a fault in each line
-			faults = append(faults, Fault{number, fmt.Sprintf(format, args...)})
-		}
-	}
 	if !utf8.Valid(text) {
 		return nil, []Fault{{1 + bytes.Count(text[:firstInvalid(text)], []byte("\n")), "is no UTF-8"}}
 	}
-	var seen map[string]int
+	s := &scanner{}
 	for raw := range bytes.Lines(text) {
-		number++
-		line := strings.TrimSpace(string(raw))
-		switch {
-		case len(raw) > maxLine:
-			add("longer than %d bytes", maxLine)
-		case strings.ContainsFunc(strings.TrimRight(string(raw), "\r\n"), func(r rune) bool { return unicode.IsControl(r) && r != '\t' || r == '\ufeff' }):
-			add("has characters that cannot be printed")
-		case line == "" || line[0] == ';' || line[0] == '#':
-		case line[0] == '[':
-			name, rest, closed := strings.Cut(line[1:], "]")
-			rest = strings.TrimSpace(rest)
-			switch {
-			case !closed || name != strings.TrimSpace(name) || name == "" || strings.ContainsAny(name, "[\"`"):
-				add("%.80q is no [section]", line)
-			case strings.EqualFold(name, ini.DefaultSection):
-				add("no section can be called %s", name)
-			case rest != "" && rest[0] != ';' && rest[0] != '#':
-				add("%.80q follows the section [%.80s]", rest, name)
-			}
-			f.Sections = append(f.Sections, Section{Name: name, Line: number})
-			seen = map[string]int{}
-		default:
-			name, value, is := strings.Cut(line, "=")
-			name, value = strings.TrimSpace(name), strings.TrimSpace(value)
-			switch {
-			case !is:
-				add("%.80q is neither a [section] nor a key = value", line)
-				continue
-			case name == "" || strings.ContainsFunc(name, func(r rune) bool { return r != '_' && r != '.' && !unicode.IsLetter(r) && !unicode.IsDigit(r) }):
-				add("%.80q is no name of a key", name)
-				continue
-			case len(f.Sections) == 0:
-				add("key %q stands before the first section", name)
-				continue
-			case strings.HasSuffix(value, `\`) || value != "" && strings.ContainsRune("\"'`", rune(value[0])):
-				add("key %q: values have no quotes and don't go on in the next line", name)
-				continue
-			case seen[name] > 0:
-				add("key %q stands in line %d, too", name, seen[name])
-				continue
-			}
-			seen[name] = number
-			s := &f.Sections[len(f.Sections)-1]
-			s.Keys = append(s.Keys, Key{Name: name, Line: number})
-		}
+		s.line++
+		s.scan(string(raw))
+	}
+	return &s.file, s.faults
+}
+
+func (s *scanner) scan(raw string) {
+	line := strings.TrimSpace(raw)
+	switch {
+	case len(raw) > maxLine:
+		s.fault("longer than %d bytes", maxLine)
+	case strings.ContainsFunc(strings.TrimRight(raw, "\r\n"), isUnprintable):
+		s.fault("has characters that cannot be printed")
+	case line == "" || isComment(line):
+	case line[0] == '[':
+		s.section(line)
+	default:
+		s.key(line)
+	}
+}
+
+func isUnprintable(r rune) bool { return unicode.IsControl(r) && r != '\t' || r == '\ufeff' }
+
+func isComment(text string) bool { return text[0] == ';' || text[0] == '#' }
+
+func (s *scanner) section(line string) {
+	name, rest, closed := strings.Cut(line[1:], "]")
+	rest = strings.TrimSpace(rest)
+	switch {
+	case !closed || name != strings.TrimSpace(name) || name == "" || strings.ContainsAny(name, "[\"`"):
+		s.fault("%.80q is no [section]", line)
+	case strings.EqualFold(name, ini.DefaultSection):
+		s.fault("no section can be called %s", name)
+	case rest != "" && !isComment(rest):
+		s.fault("%.80q follows the section [%.80s]", rest, name)
+	}
+	s.file.Sections = append(s.file.Sections, Section{Name: name, Line: s.line})
+	s.keys = map[string]int{}
+}
+
+func (s *scanner) key(line string) {
+	name, value, hasValue := strings.Cut(line, "=")
+	name, value = strings.TrimSpace(name), strings.TrimSpace(value)
+	switch {
+	case !hasValue:
+		s.fault("%.80q is neither a [section] nor a key = value", line)
+	case name == "" || strings.ContainsFunc(name, isNotInKeys):
+		s.fault("%.80q is no name of a key", name)
+	case len(s.file.Sections) == 0:
+		s.fault("key %q stands before the first section", name)
+	case strings.HasSuffix(value, `\`) || value != "" && strings.ContainsRune("\"'`", rune(value[0])):
+		s.fault("key %q: values have no quotes and don't go on in the next line", name)
+	case s.keys[name] > 0:
+		s.fault("key %q stands in line %d, too", name, s.keys[name])
+	default:
+		s.keys[name] = s.line
+		section := &s.file.Sections[len(s.file.Sections)-1]
+		section.Keys = append(section.Keys, Key{Name: name, Line: s.line})
 	}
-	return f, faults
+}
+
+func isNotInKeys(r rune) bool {
+	return r != '_' && r != '.' && !unicode.IsLetter(r) && !unicode.IsDigit(r)
 }
 
 func firstInvalid(text []byte) int {
--- a/internal/membership/page.go
+++ b/internal/membership/page.go
@@ -10,36 +10,36 @@
 	"cherryrelay/internal/telemetry"
 )
 
-// The paths that operators ask for.
+// The paths of the operators' pages.
 const (
 	Path        = "/api/fleet"
 	HistoryPath = "/api/fleet/history"
 )
 
-// maxShown bounds the members and the lines of a page, which must be below 64 KiB.
+// maxPageMembers bounds the members and the events on a page, which must be below 64 KiB.
 const maxPageMembers = 300
 
-// Shown is what operators are told of the fleet. Times are in milliseconds, as this process's monotonic clock has them.
+// Shown is the operators' page of the fleet. Times are in milliseconds of this process's monotonic clock.
 type Shown struct {
 	Name        string        `json:"name"`
 	State       members.State `json:"state"`
 	Incarnation int64         `json:"incarnation"`           // 0 without an own key
-	Certain     bool          `json:"certain"`               // that this process has its name for itself
-	LeftMs      int64         `json:"left_ms"`               // how long that holds if nothing more is heard
-	Holder      string        `json:"name_in_use,omitempty"` // by whom, while it keeps this process out
+	Certain     bool          `json:"certain"`               // that this process holds its name
+	LeftMs      int64         `json:"left_ms"`               // how long that holds without another renewal
+	Holder      string        `json:"name_in_use,omitempty"` // the holder, while that keeps this process out
 	Known       bool          `json:"known"`                 // whether the members were read at all
-	AgeMs       int64         `json:"age_ms"`                // how old the view is at most
-	Actable     bool          `json:"actable"`               // whether it is young enough to act on
-	Store       uint64        `json:"store_id"`              // the number of the store whose revisions incarnations are
+	AgeMs       int64         `json:"age_ms"`                // upper bound on the age of the view
+	Actable     bool          `json:"actable"`               // whether the view is fresh enough to act on
+	Store       uint64        `json:"store_id"`              // the id of the store that counts incarnations
 	Revision    int64         `json:"revision"`
 	LeaseMs     int64         `json:"lease_ms"`
 	Counts      Counts        `json:"store"`
 	Members     []ShownMember `json:"members"`
 	Gone        []ShownMember `json:"gone"` // the latest last
-	More        int           `json:"more"` // members that are not shown
+	More        int           `json:"more"` // members beyond the bound of the page
 }
 
-// ShownMember is one of them.
+// ShownMember is a member on the operators' page.
 type ShownMember struct {
 	Name        string        `json:"name"`
 	Store       uint64        `json:"store_id"`
@@ -50,18 +50,18 @@
 	GoneMs      int64         `json:"gone_ms"`  // how long ago its end was told
 }
 
-// ShownEvent is a line of the history.
+// ShownEvent is an event of the history.
 type ShownEvent struct {
 	AgoMs int64 `json:"ago_ms"`
 	members.Event
 }
 
-// History is the latest lines, oldest first.
+// History is the operators' page of the latest events, oldest first.
 type History struct {
 	Events []ShownEvent `json:"events"`
 }
 
-// Pages are what operators may ask for.
+// Pages are the operators' pages, by path.
 func (f *Fleet) Pages() map[string]func(url.Values) (any, error) {
 	return map[string]func(url.Values) (any, error){
 		Path:        func(url.Values) (any, error) { return f.Show(), nil },
@@ -69,7 +69,7 @@
 	}
 }
 
-// Show tells what this process knows.
+// Show returns the view of this process.
 func (f *Fleet) Show() Shown {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -101,7 +101,7 @@
 	return s
 }
 
-// History tells what has happened lately.
+// History returns the latest events.
 func (f *Fleet) History() History {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -113,7 +113,7 @@
 	return h
 }
 
-// Figures are those for the telemetry.
+// Figures are the metrics of the membership.
 func (f *Fleet) Figures() []*dto.MetricFamily {
 	s := f.Show()
 	is := func(b bool) float64 {
