--- a/internal/takeover/files.go
+++ b/internal/takeover/files.go
@@ -51,7 +51,10 @@
 // replace writes a file that others read: they see the old content or the new.
 func (f files) replace(file string, text []byte) error {
 	partial := file + partialSuffix
-	return errors.Join(f.Write(partial, text), f.Rename(partial, file))
+	if err := f.Write(partial, text); err != nil {
+		return err
+	}
+	return f.Rename(partial, file)
 }
 
 // wrap translates the error of a file that does not exist into decide.ErrNotFound.
--- a/internal/takeover/room_test.go
+++ b/internal/takeover/room_test.go
@@ -237,3 +237,23 @@
 		t.Errorf("of a spoilt file the core was told %q", said)
 	}
 }
+
+// TestReplaceAfterAFailedWrite: what could not be written is not put in place.
+func TestReplaceAfterAFailedWrite(t *testing.T) {
+	t.Parallel()
+	root, err := os.OpenRoot(t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer root.Close()
+	f := files{root}
+	if err := f.Mkdir("owner" + partialSuffix); err != nil { // a directory cannot be written to
+		t.Fatal(err)
+	}
+	if err := f.replace("owner", []byte("{}")); err == nil {
+		t.Error("no error of a write that failed")
+	}
+	if _, err := root.Stat("owner"); !errors.Is(err, os.ErrNotExist) {
+		t.Errorf("after a write that failed: %v", err)
+	}
+}
