--- a/internal/decide/recovery/recovery_test.go
+++ b/internal/decide/recovery/recovery_test.go
@@ -42,7 +42,7 @@
 func answer(text string) func(*Event) { return func(e *Event) { e.Description = text } }
 func anonymous(e Event) Event         { e.Token = nil; return e }
 
-func TestWhatIsDoneWithEachCallFound(t *testing.T) {
+func TestPlan(t *testing.T) {
 	const back = clock + 10*time.Second // the return; the process was last known to be alive at clock+9 s
 	alive := at(Left, "other", clock+9*time.Second)
 	for name, test := range map[string]struct {
@@ -105,7 +105,7 @@
 	}
 }
 
-func TestAttemptsMadeBeforeCount(t *testing.T) {
+func TestEarlierAttemptsCount(t *testing.T) {
 	b := NewBook()
 	b.Apply(took("a", clock, 9*time.Second))
 	for n := range rules.MaxAttempts {
@@ -120,8 +120,8 @@
 	}
 }
 
-// TestAClockThatWasSet while nobody served stretches neither a deadline nor a guard.
-func TestAClockThatWasSet(t *testing.T) {
+// TestClockChange while nobody served stretches neither a deadline nor a guard.
+func TestClockChange(t *testing.T) {
 	for _, shift := range []time.Duration{-time.Hour, -time.Second, 0, time.Second, time.Hour} {
 		b := NewBook()
 		b.Apply(took("a", clock, 9*time.Second))
@@ -138,7 +138,7 @@
 	}
 }
 
-func TestWhereACallStands(t *testing.T) {
+func TestStands(t *testing.T) {
 	c := &Call{Server: "s", Address: "127.0.0.1:1", Started: clock, At: clock + time.Minute}
 	for _, test := range []struct {
 		place Place
@@ -239,9 +239,9 @@
 	return all
 }
 
-// TestAnyCrashAnyPrefix: after any prefix of what happened, no rule is broken by what is planned; and a log that is compacted
+// TestReplayOfAnyPrefix: after any prefix of what happened, no rule is broken by what is planned; and a log that is compacted
 // anywhere means the same.
-func TestAnyCrashAnyPrefix(t *testing.T) {
+func TestReplayOfAnyPrefix(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		all := life(t)
 		cut := rapid.IntRange(0, len(all)).Draw(t, "cut")
--- a/internal/decide/takeover/model_test.go
+++ b/internal/decide/takeover/model_test.go
@@ -315,12 +315,12 @@
 	}
 }
 
-// TestWhateverHappens: an owner at work, one that takes its ledger, one that takes those of both, in every order of their steps and with
-// a crash anywhere: what has left one is known to the next, and the call is in one place in the end.
-func TestWhateverHappens(t *testing.T) { searchTakeover(t, 1, "a.") }
+// TestTakeoverModel: an owner that sends messages, a controller that takes over its ledger and one that takes over those of both, in every
+// interleaving, with one crash: each knows the messages of the earlier ones, and in the end the call is in one place.
+func TestTakeoverModel(t *testing.T) { searchTakeover(t, 1, "a.") }
 
-// TestSoakWhateverHappens is the same with two crashes and an owner that goes on.
-func TestSoakWhateverHappens(t *testing.T) {
+// TestSoakTakeoverModel is TestTakeoverModel with two crashes and two messages of the owner.
+func TestSoakTakeoverModel(t *testing.T) {
 	if os.Getenv("CHERRYRELAY_SOAK") == "" {
 		t.Skip("a long search: make soak")
 	}
@@ -385,8 +385,8 @@
 	}
 }
 
-// TestALivingOwnerGives: in every order of the steps, with a crash anywhere, the call that is given is in one place in the end.
-func TestALivingOwnerGives(t *testing.T) {
+// TestTransferModel: in every interleaving, with one crash, a transferred call is in one place in the end.
+func TestTransferModel(t *testing.T) {
 	r, err := modelcheck.Explore(newTransferModel(noMutation), modelcheck.Bounds{Crashes: 1})
 	if err != nil || !r.Complete {
 		t.Fatalf("%+v, %v", r, err)
@@ -401,8 +401,8 @@
 	}
 }
 
-// TestOffencesAreFound: each step done wrongly leads to what must not be.
-func TestOffencesAreFound(t *testing.T) {
+// TestMutationsAreFound: the model checker finds a violation for each mutation of the takeover.
+func TestMutationsAreFound(t *testing.T) {
 	for _, bad := range []mutation{noOwnershipCheck, checkBeforeWrite, copiedNotMoved, deletedBeforePersisted, unpackedInPlace} {
 		var f *modelcheck.Violation
 		if r, err := modelcheck.Explore(newTakeoverModel(bad, "a.", "b."), modelcheck.Bounds{Crashes: 1}); !errors.As(err, &f) {
@@ -413,8 +413,8 @@
 	}
 }
 
-// TestNamesOfSealedLedgers: whatever a controller is called, its sealed ledger is read as what it is.
-func TestNamesOfSealedLedgers(t *testing.T) {
+// TestSealedLedgerNames: the directory name of a sealed ledger is parsed back, whatever the controllers' names.
+func TestSealedLedgerNames(t *testing.T) {
 	for _, s := range []SealedLedger{{"n1", "7", "n2"}, {"a@b", "00c", "d e%"}, {"ü", "1", "@"}} {
 		if got, ok := parseSealedName(path.Base(s.Path())); !ok || got != s {
 			t.Errorf("%+v is read as %+v", s, got)
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -164,7 +164,7 @@
 
 func text(records [][]byte) string { return string(bytes.Join(records, []byte(" "))) }
 
-func TestWhatIsCommittedIsReadAgain(t *testing.T) {
+func TestReadsCommittedRecords(t *testing.T) {
 	for name, o := range map[string]Options{
 		"plain": options(), "keyed": {Name: "n1", Patience: long, Key: []byte("a key")}, "synced": {Name: "n1", Patience: long, Sync: SyncAlways},
 	} {
@@ -203,7 +203,7 @@
 	}
 }
 
-func TestWhoseLedgerItIs(t *testing.T) {
+func TestOwnerAndKeyAreChecked(t *testing.T) {
 	d := newMemory()
 	o := options()
 	o.Key = []byte("a key")
@@ -232,8 +232,8 @@
 // sumOf is the checksum of a head.
 func sumOf(p []byte) []byte { return binary.LittleEndian.AppendUint64(nil, xxhash.Sum64(p)) }
 
-// TestTheLastSegmentCutAtEveryByte: what is read is what was committed up to the cut, and nothing is taken to be missing.
-func TestTheLastSegmentCutAtEveryByte(t *testing.T) {
+// TestTruncatedLastSegment: the records up to the cut are read, and no gap is reported.
+func TestTruncatedLastSegment(t *testing.T) {
 	for _, key := range [][]byte{nil, []byte("a key")} {
 		o := options()
 		o.Key = key
@@ -260,8 +260,8 @@
 	}
 }
 
-// TestAFlippedBitAnywhere: no record is read that was not written, and where one is missing before others, that is told.
-func TestAFlippedBitAnywhere(t *testing.T) {
+// TestFlippedBits: no record is read that was not written, and where one is missing before others, a gap is reported.
+func TestFlippedBits(t *testing.T) {
 	o := options()
 	o.Segment = 150 // so that there are several
 	d := newMemory()
@@ -301,7 +301,7 @@
 	}
 }
 
-func TestALostSegmentAndATornSnapshot(t *testing.T) {
+func TestLostSegmentAndTornSnapshot(t *testing.T) {
 	o := options()
 	o.Segment = 150
 	d := newMemory()
@@ -358,9 +358,9 @@
 	return out, nil
 }
 
-// TestSegmentsAreCutToSnapshots: once snapshots have caught up with the writer, however slow they are beside it, the files
+// TestCompaction: once snapshots have caught up with the writer, however slow they are beside it, the files
 // take no more than a few segments, and what is read is the least of what was written.
-func TestSegmentsAreCutToSnapshots(t *testing.T) {
+func TestCompaction(t *testing.T) {
 	o := options()
 	o.Segment = 2000
 	o.Compact = latest
@@ -398,9 +398,9 @@
 	}
 }
 
-// TestSnapshotsThatLag: the bound on space holds while a snapshot takes its time. A commit that has no room waits for it, and
+// TestSlowCompaction: the bound on space holds while a snapshot takes its time. A commit that has no room waits for it, and
 // goes on when it has come; with no end in sight the ledger is off, and begins anew in little space.
-func TestSnapshotsThatLag(t *testing.T) {
+func TestSlowCompaction(t *testing.T) {
 	o := options()
 	o.Segment, o.Most = 1000, 8000
 	var disk sync.Mutex // snapshots are written while it is free
@@ -463,8 +463,8 @@
 	}
 }
 
-// TestADiskThatFails: the ledger is off at once, says why, and begins anew with a state that stands for all.
-func TestADiskThatFails(t *testing.T) {
+// TestDiskFaults: the ledger is off at once, says why, and begins anew with a state that stands for all.
+func TestDiskFaults(t *testing.T) {
 	for name, test := range map[string]struct {
 		fail, heal func(*memory)
 		patience   time.Duration
@@ -530,9 +530,9 @@
 	return nil
 }
 
-// TestAnyCrash: whatever was appended and committed, over several lives, cut after any byte of the last write: each life
+// TestCrashAtAnyPoint: whatever was appended and committed, over several lives, cut after any byte of the last write: each life
 // reads all that was committed before it, and of what was not, only a beginning.
-func TestAnyCrash(t *testing.T) {
+func TestCrashAtAnyPoint(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		o := Options{Name: "n1", Patience: long, Segment: int64(rapid.IntRange(100, 1000).Draw(t, "segment"))}
 		if rapid.Bool().Draw(t, "keyed") {
--- a/internal/logs/logs_test.go
+++ b/internal/logs/logs_test.go
@@ -11,8 +11,8 @@
 	"github.com/google/go-cmp/cmp"
 )
 
-// TestABurstIsBounded: one day of bad clients left 900 KB of log at each controller.
-func TestABurstIsBounded(t *testing.T) {
+// TestBurstIsLimited: one day of bad clients left 900 KB of log at each controller.
+func TestBurstIsLimited(t *testing.T) {
 	var out bytes.Buffer
 	h := Bound(slog.NewTextHandler(&out, nil)).WithAttrs([]slog.Attr{slog.String("name", "n1")})
 	begin := time.Unix(1000, 0)
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -75,8 +75,8 @@
 	return requests
 }
 
-// TestAFleetAtRestAsksLittle: three renewals a lease and one and a half looks, and progress only when something has changed.
-func TestAFleetAtRestAsksLittle(t *testing.T) {
+// TestIdleRequestRate: per TTL three renewals and one and a half verifications, and progress requests only after changes.
+func TestIdleRequestRate(t *testing.T) {
 	if got := cost(t, 30, time.Second, 2*time.Second); got > 5.5 {
 		t.Errorf("%.2f requests a second each at a lease of a second, want some 4.5", got)
 	}
--- a/internal/modelcheck/modelcheck_test.go
+++ b/internal/modelcheck/modelcheck_test.go
@@ -37,8 +37,8 @@
 	}
 }
 
-// TestALostCountIsFound, where reading and writing are two steps, and where they are one there is none.
-func TestALostCountIsFound(t *testing.T) {
+// TestLostUpdateIsFound if reading and writing are two steps; if they are one, there is none to find.
+func TestLostUpdateIsFound(t *testing.T) {
 	r, err := Explore(counting(1), Bounds{Crashes: 1})
 	if err != nil || !r.Complete {
 		t.Errorf("in one step: %+v, %v", r, err)
--- a/internal/takeover/room_test.go
+++ b/internal/takeover/room_test.go
@@ -18,7 +18,7 @@
 
 const patience = 20 * time.Second
 
-// core notes what its room tells it.
+// core records what its room reports.
 type core struct {
 	room *Room
 	mu   sync.Mutex
@@ -59,7 +59,7 @@
 }
 func (c *core) Given(id string) { c.say("given %s", id); c.room.Gone(id) }
 
-// words are all that was said to some cores.
+// words returns all reports to some cores.
 func words(cores ...*core) (all []string) {
 	for _, c := range cores {
 		c.mu.Lock()
@@ -69,7 +69,7 @@
 	return all
 }
 
-// heard waits until something was said to one of some cores.
+// heard waits for a report to one of some cores.
 func heard(t *testing.T, what string, cores ...*core) {
 	t.Helper()
 	for begun := time.Now(); !slices.Contains(words(cores...), what); time.Sleep(time.Millisecond) {
@@ -86,7 +86,7 @@
 	return []recovery.Event{{Kind: recovery.Took, ID: id, AtUs: now, DeadlineUs: now + 9e6, Class: "c", Token: recovery.Hash("a token of a caller")}}
 }
 
-// owner has a ledger of its own with a call in it.
+// owner opens a ledger with some calls.
 func owner(t *testing.T, site, name string, ids ...string) (ledger.Disk, *ledger.Ledger) {
 	t.Helper()
 	d, err := ledger.Directory(filepath.Join(site, name))
@@ -108,7 +108,7 @@
 	return d, l
 }
 
-// controller has a room at a site, and runs what the room posts.
+// controller opens a room, and runs the functions that it posts.
 func controller(t *testing.T, site, name string, fleet decide.Membership, has ...string) (*core, *ledger.Ledger) {
 	t.Helper()
 	d, l := owner(t, site, name, has...)
@@ -136,8 +136,8 @@
 	return c, l
 }
 
-// TestTheLedgerOfADeadProcess: its calls go to whoever comes for them, once, and what is left to the one that took it.
-func TestTheLedgerOfADeadProcess(t *testing.T) {
+// TestSealsLedgerOfDeadProcess: each call goes once to the controller that looks it up, and the others to the claimant of the ledger.
+func TestSealsLedgerOfDeadProcess(t *testing.T) {
 	t.Parallel()
 	site := t.TempDir()
 	a, _ := controller(t, site, "a", nil)
@@ -167,13 +167,13 @@
 	}
 }
 
-// ended is a fleet in which some have ended.
+// ended is a membership in which some incarnations have ended, by name.
 type ended map[string]int64
 
 func (e ended) HasEnded(name string, l decide.Life) bool { return e[name] == l.Incarnation }
 
-// TestAnOwnerThatLives: its ledger is taken once its end as a member is certain, its next commit says so, and its room ends its work.
-func TestAnOwnerThatLives(t *testing.T) {
+// TestSealsLedgerOfEndedMember: the ledger of a live owner is sealed once its incarnation has ended; its next commit fails and its room stops.
+func TestSealsLedgerOfEndedMember(t *testing.T) {
 	t.Parallel()
 	site := t.TempDir()
 	lost, l := controller(t, site, "lost", nil, "01")
@@ -186,8 +186,8 @@
 	}
 }
 
-// TestACallerThatIsElsewhere: a living owner gives the call, once; ends that are told elsewhere come to it.
-func TestACallerThatIsElsewhere(t *testing.T) {
+// TestTransfersCallToItsCaller: a live owner transfers a call that is looked up elsewhere, and receives ends that are reported elsewhere.
+func TestTransfersCallToItsCaller(t *testing.T) {
 	t.Parallel()
 	site := t.TempDir()
 	a, _ := controller(t, site, "a", nil, "01", "02")
@@ -199,8 +199,8 @@
 	a.heard(t, "elsewhere 02 16")
 }
 
-// TestSpoiltFiles: whatever is wrong with a call's file, nothing of it is used, and it is gone.
-func TestSpoiltFiles(t *testing.T) {
+// TestDamagedCallFiles: a damaged file of a call is not used, and is deleted.
+func TestDamagedCallFiles(t *testing.T) {
 	t.Parallel()
 	whole, err := encode(&Call{Events: events("01")}, []byte("key"))
 	if err != nil {
@@ -238,7 +238,7 @@
 	}
 }
 
-// TestReplaceAfterAFailedWrite: what could not be written is not put in place.
+// TestReplaceAfterAFailedWrite: a file that could not be written is not renamed into place.
 func TestReplaceAfterAFailedWrite(t *testing.T) {
 	t.Parallel()
 	root, err := os.OpenRoot(t.TempDir())
