--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -105,7 +105,7 @@
 		defer close(p.done)
 		for m := range p.send {
 			if p.write(m) != nil {
-				_ = p.conn.Close() // the reader below tells
+				_ = p.conn.Close() // the reader calls gone
 				return
 			}
 		}
@@ -293,16 +293,16 @@
 		return nil, fmt.Errorf("handover: %s is not a socket of this user", path)
 	}
 	// The name is replaced atomically: a successor always finds a socket.
-	mine := fmt.Sprintf("%s.%d", path, os.Getpid())
-	_ = os.Remove(mine) // of a process that had the same number
-	ln, err := net.ListenUnix("unix", &net.UnixAddr{Name: mine, Net: "unix"})
+	temp := fmt.Sprintf("%s.%d", path, os.Getpid())
+	_ = os.Remove(temp) // left by a process with the same id
+	ln, err := net.ListenUnix("unix", &net.UnixAddr{Name: temp, Net: "unix"})
 	if err != nil {
 		return nil, fmt.Errorf("handover: %w", err)
 	}
 	ln.SetUnlinkOnClose(false) // the name may be a successor's by then
 	s := &Server{ln: ln, path: path, log: log}
-	if err := errors.Join(os.Chmod(mine, 0o600), os.Rename(mine, path)); err != nil {
-		return nil, fmt.Errorf("handover: %w", errors.Join(err, ln.Close(), os.Remove(mine)))
+	if err := errors.Join(os.Chmod(temp, 0o600), os.Rename(temp, path)); err != nil {
+		return nil, fmt.Errorf("handover: %w", errors.Join(err, ln.Close(), os.Remove(temp)))
 	}
 	if s.info, err = os.Lstat(path); err != nil {
 		return nil, fmt.Errorf("handover: %w", errors.Join(err, ln.Close()))
@@ -360,7 +360,7 @@
 		err = errors.Join(err, socket.File.Close())
 	}
 	if err != nil {
-		// begin has been told of a successor, and Run tells that it is gone.
+		// begin has counted the successor; Run reports its end.
 		return fmt.Errorf("handover: %w", err)
 	}
 	return nil
