--- a/internal/inifile/inifile.go
+++ b/internal/inifile/inifile.go
@@ -1,6 +1,6 @@
-// Package inifile reads INI files that people write, with the line of every section and key. The values come from
-// gopkg.in/ini.v1. A pass in front of it gives the lines, which it does not tell, and refuses what people here do not mean:
-// values that go on in the next line, quotes, keys outside of a section, a key twice. What the two read must agree.
+// Package inifile parses INI files with the line numbers of sections and keys. The values come from gopkg.in/ini.v1. A scan before it finds the
+// line numbers, which ini.v1 does not give, and rejects what is likely a mistake: continuation lines, quotes, keys outside of a section,
+// duplicate keys. The two results must agree.
 package inifile
 
 import (
@@ -13,10 +13,10 @@
 	"gopkg.in/ini.v1"
 )
 
-// File is what a file holds, in its order.
+// File is the content of a file, in order.
 type File struct{ Sections []Section }
 
-// Section is one section. Names may come more than once; what that means is for the reader to say.
+// Section is one section. Names may repeat; their meaning is up to the caller.
 type Section struct {
 	Name string
 	Line int
@@ -29,7 +29,7 @@
 	Line        int
 }
 
-// Get is the key of a name; nil if it is not there.
+// Get returns the key of a name; nil if there is none.
 func (s *Section) Get(name string) *Key {
 	for i := range s.Keys {
 		if s.Keys[i].Name == name {
@@ -39,13 +39,13 @@
 	return nil
 }
 
-// Named is the rest of the name of a section with a first word, such as "s-1" of [server s-1], if it is such a section.
+// Named returns the rest of the section's name after a first word, such as "s-1" of [server s-1]; ok is false for another first word.
 func (s *Section) Named(word string) (rest string, ok bool) {
 	first, rest, _ := strings.Cut(s.Name, " ")
 	return strings.TrimSpace(rest), first == word
 }
 
-// Fault is what is wrong with a line.
+// Fault is an error in a line.
 type Fault struct {
 	Line int // 0 for the whole file
 	Text string
@@ -58,27 +58,27 @@
 	return f.Text
 }
 
-// maxLine bounds a line; no value here is near it.
+// maxLine bounds the length of a line, in bytes.
 const maxLine = 4096
 
-// options have ini.v1 read lines as people here write them.
-var options = ini.LoadOptions{
+// parserOptions disable the features of ini.v1 that the scan rejects.
+var parserOptions = ini.LoadOptions{
 	AllowNonUniqueSections: true, IgnoreContinuation: true, SpaceBeforeInlineComment: true, PreserveSurroundedQuote: true,
 	KeyValueDelimiters: "=",
 }
 
-// Parse reads a file. If there are faults, there is no file.
+// Parse parses a file. It returns either a file or faults.
 func Parse(text []byte) (*File, []Fault) {
-	f, faults := lines(text)
+	f, faults := scanLines(text)
 	if len(faults) > 0 {
 		return nil, faults
 	}
-	// Another byte order mark would be taken off by it, too.
-	read, err := ini.LoadSources(options, text)
+	// ini.v1 would strip another byte order mark, too.
+	read, err := ini.LoadSources(parserOptions, text)
 	if err != nil {
 		return nil, []Fault{{0, "cannot be read: " + strings.Join(strings.Fields(err.Error()), " ")}}
 	}
-	sections := read.Sections()[1:] // the first stands for what is outside of all sections
+	sections := read.Sections()[1:] // the first holds keys outside of all sections
 	if len(sections) != len(f.Sections) {
 		return nil, []Fault{{0, fmt.Sprintf("can be read in two ways: %d sections, or %d", len(f.Sections), len(sections))}}
 	}
@@ -98,68 +98,93 @@
 	return f, nil
 }
 
-// lines finds sections and keys, without the values.
-func lines(text []byte) (*File, []Fault) {
-	f := &File{}
-	var faults []Fault
-	number := 0
-	add := func(format string, args ...any) {
-		if len(faults) < 100 { // what is no INI at all has a fault in each line
-			faults = append(faults, Fault{number, fmt.Sprintf(format, args...)})
-		}
+// maxFaults bounds the faults that are reported: a file that is not INI at all has one in each line.
+const maxFaults = 100
+
+// scanner finds the sections and keys of a file, without the values.
+type scanner struct {
+	file   File
+	faults []Fault
+	line   int
+	keys   map[string]int // lines of the keys of the current section
+}
+
+func (s *scanner) fault(format string, args ...any) {
+	if len(s.faults) < maxFaults {
+		s.faults = append(s.faults, Fault{s.line, fmt.Sprintf(format, args...)})
 	}
+}
+
+// scanLines finds sections and keys, without the values.
+func scanLines(text []byte) (*File, []Fault) {
 	if !utf8.Valid(text) {
 		return nil, []Fault{{1 + bytes.Count(text[:firstInvalid(text)], []byte("\n")), "is no UTF-8"}}
 	}
-	var seen map[string]int
+	s := &scanner{}
 	for raw := range bytes.Lines(text) {
-		number++
-		line := strings.TrimSpace(string(raw))
-		switch {
-		case len(raw) > maxLine:
-			add("longer than %d bytes", maxLine)
-		case strings.ContainsFunc(strings.TrimRight(string(raw), "\r\n"), func(r rune) bool { return unicode.IsControl(r) && r != '\t' || r == '\ufeff' }):
-			add("has characters that cannot be printed")
-		case line == "" || line[0] == ';' || line[0] == '#':
-		case line[0] == '[':
-			name, rest, closed := strings.Cut(line[1:], "]")
-			rest = strings.TrimSpace(rest)
-			switch {
-			case !closed || name != strings.TrimSpace(name) || name == "" || strings.ContainsAny(name, "[\"`"):
-				add("%.80q is no [section]", line)
-			case strings.EqualFold(name, ini.DefaultSection):
-				add("no section can be called %s", name)
-			case rest != "" && rest[0] != ';' && rest[0] != '#':
-				add("%.80q follows the section [%.80s]", rest, name)
-			}
-			f.Sections = append(f.Sections, Section{Name: name, Line: number})
-			seen = map[string]int{}
-		default:
-			name, value, is := strings.Cut(line, "=")
-			name, value = strings.TrimSpace(name), strings.TrimSpace(value)
-			switch {
-			case !is:
-				add("%.80q is neither a [section] nor a key = value", line)
-				continue
-			case name == "" || strings.ContainsFunc(name, func(r rune) bool { return r != '_' && r != '.' && !unicode.IsLetter(r) && !unicode.IsDigit(r) }):
-				add("%.80q is no name of a key", name)
-				continue
-			case len(f.Sections) == 0:
-				add("key %q stands before the first section", name)
-				continue
-			case strings.HasSuffix(value, `\`) || value != "" && strings.ContainsRune("\"'`", rune(value[0])):
-				add("key %q: values have no quotes and don't go on in the next line", name)
-				continue
-			case seen[name] > 0:
-				add("key %q stands in line %d, too", name, seen[name])
-				continue
-			}
-			seen[name] = number
-			s := &f.Sections[len(f.Sections)-1]
-			s.Keys = append(s.Keys, Key{Name: name, Line: number})
-		}
+		s.line++
+		s.scan(string(raw))
+	}
+	return &s.file, s.faults
+}
+
+func (s *scanner) scan(raw string) {
+	line := strings.TrimSpace(raw)
+	switch {
+	case len(raw) > maxLine:
+		s.fault("longer than %d bytes", maxLine)
+	case strings.ContainsFunc(strings.TrimRight(raw, "\r\n"), isUnprintable):
+		s.fault("has characters that cannot be printed")
+	case line == "" || isComment(line):
+	case line[0] == '[':
+		s.section(line)
+	default:
+		s.key(line)
+	}
+}
+
+func isUnprintable(r rune) bool { return unicode.IsControl(r) && r != '\t' || r == '\ufeff' }
+
+func isComment(text string) bool { return text[0] == ';' || text[0] == '#' }
+
+func (s *scanner) section(line string) {
+	name, rest, closed := strings.Cut(line[1:], "]")
+	rest = strings.TrimSpace(rest)
+	switch {
+	case !closed || name != strings.TrimSpace(name) || name == "" || strings.ContainsAny(name, "[\"`"):
+		s.fault("%.80q is no [section]", line)
+	case strings.EqualFold(name, ini.DefaultSection):
+		s.fault("no section can be called %s", name)
+	case rest != "" && !isComment(rest):
+		s.fault("%.80q follows the section [%.80s]", rest, name)
 	}
-	return f, faults
+	s.file.Sections = append(s.file.Sections, Section{Name: name, Line: s.line})
+	s.keys = map[string]int{}
+}
+
+func (s *scanner) key(line string) {
+	name, value, hasValue := strings.Cut(line, "=")
+	name, value = strings.TrimSpace(name), strings.TrimSpace(value)
+	switch {
+	case !hasValue:
+		s.fault("%.80q is neither a [section] nor a key = value", line)
+	case name == "" || strings.ContainsFunc(name, isNotInKeys):
+		s.fault("%.80q is no name of a key", name)
+	case len(s.file.Sections) == 0:
+		s.fault("key %q stands before the first section", name)
+	case strings.HasSuffix(value, `\`) || value != "" && strings.ContainsRune("\"'`", rune(value[0])):
+		s.fault("key %q: values have no quotes and don't go on in the next line", name)
+	case s.keys[name] > 0:
+		s.fault("key %q stands in line %d, too", name, s.keys[name])
+	default:
+		s.keys[name] = s.line
+		section := &s.file.Sections[len(s.file.Sections)-1]
+		section.Keys = append(section.Keys, Key{Name: name, Line: s.line})
+	}
+}
+
+func isNotInKeys(r rune) bool {
+	return r != '_' && r != '.' && !unicode.IsLetter(r) && !unicode.IsDigit(r)
 }
 
 func firstInvalid(text []byte) int {
