--- a/cmd/cherryrelay/node.go
+++ b/cmd/cherryrelay/node.go
@@ -75,6 +75,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if c.Subset != nil {
+		core.Select(c.Subset.Options(c.Name))
+		log.Info("connecting to a subset of the list", "size", c.Subset.Size, "zone", c.Subset.Zone)
+	}
 	pool := dispatchers.New(loop, core, dispatchers.Options{
 		ConnectTimeout: c.Settings.ConnectTimeout(), Fields: c.Settings.Report.Fields, Log: log,
 	})
--- a/internal/call/core.go
+++ b/internal/call/core.go
@@ -74,6 +74,7 @@
 	notBefore time.Duration // no attempt before that, on the clock of now
 	parked    bool          // the module does not know it yet: it waits for its caller
 	moving    bool          // it is being given to another controller
+	ranSince  time.Time     // of the first attempt that may have run, with a selection; zero for none
 	place     *recovery.Call
 }
 
@@ -109,9 +110,10 @@
 	lost         *lost
 	passing      *passing // nil without other controllers
 	places       map[control.ServerID]Server
-	claims       []Claim   // that came while a predecessor had the calls
-	releases     []*record // calls of an earlier process to be released once there is a list
-	unchecked    []*record // those that stood, until there is one
+	selection    *selection // nil where the whole list is connected to
+	claims       []Claim    // that came while a predecessor had the calls
+	releases     []*record  // calls of an earlier process to be released once there is a list
+	unchecked    []*record  // those that stood, until there is one
 	recovered    Recovered
 	awaitsLedger bool
 	parts        []func() []*dto.MetricFamily // figures of other parts
@@ -231,6 +233,7 @@
 
 // offer tells the module of a call.
 func (c *Core) offer(k *record, class int) {
+	c.selection.offered(k, c.decisions.Classes[class])
 	c.tell(control.CallOffered{
 		ID: control.CallID(k.ID), Class: class, Budget: time.Until(k.Deadline), Called: k.Called,
 		FirstCell: k.FirstCell, Redial: k.Again, Attempts: k.attempts, NotBefore: k.notBefore,
@@ -558,6 +561,13 @@
 
 // Update takes in the list of dispatchers, or changes to it.
 func (c *Core) Update(u Update) {
+	if !c.selection.update(u) {
+		c.take(u)
+	}
+}
+
+// take takes in what the module and the connections are to know of the list.
+func (c *Core) take(u Update) {
 	named := map[control.ServerID]bool{}
 	entries := make([]control.ServerEntry, 0, len(u.Servers))
 	for _, s := range u.Servers {
@@ -613,7 +623,8 @@
 
 // turn gives the module all that the round brought, and does what it says.
 func (c *Core) turn() {
-	c.consult()
+	for c.consult(); c.selection.relieve(); c.consult() {
+	}
 	if len(c.events) > 0 {
 		c.loop.Post(func() {})
 	}
@@ -666,7 +677,7 @@
 			c.withdraw(k, control.Cancelled, false)
 		}
 	case control.Refuse:
-		if k := c.calls[string(a.ID)]; k != nil {
+		if k := c.calls[string(a.ID)]; k != nil && !c.selection.retries(k) {
 			c.final(k, End{Cause: CauseCongestion, Reason: ReasonRefused, HoldOff: a.HoldOff})
 		}
 	case control.Fail:
--- a/internal/call/durable.go
+++ b/internal/call/durable.go
@@ -76,7 +76,7 @@
 		e.Class, e.Called, e.First, e.Again, e.Description, e.Token = k.Class, k.Called, k.FirstCell, k.Again, k.Description, k.Token
 		e.DeadlineUs = (c.now() + time.Until(k.Deadline)).Microseconds()
 	case recovery.Sent, recovery.Back, recovery.Stood:
-		at := c.places[k.server]
+		at, _ := c.place(k.server)
 		e.Attempt, e.Server, e.Address, e.StartedUs = k.attempts-1, string(k.server), at.Address, at.StartedAt.Microseconds()
 	}
 	if fill != nil {
@@ -87,6 +87,7 @@
 
 // noteBack tells that an attempt came to nothing.
 func (c *Core) noteBack(k *record, o control.Outcome) {
+	c.selection.ended(k, o)
 	c.note(k, recovery.Back, func(e *recovery.Event) {
 		switch o {
 		case control.TimedOut, control.Reset, control.Cancelled:
@@ -236,7 +237,7 @@
 func (c *Core) known(k *record) *recovery.Call {
 	now := c.now()
 	r := &recovery.Call{Event: recovery.Event{ID: k.ID, AtUs: now.Microseconds(), Token: k.Token}, At: now, Attempts: k.attempts, Out: k.out, Server: string(k.server)}
-	if place := c.places[k.server]; place.Address != "" {
+	if place, _ := c.place(k.server); place.Address != "" {
 		r.Address, r.Started = place.Address, place.StartedAt
 	} else if k.place != nil {
 		r.Address, r.Started = k.place.Address, k.place.Started
--- a/internal/call/recover.go
+++ b/internal/call/recover.go
@@ -129,12 +129,14 @@
 		if k.state != stands || k.place == nil {
 			continue
 		}
-		at, listed := c.places[k.server]
+		at, listed := c.place(k.server)
 		if ok, why := k.place.Stands(recovery.Place{Address: at.Address, Started: at.StartedAt, Listed: listed}); !ok {
 			c.log.Info("call of an earlier process is cut", "id", k.ID, "server", k.server, "why", why)
 			c.recovered.Cut++
 			c.finish(k, CauseTemporary, nil)
+			continue
 		}
+		c.selection.keep(k.server)
 	}
 }
 
--- a/internal/call/retune.go
+++ b/internal/call/retune.go
@@ -13,7 +13,7 @@
 		return fmt.Errorf("settings: %w", err)
 	}
 	c.consult() // set-ups that have come already name their class by its place in the old settings
-	if err := c.module.Retune(decisions); err != nil {
+	if err := c.module.Retune(c.selection.scaled(decisions)); err != nil {
 		return fmt.Errorf("settings: %w", err)
 	}
 	c.decisions = decisions
--- /dev/null
+++ b/internal/call/selection_test.go
@@ -0,0 +1,457 @@
+package call
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"cherryrelay/control"
+	"cherryrelay/internal/decide/subset"
+)
+
+// scene is a site that keeps what the dispatchers are asked, and when, and what the connections know of the list. Its clock is that of
+// the test's bubble.
+type scene struct {
+	*site
+	start time.Time
+	asked []string
+	known map[control.ServerID]Server
+}
+
+func newScene(t *testing.T, o *subset.Options) *scene {
+	s := &scene{site: newSite(t), start: time.Now(), known: map[control.ServerID]Server{}}
+	s.core.Serve(s)
+	s.react = func(server control.ServerID, a SetUp) { s.answered(server, a) }
+	if o != nil {
+		o.Identity = "controller-1"
+		s.core.Select(*o)
+	}
+	return s
+}
+
+func (s *scene) ask(format string, args ...any) {
+	s.asked = append(s.asked, fmt.Sprintf("%v ", time.Since(s.start))+fmt.Sprintf(format, args...))
+}
+
+func (s *scene) Update(u Update) {
+	for _, e := range u.Servers {
+		s.known[e.ID] = e
+	}
+	s.ask("knows %+v", u)
+}
+
+func (s *scene) SetUp(server control.ServerID, a SetUp) {
+	s.ask("set-up at %s: %+v", server, a)
+	s.site.SetUp(server, a)
+}
+
+func (s *scene) Withdraw(server control.ServerID, id string, attempt int) {
+	s.ask("withdraw %s/%d at %s", id, attempt, server)
+	s.site.Withdraw(server, id, attempt)
+}
+
+func (s *scene) Release(server control.ServerID, id string, cause int) {
+	s.ask("release %s at %q for %d", id, server, cause)
+	s.site.Release(server, id, cause)
+}
+
+func (s *scene) Probe(server control.ServerID) { s.ask("probe %s", server) }
+
+// active are the dispatchers that the connections have as taking calls.
+func (s *scene) active() (ids []control.ServerID) {
+	for id, e := range s.known {
+		if e.Status == control.Active {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+func server(i int) Server {
+	return Server{ServerEntry: control.ServerEntry{ID: control.ServerID(fmt.Sprint("s", i)), Cell: i}, Address: fmt.Sprintf("127.0.0.1:%d", 1000+i)}
+}
+
+func servers(from, to int) (all []Server) {
+	for i := from; i < to; i++ {
+		all = append(all, server(i))
+	}
+	return all
+}
+
+func as(e Server, status control.ServerStatus) Server {
+	e.Status = status
+	return e
+}
+
+// play runs a script on the loop, and the loop for so long.
+func (s *scene) play(d time.Duration, script func()) {
+	s.core.loop.Post(func() {
+		s.core.loop.After(d, s.core.loop.Quit)
+		script()
+	})
+	s.core.loop.Run()
+}
+
+func (s *scene) at(d time.Duration, f func()) { s.core.loop.After(d, f) }
+
+func (s *scene) offer(id string, first int, left time.Duration) {
+	if err := s.core.Offer(Request{ID: id, Class: "c", FirstCell: first, Called: id, Deadline: time.Now().Add(left), Caller: s, Description: "x"}); err != nil {
+		s.t.Error(err)
+	}
+}
+
+// TestASubsetThatIsTheListChangesNothing plays the same calls and lists through a core with a selection and through one without, on
+// the same clock: the dispatchers are asked the same, in the same instants.
+func TestASubsetThatIsTheListChangesNothing(t *testing.T) {
+	const most = 12
+	run := func(seed uint64, o *subset.Options) (asked []string) {
+		synctest.Test(t, func(t *testing.T) {
+			s, rng := newScene(t, o), rand.New(rand.NewPCG(seed, 1))
+			s.react = func(server control.ServerID, a SetUp) {
+				after := time.Duration(rng.IntN(40)) * time.Millisecond
+				switch outcome := rng.IntN(8); {
+				case outcome < 4:
+					s.at(after, func() { s.answered(server, a) })
+				case outcome < 7:
+					s.at(after, func() {
+						s.ended(server, a, []control.Outcome{control.Full, control.Unreachable, control.Reset}[outcome-4])
+					})
+				}
+			}
+			s.play(4*time.Second, func() {
+				s.core.Update(Update{Whole: true, Servers: servers(0, 1+rng.IntN(most))})
+				for i := range 300 {
+					s.at(time.Duration(rng.IntN(3000))*time.Millisecond, func() {
+						s.offer(fmt.Sprint(i), rng.IntN(most), time.Duration(50+rng.IntN(800))*time.Millisecond)
+					})
+				}
+				for range 12 {
+					s.at(time.Duration(rng.IntN(3000))*time.Millisecond, func() {
+						e := server(rng.IntN(most))
+						e.Status = control.ServerStatus(rng.IntN(3))
+						if s.drained[e.ID] = e.Status != control.Active; !s.drained[e.ID] && rng.IntN(2) == 0 {
+							e.StartedAt = s.core.now()
+						}
+						s.core.Update(Update{Servers: []Server{e}})
+					})
+				}
+			})
+			asked = s.asked
+		})
+		return asked
+	}
+	words := 0
+	for seed := range uint64(30) {
+		without, with := run(seed, nil), run(seed, &subset.Options{Size: most})
+		if diff := cmp.Diff(without, with); diff != "" {
+			t.Fatalf("seed %d: what the dispatchers are asked (-without +with a selection):\n%s", seed, diff)
+		}
+		words += len(without)
+	}
+	if words < 3000 {
+		t.Errorf("only %d words with dispatchers", words)
+	}
+}
+
+// TestWhatIsRefusedInTheSubsetGoesBeyondIt has all dispatchers of the subset turn calls away, or leave them unanswered, each in a way of
+// its own: every call stands at one that was outside.
+func TestWhatIsRefusedInTheSubsetGoesBeyondIt(t *testing.T) {
+	for name, outcome := range map[string]control.Outcome{"full": control.Full, "unreachable": control.Unreachable, "silent": control.TimedOut} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newScene(t, &subset.Options{Size: 4, Most: 40, Quiet: time.Second})
+				s.core.decisions.MaxAttempts = 0
+				if err := s.core.module.Retune(s.core.decisions); err != nil {
+					t.Fatal(err)
+				}
+				bad := map[control.ServerID]bool{}
+				s.react = func(server control.ServerID, a SetUp) {
+					s.at(time.Millisecond, func() {
+						if !bad[server] {
+							s.answered(server, a)
+						} else if outcome != control.TimedOut {
+							s.ended(server, a, outcome)
+						}
+					})
+				}
+				s.play(20*time.Second, func() {
+					s.core.Update(Update{Whole: true, Servers: servers(0, 100)})
+					for _, id := range s.active() {
+						bad[id] = true
+					}
+					for i := range 40 {
+						s.at(time.Duration(i)*10*time.Millisecond, func() { s.offer(fmt.Sprint(i), -1, 3*time.Second) })
+					}
+					s.at(4*time.Second, func() {
+						if n := len(s.active()); n <= 4 || n > 40 {
+							t.Errorf("%d in the subset under need", n)
+						}
+						for id := range bad { // they recover, and show it
+							s.offer(string(id), int(s.core.selection.entries[id].Cell), time.Second)
+						}
+						clear(bad)
+					})
+				})
+				trials := 0 // each silent one keeps the last call that it was sent: by that the module would see it come back
+				if outcome == control.TimedOut {
+					trials = 4
+				}
+				for i := range 40 {
+					if trials -= s.finals[fmt.Sprint(i)]; s.answers[fmt.Sprint(i)]+s.finals[fmt.Sprint(i)] != 1 || trials < 0 {
+						t.Errorf("call %d: %d answers, %d refusals", i, s.answers[fmt.Sprint(i)], s.finals[fmt.Sprint(i)])
+					}
+				}
+				if n := len(s.active()); n != 4 {
+					t.Errorf("%d in the subset after the quiet", n)
+				}
+			})
+		})
+	}
+}
+
+// TestARefusalIsNotDelayedWhereNothingCanGrow: with all dispatchers in the subset, or as many as there may be, the module's word stands.
+func TestARefusalIsNotDelayedWhereNothingCanGrow(t *testing.T) {
+	for name, o := range map[string]*subset.Options{"none": nil, "the list": {Size: 4}, "the most": {Size: 2, Most: 2}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newScene(t, o)
+				s.core.decisions.MaxAttempts = 2
+				if err := s.core.module.Retune(s.core.decisions); err != nil {
+					t.Fatal(err)
+				}
+				s.react = func(server control.ServerID, a SetUp) { s.ended(server, a, control.Full) }
+				s.play(time.Second, func() {
+					s.core.Update(Update{Whole: true, Servers: servers(0, 4)})
+					s.offer("1", -1, 500*time.Millisecond)
+					s.at(20*time.Millisecond, func() {
+						if s.finals["1"] != 1 || s.setUps != 2 {
+							t.Errorf("%d set-ups, %d refusals", s.setUps, s.finals["1"])
+						}
+					})
+				})
+			})
+		})
+	}
+}
+
+// TestFirstChoicesBeyondTheSubset: each call goes to the dispatcher that it names, wherever that is in the list.
+func TestFirstChoicesBeyondTheSubset(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newScene(t, &subset.Options{Size: 4, Most: 20, Quiet: time.Second})
+		at := map[string]control.ServerID{}
+		s.react = func(server control.ServerID, a SetUp) {
+			at[a.ID] = server
+			s.answered(server, a)
+		}
+		s.play(time.Minute, func() {
+			s.core.Update(Update{Whole: true, Servers: servers(0, 100)})
+			for i := range 100 {
+				s.at(time.Duration(i)*10*time.Millisecond, func() { s.offer(fmt.Sprint(i), i, time.Second) })
+			}
+		})
+		for i := range 100 {
+			if want := server(i).ID; at[fmt.Sprint(i)] != want {
+				t.Errorf("the call for %s went to %q", want, at[fmt.Sprint(i)])
+			}
+		}
+		if n := len(s.active()); n != 4 {
+			t.Errorf("%d in the subset after the quiet", n)
+		}
+	})
+}
+
+// TestAWholeFirstChoiceThatIsFull: with all of a call's group full, it goes elsewhere; and a class that may go to some groups alone is
+// served though none of them is in the subset.
+func TestAClassWithGroupsOfItsOwn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newScene(t, &subset.Options{Size: 4, Most: 20})
+		s.core.decisions.Classes[0].Cells = []int{7, 8, 50}
+		if err := s.core.module.Retune(s.core.decisions); err != nil {
+			t.Fatal(err)
+		}
+		s.react = func(at control.ServerID, a SetUp) {
+			if at == server(50).ID {
+				s.answered(at, a)
+			} else {
+				s.ended(at, a, control.Full)
+			}
+		}
+		s.play(time.Second, func() {
+			s.core.Update(Update{Whole: true, Servers: servers(0, 100)})
+			s.offer("1", 7, 500*time.Millisecond)
+		})
+		if s.answers["1"] != 1 {
+			t.Errorf("%d answers: %v", s.answers["1"], s.asked)
+		}
+	})
+}
+
+// TestCallsOfADispatcherThatLeavesTheSubset: they go on, and what the list says of it later is told as ever.
+func TestCallsOfADispatcherThatLeavesTheSubset(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newScene(t, &subset.Options{Size: 4, Most: 20, Quiet: time.Second})
+		var out []control.ServerID
+		s.play(time.Minute, func() {
+			s.core.Update(Update{Whole: true, Servers: servers(0, 100)})
+			base := s.active()
+			for i := range 100 { // three that are not in the subset by themselves
+				if id := server(i).ID; len(out) < 3 && !slices.Contains(base, id) {
+					out = append(out, id)
+					s.offer(string(id), i, time.Second)
+				}
+			}
+			s.at(10*time.Second, func() {
+				for _, id := range out {
+					if e := s.known[id]; e.Status != control.Removed || !e.Lingers || s.core.Standing(id) != 1 {
+						t.Errorf("%s after the quiet: %+v, %d calls stand", id, e, s.core.Standing(id))
+					}
+				}
+				s.core.Released(out[0], string(out[0]), 0, CauseNormal, nil)
+				if s.overs[string(out[0])] != 1 {
+					t.Error("the end of a call at a dispatcher outside of the subset is not told")
+				}
+				renewed := s.core.selection.entries[out[1]]
+				renewed.StartedAt = s.core.now()
+				removed := as(s.core.selection.entries[out[2]], control.Removed)
+				removed.Address = ""
+				s.core.Update(Update{Servers: []Server{renewed, removed}})
+				if e := s.known[out[1]]; e.StartedAt != renewed.StartedAt || e.Status != control.Removed || !e.Lingers {
+					t.Errorf("one that began anew: %+v", e)
+				}
+				if e := s.known[out[2]]; e.Status != control.Removed || e.Lingers {
+					t.Errorf("one that is gone: %+v", e)
+				}
+			})
+		})
+	})
+}
+
+// TestDrainsInsideAndOutside: one that drains in the subset is told so, and its place is another's; of one outside nothing is told.
+func TestDrainsInsideAndOutside(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newScene(t, &subset.Options{Size: 4})
+		s.play(time.Second, func() {
+			s.core.Update(Update{Whole: true, Servers: servers(0, 100)})
+			inside := s.active()
+			n := len(s.asked)
+			for i := range 100 {
+				if !slices.Contains(inside, server(i).ID) {
+					s.core.Update(Update{Servers: []Server{as(server(i), control.Draining)}})
+					s.core.Update(Update{Servers: []Server{server(i)}})
+					break
+				}
+			}
+			if len(s.asked) != n {
+				t.Errorf("told of a drain outside of the subset: %v", s.asked[n:])
+			}
+			e := s.core.selection.entries[inside[0]]
+			s.core.Update(Update{Servers: []Server{as(e, control.Draining)}})
+			if s.known[e.ID].Status != control.Draining || len(s.active()) != 4 {
+				t.Errorf("%+v drains, %v are active", s.known[e.ID], s.active())
+			}
+			s.core.Update(Update{Servers: []Server{e}})
+			if now := s.active(); !slices.Equal(now, inside) {
+				t.Errorf("%v after its return, %v before", now, inside)
+			}
+			s.core.Update(Update{Whole: true, Servers: servers(0, 3)}) // now the list is no longer than the subset
+			if now := s.active(); len(now) != 3 {
+				t.Errorf("%v of a list of three", now)
+			}
+			for _, id := range inside {
+				if e := s.known[id]; s.core.selection.entries[id].ID == "" && (e.Status != control.Removed || e.Lingers) {
+					t.Errorf("%+v is off the list", e)
+				}
+			}
+		})
+	})
+}
+
+// TestALargeChangeIsTakenInBySlices replaces half of a large list at once, and then some while that is under way: the loop has other
+// rounds in between, and what is known in the end is the subset of the last list.
+func TestALargeChangeIsTakenInBySlices(t *testing.T) {
+	const n = 20_000
+	s := newScene(t, &subset.Options{Size: 16})
+	rounds := 0
+	s.core.OnFlush(func() { rounds++ })
+	s.play(time.Minute, func() {
+		s.core.Update(Update{Whole: true, Servers: servers(0, n)})
+		s.core.Update(Update{Whole: true, Servers: servers(n/2, n+n/2)})
+		s.core.Update(Update{Servers: []Server{as(server(n), control.Removed), as(server(n+1), control.Draining)}})
+		var look func()
+		look = func() {
+			if len(s.core.selection.queue) == 0 {
+				s.core.loop.Quit()
+				return
+			}
+			s.at(time.Millisecond, look)
+		}
+		look()
+	})
+	want := subset.New(subset.Options{Identity: "controller-1", Size: 16})
+	for _, e := range servers(n/2, n+n/2) {
+		if e.ID != server(n).ID {
+			want.Put(subset.Entry{ID: e.ID, Cell: e.Cell, Active: e.ID != server(n+1).ID})
+		}
+	}
+	joined, _ := want.Changes()
+	if got := s.active(); !slices.Equal(got, joined) || !s.core.listed {
+		t.Errorf("listed %v: %v, want %v", s.core.listed, got, joined)
+	}
+	if rounds < 3 {
+		t.Errorf("%d rounds", rounds)
+	}
+}
+
+// TestPeersAreThoseOfOneDispatcher: where few of the controllers connect to a dispatcher, its windows are divided by those.
+func TestPeersAreThoseOfOneDispatcher(t *testing.T) {
+	s := newScene(t, &subset.Options{Size: 10})
+	d := s.core.decisions
+	d.Peers = 100
+	for _, test := range []struct{ listed, want int }{{5, 100}, {10, 100}, {50, 20}, {200, 5}, {3, 100}} {
+		s.core.Update(Update{Whole: true, Servers: servers(0, test.listed)})
+		if got := s.core.selection.scaled(d).Peers; got != test.want {
+			t.Errorf("%d listed: %d peers, not %d", test.listed, got, test.want)
+		}
+	}
+}
+
+// BenchmarkListEvent has one event replace 3,000 dispatchers. held-ms is the longest that it held the loop at a time.
+func BenchmarkListEvent(b *testing.B) {
+	for _, n := range []int{3000, 37_000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			t := new(testing.T)
+			s := newScene(t, &subset.Options{})
+			var held time.Duration
+			settle := func() {
+				for len(s.core.selection.queue) > 0 {
+					from := time.Now()
+					s.core.loop.takeIn()
+					s.core.turn()
+					held = max(held, time.Since(from))
+				}
+			}
+			s.core.Update(Update{Whole: true, Servers: servers(0, n)})
+			settle()
+			held = 0
+			for i := 0; b.Loop(); i++ {
+				var u Update
+				for j := range 3000 {
+					e := server((i*3000 + j) % n)
+					e.StartedAt = s.core.now()
+					u.Servers = append(u.Servers, e)
+				}
+				from := time.Now()
+				s.core.Update(u)
+				held = max(held, time.Since(from))
+				settle()
+			}
+			b.ReportMetric(float64(held.Microseconds())/1000, "held-ms")
+		})
+	}
+}
--- a/internal/call/succession.go
+++ b/internal/call/succession.go
@@ -89,6 +89,7 @@
 	if c.calls[id] == nil {
 		c.calls[id] = &record{Request: Request{ID: id, Caller: c.heir}, state: stands, server: server, attempts: 1, sentAt: time.Now()}
 		c.standing[c.heir]++
+		c.selection.keep(server)
 	}
 }
 
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -146,6 +146,11 @@
 			return err
 		}
 	}
+	if c.Subset != nil {
+		if err := c.Subset.check(c.Name); err != nil {
+			return err
+		}
+	}
 	if n := c.sources(); n > 1 {
 		return errors.New("more than one of coordinator, etcd and pool are named: there can be one list")
 	}
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"cherryrelay/internal/decide/subset"
 	"cherryrelay/internal/inifile"
 	"cherryrelay/internal/ledger"
 	"cherryrelay/internal/lists/etcd"
@@ -27,6 +28,7 @@
 	State     *State         `json:"state" need:"optional"`
 	Ledger    *Ledger        `json:"ledger" need:"optional"`
 	Fleet     *Fleet         `json:"fleet" need:"optional"`
+	Subset    *Subset        `json:"subset" need:"optional"`
 	Log       Log            `json:"log" need:"optional"`
 }
 
@@ -110,6 +112,35 @@
 	return nil
 }
 
+// Subset is how many of the listed dispatchers this controller connects to. docs/subset.md tells the keys.
+type Subset struct {
+	Size    int    `json:"size"`     // 0 for the default
+	Most    int    `json:"most"`     // after growth; 0 for the default
+	Zone    string `json:"zone"`     // whose dispatchers are preferred; empty for none
+	QuietMs int64  `json:"quiet_ms"` // without need until what has grown goes back; 0 for the default
+}
+
+// Options are those of a controller's subset.
+func (s *Subset) Options(controller string) subset.Options {
+	return subset.Options{Identity: controller, Zone: s.Zone, Size: s.Size, Most: s.Most, Quiet: time.Duration(s.QuietMs) * time.Millisecond}
+}
+
+func (s *Subset) check(controller string) error {
+	if controller == "" {
+		return errors.New("subset: the controller has no name to choose by")
+	}
+	if s.QuietMs > maxQuietMs {
+		return fmt.Errorf("subset.quiet_ms: %d is over %d, a day", s.QuietMs, maxQuietMs)
+	}
+	if err := s.Options(controller).Check(); err != nil {
+		return fmt.Errorf("subset.%w", err)
+	}
+	return nil
+}
+
+// maxQuietMs is a day.
+const maxQuietMs = 24 * 60 * 60 * 1000
+
 // Log is how the log is written.
 type Log struct {
 	Format string `json:"format"` // text or json
--- a/internal/decide/subset/subset.go
+++ b/internal/decide/subset/subset.go
@@ -61,7 +61,7 @@
 	case o.Most < o.Size || o.Most > MaxSize:
 		return fmt.Errorf("most: %d is not from the size, %d, to %d", o.Most, o.Size, MaxSize)
 	case o.Quiet < 0:
-		return fmt.Errorf("quiet: %v is below zero", o.Quiet)
+		return fmt.Errorf("quiet_ms: %d is below 0", o.Quiet.Milliseconds())
 	}
 	return nil
 }
@@ -281,9 +281,10 @@
 // Need notes that all places are still needed.
 func (s *Subset) Need(now time.Duration) { s.needAt = now }
 
-// Rest gives back what has not been needed for long: half of the places at a time, and groups that no call has had as first choice. Its
-// cost goes by the groups in use.
-func (s *Subset) Rest(now time.Duration) {
+// Rest gives back what has not been needed for long: half of the places at a time, and groups that no call has had as first choice. The
+// places stay needed unless there are as many dispatchers among those that would remain as half of the size, for which sound holds. Its
+// cost goes by the subset and the groups in use.
+func (s *Subset) Rest(now time.Duration, sound func(control.ServerID) bool) {
 	for group, c := range s.used {
 		if now-c.usedAt >= s.options.Quiet {
 			s.disuse(group)
@@ -291,10 +292,26 @@
 	}
 	if s.target > s.options.Size && now-s.needAt >= s.options.Quiet {
 		s.needAt = now
-		s.resize(max(s.target/growth, s.options.Size))
+		before := s.target
+		if s.resize(max(s.target/growth, s.options.Size)); 2*s.sound(sound) < min(s.options.Size, s.chosen) {
+			s.resize(before)
+		}
 	}
 }
 
+// sound counts the dispatchers with a place that are.
+func (s *Subset) sound(is func(control.ServerID) bool) int {
+	n := 0
+	for _, r := range []*ranking{s.near, s.far} {
+		for _, o := range r.chosen.all {
+			if is(o.member.ID) {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 // Resting reports whether there is nothing to give back.
 func (s *Subset) Resting() bool { return s.target == s.options.Size && len(s.used) == 0 }
 
@@ -331,10 +348,12 @@
 	return m != nil && m.places > 0
 }
 
-// HasCell reports whether a dispatcher of the group is in the subset.
-func (s *Subset) HasCell(group int) bool {
-	c := s.cells[group]
-	return c != nil && c.inSubset > 0
+// InCell is the number of dispatchers of the group that are in the subset.
+func (s *Subset) InCell(group int) int {
+	if c := s.cells[group]; c != nil {
+		return c.inSubset
+	}
+	return 0
 }
 
 // Listed is the number of dispatchers in the list.
--- a/internal/decide/subset/subset_test.go
+++ b/internal/decide/subset/subset_test.go
@@ -27,6 +27,9 @@
 	return s
 }
 
+// anyone is sound.
+func anyone(control.ServerID) bool { return true }
+
 // members of the subset, by name.
 func (s *Subset) all() []control.ServerID {
 	var ids []control.ServerID
@@ -166,7 +169,7 @@
 				s.Grow(now)
 			case 9:
 				now += time.Duration(rapid.IntRange(0, 1500).Draw(t, "ms")) * time.Millisecond
-				s.Rest(now)
+				s.Rest(now, anyone)
 			}
 			after := s.all()
 			if want := slices.Sorted(slices.Values(wanted(s, slices.Collect(maps.Values(s.members))))); !slices.Equal(after, want) {
@@ -245,11 +248,22 @@
 		want  int
 	}{{59 * time.Second, 35}, {time.Second, 17}, {59 * time.Second, 17}, {time.Second, 10}, {time.Hour, 10}} {
 		now += step.after
-		if s.Rest(now); s.Len() != step.want {
+		if s.Rest(now, anyone); s.Len() != step.want {
 			t.Fatalf("%v later %d in the subset, not %d", step.after, s.Len(), step.want)
 		}
 	}
-	if !s.Resting() || s.Growths() != 2 {
+	s.Grow(now)
+	s.Changes()
+	now += time.Hour
+	nobody := func(control.ServerID) bool { return false }
+	if s.Rest(now, nobody); s.Len() != 20 {
+		t.Errorf("%d in the subset, though those that remain refuse", s.Len())
+	}
+	if joined, left := s.Changes(); len(joined)+len(left) > 0 {
+		t.Errorf("%v joined and %v left", joined, left)
+	}
+	s.Rest(now+time.Hour, anyone)
+	if !s.Resting() || s.Growths() != 3 {
 		t.Fatalf("resting %v, %d growths", s.Resting(), s.Growths())
 	}
 }
@@ -261,7 +275,7 @@
 	now := time.Duration(0)
 	for i := range 300 {
 		now += time.Millisecond
-		if s.Use(now, i); !s.Has(entry(i, 1).ID) || !s.HasCell(i) {
+		if s.Use(now, i); !s.Has(entry(i, 1).ID) || s.InCell(i) != 1 {
 			t.Fatalf("dispatcher %d is out of reach", i)
 		}
 		if s.Len() > 10+most {
@@ -269,7 +283,7 @@
 		}
 	}
 	s.Use(now, 12345) // nobody's group
-	if s.Rest(now + time.Minute); s.Len() != 10 || !s.Resting() {
+	if s.Rest(now+time.Minute, anyone); s.Len() != 10 || !s.Resting() {
 		t.Fatalf("%d in the subset after the quiet", s.Len())
 	}
 }
