--- a/internal/call/selection.go
+++ b/internal/call/selection.go
@@ -42,6 +42,7 @@
 	was     bool                        // all of the list was told at the last flush
 	whole   bool                        // a whole list has been taken in
 	waiting map[*record]time.Duration   // open calls without an attempt, and since when they could have one
+	refused bool                        // an attempt was, since the last look
 	growAt  time.Duration               // no growth for those before
 	resting *Timer
 	peers   int // as the module has it by now
@@ -352,11 +353,13 @@
 // rest gives back what is not needed any more.
 func (s *selection) rest() {
 	s.resting = nil
-	now := s.core.now()
-	s.subset.Rest(now, func(id control.ServerID) bool { return !s.core.module.Avoids(now, id) })
+	s.subset.Rest(s.core.now(), s.sound)
 	s.flushNeed()
 }
 
+// sound reports whether the module sends calls to a dispatcher.
+func (s *selection) sound(id control.ServerID) bool { return !s.core.module.Avoids(s.core.now(), id) }
+
 // ended notes that an attempt came to nothing: when the next one may begin, and whether this one may have run.
 func (s *selection) ended(k *record, o control.Outcome) {
 	if s.all() {
@@ -373,15 +376,19 @@
 			k.ranSince = k.sentAt
 		}
 	}
+	s.refused = s.refused || o != control.Failed && o != control.NotSent
 	s.waiting[k] = max(now-heldFor, k.notBefore) // refused or full: unless another one takes it at once, more are needed
 }
 
-// relieve takes in more dispatchers if calls wait for want of them. It reports whether there are more now.
+// relieve takes in more dispatchers if calls wait for want of them, or if most of those in the subset have just shown to take none: each
+// would cost a call one of the attempts that it may have. It reports whether there are more now.
 func (s *selection) relieve() bool {
-	if s == nil || len(s.waiting) == 0 {
+	if s == nil || len(s.waiting) == 0 && !s.refused {
 		return false
 	}
-	now, needed := s.core.now(), false
+	now := s.core.now()
+	needed := s.refused && s.subset.Scarce(s.sound)
+	s.refused = false
 	for k, since := range s.waiting {
 		switch {
 		case k.state != open || k.out || k.moving:
--- a/internal/decide/subset/subset.go
+++ b/internal/decide/subset/subset.go
@@ -282,8 +282,7 @@
 func (s *Subset) Need(now time.Duration) { s.needAt = now }
 
 // Rest gives back what has not been needed for long: half of the places at a time, and groups that no call has had as first choice. The
-// places stay needed unless there are as many dispatchers among those that would remain as half of the size, for which sound holds. Its
-// cost goes by the subset and the groups in use.
+// places stay needed while those that would remain are scarce. Its cost goes by the subset and the groups in use.
 func (s *Subset) Rest(now time.Duration, sound func(control.ServerID) bool) {
 	for group, c := range s.used {
 		if now-c.usedAt >= s.options.Quiet {
@@ -293,23 +292,24 @@
 	if s.target > s.options.Size && now-s.needAt >= s.options.Quiet {
 		s.needAt = now
 		before := s.target
-		if s.resize(max(s.target/growth, s.options.Size)); 2*s.sound(sound) < min(s.options.Size, s.chosen) {
+		if s.resize(max(s.target/growth, s.options.Size)); s.Scarce(sound) {
 			s.resize(before)
 		}
 	}
 }
 
-// sound counts the dispatchers with a place that are.
-func (s *Subset) sound(is func(control.ServerID) bool) int {
+// Scarce reports whether sound holds for less than half as many dispatchers as the subset has without need, or as are listed if that is
+// less. Places of groups in use don't count. Its cost goes by the subset.
+func (s *Subset) Scarce(sound func(control.ServerID) bool) bool {
 	n := 0
 	for _, r := range []*ranking{s.near, s.far} {
 		for _, o := range r.chosen.all {
-			if is(o.member.ID) {
+			if sound(o.member.ID) {
 				n++
 			}
 		}
 	}
-	return n
+	return 2*n < min(s.options.Size, s.Active())
 }
 
 // Resting reports whether there is nothing to give back.
