--- a/cmd/cherryrelay/node.go
+++ b/cmd/cherryrelay/node.go
@@ -77,7 +77,6 @@
 	}
 	if c.Subset != nil {
 		core.Select(c.Subset.Options(c.Name))
-		log.Info("connecting to a subset of the list", "size", c.Subset.Size, "zone", c.Subset.Zone)
 	}
 	pool := dispatchers.New(loop, core, dispatchers.Options{
 		ConnectTimeout: c.Settings.ConnectTimeout(), Fields: c.Settings.Report.Fields, Log: log,
@@ -86,6 +85,11 @@
 	core.OnFlush(pool.Flush)
 	loop.OnPause(pool.Heard)
 	keeper := lists.New(log, func(u call.Update) { loop.Post(func() { core.Update(u) }) })
+	if c.Subset != nil {
+		most := c.Subset.ListBound(c.Limits.MemoryMB << 20)
+		keeper.Bound(most)
+		log.Info("connecting to a subset of the list", "size", c.Subset.Size, "zone", c.Subset.Zone, "listed at most", most)
+	}
 	for i := range c.Known.Updates {
 		u, err := c.Known.Updates[i].Update()
 		if err != nil {
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -125,6 +125,24 @@
 	return subset.Options{Identity: controller, Zone: s.Zone, Size: s.Size, Most: s.Most, Quiet: time.Duration(s.QuietMs) * time.Millisecond}
 }
 
+const (
+	// listedBytes is what a listed dispatcher takes that is not connected to, as measured (docs/subset.md), with that of the text and the
+	// parts of the list that is read while another one is in force.
+	listedBytes = 4 << 10
+	// listShare of the memory is what the list may take.
+	listShare = 0.75
+	// MostListed bounds lists where no bound on the memory is known.
+	MostListed = 100_000
+)
+
+// ListBound is the most dispatchers that a list may have, with a bound on the memory in bytes; 0 is no bound.
+func (s *Subset) ListBound(memory int64) int {
+	if memory <= 0 {
+		return MostListed
+	}
+	return min(int(listShare*float64(memory)/listedBytes), MostListed)
+}
+
 func (s *Subset) check(controller string) error {
 	if controller == "" {
 		return errors.New("subset: the controller has no name to choose by")
--- a/internal/decide/pool/check.go
+++ b/internal/decide/pool/check.go
@@ -13,8 +13,10 @@
 )
 
 const (
-	// MaxServers is the most that a set may name: 4 MiB hold about as many.
-	MaxServers = 10_000
+	// MaxServers is the most that a set of people may name at all: 8 MiB hold about as many. What a process takes is bounded by Bound.
+	MaxServers = 50_000
+	// DefaultBound is what a process takes of people unless it is told otherwise: each dispatcher is a connection, at least.
+	DefaultBound = 10_000
 	// MaxName bounds names, zones and labels: they are on every line of a log.
 	MaxName = 64
 	// MaxGroup bounds groups; first choices name them.
--- a/internal/decide/pool/pool.go
+++ b/internal/decide/pool/pool.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -76,13 +77,44 @@
 	trouble  *Version // the last candidate of people, if it was refused
 	history  []Version
 	versions int
+	files    int // most servers in a set of people
+	streams  int // as many in one of streams; 0 for any number
 	taken    int
 	refused  map[Reason]int
 }
 
 // New returns a Pool without a set.
 func New() *Pool {
-	return &Pool{entries: map[control.ServerID]*entry{}, refused: map[Reason]int{}}
+	return &Pool{entries: map[control.ServerID]*entry{}, refused: map[Reason]int{}, files: DefaultBound}
+}
+
+// Bound sets the most servers that a set may have, whoever it comes from: what the memory bears. What is over it is refused whole.
+func (p *Pool) Bound(servers int) { p.files, p.streams = min(servers, MaxServers), servers }
+
+// over tells of a candidate with more servers than are taken.
+func (p *Pool) over(c *Candidate) []Fault {
+	n, most := 0, p.files
+	if !c.byPeople() {
+		most = p.streams
+		if !c.Whole {
+			n = len(p.entries)
+		}
+	}
+	if most == 0 || n+len(c.Servers) <= most {
+		return nil
+	}
+	for _, m := range c.Servers { // a change may name what is in force
+		switch old := p.entries[m.ID]; {
+		case m.Status != control.Removed && (c.Whole || old == nil):
+			n++
+		case m.Status == control.Removed && !c.Whole && old != nil:
+			n--
+		}
+	}
+	if n <= most {
+		return nil
+	}
+	return []Fault{{Reason: TooLarge, Text: fmt.Sprintf("%d servers, %d are allowed", n, most)}}
 }
 
 // Verdict is what became of a candidate.
@@ -97,7 +129,11 @@
 	if !c.byPeople() {
 		return p.follow(now, c)
 	}
-	if faults := Check(now, &c); len(faults) > 0 {
+	faults := p.over(&c)
+	if len(faults) == 0 {
+		faults = Check(now, &c)
+	}
+	if len(faults) > 0 {
 		return p.refuse(now, &c, faults)
 	}
 	next, change, left := p.plan(now, &c)
@@ -187,8 +223,8 @@
 
 // follow takes in what a stream says, as it says it.
 func (p *Pool) follow(now time.Duration, c Candidate) Verdict {
-	if len(c.Faults) > 0 {
-		return p.refuse(now, &c, c.Faults)
+	if faults := append(c.Faults, p.over(&c)...); len(faults) > 0 {
+		return p.refuse(now, &c, faults)
 	}
 	next := p.entries
 	if c.Whole {
--- a/internal/lists/lists.go
+++ b/internal/lists/lists.go
@@ -36,6 +36,9 @@
 // StoreIn has good sets of files kept from now on.
 func (k *Keeper) StoreIn(s Store) { k.store = s }
 
+// Bound sets the most dispatchers that a set may have. It comes before the first set.
+func (k *Keeper) Bound(servers int) { k.pool.Bound(servers) }
+
 // now is the Unix clock.
 func now() time.Duration { return time.Duration(time.Now().UnixNano()) }
 
--- a/internal/lists/poolfile/poolfile.go
+++ b/internal/lists/poolfile/poolfile.go
@@ -25,7 +25,7 @@
 
 const (
 	// MaxBytes bounds a file.
-	MaxBytes = 4 << 20
+	MaxBytes = 8 << 20
 	// Format is the version of the form that is read here.
 	Format = 1
 	// MinKey is the least length of a key: shorter ones can be guessed.
--- a/internal/lists/stored/stored.go
+++ b/internal/lists/stored/stored.go
@@ -24,8 +24,8 @@
 	Name = "pool.state"
 	// format is written in its first line; another one is passed over.
 	format = "cherryrelay-pool 1"
-	// maxBytes bounds what is read: 10,000 servers take some 3 MiB.
-	maxBytes = 16 << 20
+	// maxBytes bounds what is read: 50,000 servers take some 15 MiB.
+	maxBytes = 32 << 20
 )
 
 var (
