--- a/internal/call/recover.go
+++ b/internal/call/recover.go
@@ -120,6 +120,7 @@
 		return
 	}
 	for _, k := range c.releases {
+		c.selection.reach(k.server)
 		c.dispatchers.Release("", k.ID, CauseNormal) // wherever it may stand: the last that is known of it may not be all
 	}
 	c.releases = nil
--- a/internal/call/selection.go
+++ b/internal/call/selection.go
@@ -14,13 +14,15 @@
 
 const (
 	// sliceTime is how long a change of the list may hold the loop at a time; the rest of it waits for the next round.
-	sliceTime = 2 * time.Millisecond
+	sliceTime = time.Millisecond
 	// sliceCheck is after how many entries the clock is looked at.
 	sliceCheck = 16
 	// heldFor is how long a call may wait for a window before more dispatchers are taken in for it.
 	heldFor = 50 * time.Millisecond
 	// growthPause is the least time between two growths for calls that wait: the first one must show what it brings.
 	growthPause = 50 * time.Millisecond
+	// reachWithin is how long after the first list none of the subset may have been reached before more are taken in.
+	reachWithin = 500 * time.Millisecond
 	// restShare of the time of quiet is the pace at which places are given back.
 	restShare = 0.25
 )
@@ -300,6 +302,7 @@
 		}
 		return 1
 	})
+	s.core.loop.After(reachWithin, s.untilReached)
 	s.core.loop.Post(func() { // calls that an earlier process left may stand anywhere
 		for _, k := range s.core.calls {
 			if k.state == stands {
@@ -321,8 +324,27 @@
 	}
 }
 
+// reach has the subset take in a listed dispatcher for a while, as a call that an earlier process left is to be released there.
+func (s *selection) reach(id control.ServerID) {
+	if s.all() || s.told[id] {
+		return
+	}
+	if e, listed := s.entries[id]; listed {
+		s.subset.Use(s.core.now(), e.Cell)
+		s.flushNeed()
+	}
+}
+
 // --- Need ---
 
+// untilReached takes in more dispatchers while none has been reached: until then nobody calls, and no call would show the need.
+func (s *selection) untilReached() {
+	if !s.core.reached && !s.all() {
+		s.grow()
+		s.core.loop.After(reachWithin, s.untilReached)
+	}
+}
+
 // offered has the dispatchers that a call may go to first be in the subset, before the module is told of it.
 func (s *selection) offered(k *record, class control.Class) {
 	if s.all() {
@@ -362,7 +384,7 @@
 
 // ended notes that an attempt came to nothing: when the next one may begin, and whether this one may have run.
 func (s *selection) ended(k *record, o control.Outcome) {
-	if s.all() {
+	if s == nil {
 		return
 	}
 	now := s.core.now()
@@ -376,6 +398,9 @@
 			k.ranSince = k.sentAt
 		}
 	}
+	if s.all() {
+		return
+	}
 	s.refused = s.refused || o != control.Failed && o != control.NotSent
 	s.waiting[k] = max(now-heldFor, k.notBefore) // refused or full: unless another one takes it at once, more are needed
 }
--- a/internal/decide/subset/subset.go
+++ b/internal/decide/subset/subset.go
@@ -31,8 +31,6 @@
 	spareShare = 1.0 / 8
 	// grownShare is as much of the places that need has added: what refuses is more likely to be one zone than the rest.
 	grownShare = 1.0 / 2
-	// growth is the factor by which a subset grows at once, and shrinks.
-	growth = 2
 )
 
 // Options say what one controller's subset is.
@@ -264,12 +262,13 @@
 	}
 }
 
-// Grow gives the subset more places, as it has dispatchers that refuse or are full. It reports whether that brought any dispatcher.
+// Grow gives the subset as many more places as it has without need, as it has dispatchers that refuse or are full. It reports whether that
+// brought any dispatcher.
 func (s *Subset) Grow(now time.Duration) bool {
 	s.needAt = now
 	before := s.chosen
 	for s.chosen == before && s.target < s.options.Most && s.target < s.Active() {
-		s.resize(min(growth*s.target, s.options.Most))
+		s.resize(min(s.target+s.options.Size, s.options.Most))
 	}
 	if s.chosen == before {
 		return false
@@ -281,7 +280,7 @@
 // Need notes that all places are still needed.
 func (s *Subset) Need(now time.Duration) { s.needAt = now }
 
-// Rest gives back what has not been needed for long: half of the places at a time, and groups that no call has had as first choice. The
+// Rest gives back what has not been needed for long: what one growth has brought, and groups that no call has had as first choice. The
 // places stay needed while those that would remain are scarce. Its cost goes by the subset and the groups in use.
 func (s *Subset) Rest(now time.Duration, sound func(control.ServerID) bool) {
 	for group, c := range s.used {
@@ -292,7 +291,7 @@
 	if s.target > s.options.Size && now-s.needAt >= s.options.Quiet {
 		s.needAt = now
 		before := s.target
-		if s.resize(max(s.target/growth, s.options.Size)); s.Scarce(sound) {
+		if s.resize(max(s.target-s.options.Size, s.options.Size)); s.Scarce(sound) {
 			s.resize(before)
 		}
 	}
