--- a/internal/decide/subset/subset.go
+++ b/internal/decide/subset/subset.go
@@ -31,8 +31,6 @@
 	spareShare = 1.0 / 8
 	// grownShare is as much of the places that need has added: what refuses is more likely to be one zone than the rest.
 	grownShare = 1.0 / 2
-	// growth is the factor by which a subset grows at once, and shrinks.
-	growth = 2
 )
 
 // Options say what one controller's subset is.
@@ -61,7 +59,7 @@
 	case o.Most < o.Size || o.Most > MaxSize:
 		return fmt.Errorf("most: %d is not from the size, %d, to %d", o.Most, o.Size, MaxSize)
 	case o.Quiet < 0:
-		return fmt.Errorf("quiet: %v is below zero", o.Quiet)
+		return fmt.Errorf("quiet_ms: %d is below 0", o.Quiet.Milliseconds())
 	}
 	return nil
 }
@@ -264,12 +262,13 @@
 	}
 }
 
-// Grow gives the subset more places, as it has dispatchers that refuse or are full. It reports whether that brought any dispatcher.
+// Grow gives the subset as many more places as it has without need, as it has dispatchers that refuse or are full. It reports whether that
+// brought any dispatcher.
 func (s *Subset) Grow(now time.Duration) bool {
 	s.needAt = now
 	before := s.chosen
 	for s.chosen == before && s.target < s.options.Most && s.target < s.Active() {
-		s.resize(min(growth*s.target, s.options.Most))
+		s.resize(min(s.target+s.options.Size, s.options.Most))
 	}
 	if s.chosen == before {
 		return false
@@ -281,9 +280,9 @@
 // Need notes that all places are still needed.
 func (s *Subset) Need(now time.Duration) { s.needAt = now }
 
-// Rest gives back what has not been needed for long: half of the places at a time, and groups that no call has had as first choice. Its
-// cost goes by the groups in use.
-func (s *Subset) Rest(now time.Duration) {
+// Rest gives back what has not been needed for long: what one growth has brought, and groups that no call has had as first choice. The
+// places stay needed while those that would remain are scarce. Its cost goes by the subset and the groups in use.
+func (s *Subset) Rest(now time.Duration, sound func(control.ServerID) bool) {
 	for group, c := range s.used {
 		if now-c.usedAt >= s.options.Quiet {
 			s.disuse(group)
@@ -291,8 +290,25 @@
 	}
 	if s.target > s.options.Size && now-s.needAt >= s.options.Quiet {
 		s.needAt = now
-		s.resize(max(s.target/growth, s.options.Size))
+		before := s.target
+		if s.resize(max(s.target-s.options.Size, s.options.Size)); s.Scarce(sound) {
+			s.resize(before)
+		}
+	}
+}
+
+// Scarce reports whether sound holds for less than half as many dispatchers as the subset has without need, or as are listed if that is
+// less. Places of groups in use don't count. Its cost goes by the subset.
+func (s *Subset) Scarce(sound func(control.ServerID) bool) bool {
+	n := 0
+	for _, r := range []*ranking{s.near, s.far} {
+		for _, o := range r.chosen.all {
+			if sound(o.member.ID) {
+				n++
+			}
+		}
 	}
+	return 2*n < min(s.options.Size, s.Active())
 }
 
 // Resting reports whether there is nothing to give back.
@@ -331,10 +347,12 @@
 	return m != nil && m.places > 0
 }
 
-// HasCell reports whether a dispatcher of the group is in the subset.
-func (s *Subset) HasCell(group int) bool {
-	c := s.cells[group]
-	return c != nil && c.inSubset > 0
+// InCell is the number of dispatchers of the group that are in the subset.
+func (s *Subset) InCell(group int) int {
+	if c := s.cells[group]; c != nil {
+		return c.inSubset
+	}
+	return 0
 }
 
 // Listed is the number of dispatchers in the list.
