--- a/cmd/cherryrelay-lab/main.go
+++ b/cmd/cherryrelay-lab/main.go
@@ -19,6 +19,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/spf13/cobra"
 
+	"cherryrelay/internal/capacity"
 	"cherryrelay/internal/store"
 	"cherryrelay/internal/trial"
 )
@@ -40,6 +41,7 @@
 		CompletionOptions: cobra.CompletionOptions{DisableDefaultCmd: true},
 	}
 	c.AddCommand(trialCommand(), storeCommand())
+	c.AddCommand(capacity.Command())
 	return c
 }
 
--- /dev/null
+++ b/cmd/cherryrelay/capacity_test.go
@@ -0,0 +1,74 @@
+package main
+
+import (
+	"encoding/json"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"cherryrelay/internal/capacity"
+)
+
+// measure runs "cherryrelay-lab capacity" with this program as the controller.
+func measure(t *testing.T, line string) capacity.Report {
+	t.Helper()
+	t.Setenv(asProgram, "1")
+	path := filepath.Join(t.TempDir(), "report.json")
+	c := capacity.Command()
+	c.SetArgs(append(strings.Fields(line), "--plays", "1", "--json", path, "--program", os.Args[0]))
+	c.SetOut(io.Discard)
+	c.SetErr(io.Discard)
+	if err := c.ExecuteContext(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var r capacity.Report
+	if err := json.Unmarshal(text, &r); err != nil {
+		t.Fatal(err)
+	}
+	for _, s := range r.Samples {
+		if s.Error != "" {
+			t.Fatalf("size %d: %s", s.Size, s.Error)
+		}
+	}
+	return r
+}
+
+// slope is that of a figure.
+func slope(t *testing.T, r capacity.Report, figure string) float64 {
+	t.Helper()
+	for _, f := range r.Fits {
+		if f.Figure == figure {
+			return f.Slope
+		}
+	}
+	t.Fatalf("%s is not measured", figure)
+	return 0
+}
+
+// TestCapacityOfAShortList: a list of few dispatchers costs a connection and a descriptor each, and its entries have the size that
+// docs/CAPACITY.md counts on. An event that changes one of them does not grow with the list.
+func TestCapacityOfAShortList(t *testing.T) {
+	r := measure(t, "idle-live --sizes 20,50 --lasting 200ms")
+	for _, figure := range []string{"connections", "descriptors"} {
+		if got := slope(t, r, figure); got < 0.99 || got > 1.01 {
+			t.Errorf("%s: %v a dispatcher", figure, got)
+		}
+	}
+	if got := slope(t, r, "new connections"); got != 0 {
+		t.Errorf("%v new connections a second and dispatcher at rest", got)
+	}
+	r = measure(t, "whole-list --sizes 20,50 --lasting 200ms")
+	if got := slope(t, r, "bytes"); got < 100 || got > 200 {
+		t.Errorf("%v bytes an entry", got)
+	}
+	r = measure(t, "one-change --sizes 20,50 --lasting 200ms")
+	if got := slope(t, r, "bytes an event"); got < -1 || got > 1 {
+		t.Errorf("an event grows by %v bytes an entry of the list", got)
+	}
+}
--- /dev/null
+++ b/internal/capacity/capacity_test.go
@@ -0,0 +1,205 @@
+package capacity
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"math"
+	"net"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func near(a, b float64) bool { return math.Abs(a-b) <= 1e-6*max(1, math.Abs(a), math.Abs(b)) }
+
+func TestLeastSquares(t *testing.T) {
+	for name, c := range map[string]struct {
+		points []point
+		want   Line
+	}{
+		"none":           {nil, Line{}},
+		"one":            {[]point{{100, 7}}, Line{0, 7}},
+		"the same size":  {[]point{{100, 6}, {100, 8}}, Line{0, 7}},
+		"a line":         {[]point{{100, 117}, {300, 317}, {3000, 3017}}, Line{1, 17}},
+		"beside a line":  {[]point{{0, 1}, {0, 3}, {10, 21}, {10, 23}}, Line{2, 2}},
+		"three unequals": {[]point{{1, 2}, {2, 2}, {3, 5}}, Line{1.5, 0}},
+	} {
+		if got := leastSquares(c.points); !near(got.Slope, c.want.Slope) || !near(got.Offset, c.want.Offset) {
+			t.Errorf("%s: %+v, want %+v", name, got, c.want)
+		}
+	}
+}
+
+// TestFitOfALine: what lies on a line is found again, in whatever order it was played, and plays that agree have no spread.
+func TestFitOfALine(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		line := Line{rapid.Float64Range(-10, 10).Draw(t, "slope"), rapid.Float64Range(-100, 100).Draw(t, "offset")}
+		sizes := rapid.SliceOfNDistinct(rapid.IntRange(1, 5000), 2, 6, rapid.ID).Draw(t, "sizes")
+		var samples []Sample
+		for play := range rapid.IntRange(1, 3).Draw(t, "plays") {
+			for _, size := range sizes {
+				samples = append(samples, Sample{Size: size, Play: play + 1, Figures: []Figure{{"f", "", line.At(float64(size))}}})
+			}
+		}
+		samples = rapid.Permutation(samples).Draw(t, "order")
+		f := fits(samples)[0]
+		if !near(f.Slope, line.Slope) || !near(f.Offset, line.Offset) || !near(f.Spread.Least, f.Spread.Most) || len(f.AtSizes) != len(sizes) {
+			t.Fatalf("%+v, want %+v", f, line)
+		}
+	})
+}
+
+// TestSpreadHoldsTheSlope: the line over all plays of the same sizes lies between those of single plays.
+func TestSpreadHoldsTheSlope(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		sizes := rapid.SliceOfNDistinct(rapid.IntRange(1, 5000), 2, 5, rapid.ID).Draw(t, "sizes")
+		var samples []Sample
+		for play := range rapid.IntRange(1, 4).Draw(t, "plays") {
+			for _, size := range sizes {
+				samples = append(samples, Sample{Size: size, Play: play, Figures: []Figure{{"f", "", rapid.Float64Range(0, 1000).Draw(t, "value")}}})
+			}
+		}
+		f := fits(samples)[0]
+		const rounding = 1e-6
+		if f.Slope < f.Spread.Least-rounding || f.Slope > f.Spread.Most+rounding {
+			t.Fatalf("slope %v outside of %+v", f.Slope, f.Spread)
+		}
+	})
+}
+
+func TestFitsPassOverWhatFailed(t *testing.T) {
+	samples := []Sample{
+		{Size: 10, Play: 1, Figures: []Figure{{"a", "MB", 20}}}, {Size: 20, Play: 1, Error: "no"},
+		{Size: 30, Play: 1, Figures: []Figure{{"a", "MB", 60}, {"b", "", 1}}},
+	}
+	all := fits(samples)
+	if len(all) != 2 || all[0].Figure != "a" || !near(all[0].Slope, 2) || all[1].Figure != "b" || all[0].Sizes != (Range{10, 30}) {
+		t.Errorf("%+v", all)
+	}
+}
+
+func TestBounds(t *testing.T) {
+	if err := newBudget(1<<40, 1).check(); err != nil {
+		t.Errorf("within: %v", err)
+	}
+	if err := newBudget(1, 1).check(); !errors.Is(err, errMemory) {
+		t.Errorf("memory: %v", err)
+	}
+	b := newBudget(1<<40, 1)
+	b.add(os.Getppid())
+	if err := b.check(); !errors.Is(err, errProcesses) {
+		t.Errorf("processes: %v", err)
+	}
+	b.remove(os.Getppid())
+	if err := b.check(); err != nil {
+		t.Errorf("removed: %v", err)
+	}
+}
+
+// TestAPassedBoundEndsTheRun with one plain line, whatever is being measured.
+func TestAPassedBoundEndsTheRun(t *testing.T) {
+	m := Measurement{Name: "wait", play: func(ctx context.Context, _ *bench, _ int) ([]Figure, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}}
+	kept := 0
+	err := run(t.Context(), m, options{sizes: []int{1, 2}, plays: 1, processes: 8}, func(Sample) { kept++ })
+	if !errors.Is(err, errMemory) || strings.Contains(err.Error(), "\n") || kept > 0 {
+		t.Errorf("%v, %d samples", err, kept)
+	}
+}
+
+func TestBadArguments(t *testing.T) {
+	for line, want := range map[string]string{
+		"nothing":               `unknown measurement "nothing"`,
+		"idle-live --plays 0":   "--plays: at least 1",
+		"idle-live --sizes 0,5": "--sizes: at least 1 each",
+		"idle-live --lasting 0": "--lasting: above 0",
+		"":                      "accepts 1 arg(s), received 0",
+	} {
+		c := Command()
+		c.SilenceUsage, c.SilenceErrors = true, true
+		c.SetArgs(strings.Fields(line))
+		if err := c.ExecuteContext(t.Context()); err == nil || err.Error() != want {
+			t.Errorf("%q: %v, want %q", line, err, want)
+		}
+	}
+}
+
+// TestARelayedCall: calls over the plain relay are answered, each once, and counted.
+func TestARelayedCall(t *testing.T) {
+	target, err := echo()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer target.Close()
+	ctx, end := context.WithCancel(t.Context())
+	read, write := io.Pipe()
+	ended := make(chan error, 1)
+	go func() { ended <- relay(ctx, write, target.Addr().String()) }()
+	address, err := bufio.NewReader(read).ReadString('\n')
+	if err != nil {
+		t.Fatal(err)
+	}
+	l, err := newLoad(strings.TrimSpace(address), 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.close()
+	placed, err := l.place(ctx, 1000, 50*time.Millisecond)
+	if err != nil {
+		t.Fatal(err)
+	}
+	err = until(ctx, time.Minute, time.Millisecond, func() bool { answered, _ := l.counts(); return answered == placed })
+	if answered, refused := l.counts(); err != nil || placed != 50 || refused > 0 {
+		t.Errorf("%d placed, %d answered, %d refused: %v", placed, answered, refused, err)
+	}
+	if f := l.latency("relay"); len(f) != len(quantiles) || f[0].Value <= 0 || f[0].Value > f[3].Value {
+		t.Errorf("%+v", f)
+	}
+	end()
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
+
+// TestTheStreamsRate: a coordinator with a rate takes the time that its bytes need, and one without tells all numbers in order.
+func TestTheStreamsRate(t *testing.T) {
+	c, err := coordinate(1000)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.close()
+	size, err := c.publish(true, entries(0, refusing(3)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	begun := time.Now()
+	nc, err := net.Dial("tcp", c.at)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer nc.Close()
+	if _, err := io.WriteString(nc, "GET /v2/stream HTTP/1.1\r\nHost: x\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	var text []byte
+	chunk := make([]byte, 4096)
+	for !bytes.Contains(text, []byte(`"s-00000002"`)) { // the last of the list
+		n, err := nc.Read(chunk)
+		if err != nil {
+			t.Fatal(err)
+		}
+		text = append(text, chunk[:n]...)
+	}
+	const parts = 10 // of a second; the first is written at once, the last need not be whole
+	if least := time.Duration(size/(1000/parts)-2) * time.Second / parts; time.Since(begun) < least || !bytes.Contains(text, []byte("id: 1\n")) {
+		t.Errorf("%d bytes came within %v", size, time.Since(begun))
+	}
+}
--- /dev/null
+++ b/internal/capacity/command.go
@@ -0,0 +1,158 @@
+package capacity
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+)
+
+// options are the flags of the command.
+type options struct {
+	sizes     []int
+	plays     int
+	json      string
+	program   string
+	lasting   time.Duration
+	sockets   int
+	memoryMB  int64
+	processes int
+	at        int
+}
+
+// Command is "cherryrelay-lab capacity".
+func Command() *cobra.Command {
+	var o options
+	c := &cobra.Command{
+		Use: "capacity MEASUREMENT", Short: "Measure what one controller costs, as lines over a size",
+		Long: "Starts a controller beside stand-ins on loopback, measures it from outside at several sizes, and fits a line to each figure.\n" + list(),
+		Args: cobra.ExactArgs(1), RunE: func(c *cobra.Command, args []string) error { return o.run(c, args[0]) },
+	}
+	c.Flags().IntSliceVar(&o.sizes, "sizes", nil, "the sizes (else those of the measurement)")
+	c.Flags().IntVar(&o.plays, "plays", 3, "how often each size is played")
+	c.Flags().StringVar(&o.json, "json", "", "a file for all samples and lines")
+	c.Flags().StringVar(&o.program, "program", "", "the controller (else cherryrelay beside this program)")
+	c.Flags().DurationVar(&o.lasting, "lasting", 4*time.Second, "the window in which something is measured")
+	c.Flags().IntVar(&o.sockets, "sockets", 20_000, "limits.sockets of the controller")
+	c.Flags().Int64Var(&o.memoryMB, "memory-mb", 6144, "the bound on the memory of all processes together")
+	c.Flags().IntVar(&o.processes, "processes", 8, "the bound on processes")
+	c.Flags().IntVar(&o.at, "at", 0, "the size at which lines are shown, too (else that of the deployment)")
+	c.AddCommand(relayCommand())
+	return c
+}
+
+// list names the measurements.
+func list() string {
+	var b strings.Builder
+	w := tabwriter.NewWriter(&b, 0, 0, 2, ' ', 0)
+	for _, m := range measurements {
+		fmt.Fprintf(w, "  %s\t%s, by %s\n", m.Name, m.Short, m.SizeOf)
+	}
+	_ = w.Flush() // a builder takes everything
+	return b.String()
+}
+
+// Report is what the command writes as JSON.
+type Report struct {
+	Measurement string   `json:"measurement"`
+	SizeOf      string   `json:"size_of"`
+	Command     string   `json:"command"`
+	Begun       string   `json:"begun"`
+	Samples     []Sample `json:"samples"`
+	Fits        []Fit    `json:"fits"`
+}
+
+func (o *options) check() error {
+	switch {
+	case o.plays < 1:
+		return errors.New("--plays: at least 1")
+	case o.lasting <= 0:
+		return errors.New("--lasting: above 0")
+	}
+	for _, size := range o.sizes {
+		if size < 1 {
+			return errors.New("--sizes: at least 1 each")
+		}
+	}
+	return nil
+}
+
+func (o *options) run(c *cobra.Command, name string) error {
+	m, err := find(name)
+	if err != nil {
+		return err
+	}
+	if err := o.check(); err != nil {
+		return err
+	}
+	if len(o.sizes) == 0 {
+		o.sizes = m.Sizes
+	}
+	if o.program == "" {
+		own, err := ownProgram()
+		if err != nil {
+			return err
+		}
+		o.program = filepath.Join(filepath.Dir(own), "cherryrelay")
+	}
+	r := Report{Measurement: m.Name, SizeOf: m.SizeOf, Command: o.repeat(m), Begun: time.Now().UTC().Format(time.RFC3339)}
+	err = run(c.Context(), m, *o, func(s Sample) {
+		r.Samples = append(r.Samples, s)
+		progress(c.ErrOrStderr(), s)
+	})
+	if o.at == 0 {
+		o.at = m.At
+	}
+	r.Fits = fits(r.Samples)
+	printFits(c.OutOrStdout(), r, o.at)
+	if o.json != "" {
+		err = errors.Join(err, r.write(o.json))
+	}
+	return err
+}
+
+// repeat is the line that measures the same again.
+func (o *options) repeat(m Measurement) string {
+	var sizes []string
+	for _, s := range o.sizes {
+		sizes = append(sizes, strconv.Itoa(s))
+	}
+	return fmt.Sprintf("bin/cherryrelay-lab capacity %s --sizes %s --plays %d --lasting %v --sockets %d", m.Name, strings.Join(sizes, ","), o.plays, o.lasting, o.sockets)
+}
+
+func (r Report) write(path string) error {
+	text, err := json.Marshal(r)
+	if err != nil {
+		return fmt.Errorf("capacity: %w", err)
+	}
+	return os.WriteFile(path, append(text, '\n'), 0o644) //nolint:wrapcheck // it says what it is
+}
+
+// printFits writes the lines as a table, and what gave nothing.
+func printFits(out io.Writer, r Report, at int) {
+	fmt.Fprintf(out, "%s, by %s; repeat with: %s\n", r.Measurement, r.SizeOf, r.Command)
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(w, "figure\tunit\tslope\tspread\toffset\tat %d\tresidual\tmedian (least to most) by size\n", at)
+	for _, f := range r.Fits {
+		fmt.Fprintf(w, "%s\t%s\t%.4g\t%.4g to %.4g\t%.4g\t%.4g\t%.0f%%\t", f.Figure, f.Unit, f.Slope, f.Spread.Least, f.Spread.Most, f.Offset,
+			Line{Slope: f.Slope, Offset: f.Offset}.At(float64(at)), 100*f.Residual)
+		for _, row := range f.AtSizes {
+			fmt.Fprintf(w, "%d: %.4g (%.4g to %.4g)  ", row.Size, row.Median, row.Range.Least, row.Range.Most)
+		}
+		fmt.Fprintln(w)
+	}
+	_ = w.Flush() // to a terminal or a file that is full nothing can be told
+	for _, s := range r.Samples {
+		if s.Error != "" {
+			fmt.Fprintf(out, "size %d, play %d failed: %s\n", s.Size, s.Play, s.Error)
+		}
+	}
+}
--- /dev/null
+++ b/internal/capacity/dispatchers.go
@@ -0,0 +1,148 @@
+package capacity
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+
+	"cherryrelay/internal/ring"
+	"cherryrelay/internal/sip"
+)
+
+// report is the state that every stand-in of a dispatcher tells: it is never full.
+const report = "x0:1000000;x1:1000000"
+
+// linkBuffer holds the messages of one connection. Those of the measurements are below 1 KiB.
+const linkBuffer = 4 << 10
+
+// dispatchers are stand-ins at an address each, that answer every set-up at once. They cost little memory, so there can be thousands;
+// internal/peer has the one whose every step a test scripts.
+type dispatchers struct {
+	listeners []net.Listener
+
+	mu    sync.Mutex
+	links map[net.Conn]bool
+
+	open, accepted, setUps, messages, bytes atomic.Int64
+}
+
+// dispatch opens so many dispatchers.
+func dispatch(n int) (*dispatchers, error) {
+	d := &dispatchers{links: map[net.Conn]bool{}}
+	for range n {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, errors.Join(fmt.Errorf("capacity: dispatcher: %w", err), d.close())
+		}
+		d.listeners = append(d.listeners, ln)
+		go d.accept(ln)
+	}
+	return d, nil
+}
+
+// addresses are where they listen.
+func (d *dispatchers) addresses() []string {
+	var all []string
+	for _, ln := range d.listeners {
+		all = append(all, ln.Addr().String())
+	}
+	return all
+}
+
+func (d *dispatchers) close() error {
+	var err error
+	for _, ln := range d.listeners {
+		err = errors.Join(err, ln.Close())
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for link := range d.links {
+		err = errors.Join(err, link.Close())
+	}
+	return err
+}
+
+func (d *dispatchers) accept(ln net.Listener) {
+	for {
+		link, err := ln.Accept()
+		if err != nil {
+			return // closed
+		}
+		d.mu.Lock()
+		d.links[link] = true
+		d.mu.Unlock()
+		d.open.Add(1)
+		d.accepted.Add(1)
+		go func() {
+			d.serve(link)
+			_ = link.Close()
+			d.open.Add(-1)
+			d.mu.Lock()
+			delete(d.links, link)
+			d.mu.Unlock()
+		}()
+	}
+}
+
+// serve answers what comes on a connection until it ends.
+func (d *dispatchers) serve(link net.Conn) {
+	state := sip.Append(nil, &sip.Message{Method: "NOTIFY", URI: "sip:state@net", CallID: "state", Seq: 1, SeqOf: "NOTIFY",
+		Headers: []sip.Header{{Name: "P-Report", Value: report}}})
+	if _, err := link.Write(state); err != nil {
+		return
+	}
+	in, chunk := ring.New(linkBuffer), make([]byte, linkBuffer/2)
+	var decoder sip.Decoder
+	for {
+		n, err := link.Read(chunk[:min(len(chunk), in.Free())])
+		if err != nil {
+			return
+		}
+		d.bytes.Add(int64(n))
+		in.Write(chunk[:n])
+		for {
+			m, err := decoder.Next(in)
+			if err != nil {
+				return
+			}
+			if m == nil {
+				break
+			}
+			d.messages.Add(1)
+			if answer := d.answer(m); answer != nil {
+				if _, err := link.Write(answer); err != nil {
+					return
+				}
+			}
+		}
+	}
+}
+
+// answer is what a dispatcher says to a message; nil for nothing.
+func (d *dispatchers) answer(m *sip.Message) []byte {
+	reply := &sip.Message{Status: 200, Phrase: "OK", CallID: m.CallID, Seq: m.Seq, SeqOf: m.Method}
+	switch m.Method {
+	case "INVITE":
+		d.setUps.Add(1)
+		reply.Body = m.Body
+	case "OPTIONS":
+		reply.Headers = []sip.Header{{Name: "P-Report", Value: report}}
+	case "BYE":
+	default:
+		return nil
+	}
+	return sip.Append(nil, reply)
+}
+
+// refusing are addresses of loopback at which nobody listens: connections are refused at once.
+func refusing(n int) []string {
+	const closedPort = 9 // of the discard service, which runs nowhere by now
+	var all []string
+	for i := range n {
+		address := net.IPv4(127, 77, byte(i>>8), byte(i)) // over 65,536 there are none
+		all = append(all, net.JoinHostPort(address.String(), fmt.Sprint(closedPort)))
+	}
+	return all
+}
--- /dev/null
+++ b/internal/capacity/fit.go
@@ -0,0 +1,122 @@
+package capacity
+
+import (
+	"math"
+	"slices"
+)
+
+// Line is a straight line through samples: value = Offset + Slope x size.
+type Line struct {
+	Slope, Offset float64
+}
+
+// At is the line's value at a size.
+func (l Line) At(size float64) float64 { return l.Offset + l.Slope*size }
+
+// point is a value at a size.
+type point struct{ size, value float64 }
+
+// leastSquares is the line with the least sum of squared distances. Of sizes that are all the same it is flat, at the mean.
+func leastSquares(points []point) Line {
+	if len(points) == 0 {
+		return Line{}
+	}
+	n := float64(len(points))
+	var sumSize, sumValue float64
+	for _, p := range points {
+		sumSize += p.size
+		sumValue += p.value
+	}
+	meanSize, meanValue := sumSize/n, sumValue/n
+	var covariance, variance float64
+	for _, p := range points {
+		covariance += (p.size - meanSize) * (p.value - meanValue)
+		variance += (p.size - meanSize) * (p.size - meanSize)
+	}
+	if variance == 0 {
+		return Line{Offset: meanValue}
+	}
+	slope := covariance / variance
+	return Line{Slope: slope, Offset: meanValue - slope*meanSize}
+}
+
+// Range is the least and the greatest of some values.
+type Range struct {
+	Least float64 `json:"least"`
+	Most  float64 `json:"most"`
+}
+
+// Fit is the line of one figure over all plays, and how far the lines of single plays lie apart.
+type Fit struct {
+	Figure string  `json:"figure"`
+	Unit   string  `json:"unit"`
+	Slope  float64 `json:"slope"`
+	Offset float64 `json:"offset"`
+	Spread Range   `json:"spread"` // slopes of single plays
+	Sizes  Range   `json:"sizes"`
+	Plays  int     `json:"plays"`
+	// Residual is the greatest distance of a sample from the line, as a part of the line's value at the greatest size.
+	Residual float64 `json:"residual"`
+	AtSizes  []Row   `json:"at_sizes"`
+}
+
+// Row is what a figure was at one size.
+type Row struct {
+	Size   int     `json:"size"`
+	Median float64 `json:"median"`
+	Range  Range   `json:"range"`
+}
+
+// fits are the lines of all figures, in the order in which the figures first come.
+func fits(samples []Sample) []Fit {
+	var all []Fit
+	for _, s := range samples {
+		for _, f := range s.Figures {
+			if !slices.ContainsFunc(all, func(o Fit) bool { return o.Figure == f.Name }) {
+				all = append(all, fit(samples, f))
+			}
+		}
+	}
+	return all
+}
+
+// fit is the line of one figure.
+func fit(samples []Sample, figure Figure) Fit {
+	var points []point
+	byPlay, bySize := map[int][]point{}, map[int][]float64{}
+	for _, s := range samples {
+		for _, f := range s.Figures {
+			if f.Name != figure.Name {
+				continue
+			}
+			p := point{float64(s.Size), f.Value}
+			points = append(points, p)
+			byPlay[s.Play] = append(byPlay[s.Play], p)
+			bySize[s.Size] = append(bySize[s.Size], f.Value)
+		}
+	}
+	line := leastSquares(points)
+	result := Fit{Figure: figure.Name, Unit: figure.Unit, Slope: line.Slope, Offset: line.Offset, Plays: len(byPlay)}
+	var slopes, sizes []float64
+	for _, ps := range byPlay {
+		slopes = append(slopes, leastSquares(ps).Slope)
+	}
+	for size, values := range bySize {
+		slices.Sort(values)
+		sizes = append(sizes, float64(size))
+		result.AtSizes = append(result.AtSizes, Row{Size: size, Median: values[len(values)/2], Range: rangeOf(values)})
+	}
+	slices.SortFunc(result.AtSizes, func(a, b Row) int { return a.Size - b.Size })
+	result.Spread, result.Sizes = rangeOf(slopes), rangeOf(sizes)
+	top := math.Abs(line.At(result.Sizes.Most))
+	for _, p := range points {
+		if top > 0 {
+			result.Residual = max(result.Residual, math.Abs(p.value-line.At(p.size))/top)
+		}
+	}
+	return result
+}
+
+func rangeOf(values []float64) Range {
+	return Range{Least: slices.Min(values), Most: slices.Max(values)}
+}
