--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -58,10 +58,12 @@
 	{"one-change", "events that change one dispatcher of the list", "dispatchers", []int{100, 300, 1000, 3000}, deploymentSize, playOneChange},
 	{"replace", "one event that replaces the whole list, and how long the event loop is held", "dispatchers", []int{100, 300, 1000, 3000}, deploymentSize, playReplace},
 	{"reload", "SIGHUP with a list in force", "dispatchers", []int{100, 300, 1000, 3000}, deploymentSize, playReload},
+	{"reports", "states that 200 dispatchers tell unasked", "reports a second", []int{100, 300, 1000, 3000}, deploymentSize, playReports},
 	{"calls", "calls set up, answered and released, turn about with a plain relay", "calls a second", []int{90, 1000}, deploymentPace, playCalls},
 	{"decisions", "200 calls a second, by the length of the list", "dispatchers", []int{10, 100, 1000, 3000}, deploymentSize, playDecisions},
 	{"ledger", "calls kept in a ledger, by how it is synced", "calls a second", []int{100, 300, 1000}, deploymentPace, playLedger},
 	{"members", "members of a fleet at one store, at rest", "members", []int{50, 100, 200, 400}, deploymentSize, playMembers},
+	{"ledgers", "a controller that looks at the ledgers of others, which live", "ledgers", []int{100, 300, 1000, 3000}, deploymentSize, playLedgers},
 	{"takeover", "the ledger of a lost controller taken over by another", "calls", []int{100, 1000, 10_000}, deploymentStanding, playTakeover},
 }
 
--- a/internal/capacity/dispatchers.go
+++ b/internal/capacity/dispatchers.go
@@ -3,7 +3,9 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 
@@ -120,6 +122,21 @@
 	}
 }
 
+// tell sends the state of the dispatcher on one of its connections, unasked.
+func tell(link net.Conn, number int) error {
+	text := sip.Append(nil, &sip.Message{Method: "NOTIFY", URI: "sip:state@net", CallID: "state", Seq: 1, SeqOf: "NOTIFY",
+		Headers: []sip.Header{{Name: "P-Report", Value: fmt.Sprintf("x0:%d;x1:1000000", 1_000_000-number%1000)}}})
+	_, err := link.Write(text)
+	return err //nolint:wrapcheck // it says what it is
+}
+
+// connections are those that are open.
+func (d *dispatchers) connections() []net.Conn {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.Collect(maps.Keys(d.links))
+}
+
 // answer is what a dispatcher says to a message; nil for nothing.
 func (d *dispatchers) answer(m *sip.Message) []byte {
 	reply := &sip.Message{Status: 200, Phrase: "OK", CallID: m.CallID, Seq: m.Seq, SeqOf: m.Method}
--- a/internal/capacity/fleet.go
+++ b/internal/capacity/fleet.go
@@ -146,6 +146,50 @@
 	return append(figures, Figure{"one joins: known to all after", "ms", milliseconds(known)}, Figure{"one joins: bytes", "", max(more, 0)}), nil
 }
 
+// operator is the part of a controller's file for this fleet.
+func (f *fleet) operator() string {
+	return fmt.Sprintf("[fleet]\nendpoints = %s\nprefix = %s\nledgers = ledgers\n[ledger]\ndirectory = ledgers/n1\nlines = true\n", f.address, prefix)
+}
+
+// playLedgers has a controller watch the ledgers of others, whose owners live.
+func playLedgers(ctx context.Context, b *bench, size int) ([]Figure, error) {
+	f, err := newFleet()
+	if err != nil {
+		return nil, err
+	}
+	defer f.close()
+	for i := range size {
+		disk, err := ledger.Directory(filepath.Join(b.directory, "ledgers", fmt.Sprintf("other%d", i)))
+		if err != nil {
+			return nil, err //nolint:wrapcheck // it says what it is
+		}
+		defer disk.Close()
+	}
+	d, err := dispatch(1)
+	if err != nil {
+		return nil, err
+	}
+	defer d.close()
+	c, err := b.control(ctx, site{known: entries(0, d.addresses()), operator: f.operator()})
+	if err != nil {
+		return nil, err
+	}
+	defer c.stop()
+	if err := errors.Join(c.ready(ctx), pause(ctx, b.settleFor())); err != nil {
+		return nil, err
+	}
+	share, err := c.share(ctx, b.lasting)
+	if err != nil {
+		return nil, err
+	}
+	var shown takeover.Shown
+	_, text, err := c.ask(ctx, takeover.Path)
+	if err := errors.Join(err, json.Unmarshal(text, &shown)); err != nil {
+		return nil, err
+	}
+	return c.withHoldings([]Figure{{"processor", "% of a core", share}, {"a look takes", "ms", float64(shown.LookMs)}, {"ledgers taken that live", "", float64(shown.Sealed)}})
+}
+
 // lostName is the controller whose ledger is taken over.
 const lostName = "n0"
 
@@ -207,8 +251,7 @@
 	if err != nil {
 		return nil, err
 	}
-	operator := fmt.Sprintf("[fleet]\nendpoints = %s\nprefix = %s\nledgers = ledgers\n[ledger]\ndirectory = ledgers/n1\nlines = true\n", f.address, prefix)
-	c, err := b.control(ctx, site{known: listed, operator: operator})
+	c, err := b.control(ctx, site{known: listed, operator: f.operator()})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/capacity/lists.go
+++ b/internal/capacity/lists.go
@@ -406,3 +406,47 @@
 		{"processor a reload", "ms", milliseconds(used) / times},
 	}, nil
 }
+
+// reporting is how many dispatchers tell their state where reports are measured.
+const reporting = 200
+
+// playReports has dispatchers tell their state unasked, so many a second in all.
+func playReports(ctx context.Context, b *bench, size int) ([]Figure, error) {
+	f, err := b.follow(ctx, reporting, 0, 0)
+	if err != nil {
+		return nil, err
+	}
+	defer f.close()
+	idle, err := f.share(ctx, b.lasting)
+	if err != nil {
+		return nil, err
+	}
+	links := f.dispatchers.connections()
+	if len(links) == 0 {
+		return nil, errors.New("capacity: no connections to tell a state on")
+	}
+	told := 0
+	used, took, err := f.cpuDuring(func() error {
+		for begun := time.Now(); time.Since(begun) < b.lasting; {
+			due := int(time.Since(begun).Seconds() * float64(size))
+			for ; told < due; told++ {
+				if err := tell(links[told%len(links)], told); err != nil {
+					return err
+				}
+			}
+			if err := pause(ctx, time.Millisecond); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+	if err != nil {
+		return nil, err
+	}
+	share := 100 * used.Seconds() / took.Seconds()
+	return []Figure{
+		{"processor", "% of a core", share},
+		{"processor a report", "us", 1e6 * (share - idle) / 100 * took.Seconds() / float64(max(told, 1))},
+		{"reports told", "a second", float64(told) / took.Seconds()},
+	}, nil
+}
