--- a/internal/capacity/calls.go
+++ b/internal/capacity/calls.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strings"
 	"time"
 )
 
@@ -42,22 +43,27 @@
 		return nil, err
 	}
 	_, refused := w.counts()
-	return append(w.latency(name),
+	return append(append(w.latency(name), w.passage(name)...),
 		Figure{name + " processor a call", "us", float64(w.used.Microseconds()) / float64(max(w.placed, 1))},
 		Figure{name + " calls not answered", "", float64(left + refused)}), nil
 }
 
 // playCalls sends calls through the controller and through a plain relay, turn about.
 func playCalls(ctx context.Context, b *bench, size int) ([]Figure, error) {
-	f, err := b.follow(ctx, callDispatchers, 0, 0)
+	controlled, relayed := &way{load: newLoad(0)}, &way{load: newLoad(firstRelayed)}
+	defer controlled.load.close()
+	defer relayed.load.close()
+	d, err := dispatchStamped(callDispatchers, controlled.arrived)
 	if err != nil {
 		return nil, err
 	}
-	defer f.close()
-	if err := f.ready(ctx); err != nil {
+	defer d.close()
+	c, err := b.control(ctx, site{known: entries(0, d.addresses())})
+	if err != nil {
 		return nil, err
 	}
-	target, err := echo()
+	defer c.stop()
+	target, err := echo(relayed.arrived)
 	if err != nil {
 		return nil, err
 	}
@@ -67,15 +73,11 @@
 		return nil, err
 	}
 	defer relaying.stop()
-	controlled, relayed := &way{process: f.process}, &way{process: relaying}
-	if controlled.load, err = newLoad(f.lines, 0); err != nil {
-		return nil, err
-	}
-	defer controlled.load.close()
-	if relayed.load, err = newLoad(address, firstRelayed); err != nil {
+	controlled.process, relayed.process = c.process, relaying
+	err = errors.Join(c.ready(ctx), pause(ctx, b.settleFor()))
+	if err := errors.Join(err, controlled.connect(c.lines), relayed.connect(address)); err != nil {
 		return nil, err
 	}
-	defer relayed.load.close()
 	for begun := time.Now(); time.Since(begun) < 2*b.lasting; {
 		if err := errors.Join(controlled.takeTurn(ctx, size), relayed.takeTurn(ctx, size)); err != nil {
 			return nil, err
@@ -86,10 +88,17 @@
 		return nil, err
 	}
 	more, err := relayed.figures(ctx, "relay")
-	for i, q := range quantiles { // both begin with the quantiles
-		figures = append(figures, Figure{fmt.Sprintf("p%.0f above the relay's", q), "ms", figures[i].Value - more[i].Value})
-	}
-	return append(figures, more...), err
+	return append(append(figures, above(figures, more)...), more...), err
+}
+
+// above are the differences of all quantiles, which come first and in the same order.
+func above(figures, less []Figure) []Figure {
+	var all []Figure
+	for i := range 2 * len(quantiles) {
+		name := strings.TrimPrefix(figures[i].Name, "controller ") + " above the relay's"
+		all = append(all, Figure{name, figures[i].Unit, figures[i].Value - less[i].Value})
+	}
+	return all
 }
 
 // decisionsPace is that of calls where the list's length is what is measured.
@@ -109,8 +118,8 @@
 	if err != nil {
 		return nil, err
 	}
-	l, err := newLoad(f.lines, 0)
-	if err != nil {
+	l := newLoad(0)
+	if err := l.connect(f.lines); err != nil {
 		return nil, err
 	}
 	defer l.close()
@@ -163,8 +172,8 @@
 	if err := c.ready(ctx); err != nil {
 		return nil, err
 	}
-	l, err := newLoad(c.lines, 0)
-	if err != nil {
+	l := newLoad(0)
+	if err := l.connect(c.lines); err != nil {
 		return nil, err
 	}
 	defer l.close()
--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -54,7 +54,7 @@
 	{"idle-refusing", "listed dispatchers that refuse connections, no calls: processor and dials", "dispatchers", []int{100, 300, 1000, 3000}, deploymentSize, playIdleRefusing},
 	{"start", "start with a pool file: processor time and time until the list is known", "dispatchers", []int{300, 1000, 3000, 10_000}, deploymentSize, playStart},
 	{"whole-list", "one event with the whole list over the coordinator's stream", "dispatchers", []int{100, 300, 1000, 3000}, deploymentSize, playWholeList},
-	{"slow-list", "one event with the whole list, at 16 KB a second", "dispatchers", []int{50, 100, 150, 200}, deploymentSize, playSlowList},
+	{"slow-list", "one event with the whole list, at 16 KB a second", "dispatchers", []int{50, 100, 200, 300}, deploymentSize, playSlowList},
 	{"one-change", "events that change one dispatcher of the list", "dispatchers", []int{100, 300, 1000, 3000}, deploymentSize, playOneChange},
 	{"replace", "one event that replaces the whole list, and how long the event loop is held", "dispatchers", []int{100, 300, 1000, 3000}, deploymentSize, playReplace},
 	{"reload", "SIGHUP with a list in force", "dispatchers", []int{100, 300, 1000, 3000}, deploymentSize, playReload},
--- a/internal/capacity/dispatchers.go
+++ b/internal/capacity/dispatchers.go
@@ -8,6 +8,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"cherryrelay/internal/ring"
 	"cherryrelay/internal/sip"
@@ -23,6 +24,8 @@
 // internal/peer has the one whose every step a test scripts.
 type dispatchers struct {
 	listeners []net.Listener
+	// arrived is told of each set-up and when the kernel took it in; nil for nobody. It does not change once there are connections.
+	arrived func(id string, at time.Time)
 
 	mu    sync.Mutex
 	links map[net.Conn]bool
@@ -31,8 +34,11 @@
 }
 
 // dispatch opens so many dispatchers.
-func dispatch(n int) (*dispatchers, error) {
-	d := &dispatchers{links: map[net.Conn]bool{}}
+func dispatch(n int) (*dispatchers, error) { return dispatchStamped(n, nil) }
+
+// dispatchStamped is dispatch with somebody who is told of set-ups.
+func dispatchStamped(n int, arrived func(id string, at time.Time)) (*dispatchers, error) {
+	d := &dispatchers{links: map[net.Conn]bool{}, arrived: arrived}
 	for range n {
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
@@ -95,10 +101,14 @@
 	if _, err := link.Write(state); err != nil {
 		return
 	}
+	read, err := d.reader(link)
+	if err != nil {
+		return
+	}
 	in, chunk := ring.New(linkBuffer), make([]byte, linkBuffer/2)
 	var decoder sip.Decoder
 	for {
-		n, err := link.Read(chunk[:min(len(chunk), in.Free())])
+		n, at, err := read(chunk[:min(len(chunk), in.Free())])
 		if err != nil {
 			return
 		}
@@ -113,6 +123,9 @@
 				break
 			}
 			d.messages.Add(1)
+			if d.arrived != nil && m.Method == "INVITE" {
+				d.arrived(m.CallID, at)
+			}
 			if answer := d.answer(m); answer != nil {
 				if _, err := link.Write(answer); err != nil {
 					return
@@ -122,6 +135,21 @@
 	}
 }
 
+// reader reads from a connection, with stamps where somebody is told of them.
+func (d *dispatchers) reader(link net.Conn) (func(p []byte) (int, time.Time, error), error) {
+	if d.arrived == nil {
+		return func(p []byte) (int, time.Time, error) {
+			n, err := link.Read(p)
+			return n, time.Time{}, err //nolint:wrapcheck // as any connection's
+		}, nil
+	}
+	r, err := stamped(link)
+	if err != nil {
+		return nil, err
+	}
+	return r.read, nil
+}
+
 // tell sends the state of the dispatcher on one of its connections, unasked.
 func tell(link net.Conn, number int) error {
 	text := sip.Append(nil, &sip.Message{Method: "NOTIFY", URI: "sip:state@net", CallID: "state", Seq: 1, SeqOf: "NOTIFY",
--- a/internal/capacity/lists.go
+++ b/internal/capacity/lists.go
@@ -262,6 +262,9 @@
 // slowRate is what the deployment allows a controller for control, in bytes a second.
 const slowRate = 16 << 10
 
+// slowWithin is how long it is waited for there: twice the time in which a change is to be in force.
+const slowWithin = 10 * time.Second
+
 // playSlowList has a whole list come at the rate that the deployment allows.
 func playSlowList(ctx context.Context, b *bench, size int) ([]Figure, error) {
 	f, err := b.follow(ctx, 1, size, slowRate)
@@ -276,7 +279,7 @@
 		return nil, err
 	}
 	arrived := 1.0
-	err = f.knows(ctx, size, eventWithin)
+	err = f.knows(ctx, size, slowWithin)
 	took := time.Since(begun)
 	if errors.Is(err, errTimeout) {
 		arrived, err = 0, nil
--- a/internal/capacity/load.go
+++ b/internal/capacity/load.go
@@ -36,23 +36,39 @@
 	mu        sync.Mutex
 	sent      map[string]time.Time // calls without an answer
 	latencies *hdrhistogram.Histogram
+	passages  *hdrhistogram.Histogram // from a caller's write to the write towards the dispatcher
 	answered  int
 	refused   int
 }
 
-// newLoad connects callers to an address. Numbers of calls begin at first.
-func newLoad(address string, first int) (*load, error) {
-	l := &load{next: first, sent: map[string]time.Time{}, latencies: hdrhistogram.New(1, longestLatency, 3)}
+// newLoad is a load without callers. Numbers of calls begin at first.
+func newLoad(first int) *load {
+	const digits = 3
+	return &load{next: first, sent: map[string]time.Time{}, latencies: hdrhistogram.New(1, longestLatency, digits),
+		passages: hdrhistogram.New(1, longestLatency, digits)}
+}
+
+// connect connects callers to an address.
+func (l *load) connect(address string) error {
 	for range callerConnections {
 		c, err := peer.Call("tcp", address)
 		if err != nil {
 			l.close()
-			return nil, err //nolint:wrapcheck // it says what it is
+			return err //nolint:wrapcheck // it says what it is
 		}
 		l.callers = append(l.callers, c)
 		go l.hear(c)
 	}
-	return l, nil
+	return nil
+}
+
+// arrived takes in when a set-up was written towards its dispatcher.
+func (l *load) arrived(id string, at time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if sent, open := l.sent[id]; open && !at.IsZero() {
+		_ = l.passages.RecordValue(max(at.UnixMicro()-sent.UnixMicro(), 1)) // beyond a minute nobody waits
+	}
 }
 
 func (l *load) close() {
@@ -127,13 +143,20 @@
 // quantiles that are told of latencies.
 var quantiles = []float64{50, 90, 95, 99}
 
-// latency tells the quantiles in milliseconds, each under a name that begins like that.
-func (l *load) latency(name string) []Figure {
+// latency tells the quantiles from set-up to answer in milliseconds, each under a name that begins like that.
+func (l *load) latency(name string) []Figure { return l.quantilesOf(name, l.latencies) }
+
+// passage tells those from the caller's write to the write towards the dispatcher.
+func (l *load) passage(name string) []Figure {
+	return l.quantilesOf(name+" set-up passed on", l.passages)
+}
+
+func (l *load) quantilesOf(name string, h *hdrhistogram.Histogram) []Figure {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var figures []Figure
 	for _, q := range quantiles {
-		figures = append(figures, Figure{fmt.Sprintf("%s p%.0f", name, q), "ms", float64(l.latencies.ValueAtQuantile(q)) / 1000})
+		figures = append(figures, Figure{fmt.Sprintf("%s p%.0f", name, q), "ms", float64(h.ValueAtQuantile(q)) / 1000})
 	}
 	return figures
 }
--- a/internal/capacity/relay.go
+++ b/internal/capacity/relay.go
@@ -7,10 +7,12 @@
 	"io"
 	"net"
 	"strings"
+	"time"
 
 	"github.com/spf13/cobra"
 
 	"cherryrelay/internal/jsonl"
+	"cherryrelay/internal/ring"
 )
 
 // relayCommand runs the plain relay that calls are held against, as a process of its own.
@@ -63,8 +65,8 @@
 	}
 }
 
-// echo is a server that answers every set-up that comes as a JSON line, as a dispatcher would.
-func echo() (net.Listener, error) {
+// echo is a server that answers every set-up that comes as a JSON line, as a dispatcher would. It tells when the kernel took each in.
+func echo(arrived func(id string, at time.Time)) (net.Listener, error) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, fmt.Errorf("capacity: echo: %w", err)
@@ -75,29 +77,45 @@
 			if err != nil {
 				return // closed
 			}
-			go answerLines(c)
+			go answerLines(c, arrived)
 		}
 	}()
 	return ln, nil
 }
 
-func answerLines(c net.Conn) {
+func answerLines(c net.Conn, arrived func(id string, at time.Time)) {
 	defer c.Close()
-	lines := bufio.NewScanner(c)
-	for lines.Scan() {
-		m, err := jsonl.Parse(lines.Bytes())
-		if err != nil {
-			return
-		}
-		if m.Type != "setup" {
-			continue
-		}
-		text, err := jsonl.Append(nil, jsonl.Message{Type: "answer", ID: m.ID, SDP: m.SDP})
+	r, err := stamped(c)
+	if err != nil {
+		return
+	}
+	in, chunk := ring.New(linkBuffer), make([]byte, linkBuffer/2)
+	var decoder jsonl.Decoder
+	for {
+		n, at, err := r.read(chunk[:min(len(chunk), in.Free())])
 		if err != nil {
 			return
 		}
-		if _, err := c.Write(append(text, '\n')); err != nil {
-			return
+		in.Write(chunk[:n])
+		for {
+			m, err := decoder.Next(in)
+			if err != nil {
+				return
+			}
+			if m == nil {
+				break
+			}
+			if m.Type != "setup" {
+				continue
+			}
+			arrived(m.ID, at)
+			text, err := jsonl.Append(nil, jsonl.Message{Type: "answer", ID: m.ID, SDP: m.SDP})
+			if err != nil {
+				return
+			}
+			if _, err := c.Write(append(text, '\n')); err != nil {
+				return
+			}
 		}
 	}
 }
