--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -52,6 +52,7 @@
 var measurements = []Measurement{
 	{"idle-live", "listed dispatchers that accept, no calls: processor, memory, descriptors", "dispatchers", []int{100, 300, 1000, 3000}, deploymentSize, playIdleLive},
 	{"idle-refusing", "listed dispatchers that refuse connections, no calls: processor and dials", "dispatchers", []int{100, 300, 1000, 3000}, deploymentSize, playIdleRefusing},
+	{"idle-silent", "listed dispatchers whose machines are gone, no calls: processor and descriptors", "dispatchers", []int{100, 300, 1000}, deploymentSize, playIdleSilent},
 	{"start", "start with a pool file: processor time and time until the list is known", "dispatchers", []int{300, 1000, 3000, 10_000}, deploymentSize, playStart},
 	{"whole-list", "one event with the whole list over the coordinator's stream", "dispatchers", []int{100, 300, 1000, 3000}, deploymentSize, playWholeList},
 	{"slow-list", "one event with the whole list, at 16 KB a second", "dispatchers", []int{50, 100, 200, 300}, deploymentSize, playSlowList},
--- a/internal/capacity/lists.go
+++ b/internal/capacity/lists.go
@@ -9,11 +9,13 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"cherryrelay/control"
 	"cherryrelay/internal/decide/pool"
 	"cherryrelay/internal/lists/poolfile"
+	"cherryrelay/internal/peer"
 )
 
 const (
@@ -121,23 +123,80 @@
 	if err != nil {
 		return nil, err
 	}
-	c, err := b.control(ctx, site{known: entries(0, refusing(size))})
+	dials := 0.0
+	figures, err := b.idleWithout(ctx, refusing(size), func() (err error) {
+		dials, err = refusedDials(ctx, b.lasting)
+		return err
+	})
+	return append(figures, Figure{"dials", "a second", max(dials-before, 0)}), err
+}
+
+// playIdleSilent measures a controller whose dispatchers' machines are gone: connections to them never come up.
+func playIdleSilent(ctx context.Context, b *bench, size int) ([]Figure, error) {
+	silent, err := dispatchSilent(size)
+	if err != nil {
+		return nil, err
+	}
+	var addresses []string
+	for _, d := range silent {
+		defer d.Die()
+		addresses = append(addresses, d.Address())
+	}
+	return b.idleWithout(ctx, addresses, func() error { return pause(ctx, b.lasting) })
+}
+
+// dispatchSilent opens so many dispatchers to which no connection comes up. Each takes a while, so many are opened at once.
+func dispatchSilent(n int) ([]*peer.Dispatcher, error) {
+	const atOnce = 64
+	all, failed := make([]*peer.Dispatcher, n), make([]error, n)
+	places := make(chan struct{}, atOnce)
+	var opening sync.WaitGroup
+	for i := range n {
+		places <- struct{}{}
+		opening.Go(func() {
+			all[i], failed[i] = peer.DispatchLate("tcp", report)
+			<-places
+		})
+	}
+	opening.Wait()
+	return all, errors.Join(failed...)
+}
+
+// idleWithout measures a controller that reaches none of its dispatchers, while something is done.
+func (b *bench) idleWithout(ctx context.Context, addresses []string, do func() error) ([]Figure, error) {
+	c, err := b.control(ctx, site{known: entries(0, addresses)})
 	if err != nil {
 		return nil, err
 	}
 	defer c.stop()
-	if err := errors.Join(c.knows(ctx, size, startWithin), pause(ctx, b.settleFor())); err != nil {
+	if err := errors.Join(c.knows(ctx, len(addresses), startWithin), pause(ctx, b.settleFor())); err != nil {
 		return nil, err
 	}
-	var dials float64
-	used, took, err := c.cpuDuring(func() (err error) {
-		dials, err = refusedDials(ctx, b.lasting)
-		return err
-	})
+	looking, stop := context.WithCancel(ctx)
+	most := make(chan int, 1)
+	go func() { most <- c.mostDescriptors(looking) }()
+	used, took, err := c.cpuDuring(do)
+	stop()
+	figures := []Figure{{"processor", "% of a core", 100 * used.Seconds() / took.Seconds()}, {"descriptors at most", "", float64(<-most)}}
 	if err != nil {
 		return nil, err
 	}
-	return c.withHoldings([]Figure{{"processor", "% of a core", 100 * used.Seconds() / took.Seconds()}, {"dials", "a second", max(dials-before, 0)}})
+	return c.withHoldings(figures)
+}
+
+// mostDescriptors looks at the process until the context ends, and returns how many descriptors it had at most.
+func (p *process) mostDescriptors(ctx context.Context) int {
+	const pace = 20 * time.Millisecond
+	most := 0
+	for ctx.Err() == nil {
+		n, err := p.descriptors()
+		if err != nil {
+			return most // it has ended
+		}
+		most = max(most, n)
+		_ = pause(ctx, pace) // its end is seen above
+	}
+	return most
 }
 
 // refusedDials is how many connections a second are refused on this machine, while a time passes.
