--- /dev/null
+++ b/cmd/cherryrelay/descriptors_test.go
@@ -0,0 +1,415 @@
+package main
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	jsoniter "github.com/json-iterator/go"
+
+	"cherryrelay/internal/call"
+	"cherryrelay/internal/lists"
+	"cherryrelay/internal/peer"
+)
+
+// scarce is the program as a process that may hold few descriptors, by its configuration and by the system's limit.
+type scarce struct {
+	*process
+	sockets int
+	most    atomic.Int64  // descriptors that were seen at once
+	events  chan string   // for the coordinator's stream
+	over    chan struct{} // closed when the story ends
+	watched sync.WaitGroup
+}
+
+// listed is one dispatcher of a list.
+func listed(name, address, status string, group int) map[string]any {
+	return map[string]any{"name": name, "address": address, "status": status, "group": group, "zone": "east", "since_ms": 0}
+}
+
+// listEvent is an event of the list.
+func listEvent(index int, whole bool, entries ...map[string]any) map[string]any {
+	return map[string]any{"index": index, "endpoints": map[string]any{"index": index, "snapshot": whole, "endpoints": entries}}
+}
+
+// startScarce starts the program with the example's settings and a list that is known from the start.
+func startScarce(t *testing.T, sockets int, coordinator string, known ...map[string]any) *scarce {
+	t.Helper()
+	if _, err := os.Stat("/proc/self/fd"); err != nil {
+		t.Skip("there is no list of descriptors here")
+	}
+	s := &scarce{process: &process{T: t, directory: t.TempDir(), lines: fixed(t), management: fixed(t)}, sockets: sockets}
+	s.events, s.over = make(chan string, 1), make(chan struct{})
+	text, err := os.ReadFile("../../example/config.json")
+	s.must(err)
+	var c map[string]any
+	s.must(jsoniter.Unmarshal(text, &c))
+	c["listen"], c["management"], c["coordinator"] = s.lines, s.management, coordinator
+	c["limits"] = map[string]any{"memory_mb": 256, "sockets": sockets}
+	c["known"] = map[string]any{"index": 1, "updates": []any{listEvent(1, true, known...)}}
+	settings, ok := c["settings"].(map[string]any)
+	if !ok {
+		t.Fatal("the example has no settings")
+	}
+	settings["tenants"] = []any{map[string]any{"name": "acme"}}
+	text, err = jsoniter.Marshal(c)
+	s.must(err)
+	path := filepath.Join(s.directory, "config.json")
+	s.must(os.WriteFile(path, text, 0o600))
+	s.log, s.ended = new(diary), make(chan error, 1)
+	s.cmd = exec.Command("sh", "-c", fmt.Sprintf(`ulimit -n %d && exec "$0"`, sockets), os.Args[0])
+	s.cmd.Env = append(os.Environ(), asProgram+"=1", "LB_CONFIG="+path, "TMPDIR="+s.directory)
+	s.cmd.Stderr = s.log
+	s.must(s.cmd.Start())
+	cmd, ended := s.cmd, s.ended
+	go func() { ended <- cmd.Wait() }()
+	t.Cleanup(func() {
+		close(s.over)
+		s.watched.Wait()
+		if s.cmd != nil {
+			s.kill()
+		}
+	})
+	s.waitReady()
+	s.watch(s.cmd.Process.Pid)
+	return s
+}
+
+func (s *scarce) must(err error) {
+	s.Helper()
+	if err != nil {
+		s.Fatal(err)
+	}
+}
+
+// always runs a step again and again until the story ends.
+func (s *scarce) always(pause time.Duration, step func()) {
+	s.watched.Add(1)
+	go func() {
+		defer s.watched.Done()
+		for {
+			step()
+			select {
+			case <-s.over:
+				return
+			case <-time.After(pause):
+			}
+		}
+	}()
+}
+
+// watch counts the process's descriptors and asks at the address for operators, until the story ends.
+func (s *scarce) watch(pid int) {
+	s.always(time.Millisecond, func() {
+		open, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", pid))
+		if err == nil && int64(len(open)) > s.most.Load() {
+			s.most.Store(int64(len(open)))
+		}
+	})
+	s.always(50*time.Millisecond, func() {
+		for _, path := range []string{"/api/ready", "/api/telemetry"} {
+			if status, _ := ask(s.management, path); status != http.StatusOK {
+				s.Errorf("%s answers %d", path, status)
+			}
+		}
+	})
+}
+
+// inBounds judges what was seen of the descriptors.
+func (s *scarce) inBounds() {
+	s.Helper()
+	s.Logf("%d descriptors of %d", s.most.Load(), s.sockets)
+	if most := s.most.Load(); most >= int64(s.sockets) {
+		s.Errorf("%d descriptors of %d: none is left", most, s.sockets)
+	}
+	for _, text := range []string{"too many open files", "no descriptor"} {
+		if strings.Contains(s.log.String(), text) {
+			s.Errorf("the log says %q", text)
+		}
+	}
+}
+
+// coordinate serves a stream at the address that tells what comes in s.events.
+func (s *scarce) coordinate(address string) {
+	s.Helper()
+	ln, err := net.Listen("tcp", address)
+	s.must(err)
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		for text := ""; ; {
+			_, _ = fmt.Fprintf(w, ": here\n\n%s", text)
+			_ = http.NewResponseController(w).Flush()
+			select {
+			case text = <-s.events:
+			case <-time.After(time.Second):
+				text = ""
+			case <-r.Context().Done():
+				return
+			}
+		}
+	}))
+	_ = server.Listener.Close()
+	server.Listener = ln
+	server.Start()
+	s.Cleanup(server.Close)
+	s.Cleanup(server.CloseClientConnections)
+}
+
+// tell has the coordinator tell a change.
+func (s *scarce) tell(index int, entries ...map[string]any) {
+	s.Helper()
+	text, err := jsoniter.MarshalToString(listEvent(index, false, entries...))
+	s.must(err)
+	s.events <- fmt.Sprintf("id: %d\ndata: %s\n\n", index, text)
+}
+
+// inForce waits until the list has so many dispatchers.
+func (s *scarce) inForce(servers int, within time.Duration) {
+	s.Helper()
+	since := time.Now()
+	for {
+		var state lists.State
+		if _, body := ask(s.management, lists.StatePath); jsoniter.UnmarshalFromString(body, &state) == nil && state.Servers == servers {
+			break
+		}
+		if time.Since(since) > peer.Patience {
+			s.Fatalf("there are %d dispatchers in force, want %d", state.Servers, servers)
+		}
+		time.Sleep(time.Millisecond)
+	}
+	if took := time.Since(since); took > within {
+		s.Errorf("the list came into force after %v, want %v", took, within)
+	}
+}
+
+// prompt is a dispatcher that answers every set-up at once.
+type prompt struct {
+	*peer.Dispatcher
+	calls sync.Map // the ids of those that it answered
+}
+
+func answers(t *testing.T) *prompt {
+	t.Helper()
+	p, err := peer.Dispatch("tcp", "127.0.0.1:0", "x0:40;x1:40")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(p.Die)
+	d := &prompt{Dispatcher: p}
+	go func() {
+		for e := range d.Events {
+			if e.Kind == "setup" {
+				d.calls.Store(e.ID, nil)
+				_ = e.Answer("yes")
+			}
+		}
+	}()
+	go func() {
+		for range d.Acks {
+		}
+	}()
+	return d
+}
+
+// saysNothing is where connections come up, and nothing is said on them.
+func saysNothing(t *testing.T) (address string) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	return ln.Addr().String()
+}
+
+// places a call, wants its final answer in its time, and reports whether the call stands.
+func (s *scarce) places(c *peer.Caller, number, first int) (stands bool) {
+	s.Helper()
+	const left = 8 * time.Second
+	if err := c.SetUp(id(number), left, first, "x"); err != nil {
+		s.Errorf("call %d: %v", number, err)
+		return false
+	}
+	for {
+		m, err := c.NextWithin(left + left/2)
+		if err != nil {
+			s.Errorf("call %d has no final answer: %v", number, err)
+			return false
+		}
+		if m.ID == id(number) { // else it is the end of another one
+			return m.Type == "answer"
+		}
+	}
+}
+
+// TestManyMoreDispatchersThanDescriptors: the list names 300 dispatchers, most of which drain, refuse, or accept and say nothing, to a
+// program that may hold 192 descriptors. Connections to them took every one, and callers were not accepted for seconds.
+func TestManyMoreDispatchersThanDescriptors(t *testing.T) {
+	const live, drain, refuse, silent, sockets = 40, 60, 120, 80, 192
+	var known []map[string]any
+	var dispatchers []*prompt
+	add := func(address, status string) {
+		known = append(known, listed(fmt.Sprint("d", len(known)), address, status, len(known)))
+	}
+	for range live {
+		dispatchers = append(dispatchers, answers(t))
+		add(dispatchers[len(dispatchers)-1].Address(), "active")
+	}
+	for range drain {
+		add(saysNothing(t), "leaving")
+	}
+	for i := range refuse {
+		add(fmt.Sprintf("127.0.9.%d:1", i+1), "active")
+	}
+	for range silent {
+		add(saysNothing(t), "active")
+	}
+	coordinator := fixed(t)
+	s := startScarce(t, sockets, coordinator, known...)
+	s.coordinate(coordinator)
+
+	// A third of the descriptors is what callers hold by themselves.
+	const callers, calls = sockets / 3, 5
+	var all sync.WaitGroup
+	var standing [live]*peer.Caller
+	var stand atomic.Int64
+	for i := range callers {
+		c, err := peer.Call("tcp", s.lines)
+		s.must(err)
+		defer c.Close()
+		if i < live {
+			standing[i] = c
+		}
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			for n := range calls {
+				if s.places(c, 1+i*calls+n, (i+n)%live) {
+					stand.Add(1)
+				}
+			}
+		}()
+	}
+	all.Wait()
+	if least := int64(callers * calls * 9 / 10); stand.Load() < least {
+		t.Errorf("of %d calls %d stand, want %d", callers*calls, stand.Load(), least)
+	}
+
+	newest := answers(t)
+	s.tell(2, listed("newest", newest.Address(), "active", len(known)), listed("d0", dispatchers[0].Address(), "leaving", 0))
+	s.inForce(len(known)+1, time.Second)
+	if !s.places(standing[0], 1000, len(known)) {
+		t.Error("the call for the newest does not stand")
+	}
+
+	// A call stands at each of the live ones, and ends there: that is told on a connection that is open, and on those that open later.
+	dispatchers = append(dispatchers, newest)
+	for i, c := range standing {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			first := i
+			if i == 0 {
+				first = len(known)
+			}
+			if !s.places(c, 2000+i, first) {
+				standing[i] = nil
+			}
+		}()
+	}
+	all.Wait()
+	since := time.Now()
+	for _, d := range dispatchers {
+		s.always(20*time.Millisecond, func() {
+			d.calls.Range(func(id, _ any) bool { return d.Release(fmt.Sprint(id), call.CauseNormal) == nil })
+		})
+	}
+	for i, c := range standing {
+		for c != nil {
+			m, err := c.NextWithin(8 * time.Second)
+			if err != nil {
+				t.Fatalf("the end of call %d is not told: %v", 2000+i, err)
+			}
+			if m.Type == "release" && m.ID == id(2000+i) {
+				break
+			}
+		}
+	}
+	took := time.Since(since)
+	t.Logf("%d of %d calls stood; the last end was told after %v", stand.Load(), callers*calls, took)
+	if took > 8*time.Second {
+		t.Errorf("the last end is told after %v", took)
+	}
+	s.inBounds()
+}
+
+// TestIdleClientsWhileDiscoveryIsDown: idle clients take what they can get and come again as they are closed, and no coordinator answers.
+// Most dispatchers on the list say nothing. The others are connected to anew, operators are answered, and as the coordinator returns its list is in force within a second.
+func TestIdleClientsWhileDiscoveryIsDown(t *testing.T) {
+	const sockets, clients = 160, 300
+	coordinator := fixed(t)
+	var known []map[string]any
+	var dispatchers []*prompt
+	for i := range 8 {
+		dispatchers = append(dispatchers, answers(t))
+		known = append(known, listed(fmt.Sprint("d", i), dispatchers[i].Address(), "active", i))
+	}
+	for i := range 60 {
+		known = append(known, listed(fmt.Sprint("silent", i), saysNothing(t), "active", len(known)))
+	}
+	s := startScarce(t, sockets, coordinator, known...)
+	c, err := peer.Call("tcp", s.lines)
+	s.must(err)
+	defer c.Close()
+	s.places(c, 1, 0)
+	var refused atomic.Int64
+	for range clients {
+		s.always(time.Millisecond, func() {
+			idle, err := net.Dial("tcp", s.lines)
+			if err != nil {
+				return
+			}
+			defer idle.Close()
+			ended := make(chan struct{})
+			go func() {
+				defer close(ended)
+				_, _ = idle.Read(make([]byte, 1))
+			}()
+			select {
+			case <-ended:
+				refused.Add(1)
+			case <-s.over:
+			}
+		})
+	}
+	for until := time.Now().Add(peer.Patience); refused.Load() < clients; time.Sleep(time.Millisecond) {
+		if time.Now().After(until) {
+			t.Fatal("idle clients are never too many")
+		}
+	}
+	for i, d := range dispatchers {
+		d.Cut()
+		if !s.places(c, 10+i, i) {
+			t.Errorf("the call for dispatcher %d does not stand", i)
+		}
+	}
+	s.coordinate(coordinator)
+	newest := answers(t)
+	s.tell(2, listed("newest", newest.Address(), "active", len(known)))
+	s.inForce(len(known)+1, time.Second)
+	if !s.places(c, 100, len(known)) {
+		t.Error("the call for the newest does not stand")
+	}
+	if most := s.most.Load(); most < sockets/2 {
+		t.Errorf("%d descriptors of %d: the clients do not fill them", most, sockets)
+	}
+	s.inBounds()
+}
--- a/cmd/cherryrelay/upgrade.go
+++ b/cmd/cherryrelay/upgrade.go
@@ -11,9 +11,11 @@
 	"cherryrelay/control"
 	"cherryrelay/internal/call"
 	"cherryrelay/internal/callers"
+	"cherryrelay/internal/config"
 	"cherryrelay/internal/conn"
 	"cherryrelay/internal/dispatchers"
 	"cherryrelay/internal/handover"
+	"cherryrelay/internal/management"
 )
 
 const (
@@ -259,6 +261,27 @@
 	return nil
 }
 
+// programDescriptors are kept for what a process opens besides callers', operators' and dispatchers' sockets: its standard files, pollers,
+// listeners, the list's and the store's connections, the handover, and files of its state.
+const programDescriptors = 32
+
+// dispatcherSockets is how many sockets the connections to dispatchers may hold in each of the processes that share the limit: what is left
+// of it beside callers, operators and the programs themselves. 0 is no bound.
+func dispatcherSockets(c *config.Config, processes int) int {
+	if c.Limits.Sockets == 0 {
+		return 0
+	}
+	kept := bounds(c).Most()
+	if c.WebSocket != nil {
+		kept *= 2
+	}
+	kept += processes * programDescriptors
+	if c.Management != "" {
+		kept += processes * management.Descriptors
+	}
+	return max((c.Limits.Sockets-kept)/processes, dispatchers.MaxLinks)
+}
+
 // share takes no more than this process's part while two run: together they have what one may.
 func (n *node) share() {
 	c, u := n.config, n.upgrade
@@ -270,6 +293,11 @@
 	limitMemory(memory)
 	n.core.Within(memory)
 	n.pool.Limit(links)
+	processes := 1
+	if two {
+		processes = sharers
+	}
+	n.pool.Budget(dispatcherSockets(c, processes))
 	most := n.bounds.Connections
 	if u.predecessor != nil && most > 0 {
 		most = max(most-u.held, 1)
--- a/internal/conn/conn.go
+++ b/internal/conn/conn.go
@@ -49,6 +49,9 @@
 // ErrRefused is the reason of a dial that the other machine has turned down: nothing listens there.
 var ErrRefused = errors.New("connection refused")
 
+// ErrNoSocket is the reason of a dial for which the process, or the machine, had no descriptor left. It says nothing of the other machine.
+var ErrNoSocket = errors.New("no descriptor left")
+
 // ErrReset is the reason of a connection that ended by a reset: unlike at an end in good order, what its peer sent last may be lost.
 var ErrReset = fmt.Errorf("reset: %w", io.EOF)
 
@@ -490,6 +493,9 @@
 		if errors.Is(err, netpoll.ErrConnClosed) || errors.Is(err, syscall.ECONNREFUSED) {
 			err = ErrRefused // netpoll tells a refusal as a close by the peer
 		}
+		if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
+			err = errors.Join(ErrNoSocket, err)
+		}
 		if err != nil {
 			loop.Post(func() { done(fmt.Errorf("dialing %s: %w", address, err)) })
 			return
--- /dev/null
+++ b/internal/decide/links/budget_test.go
@@ -0,0 +1,115 @@
+package links
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func TestAllows(t *testing.T) {
+	const budget = 16
+	for purpose, most := range map[Purpose]int{Draining: 8, Ahead: 14, Standing: 16, SetUp: 16} {
+		for held := range 2 * budget {
+			if got := Budget(budget).Allows(purpose, held); got != (held < most) {
+				t.Errorf("purpose %d with %d held: %v", purpose, held, got)
+			}
+		}
+		if !Budget(0).Allows(purpose, 1<<20) {
+			t.Errorf("purpose %d is bounded where there is no bound", purpose)
+		}
+	}
+}
+
+// TestEvict: the connections are given by names in the order of what is closed first. Each one alone must go where it may, and of all of
+// them the first.
+func TestEvict(t *testing.T) {
+	now := start.Add(time.Hour)
+	connections := []Connection{
+		{HalfClosed: true, SetUps: 3, Since: now, UsedAt: now},
+		{Drains: true, Sole: true, Since: now, UsedAt: now},
+		{Since: now, UsedAt: now},
+		{Sole: true, UsedAt: now.Add(-time.Minute)},
+		{Sole: true, UsedAt: now.Add(-time.Second)},
+		{HalfClosed: true, Standing: true, Since: now.Add(-settled), UsedAt: start},
+		{Drains: true, Sole: true, Standing: true, Since: now.Add(-settled), UsedAt: start},
+		{Sole: true, Standing: true, Since: now.Add(-settled), UsedAt: now},
+	}
+	kept := []Connection{
+		{SetUps: 1}, {Sole: true, SetUps: 2, Standing: true}, {Drains: true, SetUps: 1},
+		{Sole: true, Standing: true, Since: now.Add(-settled + 1)},
+		{HalfClosed: true, Standing: true, Since: now.Add(-settled + 1)},
+	}
+	for _, test := range []struct {
+		purpose Purpose
+		without time.Duration
+		may     int // so many of the connections
+	}{
+		{Draining, time.Hour, 0}, {Ahead, time.Hour, 2}, {Standing, 0, 5}, {Standing, withoutFor, len(connections)}, {SetUp, 0, len(connections)},
+	} {
+		for i, c := range connections {
+			if got := Evict(now, test.purpose, test.without, append(kept, c)); got >= 0 != (i < test.may) || got >= 0 && got != len(kept) {
+				t.Errorf("purpose %d, connection %d: %d makes room", test.purpose, i, got)
+			}
+			want := i
+			if i >= test.may {
+				want = -1
+			}
+			backwards := append([]Connection(nil), kept...)
+			for j := len(connections) - 1; j >= i; j-- {
+				backwards = append(backwards, connections[j])
+			}
+			if got := Evict(now, test.purpose, test.without, backwards); got >= 0 != (want >= 0) || got >= 0 && backwards[got] != connections[want] {
+				t.Errorf("purpose %d, of those from %d: %d makes room", test.purpose, i, got)
+			}
+		}
+	}
+}
+
+// TestEvictBounds: whatever the connections, none with a set-up open is closed, none where calls stand before it is settled or while
+// another can make room, and a set-up finds one wherever one is idle and settled.
+func TestEvictBounds(t *testing.T) {
+	now := start.Add(time.Hour)
+	ago := rapid.Map(rapid.Int64Range(-int64(time.Second), int64(5*time.Second)), func(d int64) time.Time { return now.Add(-time.Duration(d)) })
+	connection := rapid.Custom(func(t *rapid.T) Connection {
+		return Connection{
+			Drains: rapid.Bool().Draw(t, "drains"), Sole: rapid.Bool().Draw(t, "sole"), HalfClosed: rapid.Bool().Draw(t, "half-closed"),
+			Standing: rapid.Bool().Draw(t, "standing"), SetUps: rapid.IntRange(0, 2).Draw(t, "set-ups"), Since: ago.Draw(t, "since"),
+			UsedAt: ago.Draw(t, "used"),
+		}
+	})
+	rapid.Check(t, func(t *rapid.T) {
+		connections := rapid.SliceOfN(connection, 0, 12).Draw(t, "connections")
+		purpose := Purpose(rapid.IntRange(int(Draining), int(SetUp)).Draw(t, "purpose"))
+		without := time.Duration(rapid.Int64Range(0, int64(2*withoutFor)).Draw(t, "without"))
+		i := Evict(now, purpose, without, connections)
+		free, settledIdle := false, false
+		for _, c := range connections {
+			idle := c.HalfClosed || c.SetUps == 0
+			free = free || idle && !c.Standing
+			settledIdle = settledIdle || idle && now.Sub(c.Since) >= settled
+		}
+		if i < 0 {
+			if purpose == SetUp && (free || settledIdle) {
+				t.Fatal("a set-up finds no room")
+			}
+			return
+		}
+		c := connections[i]
+		switch {
+		case !c.HalfClosed && c.SetUps > 0:
+			t.Fatal("one with a set-up open is closed")
+		case c.Standing && c.Sole && !c.HalfClosed && (now.Sub(c.Since) < settled || purpose <= Ahead || free):
+			t.Fatalf("the only one to a dispatcher with calls is closed for purpose %d", purpose)
+		case purpose == Ahead && !c.Drains && !c.HalfClosed:
+			t.Fatal("a live dispatcher's makes room for what nobody needs yet")
+		}
+		if j := Evict(now, purpose, without, append(append([]Connection(nil), connections[:i]...), connections[i+1:]...)); j >= 0 {
+			other := append(append([]Connection(nil), connections[:i]...), connections[i+1:]...)[j]
+			a, _ := c.rank(now)
+			if b, _ := other.rank(now); b < a || b == a && other.UsedAt.Before(c.UsedAt) {
+				t.Fatal("one that is missed less is kept")
+			}
+		}
+	})
+}
--- a/internal/decide/links/links.go
+++ b/internal/decide/links/links.go
@@ -39,8 +39,11 @@
 // along; and one beside a single one on which a set-up has been without a word for so long.
 func (d *Demand) Wanted(now time.Time, oldest time.Duration, most int) int {
 	wanted := int(math.Ceil(d.now(now) - 0.5)) // half of a set-up is what is left of one after a half-life
-	if oldest >= doubtful {
+	if Doubtful(oldest) {
 		wanted = max(wanted, 2)
 	}
 	return max(1, min(wanted, most))
 }
+
+// Doubtful reports whether a set-up of that age, without a word since, has its connection in doubt.
+func Doubtful(oldest time.Duration) bool { return oldest >= doubtful }
--- /dev/null
+++ b/internal/dispatchers/budget.go
@@ -0,0 +1,146 @@
+package dispatchers
+
+import (
+	"slices"
+	"time"
+
+	"cherryrelay/control"
+	"cherryrelay/internal/conn"
+	"cherryrelay/internal/decide/links"
+)
+
+// sockets counts what the connections to all dispatchers hold, against the budget that they have together. What is decided about them is
+// decided in decide/links.
+type sockets struct {
+	budget   links.Budget
+	held     int       // open connections, half-closed ones, and those being dialled
+	evicted  int       // of them, closed to make room and not told to have ended yet
+	starved  []*server // whose need waits for the end of an evicted one
+	standing map[control.ServerID]int
+	countAt  time.Time // when standing was counted
+	denied   *server   // the first that was denied a connection since the last check, but for those that drain
+	next     int       // the place in the pool's order from which connections are opened next, so that everybody has a turn
+}
+
+// Budget sets how many sockets the connections to all dispatchers may hold together; 0 is no bound. Beyond it, those are closed that no
+// set-up is open on.
+func (p *Pool) Budget(sockets int) {
+	p.sockets.budget = links.Budget(sockets)
+	p.keepToBudget()
+}
+
+// keepToBudget closes connections while there are more than there may be.
+func (p *Pool) keepToBudget() {
+	for p.sockets.budget.Exceeded(p.sockets.held-p.sockets.evicted) && p.evict(links.SetUp, 0) {
+	}
+}
+
+// admit reports whether a connection to a dispatcher may be dialled now. If not, another connection is closed to make room where the need
+// is greater than what that one is kept for; the dispatcher is connected to once it has ended.
+func (p *Pool) admit(s *server, now time.Time) bool {
+	if p.sockets.budget.Allows(links.SetUp, p.sockets.held) && p.sockets.budget.Allows(links.Draining, p.sockets.held) {
+		return true // there is plenty: nobody needs to know what for
+	}
+	purpose := s.purpose(now)
+	if p.sockets.budget.Allows(purpose, p.sockets.held) {
+		return true
+	}
+	if s.starved {
+		return false // room is being made
+	}
+	if purpose >= links.Standing && len(p.sockets.starved) < p.sockets.evicted || p.evict(purpose, now.Sub(s.withoutSince)) {
+		s.starved = true
+		p.sockets.starved = append(p.sockets.starved, s)
+		return false
+	}
+	if (purpose == links.Ahead || purpose == links.Standing) && p.sockets.denied == nil {
+		p.sockets.denied = s
+	}
+	return false
+}
+
+// purpose is what the next connection to the dispatcher is opened for.
+func (s *server) purpose(now time.Time) links.Purpose {
+	switch {
+	case len(s.waiting) > 0:
+		return links.SetUp
+	case (len(s.links) == 0 || !s.renewAt.IsZero() || now.Sub(s.heardAt) > silence) && s.pool.standingAt(s.ID, now) > 0:
+		return links.Standing
+	case links.Doubtful(s.oldestUnheard(now)):
+		return links.Standing
+	case s.Status != control.Active:
+		return links.Draining
+	}
+	return links.Ahead
+}
+
+// standingAt is how many calls stood at a dispatcher a moment ago. They are counted for all dispatchers at once.
+func (p *Pool) standingAt(id control.ServerID, now time.Time) int {
+	if age := now.Sub(p.sockets.countAt); p.sockets.standing == nil || age < 0 || age >= checkEvery {
+		p.sockets.standing, p.sockets.countAt = map[control.ServerID]int{}, now
+		p.core.Standings(func(_ string, server control.ServerID) { p.sockets.standing[server]++ })
+	}
+	return p.sockets.standing[id]
+}
+
+// evict closes the connection that is missed least, if the purpose is worth it.
+func (p *Pool) evict(purpose links.Purpose, without time.Duration) bool {
+	now := time.Now()
+	var all []*link
+	var connections []links.Connection
+	for _, s := range p.order {
+		for _, l := range slices.Concat(s.links, s.lingering) {
+			if !l.evicted {
+				all, connections = append(all, l), append(connections, l.counts(now))
+			}
+		}
+	}
+	i := links.Evict(now, purpose, without, connections)
+	if i < 0 {
+		return false
+	}
+	p.sockets.evicted++
+	all[i].evict()
+	return true
+}
+
+// counts is the connection as it counts when one must make room.
+func (l *link) counts(now time.Time) links.Connection {
+	s := l.server
+	return links.Connection{
+		Drains: s.Status != control.Active || s.replaced, Sole: len(s.links) == 1, HalfClosed: l.retired, SetUps: len(l.invites),
+		Standing: s.pool.standingAt(s.ID, now) > 0, Since: l.since, UsedAt: l.usedAt,
+	}
+}
+
+// evict closes the connection to make room. Where calls stand, their ends come on the next one.
+func (l *link) evict() {
+	l.evicted = true
+	l.conn.Close(conn.ErrClosedHere)
+	if !l.closed {
+		l.Closed(conn.ErrClosedHere)
+	}
+}
+
+// released tells that a socket is no more. Those that waited for it are connected to now.
+func (p *Pool) released(evicted bool) {
+	p.sockets.held--
+	if evicted {
+		p.sockets.evicted--
+	}
+	for len(p.sockets.starved) > 0 && p.sockets.budget.Allows(links.SetUp, p.sockets.held) {
+		s := p.sockets.starved[0]
+		p.sockets.starved = p.sockets.starved[1:]
+		s.starved = false
+		s.connect()
+	}
+}
+
+// socket is a link as its connection knows it: it counts until the connection has ended, however early the link was given up.
+type socket struct{ *link }
+
+// Closed comes once, last.
+func (s socket) Closed(reason error) {
+	s.link.Closed(reason)
+	s.server.pool.released(s.evicted)
+}
--- a/internal/dispatchers/dispatchers.go
+++ b/internal/dispatchers/dispatchers.go
@@ -73,6 +73,8 @@
 	Standing(server control.ServerID) int
 	// StandAt names those calls.
 	StandAt(server control.ServerID) iter.Seq[string]
+	// Standings names all calls that stand, and their dispatchers.
+	Standings(func(id string, server control.ServerID))
 }
 
 // Options are the settings of a Pool.
@@ -90,6 +92,7 @@
 	servers map[control.ServerID]*server
 	order   []*server
 	links   int // that each may be given
+	sockets sockets
 }
 
 // New returns an empty Pool.
@@ -154,6 +157,9 @@
 	replaced   bool      // another dispatcher has its address now
 	releases   []release
 	demand     links.Demand
+
+	starved      bool      // room is being made for a connection
+	withoutSince time.Time // when it last came to have no open connection
 }
 
 // waiting is an attempt for which there is no connection yet.
@@ -185,7 +191,7 @@
 		named[entry.ID] = true
 		s := p.servers[entry.ID]
 		if s == nil {
-			s = &server{Server: entry, pool: p, heardAt: now}
+			s = &server{Server: entry, pool: p, heardAt: now, withoutSince: now}
 			p.servers[entry.ID] = s
 			p.order = append(p.order, s)
 		}
@@ -242,7 +248,9 @@
 
 // check runs at a steady pace.
 func (p *Pool) check() {
-	for _, s := range p.order {
+	p.keepToBudget()
+	p.sockets.denied = nil
+	for _, s := range slices.Concat(p.order[p.sockets.next:], p.order[:p.sockets.next]) {
 		s.check(time.Now())
 	}
 	p.order = slices.DeleteFunc(p.order, func(s *server) bool {
@@ -252,6 +260,7 @@
 		}
 		return forget
 	})
+	p.sockets.next = max(slices.Index(p.order, p.sockets.denied), 0)
 	p.loop.After(checkEvery, p.check)
 }
 
@@ -318,6 +327,11 @@
 
 // wanted is how many connections there should be.
 func (s *server) wanted(now time.Time) int {
+	return s.demand.Wanted(now, s.oldestUnheard(now), s.pool.links)
+}
+
+// oldestUnheard is the age of the oldest open set-up since which nothing has come on its connection.
+func (s *server) oldestUnheard(now time.Time) time.Duration {
 	oldest := time.Duration(0)
 	for _, l := range s.links {
 		for _, i := range l.invites {
@@ -326,7 +340,7 @@
 			}
 		}
 	}
-	return s.demand.Wanted(now, oldest, s.pool.links)
+	return oldest
 }
 
 // holds reports whether a dispatcher has anything to say: set-ups are open at it, or calls stand.
@@ -343,22 +357,24 @@
 // connect opens one more connection if that is allowed now.
 func (s *server) connect() {
 	now := time.Now()
-	if s.dialing || s.gone() || now.Before(s.redialAt) || len(s.links) >= s.pool.links {
+	if s.dialing || s.gone() || now.Before(s.redialAt) || len(s.links) >= s.pool.links || !s.pool.admit(s, now) {
 		return
 	}
 	s.dialing = true
+	s.pool.sockets.held++
 	address := s.Address
 	dial, wire := Place(address, &s.pool.Fields)
 	var l *link
 	handler := func(c *conn.Conn) conn.Handler {
 		now := time.Now()
-		l = &link{server: s, conn: c, wire: wire, invites: map[string]*invite{}, openedAt: now, heardAt: now}
-		return l
+		l = &link{server: s, conn: c, wire: wire, invites: map[string]*invite{}, openedAt: now, heardAt: now, since: now, usedAt: now}
+		return socket{l}
 	}
 	conn.Dial(s.pool.loop, dial, s.pool.ConnectTimeout, handler, func(err error) {
 		s.dialing = false
 		if err != nil {
 			s.refused(err)
+			s.pool.released(false)
 			return
 		}
 		if s.Address != address || s.gone() {
@@ -370,6 +386,11 @@
 }
 
 func (s *server) refused(err error) {
+	if errors.Is(err, conn.ErrNoSocket) { // says nothing of the dispatcher
+		s.redialAt = time.Now().Add(redialLeast)
+		s.pool.Log.Warn("no descriptor for a connection", "server", s.ID, "err", err)
+		return
+	}
 	s.redial = min(max(2*s.redial, redialLeast), redialMost)
 	s.redialAt = time.Now().Add(s.redial)
 	s.unanswered = !errors.Is(err, conn.ErrRefused)
@@ -582,8 +603,9 @@
 		}
 		s.links[idle].retire(conn.ErrClosedHere)
 	}
-	s.renewAt = time.Time{}
-	s.connect()
+	if s.connect(); s.dialing {
+		s.renewAt = time.Time{}
+	}
 }
 
 // Probe asks a dispatcher for a report.
--- a/internal/dispatchers/link.go
+++ b/internal/dispatchers/link.go
@@ -81,8 +81,11 @@
 	wire    Wire
 	closed  bool
 	retired bool // given up, but what still comes is taken
+	evicted bool // closed to make room
 	openedAt,
 	heardAt time.Time
+	since   time.Time // when it was opened or, if it is, half-closed
+	usedAt  time.Time // when a set-up was sent here last; when it was opened if none was
 	finalAt time.Time // when a set-up last had its final answer here
 	partial time.Time // since when a message has not been whole; zero if none is under way
 	invites map[string]*invite
@@ -98,6 +101,7 @@
 
 func (l *link) setUp(a call.SetUp) {
 	i := &invite{attempt: a.Attempt, called: a.Called, sentAt: time.Now()}
+	l.usedAt = i.sentAt
 	l.invites[a.ID] = i
 	i.ticket = l.conn.WriteThen(l.wire.SetUp(a), l.server.pool.core.Written)
 }
@@ -287,7 +291,7 @@
 func (l *link) retire(reason error) {
 	invites := l.invites
 	l.Closed(reason)
-	l.retired, l.invites = true, invites
+	l.retired, l.invites, l.since = true, invites, time.Now()
 	l.conn.Finish(lingerFor)
 	s := l.server
 	s.doubt(s.pool.core.StandAt(s.ID))
@@ -302,7 +306,7 @@
 	if l.closed {
 		s := l.server
 		s.lingering = slices.DeleteFunc(s.lingering, func(o *link) bool { return o == l })
-		if errors.Is(reason, conn.ErrClosedHere) {
+		if errors.Is(reason, conn.ErrClosedHere) && (l.retired || !l.evicted) {
 			s.unclosed = true // its dispatcher may hold it for open still
 		}
 		return
@@ -324,6 +328,9 @@
 		}
 	}
 	l.invites = nil
+	if len(s.links) == 0 {
+		s.withoutSince = time.Now()
+	}
 	if now := time.Now(); now.Sub(l.openedAt) < redialLeast {
 		s.redialAt = now.Add(redialLeast) // a dispatcher that closes whatever is new is not dialled without pause
 	}
