--- a/cmd/cherryrelay/node.go
+++ b/cmd/cherryrelay/node.go
@@ -43,6 +43,7 @@
 	cancel  context.CancelFunc
 	bounds  callers.Bounds
 	terms   *callers.Terms
+	divided divided
 }
 
 // start wires a call controller and opens its fronts. It serves once run is called.
@@ -137,6 +138,7 @@
 	}
 	n.seek()
 	n.share()
+	core.OnFlush(n.divide)
 	u.run()
 	return n, nil
 }
--- a/cmd/cherryrelay/upgrade.go
+++ b/cmd/cherryrelay/upgrade.go
@@ -13,6 +13,7 @@
 	"cherryrelay/internal/callers"
 	"cherryrelay/internal/config"
 	"cherryrelay/internal/conn"
+	"cherryrelay/internal/decide/links"
 	"cherryrelay/internal/dispatchers"
 	"cherryrelay/internal/handover"
 	"cherryrelay/internal/management"
@@ -261,43 +262,83 @@
 	return nil
 }
 
+// divided is how the descriptors are divided, and by what.
+type divided struct {
+	links.Share
+	connected, held int
+}
+
 // programDescriptors are kept for what a process opens besides callers', operators' and dispatchers' sockets: its standard files, pollers,
 // listeners, the list's and the store's connections, the handover, and files of its state.
-const programDescriptors = 32
+const programDescriptors = 24
 
-// dispatcherSockets is how many sockets the connections to dispatchers may hold in each of the processes that share the limit: what is left
-// of it beside callers, operators and the programs themselves. 0 is no bound.
-func dispatcherSockets(c *config.Config, processes int) int {
-	if c.Limits.Sockets == 0 {
-		return 0
-	}
-	kept := bounds(c).Most()
+const (
+	// callersKeep is the part of the limit that callers hold by themselves.
+	callersKeep = 3
+	// callersAhead is the part, and leastAhead the least number, that is kept beyond the callers that there are.
+	callersAhead, leastAhead = 16, 8
+)
+
+// shares is what the descriptors that callers and dispatchers have between them come to, while so many processes share the limit. Of two,
+// each has half of what is left beside the callers of both; the callers themselves are divided by the processes (upgrade.held).
+func shares(c *config.Config, processes int) links.Share {
+	limit, most := c.Limits.Sockets, bounds(c).Most()
 	if c.WebSocket != nil {
-		kept *= 2
+		most *= 2
 	}
-	kept += processes * programDescriptors
+	own := programDescriptors
 	if c.Management != "" {
-		kept += processes * management.Descriptors
+		own += management.Descriptors
+	}
+	least := dispatchers.MaxLinks // dispatchers are connected to however small the limit is
+	if processes == 1 {
+		sockets := max(limit-own, most+least)
+		return links.Share{Sockets: sockets, Callers: most, Kept: min(limit/callersKeep, most), Ahead: max(limit/callersAhead, leastAhead)}
+	}
+	return links.Share{Sockets: most + max((limit-most)/processes-own, least), Callers: most, Kept: most}
+}
+
+// divide has callers and dispatchers keep to their parts of the descriptors, by the callers that there are.
+func (n *node) divide() {
+	if n.config.Limits.Sockets == 0 {
+		return
+	}
+	connected := 0
+	for _, f := range n.fronts() {
+		connected += f.Open()
+	}
+	held := n.pool.Held()
+	if connected == n.divided.connected && held == n.divided.held {
+		return
+	}
+	n.divided.connected, n.divided.held = connected, held
+	_, sockets := n.divided.Divide(connected)
+	n.pool.Budget(sockets)
+	free := n.divided.Accept(connected, held) - connected
+	for _, f := range n.fronts() {
+		if free < n.divided.Ahead/2 { // dispatchers have nothing to give up
+			f.Squeeze()
+		}
+		f.Accept(max(f.Open()+free/len(n.fronts()), 1))
 	}
-	return max((c.Limits.Sockets-kept)/processes, dispatchers.MaxLinks)
 }
 
 // share takes no more than this process's part while two run: together they have what one may.
 func (n *node) share() {
 	c, u := n.config, n.upgrade
 	two := u.predecessor != nil || u.successor != nil
-	memory, links := c.Limits.MemoryMB<<20, dispatchers.MaxLinks
+	memory, each := c.Limits.MemoryMB<<20, dispatchers.MaxLinks
 	if two {
-		memory, links = memory/sharers, links/sharers
+		memory, each = memory/sharers, each/sharers
 	}
 	limitMemory(memory)
 	n.core.Within(memory)
-	n.pool.Limit(links)
+	n.pool.Limit(each)
 	processes := 1
 	if two {
 		processes = sharers
 	}
-	n.pool.Budget(dispatcherSockets(c, processes))
+	n.divided = divided{Share: shares(c, processes), connected: -1}
 	most := n.bounds.Connections
 	if u.predecessor != nil && most > 0 {
 		most = max(most-u.held, 1)
@@ -306,6 +347,7 @@
 		f.Limit(most)
 		f.Listener().Shared(two)
 	}
+	n.divide()
 }
 
 func (n *node) fronts() []*callers.Front {
--- a/cmd/cherryrelay/upgrade_test.go
+++ b/cmd/cherryrelay/upgrade_test.go
@@ -221,6 +221,15 @@
 			if all := connections + 2*(own+management.Descriptors) + dispatcher*fleet; all > sockets {
 				t.Errorf("of %d, %d may be taken (second front: %v)", sockets, all, second != nil)
 			}
+			for processes := 1; processes <= sharers; processes++ {
+				share := shares(c, processes)
+				for connected := range share.Callers + 1 {
+					callers, each := share.Divide(connected)
+					if all := callers + processes*(own+management.Descriptors+each); all > sockets || each < dispatcher*fleet/4 {
+						t.Fatalf("of %d, %d processes may take %d, %d for dispatchers (second front: %v)", sockets, processes, all, each, second != nil)
+					}
+				}
+			}
 		}
 	}
 }
--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -173,6 +173,18 @@
 	f.listener.Limit(f.bounds.Most())
 }
 
+// Accept bounds the connections that are open at once further, as descriptors are scarce: what comes beyond is closed as it is accepted.
+func (f *Front) Accept(most int) {
+	if bound := f.bounds.Most(); bound == 0 || most < bound {
+		f.listener.Limit(most)
+	} else {
+		f.listener.Limit(bound)
+	}
+}
+
+// Squeeze closes one connection that is of no use at the moment, as more may come than there are descriptors for.
+func (f *Front) Squeeze() { f.makeRoom(nil) }
+
 func (f *Front) accept(c *conn.Conn) conn.Handler {
 	now := time.Now()
 	cc := &Conn{front: f, conn: c, format: f.format(), usedAt: now, since: now}
@@ -214,7 +226,9 @@
 	if least == nil {
 		least = newest
 	}
-	least.shut(conn.ErrClosedHere)
+	if least != nil {
+		least.shut(conn.ErrClosedHere)
+	}
 }
 
 // look closes connections that are of no use. Those with a call are left alone, unless they stopped inside a message; a
