--- a/internal/decide/links/budget.go
+++ b/internal/decide/links/budget.go
@@ -3,8 +3,9 @@
 import "time"
 
 // settled is how long a connection must have been open before it makes room while calls stand at its dispatcher: by then the dispatcher
-// has repeated on it the ends that it told since the connection before.
-const settled = time.Second
+// has repeated on it the ends that it told since the connection before. settledHeard is the same where something has come on it: a
+// dispatcher tells its state first, and those ends right after it.
+const settled, settledHeard = time.Second, 100 * time.Millisecond
 
 // withoutFor is how long a dispatcher with calls standing stays without a connection before the connection of another such dispatcher
 // makes room for it. An end is repeated on the next connection that opens and must reach its caller within 8 s.
@@ -53,6 +54,7 @@
 	Sole       bool      // its dispatcher has no other open connection
 	HalfClosed bool      // given up, and still read
 	Standing   bool      // calls stand at its dispatcher
+	Heard      bool      // something has come on it
 	SetUps     int       // that had no final answer here, withdrawn ones among them
 	Since      time.Time // when it was opened or, if it is, half-closed
 	UsedAt     time.Time // when a set-up was sent on it last; that of its opening if none was
@@ -60,7 +62,8 @@
 
 // rank orders connections by how little is lost with them; ok is false for those that must stay.
 func (c Connection) rank(now time.Time) (rank int, ok bool) {
-	rested := now.Sub(c.Since) >= settled
+	open := now.Sub(c.Since)
+	rested := open >= settled || c.Heard && !c.HalfClosed && open >= settledHeard
 	switch {
 	case c.HalfClosed && !c.Standing:
 		return 0, true
--- /dev/null
+++ b/internal/decide/links/redial.go
@@ -0,0 +1,75 @@
+package links
+
+import "time"
+
+const (
+	// redialLeast is the least pause between a dial that failed, or a connection that ended at once, and the next dial. It is what a
+	// set-up that waits is held up by.
+	redialLeast = 100 * time.Millisecond
+	// redialStanding bounds the pause, which doubles, while calls stand at the dispatcher: their ends must be told within 8 s.
+	redialStanding = time.Second
+	// redialAhead bounds it while no call needs the dispatcher.
+	redialAhead = 8 * time.Second
+	// aheadEvery is the pace of dials that no call needs, over all dispatchers together.
+	aheadEvery = time.Second
+)
+
+// Backoff is when a dispatcher may be dialled after dials that failed. The zero value is that of one whose last dial did not fail.
+type Backoff struct {
+	failures int
+	at       time.Time // of the last failure
+	jitter   float64
+}
+
+// Fail takes in that a dial failed, or that a connection ended as soon as it was open. The jitter is a number from 0 to 1, drawn anew each
+// time, so that the dials of many controllers spread.
+func (b *Backoff) Fail(now time.Time, jitter float64) {
+	b.failures, b.at, b.jitter = b.failures+1, now, min(max(jitter, 0), 1)
+}
+
+// Failed reports whether the last dial failed.
+func (b *Backoff) Failed() bool { return b.failures > 0 }
+
+// Reset forgets the failures: a connection came up, or the dispatcher is said to have begun anew.
+func (b *Backoff) Reset() { *b = Backoff{} }
+
+// pause is the time from the last failure to the next dial for the purpose.
+func (b *Backoff) pause(p Purpose) time.Duration {
+	most := redialAhead
+	switch {
+	case b.failures == 0:
+		return 0
+	case p == SetUp:
+		return redialLeast
+	case p == Standing:
+		most = redialStanding
+	}
+	pause := redialLeast
+	for n := 1; n < b.failures && pause < most; n++ {
+		pause *= 2
+	}
+	pause = min(pause, most)
+	if p == Standing {
+		return pause
+	}
+	return pause/2 + time.Duration(b.jitter*float64(pause/2))
+}
+
+// Due reports whether the dispatcher may be dialled for the purpose. A clock that was set back holds nothing up.
+func (b *Backoff) Due(now time.Time, p Purpose) bool {
+	since := now.Sub(b.at)
+	return since < 0 || since >= b.pause(p)
+}
+
+// Pace bounds the dials of a whole process that no call needs and that follow on one that failed: of very many dispatchers that refuse,
+// each is dialled rarely.
+type Pace struct{ at time.Time }
+
+// Take reports whether such a dial may begin now, and counts it if so.
+func (p *Pace) Take(now time.Time) bool {
+	if since := now.Sub(p.at); since >= 0 && since < aheadEvery {
+		return false
+	}
+	p.at = now
+	return true
+}
--- /dev/null
+++ b/internal/decide/links/redial_test.go
@@ -0,0 +1,67 @@
+package links
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// TestBackoff: the pause grows from one failure to the next up to its bound, never beyond; a set-up waits for the least one alone, and a
+// success forgets all.
+func TestBackoff(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var b Backoff
+		now := start
+		bounds := map[Purpose]time.Duration{Draining: redialAhead, Ahead: redialAhead, Standing: redialStanding, SetUp: redialLeast}
+		for p := range bounds {
+			if !b.Due(now, p) {
+				t.Fatalf("one that did not fail is not due for purpose %d", p)
+			}
+		}
+		for n := range rapid.IntRange(1, 30).Draw(t, "failures") {
+			b.Fail(now, rapid.Float64Range(0, 1).Draw(t, "jitter"))
+			for p, most := range bounds {
+				least := min(redialLeast<<min(n, 20), most)
+				if p <= Ahead {
+					least /= 2
+				}
+				if b.Due(now.Add(least-1), p) || !b.Due(now.Add(most), p) {
+					t.Fatalf("after %d failures: due for purpose %d before %v, or not after %v", n+1, p, least, most)
+				}
+				if !b.Due(now.Add(-time.Hour), p) {
+					t.Fatalf("a clock that was set back holds up purpose %d", p)
+				}
+			}
+			now = now.Add(redialAhead)
+		}
+		if b.Reset(); b.Failed() || !b.Due(now.Add(-time.Hour), Ahead) || !b.Due(now, Ahead) {
+			t.Fatal("what is reset is not due at once")
+		}
+	})
+}
+
+// TestPace: in any stretch of time there are no more dials than seconds, and one more; and there is one each second if they are asked for.
+func TestPace(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var p Pace
+		var taken []time.Time
+		now := start
+		for range rapid.IntRange(1, 200).Draw(t, "asked") {
+			now = now.Add(time.Duration(rapid.Int64Range(0, int64(1500*time.Millisecond)).Draw(t, "gap")))
+			if p.Take(now) {
+				taken = append(taken, now)
+			} else if now.Sub(taken[len(taken)-1]) >= aheadEvery {
+				t.Fatal("none is allowed after a second without")
+			}
+		}
+		for i := range taken[1:] {
+			if taken[i+1].Sub(taken[i]) < aheadEvery {
+				t.Fatalf("two within %v", taken[i+1].Sub(taken[i]))
+			}
+		}
+		if !p.Take(now.Add(-time.Hour)) {
+			t.Fatal("a clock that was set back holds dials up")
+		}
+	})
+}
--- a/internal/dispatchers/budget.go
+++ b/internal/dispatchers/budget.go
@@ -13,6 +13,8 @@
 // decided in decide/links.
 type sockets struct {
 	budget   links.Budget
+	pace     links.Pace
+	dials    int       // since the start
 	held     int       // open connections, half-closed ones, and those being dialled
 	evicted  int       // of them, closed to make room and not told to have ended yet
 	starved  []*server // whose need waits for the end of an evicted one
@@ -29,34 +31,58 @@
 	p.keepToBudget()
 }
 
+// Held is how many sockets the connections to all dispatchers hold.
+func (p *Pool) Held() int { return p.sockets.held }
+
 // keepToBudget closes connections while there are more than there may be.
 func (p *Pool) keepToBudget() {
 	for p.sockets.budget.Exceeded(p.sockets.held-p.sockets.evicted) && p.evict(links.SetUp, 0) {
 	}
 }
 
-// admit reports whether a connection to a dispatcher may be dialled now. If not, another connection is closed to make room where the need
-// is greater than what that one is kept for; the dispatcher is connected to once it has ended.
+// admit reports whether a connection to a dispatcher may be dialled now. If the budget is against it, another connection is closed to make
+// room where the need is greater than what that one is kept for; the dispatcher is connected to once it has ended.
 func (p *Pool) admit(s *server, now time.Time) bool {
-	if p.sockets.budget.Allows(links.SetUp, p.sockets.held) && p.sockets.budget.Allows(links.Draining, p.sockets.held) {
-		return true // there is plenty: nobody needs to know what for
+	plenty := p.sockets.budget.Allows(links.Draining, p.sockets.held)
+	if plenty && !s.backoff.Failed() {
+		return true // nobody needs to know what for
 	}
 	purpose := s.purpose(now)
-	if p.sockets.budget.Allows(purpose, p.sockets.held) {
-		return true
+	if !s.backoff.Due(now, purpose) {
+		return false
 	}
+	if plenty || p.sockets.budget.Allows(purpose, p.sockets.held) {
+		if purpose >= links.Standing || !s.backoff.Failed() || p.sockets.pace.Take(now) {
+			return true
+		}
+	} else if p.makeRoom(s, purpose, now) {
+		return false
+	}
+	if p.sockets.denied == nil && (purpose == links.Ahead || purpose == links.Standing) {
+		p.sockets.denied = s
+	}
+	return false
+}
+
+// makeRoom reports whether a connection ends to make room for one to the dispatcher, which is dialled then.
+func (p *Pool) makeRoom(s *server, purpose links.Purpose, now time.Time) bool {
 	if s.starved {
-		return false // room is being made
+		return true
 	}
-	if purpose >= links.Standing && len(p.sockets.starved) < p.sockets.evicted || p.evict(purpose, now.Sub(s.withoutSince)) {
+	unclaimed := len(p.sockets.starved) < p.sockets.evicted
+	if purpose >= links.Standing && unclaimed || p.evict(purpose, s.without(now)) {
 		s.starved = true
 		p.sockets.starved = append(p.sockets.starved, s)
-		return false
 	}
-	if (purpose == links.Ahead || purpose == links.Standing) && p.sockets.denied == nil {
-		p.sockets.denied = s
+	return s.starved
+}
+
+// without is how long the dispatcher has had no open connection.
+func (s *server) without(now time.Time) time.Duration {
+	if len(s.links) > 0 {
+		return 0
 	}
-	return false
+	return now.Sub(s.withoutSince)
 }
 
 // purpose is what the next connection to the dispatcher is opened for.
@@ -108,7 +134,8 @@
 func (l *link) counts(now time.Time) links.Connection {
 	s := l.server
 	return links.Connection{
-		Drains: s.Status != control.Active || s.replaced, Sole: len(s.links) == 1, HalfClosed: l.retired, SetUps: len(l.invites),
+		Drains: s.Status != control.Active || s.replaced, Sole: len(s.links) == 1, HalfClosed: l.retired,
+		Heard: l.heardAt.After(l.openedAt), SetUps: len(l.invites),
 		Standing: s.pool.standingAt(s.ID, now) > 0, Since: l.since, UsedAt: l.usedAt,
 	}
 }
--- a/internal/dispatchers/budget_test.go
+++ b/internal/dispatchers/budget_test.go
@@ -189,3 +189,36 @@
 	}
 	t.Log("openings:", opened)
 }
+
+// TestThoseThatRefuseAreDialledRarely: each on the list is dialled once, and from then on one a second of all of them; but one for which
+// a set-up waits at once.
+func TestThoseThatRefuseAreDialledRarely(t *testing.T) {
+	t.Parallel()
+	const n, lasting = 50, 3 * time.Second
+	b := newBudgeted(t, 0, n)
+	for _, d := range b.dispatchers {
+		d.Die()
+	}
+	begun := time.Now()
+	b.do(func() { b.pool.Update(b.list) })
+	dials := func() (dials int) { b.do(func() { dials = b.pool.sockets.dials }); return dials }
+	for dials() < n {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(lasting)
+	if got, most := dials(), n+1+int(time.Since(begun)/time.Second); got > most || got < n+int(lasting/time.Second)-1 {
+		t.Errorf("%d dials in %v, want %d at most", got, time.Since(begun), most)
+	}
+	back, err := peer.Dispatch("tcp", b.dispatchers[n-1].Address(), "x0:40")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(back.Die)
+	b.dispatchers[n-1] = back
+	since := time.Now()
+	b.setUp(n-1, "a")
+	b.comes(n-1, "setup")
+	if took := time.Since(since); took > time.Second {
+		t.Errorf("a set-up had to wait for %v", took)
+	}
+}
--- a/internal/dispatchers/dispatchers.go
+++ b/internal/dispatchers/dispatchers.go
@@ -6,6 +6,7 @@
 	"iter"
 	"log/slog"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -55,8 +56,9 @@
 	// releasesAtOnce is how many of those go out in one turn: they, and what their dispatcher says to them, must not close the connection
 	// as too slow or too fast.
 	releasesAtOnce = 256
-	// redialMost bounds the pause between tries to connect, which doubles.
-	redialLeast, redialMost = 100 * time.Millisecond, time.Second
+	// endsAtOnce is how early a connection ends that counts as one that never came up: a dispatcher that closes whatever is new is not
+	// dialled without pause.
+	endsAtOnce = 100 * time.Millisecond
 )
 
 // Core is what the connections report to; *call.Core is one.
@@ -148,8 +150,7 @@
 	doubtAt    time.Time       // when their ends are to be told on a new connection
 	unclosed   bool            // there was one that the dispatcher never closed
 	dialing    bool
-	redialAt   time.Time
-	redial     time.Duration
+	backoff    links.Backoff
 	waiting    []waiting
 	heardAt    time.Time
 	answered   time.Time // when the latest set-up was sent that has an answer
@@ -203,6 +204,9 @@
 		if s.Status == control.Removed && entry.Status != control.Removed {
 			s.heardAt = now
 		}
+		if restarted || moved || s.Status != control.Active && entry.Status == control.Active {
+			s.backoff.Reset()
+		}
 		s.Server = entry
 		if restarted || moved {
 			// Its calls went with the old process, and old connections may look open still.
@@ -357,11 +361,12 @@
 // connect opens one more connection if that is allowed now.
 func (s *server) connect() {
 	now := time.Now()
-	if s.dialing || s.gone() || now.Before(s.redialAt) || len(s.links) >= s.pool.links || !s.pool.admit(s, now) {
+	if s.dialing || s.gone() || len(s.links) >= s.pool.links || !s.pool.admit(s, now) {
 		return
 	}
 	s.dialing = true
 	s.pool.sockets.held++
+	s.pool.sockets.dials++
 	address := s.Address
 	dial, wire := Place(address, &s.pool.Fields)
 	var l *link
@@ -387,12 +392,11 @@
 
 func (s *server) refused(err error) {
 	if errors.Is(err, conn.ErrNoSocket) { // says nothing of the dispatcher
-		s.redialAt = time.Now().Add(redialLeast)
+		s.backoff.Fail(time.Now(), rand.Float64())
 		s.pool.Log.Warn("no descriptor for a connection", "server", s.ID, "err", err)
 		return
 	}
-	s.redial = min(max(2*s.redial, redialLeast), redialMost)
-	s.redialAt = time.Now().Add(s.redial)
+	s.backoff.Fail(time.Now(), rand.Float64())
 	s.unanswered = !errors.Is(err, conn.ErrRefused)
 	s.pool.Log.Info("no connection", "server", s.ID, "err", err)
 	if len(s.links) > 0 && (s.unanswered || time.Since(s.heardAt) <= silence) {
@@ -412,7 +416,8 @@
 }
 
 func (s *server) opened(l *link) {
-	s.redial, s.unanswered = 0, false
+	s.backoff.Reset()
+	s.unanswered = false
 	s.links = append(s.links, l)
 	l.send(l.wire.Hello())
 	l.conn.Flush()
--- a/internal/dispatchers/link.go
+++ b/internal/dispatchers/link.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -331,8 +332,8 @@
 	if len(s.links) == 0 {
 		s.withoutSince = time.Now()
 	}
-	if now := time.Now(); now.Sub(l.openedAt) < redialLeast {
-		s.redialAt = now.Add(redialLeast) // a dispatcher that closes whatever is new is not dialled without pause
+	if now := time.Now(); now.Sub(l.openedAt) < endsAtOnce {
+		s.backoff.Fail(now, rand.Float64())
 	}
 	before := s.dialing
 	if len(s.links) == 0 || len(s.links) < s.wanted(time.Now()) {
--- a/internal/dispatchers/vanished_test.go
+++ b/internal/dispatchers/vanished_test.go
@@ -26,6 +26,12 @@
 	return 1
 }
 
+func (h *holding) Standings(f func(string, control.ServerID)) {
+	if !h.gone {
+		f("call", "d")
+	}
+}
+
 func (h *holding) Reached() {}
 
 func (h *holding) Died(id control.ServerID) {
