--- a/internal/call/core.go
+++ b/internal/call/core.go
@@ -554,6 +554,15 @@
 	return n
 }
 
+// EachStanding calls f with the dispatcher of each call that stands, in no order.
+func (c *Core) EachStanding(f func(server control.ServerID)) {
+	for _, k := range c.calls {
+		if k.state == stands {
+			f(k.server)
+		}
+	}
+}
+
 // --- Lists ---
 
 // Update takes in the list of dispatchers, or changes to it.
--- a/internal/decide/links/redial.go
+++ b/internal/decide/links/redial.go
@@ -55,6 +55,14 @@
 	return pause/2 + time.Duration(b.jitter*float64(pause/2))
 }
 
+// Next is when the dispatcher may be dialled for the purpose; zero if at any time.
+func (b *Backoff) Next(p Purpose) time.Time {
+	if b.failures == 0 {
+		return time.Time{}
+	}
+	return b.at.Add(b.pause(p))
+}
+
 // Due reports whether the dispatcher may be dialled for the purpose. A clock that was set back holds nothing up.
 func (b *Backoff) Due(now time.Time, p Purpose) bool {
 	since := now.Sub(b.at)
--- a/internal/dispatchers/budget.go
+++ b/internal/dispatchers/budget.go
@@ -20,8 +20,6 @@
 	starved  []*server // whose need waits for the end of an evicted one
 	standing map[control.ServerID]int
 	countAt  time.Time // when standing was counted
-	denied   *server   // the first that was denied a connection since the last check, but for those that drain
-	next     int       // the place in the pool's order from which connections are opened next, so that everybody has a turn
 }
 
 // Budget sets how many sockets the connections to all dispatchers may hold together; 0 is no bound. Beyond it, those are closed that no
@@ -43,7 +41,7 @@
 // admit reports whether a connection to a dispatcher may be dialled now. If the budget is against it, another connection is closed to make
 // room where the need is greater than what that one is kept for; the dispatcher is connected to once it has ended.
 func (p *Pool) admit(s *server, now time.Time) bool {
-	plenty := p.sockets.budget.Allows(links.Draining, p.sockets.held)
+	plenty := p.plenty()
 	if plenty && !s.backoff.Failed() {
 		return true // nobody needs to know what for
 	}
@@ -58,12 +56,12 @@
 	} else if p.makeRoom(s, purpose, now) {
 		return false
 	}
-	if p.sockets.denied == nil && (purpose == links.Ahead || purpose == links.Standing) {
-		p.sockets.denied = s
-	}
 	return false
 }
 
+// plenty reports whether connections are opened whatever they are for.
+func (p *Pool) plenty() bool { return p.sockets.budget.Allows(links.Draining, p.sockets.held) }
+
 // makeRoom reports whether a connection ends to make room for one to the dispatcher, which is dialled then.
 func (p *Pool) makeRoom(s *server, purpose links.Purpose, now time.Time) bool {
 	if s.starved {
@@ -102,19 +100,25 @@
 
 // standingAt is how many calls stood at a dispatcher a moment ago. They are counted for all dispatchers at once.
 func (p *Pool) standingAt(id control.ServerID, now time.Time) int {
-	if age := now.Sub(p.sockets.countAt); p.sockets.standing == nil || age < 0 || age >= checkEvery {
-		p.sockets.standing, p.sockets.countAt = map[control.ServerID]int{}, now
-		p.core.Standings(func(_ string, server control.ServerID) { p.sockets.standing[server]++ })
-	}
+	p.countStanding(now, checkEvery)
 	return p.sockets.standing[id]
 }
 
+// countStanding counts the calls that stand at each dispatcher, unless that was done a moment ago.
+func (p *Pool) countStanding(now time.Time, moment time.Duration) {
+	if age := now.Sub(p.sockets.countAt); p.sockets.standing != nil && age >= 0 && age < moment {
+		return
+	}
+	p.sockets.standing, p.sockets.countAt = map[control.ServerID]int{}, now
+	p.core.EachStanding(func(server control.ServerID) { p.sockets.standing[server]++ })
+}
+
 // evict closes the connection that is missed least, if the purpose is worth it.
 func (p *Pool) evict(purpose links.Purpose, without time.Duration) bool {
 	now := time.Now()
 	var all []*link
 	var connections []links.Connection
-	for _, s := range p.order {
+	for s := range p.linked {
 		for _, l := range slices.Concat(s.links, s.lingering) {
 			if !l.evicted {
 				all, connections = append(all, l), append(connections, l.counts(now))
@@ -160,6 +164,7 @@
 		p.sockets.starved = p.sockets.starved[1:]
 		s.starved = false
 		s.connect()
+		p.touch(s)
 	}
 }
 
--- a/internal/dispatchers/budget_test.go
+++ b/internal/dispatchers/budget_test.go
@@ -30,10 +30,10 @@
 	}
 }
 
-func (s *standings) Standings(f func(string, control.ServerID)) {
+func (s *standings) EachStanding(f func(control.ServerID)) {
 	for id, calls := range s.at {
-		for _, call := range calls {
-			f(call, id)
+		for range calls {
+			f(id)
 		}
 	}
 }
--- /dev/null
+++ b/internal/dispatchers/check.go
@@ -0,0 +1,142 @@
+package dispatchers
+
+import (
+	"cmp"
+	"container/heap"
+	"slices"
+	"time"
+
+	"cherryrelay/control"
+	"cherryrelay/internal/decide/links"
+)
+
+const (
+	// countEvery is the pace at which the calls that stand are counted, and dispatchers that have some are looked at.
+	countEvery = time.Second
+	// askAgain is when a connection to a dispatcher that drains is asked for again that the budget was against.
+	askAgain = time.Second
+)
+
+// touch has a dispatcher looked at with the next check.
+func (p *Pool) touch(s *server) {
+	if !s.active {
+		s.active = true
+		p.active = append(p.active, s)
+	}
+}
+
+// check runs at a steady pace. It goes over the dispatchers that something is to be done for, however many are on the list.
+func (p *Pool) check() {
+	now := time.Now()
+	p.keepToBudget()
+	p.touchStanding(now)
+	p.dialAhead(now)
+	active := p.active
+	p.active = nil
+	if !p.plenty() { // who has been without a connection for longest asks first
+		slices.SortStableFunc(active, func(a, b *server) int { return cmp.Compare(b.without(now), a.without(now)) })
+	}
+	forgotten := false
+	for _, s := range active {
+		s.active = false
+		s.check(now)
+		switch {
+		case s.Status == control.Removed && s.gone() && len(s.links) == 0 && !s.dialing:
+			p.leave(s)
+			delete(p.servers, s.ID)
+			forgotten = true
+		case s.busy(now):
+			p.touch(s)
+		default:
+			p.queue(s)
+		}
+	}
+	if forgotten {
+		p.order = slices.DeleteFunc(p.order, func(s *server) bool { return p.servers[s.ID] != s })
+	}
+	p.loop.After(checkEvery, p.check)
+}
+
+// touchStanding has dispatchers looked at where calls stand, some of which the pool has not seen to stand: those of a predecessor.
+func (p *Pool) touchStanding(now time.Time) {
+	if age := now.Sub(p.touchedAt); age >= 0 && age < countEvery {
+		return
+	}
+	p.touchedAt = now
+	p.countStanding(now, 0)
+	for id := range p.sockets.standing {
+		if s := p.servers[id]; s != nil {
+			p.touch(s)
+		}
+	}
+}
+
+// busy reports whether there is anything to look at again with the next check.
+func (s *server) busy(now time.Time) bool {
+	switch {
+	case s.Status == control.Removed, s.dialing, len(s.waiting) > 0, len(s.doubtful) > 0, len(s.lingering) > 0, !s.renewAt.IsZero():
+		return true
+	case len(s.links) == 0:
+		return !s.gone() && s.pool.sockets.standing[s.ID] > 0
+	case s.gone(), len(s.links) > 1, len(s.releases) > 0, len(s.links[0].invites) > 0:
+		return true
+	}
+	return s.pool.sockets.standing[s.ID] > 0 || now.Sub(s.answeredAt) < countEvery || s.wanted(now) > len(s.links)
+}
+
+// queue has a dispatcher without a connection dialled when that is due, as no call needs it.
+func (p *Pool) queue(s *server) {
+	if s.queued || len(s.links) > 0 || s.dialing || s.gone() {
+		return
+	}
+	s.queued, s.due = true, s.backoff.Next(links.Ahead)
+	heap.Push(&p.ahead, s)
+}
+
+// dialAhead dials those that no call needs and that are due, as far as pace and budget allow.
+func (p *Pool) dialAhead(now time.Time) {
+	for len(p.ahead) > 0 && !p.ahead[0].due.After(now) {
+		s := p.ahead[0]
+		purpose := s.purpose(now)
+		if p.servers[s.ID] == s && len(s.links) == 0 && !s.dialing && !s.gone() {
+			switch s.connect(); {
+			case s.dialing, s.starved:
+			case !s.backoff.Due(now, purpose):
+				s.due = s.backoff.Next(purpose)
+				heap.Fix(&p.ahead, 0)
+				continue
+			case purpose == links.Draining:
+				s.due = now.Add(askAgain)
+				heap.Fix(&p.ahead, 0)
+				continue
+			default:
+				return
+			}
+		}
+		s.queued = false
+		heap.Pop(&p.ahead)
+	}
+}
+
+// aheadQueue is a heap of dispatchers by when they are due.
+type aheadQueue []*server
+
+func (q aheadQueue) Len() int           { return len(q) }
+func (q aheadQueue) Less(i, j int) bool { return q[i].due.Before(q[j].due) }
+func (q aheadQueue) Swap(i, j int)      { q[i], q[j] = q[j], q[i] }
+
+// Push is for container/heap.
+func (q *aheadQueue) Push(x any) {
+	if s, ok := x.(*server); ok {
+		*q = append(*q, s)
+	}
+}
+
+// Pop is for container/heap.
+func (q *aheadQueue) Pop() any {
+	last := len(*q) - 1
+	s := (*q)[last]
+	(*q)[last] = nil
+	*q = (*q)[:last]
+	return s
+}
--- a/internal/dispatchers/dispatchers.go
+++ b/internal/dispatchers/dispatchers.go
@@ -75,8 +75,8 @@
 	Standing(server control.ServerID) int
 	// StandAt names those calls.
 	StandAt(server control.ServerID) iter.Seq[string]
-	// Standings names all calls that stand, and their dispatchers.
-	Standings(func(id string, server control.ServerID))
+	// EachStanding calls f for each call that stands, in no order.
+	EachStanding(f func(server control.ServerID))
 }
 
 // Options are the settings of a Pool.
@@ -89,17 +89,23 @@
 // Pool is all dispatchers.
 type Pool struct {
 	Options
-	core    Core
-	loop    *call.Loop
-	servers map[control.ServerID]*server
-	order   []*server
-	links   int // that each may be given
-	sockets sockets
+	core      Core
+	loop      *call.Loop
+	servers   map[control.ServerID]*server
+	order     []*server
+	links     int // that each may be given
+	sockets   sockets
+	linked    map[*server]struct{} // those with connections, half-closed ones among them
+	touchedAt time.Time            // when those were touched at which calls stand
+	active    []*server            // to be looked at with the next check
+	ahead     aheadQueue           // those without a connection that no call needs
+	at        map[string][]*server // by address
+	dirty     []*link              // that were written to since the last Flush
 }
 
 // New returns an empty Pool.
 func New(loop *call.Loop, core Core, o Options) *Pool {
-	p := &Pool{Options: o, core: core, loop: loop, servers: map[control.ServerID]*server{}, links: MaxLinks}
+	p := &Pool{Options: o, core: core, loop: loop, servers: map[control.ServerID]*server{}, at: map[string][]*server{}, linked: map[*server]struct{}{}, links: MaxLinks}
 	p.check()
 	return p
 }
@@ -112,7 +118,7 @@
 // Limit sets how many connections each dispatcher may be given. Beyond them, those go that have nothing to do.
 func (p *Pool) Limit(links int) {
 	p.links = links
-	for _, s := range p.order {
+	for s := range p.linked {
 		s.trim()
 	}
 }
@@ -154,11 +160,15 @@
 	waiting    []waiting
 	heardAt    time.Time
 	answered   time.Time // when the latest set-up was sent that has an answer
+	answeredAt time.Time // when a call last came to stand here
 	unanswered bool      // the last connection tried did not come up in time
 	replaced   bool      // another dispatcher has its address now
 	releases   []release
 	demand     links.Demand
 
+	active       bool      // it is looked at with the next check
+	queued       bool      // it is in the queue of those that no call needs
+	due          time.Time // there
 	starved      bool      // room is being made for a connection
 	withoutSince time.Time // when it last came to have no open connection
 }
@@ -195,7 +205,9 @@
 			s = &server{Server: entry, pool: p, heardAt: now, withoutSince: now}
 			p.servers[entry.ID] = s
 			p.order = append(p.order, s)
+			p.at[s.Address] = append(p.at[s.Address], s)
 		}
+		p.touch(s)
 		restarted := entry.StartedAt != 0 && entry.StartedAt != s.StartedAt
 		moved := entry.Address != "" && entry.Address != s.Address
 		if entry.Address == "" {
@@ -207,6 +219,10 @@
 		if restarted || moved || s.Status != control.Active && entry.Status == control.Active {
 			s.backoff.Reset()
 		}
+		if moved {
+			p.leave(s)
+			p.at[entry.Address] = append(p.at[entry.Address], s)
+		}
 		s.Server = entry
 		if restarted || moved {
 			// Its calls went with the old process, and old connections may look open still.
@@ -215,23 +231,39 @@
 			p.core.Died(s.ID)
 		}
 		if entry.Status != control.Removed {
-			for _, o := range p.order { // a new dispatcher may have the address of one that has gone
-				o.replaced = o.replaced || o != s && o.Address == s.Address
+			for _, o := range p.at[s.Address] { // a new dispatcher may have the address of one that has gone
+				if o != s {
+					o.replaced = true
+					p.touch(o)
+				}
 			}
 			s.replaced = false
 			s.connect()
 		}
 	}
-	for _, s := range p.order {
-		if u.Whole && !named[s.ID] {
-			s.Status = control.Removed
+	if u.Whole {
+		for _, s := range p.order {
+			if !named[s.ID] {
+				s.Status = control.Removed
+				p.touch(s)
+			}
 		}
+	}
+	for _, s := range p.active {
 		if s.Status != control.Active {
 			s.callBack()
 		}
 	}
 }
 
+// leave forgets where a dispatcher is.
+func (p *Pool) leave(s *server) {
+	there := slices.DeleteFunc(p.at[s.Address], func(o *server) bool { return o == s })
+	if p.at[s.Address] = there; len(there) == 0 {
+		delete(p.at, s.Address)
+	}
+}
+
 // callBack takes back what has not gone out to a dispatcher that drains or is gone: set-ups that wait for a connection, which may come
 // up after the time in which the last may arrive there, and those that lie in a queue. They go elsewhere at once, as never sent.
 func (s *server) callBack() {
@@ -250,24 +282,6 @@
 	}
 }
 
-// check runs at a steady pace.
-func (p *Pool) check() {
-	p.keepToBudget()
-	p.sockets.denied = nil
-	for _, s := range slices.Concat(p.order[p.sockets.next:], p.order[:p.sockets.next]) {
-		s.check(time.Now())
-	}
-	p.order = slices.DeleteFunc(p.order, func(s *server) bool {
-		forget := s.Status == control.Removed && s.gone() && len(s.links) == 0 && !s.dialing
-		if forget {
-			delete(p.servers, s.ID)
-		}
-		return forget
-	})
-	p.sockets.next = max(slices.Index(p.order, p.sockets.denied), 0)
-	p.loop.After(checkEvery, p.check)
-}
-
 func (s *server) check(now time.Time) {
 	silent := now.Sub(s.heardAt)
 	switch {
@@ -284,7 +298,9 @@
 		s.pool.core.Died(s.ID)
 		return
 	case len(s.links) == 0:
-		s.connect()
+		if s.purpose(now) >= links.Standing {
+			s.connect()
+		}
 	case len(s.links) < s.wanted(now) && silent <= silence: // also to one that drains: a new one brings the releases of a lost one
 		s.connect()
 	case silent > silence && s.holds():
@@ -377,6 +393,7 @@
 	}
 	conn.Dial(s.pool.loop, dial, s.pool.ConnectTimeout, handler, func(err error) {
 		s.dialing = false
+		s.pool.touch(s)
 		if err != nil {
 			s.refused(err)
 			s.pool.released(false)
@@ -415,10 +432,20 @@
 	s.expire(time.Time{})
 }
 
+// track notes whether the dispatcher has connections.
+func (s *server) track() {
+	if len(s.links)+len(s.lingering) > 0 {
+		s.pool.linked[s] = struct{}{}
+	} else {
+		delete(s.pool.linked, s)
+	}
+}
+
 func (s *server) opened(l *link) {
 	s.backoff.Reset()
 	s.unanswered = false
 	s.links = append(s.links, l)
+	s.track()
 	l.send(l.wire.Hello())
 	l.conn.Flush()
 	if l.ready() {
@@ -524,6 +551,7 @@
 		return
 	}
 	s.waiting = append(s.waiting, waiting{a, now, now.Add(p.ConnectTimeout)})
+	p.touch(s)
 	s.connect()
 }
 
@@ -551,6 +579,7 @@
 			l.send(l.wire.Release(callID, cause))
 		} else if id != "" || len(s.releases) < maxReleases {
 			s.releases = append(s.releases, release{callID, cause})
+			p.touch(s)
 		}
 	}
 }
@@ -560,6 +589,7 @@
 func (p *Pool) Renew(id control.ServerID) {
 	if s := p.servers[id]; s != nil && s.renewAt.IsZero() {
 		s.renewAt = time.Now().Add(checkEvery)
+		p.touch(s)
 	}
 }
 
@@ -622,18 +652,20 @@
 	}
 }
 
-// Heard reports whether all that dispatchers have sent is with the loop, as far as it may be.
+// Heard reports whether all that dispatchers have sent is with the loop, as far as it may be. Those at which nothing stands and nothing is
+// open have nothing to say that could be waited for.
 func (p *Pool) Heard() bool {
-	return !slices.ContainsFunc(p.order, func(s *server) bool {
+	return !slices.ContainsFunc(p.active, func(s *server) bool {
 		return slices.ContainsFunc(s.links, func(l *link) bool { return l.conn.Unread() })
 	})
 }
 
 // Flush sends what was written since the last time.
 func (p *Pool) Flush() {
-	for _, s := range p.order {
-		for _, l := range s.links {
-			l.conn.Flush()
-		}
+	dirty := p.dirty
+	p.dirty = nil
+	for _, l := range dirty {
+		l.dirty = false
+		l.conn.Flush()
 	}
 }
--- a/internal/dispatchers/link.go
+++ b/internal/dispatchers/link.go
@@ -83,6 +83,7 @@
 	closed  bool
 	retired bool // given up, but what still comes is taken
 	evicted bool // closed to make room
+	dirty   bool // written to since the last Flush
 	openedAt,
 	heardAt time.Time
 	since   time.Time // when it was opened or, if it is, half-closed
@@ -97,6 +98,15 @@
 func (l *link) send(p []byte) {
 	if len(p) > 0 && !l.closed {
 		l.conn.Write(p)
+		l.written()
+	}
+}
+
+// written has the link flushed with the others at the end of the turn.
+func (l *link) written() {
+	if !l.dirty {
+		l.dirty = true
+		l.server.pool.dirty = append(l.server.pool.dirty, l)
 	}
 }
 
@@ -105,6 +115,8 @@
 	l.usedAt = i.sentAt
 	l.invites[a.ID] = i
 	i.ticket = l.conn.WriteThen(l.wire.SetUp(a), l.server.pool.core.Written)
+	l.written()
+	l.server.pool.touch(l.server)
 }
 
 // withdraw gives a set-up up. One that still lies in the queue does not go out at all: its caller may have left long before the
@@ -270,6 +282,7 @@
 	case hello:
 		s.ready(l)
 	case answer:
+		s.answeredAt = time.Now()
 		core.Answered(s.ID, m.id, attempt, m.description)
 	case refusal:
 		core.Ended(s.ID, m.id, attempt, m.outcome, m.noLine, m.report)
@@ -295,11 +308,13 @@
 	l.retired, l.invites, l.since = true, invites, time.Now()
 	l.conn.Finish(lingerFor)
 	s := l.server
+	s.pool.touch(s)
 	s.doubt(s.pool.core.StandAt(s.ID))
 	if s.lingering = append(s.lingering, l); len(s.lingering) > MaxLinks { // of one dispatcher, so many are held at most
 		s.lingering[0].conn.Close(conn.ErrClosedHere)
 		s.lingering = s.lingering[1:]
 	}
+	s.track()
 }
 
 // Closed ends the set-ups that were open on the connection.
@@ -307,6 +322,7 @@
 	if l.closed {
 		s := l.server
 		s.lingering = slices.DeleteFunc(s.lingering, func(o *link) bool { return o == l })
+		s.track()
 		if errors.Is(reason, conn.ErrClosedHere) && (l.retired || !l.evicted) {
 			s.unclosed = true // its dispatcher may hold it for open still
 		}
@@ -314,10 +330,12 @@
 	}
 	l.closed = true
 	s := l.server
+	s.pool.touch(s)
 	if !errors.Is(reason, io.EOF) && !errors.Is(reason, conn.ErrClosedHere) && !errors.Is(reason, errDead) {
 		s.pool.Log.Warn("connection to dispatcher closed", "server", s.ID, "reason", reason)
 	}
 	s.links = slices.DeleteFunc(s.links, func(o *link) bool { return o == l })
+	s.track()
 	ids := make([]string, 0, len(l.invites))
 	for id := range l.invites {
 		ids = append(ids, id)
--- a/internal/dispatchers/queue_test.go
+++ b/internal/dispatchers/queue_test.go
@@ -20,12 +20,12 @@
 	told map[string]control.Outcome
 }
 
-func (e *ends) Standing(control.ServerID) int            { return 0 }
-func (e *ends) Standings(func(string, control.ServerID)) {}
-func (e *ends) Reached()                                 {}
-func (e *ends) Written()                                 {}
-func (e *ends) Reported(control.ServerID, []float64)     {}
-func (e *ends) Died(control.ServerID)                    {}
+func (e *ends) Standing(control.ServerID) int        { return 0 }
+func (e *ends) EachStanding(func(control.ServerID))  {}
+func (e *ends) Reached()                             {}
+func (e *ends) Written()                             {}
+func (e *ends) Reported(control.ServerID, []float64) {}
+func (e *ends) Died(control.ServerID)                {}
 func (e *ends) Ended(_ control.ServerID, id string, _ int, o control.Outcome, _ bool, _ []float64) {
 	e.told[id] = o
 }
--- a/internal/dispatchers/vanished_test.go
+++ b/internal/dispatchers/vanished_test.go
@@ -26,9 +26,9 @@
 	return 1
 }
 
-func (h *holding) Standings(f func(string, control.ServerID)) {
+func (h *holding) EachStanding(f func(control.ServerID)) {
 	if !h.gone {
-		f("call", "d")
+		f("d")
 	}
 }
 
