--- a/internal/dispatchers/check.go
+++ b/internal/dispatchers/check.go
@@ -78,7 +78,9 @@
 		return true
 	case len(s.links) == 0:
 		return !s.gone() && s.pool.sockets.standing[s.ID] > 0
-	case s.gone(), len(s.links) > 1, len(s.releases) > 0, len(s.links[0].invites) > 0:
+	case s.gone(), len(s.links) > s.pool.links, len(s.releases) > 0:
+		return true
+	case slices.ContainsFunc(s.links, func(l *link) bool { return len(l.invites) > 0 }):
 		return true
 	}
 	return s.pool.sockets.standing[s.ID] > 0 || now.Sub(s.answeredAt) < countEvery || s.wanted(now) > len(s.links)
--- a/internal/dispatchers/dispatchers.go
+++ b/internal/dispatchers/dispatchers.go
@@ -238,7 +238,9 @@
 				}
 			}
 			s.replaced = false
-			s.connect()
+			if len(s.links) == 0 { // each event that named it opened one more, up to four
+				s.connect()
+			}
 		}
 	}
 	if u.Whole {
