--- /dev/null
+++ b/internal/conn/read.go
@@ -0,0 +1,219 @@
+package conn
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"syscall"
+	"time"
+
+	"github.com/cloudwego/netpoll"
+)
+
+// start begins to read what a dialled connection brings. It must not run on the loop: if more has come already
+// than the ring holds, it waits for the loop.
+func (c *Conn) start() error {
+	if err := c.nc.AddCloseCallback(func(netpoll.Connection) error { c.rest(); c.hup(); return nil }); err != nil {
+		return err
+	}
+	err := c.nc.SetOnRequest(func(_ context.Context, nc netpoll.Connection) error { return c.fill(nc.Reader()) })
+	if !c.nc.IsActive() {
+		// It closed before netpoll knew whom to tell. netpoll leaves such a socket to its owner: without the close, each
+		// connection that is reset when new would keep its descriptor for good. The close has the callback run, after the one
+		// that takes in what came, if that runs.
+		err = errors.Join(err, c.nc.Close())
+	}
+	return err
+}
+
+// fill runs on netpoll's pool, once at a time for a connection. It moves what came into the ring and waits while that
+// is full; the loop empties every ring each turn, so the wait is short. netpoll reads on meanwhile without bound, so a
+// peer that is too far ahead is dropped.
+func (c *Conn) fill(r netpoll.Reader) error {
+	c.mu.Lock()
+	c.moves = true
+	c.mu.Unlock()
+	defer func() {
+		c.mu.Lock()
+		c.moves = false
+		c.mu.Unlock()
+	}()
+	for n := r.Len(); n > 0; n = r.Len() {
+		if n > maxBacklog {
+			return errors.Join(r.Skip(n), r.Release(), c.flooded())
+		}
+		free := c.in.Free()
+		if free == 0 {
+			c.notify()
+			<-c.space
+			if c.isEnded() {
+				return io.EOF
+			}
+			continue
+		}
+		p, err := r.Next(min(n, free))
+		if err != nil {
+			return fmt.Errorf("reading: %w", err)
+		}
+		c.in.Write(p)
+		if err := r.Release(); err != nil {
+			return fmt.Errorf("reading: %w", err)
+		}
+	}
+	c.notify()
+	return nil
+}
+
+// flooded closes the connection at once: until the loop came to it, netpoll would read on, megabytes in a moment.
+func (c *Conn) flooded() error {
+	c.mu.Lock()
+	if c.ended {
+		c.mu.Unlock()
+		return nil
+	}
+	c.reason, c.ended, c.closed = ErrFlood, true, true
+	c.mu.Unlock()
+	c.loop.Post(c.tell)
+	return c.nc.Close()
+}
+
+func (c *Conn) notify() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sought = false
+	if !c.posted {
+		c.posted, c.at = true, time.Now()
+		c.loop.Post(c.read)
+	}
+}
+
+func (c *Conn) read() {
+	c.mu.Lock()
+	at := c.at
+	c.posted = false
+	deaf := c.closed
+	c.mu.Unlock()
+	if c.told || deaf {
+		return // what crosses a close by this side is not taken: its peer sends it again, or has forfeited it
+	}
+	err := c.handler.Data(c.in, at)
+	select {
+	case c.space <- struct{}{}:
+	default:
+	}
+	if err != nil {
+		c.Close(err)
+	}
+}
+
+func (c *Conn) isEnded() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ended
+}
+
+// rest takes in what a peer that has closed sent last. netpoll hands over what comes while a callback runs in another turn of that
+// callback, but not if the close comes before it begins: then the bytes are in its reader still, and would go with it. A close by
+// this side leaves them: what crosses it is not taken.
+func (c *Conn) rest() {
+	if c.isEnded() {
+		return
+	}
+	if r := c.nc.Reader(); r.Len() > 0 {
+		if err := c.fill(r); err != nil {
+			slog.Debug("what came last is lost", "err", err)
+		}
+	}
+}
+
+// hup runs when netpoll closes the connection, whoever asked for it.
+func (c *Conn) hup() {
+	c.mu.Lock()
+	if c.reason == nil {
+		c.reason = io.EOF
+		if fd, ok := c.nc.(netpoll.Conn); ok {
+			if _, err := syscall.Getpeername(fd.Fd()); errors.Is(err, syscall.ENOTCONN) {
+				c.reason = ErrReset // a socket whose peer has only closed its side still has one
+			}
+		}
+	}
+	c.ended = true
+	c.mu.Unlock()
+	c.loop.Post(c.tell)
+}
+
+func (c *Conn) tell() {
+	if c.told {
+		return
+	}
+	c.read() // what came before the close still counts
+	if c.told {
+		return
+	}
+	c.told = true
+	c.handler.Closed(c.reason)
+}
+
+// Quiet reports whether nothing of the peer's is on its way to the handler, nor waits in the socket. A connection that is
+// of no use may be closed then; else what has come already would be lost with it.
+func (c *Conn) Quiet() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	fd, ok := c.nc.(netpoll.Conn)
+	if c.ended || !ok {
+		return true
+	}
+	if c.posted || c.in.Len() > 0 || c.nc.Reader().Len() > 0 {
+		return false
+	}
+	n, _, _ := syscall.Recvfrom(fd.Fd(), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	return n <= 0
+}
+
+// Unread reports whether bytes wait that the ring could take and has not. After a pause they may tell what must be known before what is
+// overdue is done.
+func (c *Conn) Unread() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	fd, ok := c.nc.(netpoll.Conn)
+	if c.ended || !ok || c.in.Free() == 0 {
+		return false
+	}
+	if c.nc.Reader().Len() == 0 && !c.moves {
+		n, _, _ := syscall.Recvfrom(fd.Fd(), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		if n <= 0 {
+			return c.sought // neither here nor there: netpoll has read it, and does not show it yet
+		}
+	}
+	c.sought = true
+	return true
+}
+
+// Hear has the handler take in at once what has come and waits for its turn. Only the loop may call it, and no handler of callers.
+func (c *Conn) Hear() {
+	c.mu.Lock()
+	waits := c.posted
+	c.mu.Unlock()
+	if waits {
+		c.read()
+	}
+}
+
+// Left reports whether the peer has closed its side or reset the connection, also where nobody has looked at that yet: after a
+// pause, what is overdue runs beside what has come meanwhile.
+func (c *Conn) Left() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	fd, ok := c.nc.(netpoll.Conn)
+	if c.ended || !ok {
+		return true
+	}
+	n, _, err := syscall.Recvfrom(fd.Fd(), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	switch {
+	case n > 0 || errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EINTR):
+		return false
+	}
+	return true
+}
--- a/internal/dispatchers/budget.go
+++ b/internal/dispatchers/budget.go
@@ -119,7 +119,7 @@
 	var all []*link
 	var connections []links.Connection
 	for s := range p.linked {
-		for _, l := range slices.Concat(s.links, s.lingering) {
+		for _, l := range slices.Concat(s.links, s.halfClosed) {
 			if !l.evicted {
 				all, connections = append(all, l), append(connections, l.counts(now))
 			}
--- a/internal/dispatchers/check.go
+++ b/internal/dispatchers/check.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"container/heap"
+	"errors"
 	"slices"
 	"time"
 
@@ -57,6 +58,55 @@
 	p.loop.After(checkEvery, p.check)
 }
 
+// check looks at one dispatcher.
+func (s *server) check(now time.Time) {
+	silent := now.Sub(s.heardAt)
+	switch {
+	case s.gone():
+		// The register may be ahead of the process: it is let go when it is quiet.
+		if len(s.links) == 0 || silent > silence {
+			s.drop(errors.New("dispatcher is gone"))
+			s.pool.core.Died(s.ID)
+		}
+		return
+	case silent > deadAfter && s.dialTimedOut && s.holds(): // also where all connections were given up before: as each was unresponsive
+		s.pool.Log.Warn("dispatcher is silent", "server", s.ID, "for", silent)
+		s.drop(errors.New("dispatcher is silent"))
+		s.pool.core.Died(s.ID)
+		return
+	case len(s.links) == 0:
+		if s.purpose(now) >= links.Standing {
+			s.connect()
+		}
+	case len(s.links) < s.wanted(now) && silent <= silence: // also to one that drains: a new one brings the releases of a lost one
+		s.connect()
+	case silent > silence && s.holds():
+		s.connect()
+	}
+	for _, l := range slices.Clone(s.links) {
+		for id, i := range l.invites {
+			if !i.withdrawn.IsZero() && now.Sub(i.withdrawn) > forgetAfter {
+				delete(l.invites, id) // its dispatcher will say nothing more of it
+			}
+		}
+		if l.overtaken() || l.open() == 0 && l.unresponsive(now) {
+			s.pool.Log.Warn("connection to dispatcher is open but dead", "server", s.ID, "open", l.open())
+			l.retire(errDead)
+			continue
+		}
+		if l.open() == 0 && s.heardAt.Sub(l.heardAt) > deadAfter {
+			s.letGo(l) // the others are alive, and this one has nothing to do
+		}
+	}
+	s.trim()
+	s.settleDoubts(now)
+	s.renew(now)
+	if l := s.best(); l != nil && len(s.releases) > 0 {
+		s.serve(l)
+	}
+	s.expire(now)
+}
+
 // touchStanding has dispatchers looked at where calls stand, some of which the pool has not seen to stand: those of a predecessor.
 func (p *Pool) touchStanding(now time.Time) {
 	if age := now.Sub(p.touchedAt); age >= 0 && age < countEvery {
@@ -74,7 +124,7 @@
 // busy reports whether there is anything to look at again with the next check.
 func (s *server) busy(now time.Time) bool {
 	switch {
-	case s.Status == control.Removed, s.dialing, len(s.waiting) > 0, len(s.doubtful) > 0, len(s.lingering) > 0, !s.renewAt.IsZero():
+	case s.Status == control.Removed, s.dialing, len(s.waiting) > 0, len(s.doubtful) > 0, len(s.halfClosed) > 0, !s.renewAt.IsZero():
 		return true
 	case len(s.links) == 0:
 		return !s.gone() && s.pool.sockets.standing[s.ID] > 0
--- /dev/null
+++ b/internal/dispatchers/dial.go
@@ -0,0 +1,94 @@
+package dispatchers
+
+import (
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"cherryrelay/internal/conn"
+)
+
+// connect opens one more connection if that is allowed now.
+func (s *server) connect() {
+	now := time.Now()
+	if s.dialing || s.gone() || len(s.links) >= s.pool.links || !s.pool.admit(s, now) {
+		return
+	}
+	s.dialing = true
+	s.pool.sockets.held++
+	s.pool.sockets.dials++
+	address := s.Address
+	dial, wire := Place(address, &s.pool.Fields)
+	var l *link
+	handler := func(c *conn.Conn) conn.Handler {
+		now := time.Now()
+		l = &link{server: s, conn: c, wire: wire, invites: map[string]*invite{}, openedAt: now, heardAt: now, since: now, usedAt: now}
+		return socket{l}
+	}
+	conn.Dial(s.pool.loop, dial, s.pool.ConnectTimeout, handler, func(err error) {
+		s.dialing = false
+		s.pool.touch(s)
+		if err != nil {
+			s.refused(err)
+			s.pool.released(false)
+			return
+		}
+		if s.Address != address || s.gone() {
+			l.conn.Close(conn.ErrClosedHere)
+			return
+		}
+		s.opened(l)
+	})
+}
+
+func (s *server) refused(err error) {
+	if errors.Is(err, conn.ErrNoSocket) { // says nothing of the dispatcher
+		s.backoff.Fail(time.Now(), rand.Float64())
+		s.pool.Log.Warn("no descriptor for a connection", "server", s.ID, "err", err)
+		return
+	}
+	s.backoff.Fail(time.Now(), rand.Float64())
+	s.dialTimedOut = !errors.Is(err, conn.ErrRefused)
+	s.pool.Log.Info("no connection", "server", s.ID, "err", err)
+	if len(s.links) > 0 && (s.dialTimedOut || time.Since(s.heardAt) <= silence) {
+		return
+	}
+	if len(s.links) > 0 && !s.holds() {
+		return // it has nothing to say
+	}
+	if !s.dialTimedOut {
+		// Nothing listens, and every connection is gone or has long been silent: a process that stops at the end of
+		// its drain may leave its connections open. It is no more, and its calls with it.
+		s.drop(errors.New("dispatcher has stopped"))
+		s.pool.core.Died(s.ID)
+		return
+	}
+	s.expire(time.Time{})
+}
+
+// track notes whether the dispatcher has connections.
+func (s *server) track() {
+	if len(s.links)+len(s.halfClosed) > 0 {
+		s.pool.linked[s] = struct{}{}
+	} else {
+		delete(s.pool.linked, s)
+	}
+}
+
+func (s *server) opened(l *link) {
+	s.backoff.Reset()
+	s.dialTimedOut = false
+	s.links = append(s.links, l)
+	s.track()
+	l.send(l.wire.Hello())
+	l.conn.Flush()
+	if l.ready() {
+		s.ready(l) // it goes out at the end of the turn: who has left meanwhile is seen before
+	}
+}
+
+// ready tells that calls can be placed.
+func (s *server) ready(l *link) {
+	s.pool.core.Reached()
+	s.serve(l)
+}
--- /dev/null
+++ b/internal/dispatchers/doubt.go
@@ -0,0 +1,60 @@
+package dispatchers
+
+import (
+	"iter"
+	"maps"
+	"slices"
+	"time"
+
+	"cherryrelay/internal/conn"
+)
+
+// doubt notes calls whose ends may be told on a connection that was given up, unless the dispatcher closes that soon.
+func (s *server) doubt(calls iter.Seq[string]) {
+	if len(s.doubtful) == 0 {
+		s.doubtful, s.doubtAt = map[string]bool{}, time.Now().Add(closesWithin)
+	}
+	for id := range calls {
+		s.doubtful[id] = true
+	}
+}
+
+// settleDoubts opens new connections, one at a time, for the ends of calls in doubt, for as long as one of them stands. Once the
+// dispatcher has closed all that was given up, it tells them elsewhere by itself.
+func (s *server) settleDoubts(now time.Time) {
+	if len(s.doubtful) == 0 || now.Before(s.doubtAt) {
+		return
+	}
+	if len(s.halfClosed) == 0 && !s.unclosed {
+		s.doubtful = nil
+		return
+	}
+	standing := map[string]bool{}
+	for id := range s.pool.core.StandAt(s.ID) {
+		standing[id] = s.doubtful[id]
+	}
+	maps.DeleteFunc(s.doubtful, func(id string, _ bool) bool { return !standing[id] })
+	if len(s.doubtful) == 0 {
+		s.unclosed = false
+		return
+	}
+	s.pool.Renew(s.ID)
+	s.doubtAt = now.Add(tellAgain)
+}
+
+// renew does what Renew asked for.
+func (s *server) renew(now time.Time) {
+	if s.renewAt.IsZero() || now.Before(s.renewAt) || s.dialing {
+		return
+	}
+	if len(s.links) >= s.pool.links {
+		idle := slices.IndexFunc(s.links, func(l *link) bool { return l.open() == 0 })
+		if idle < 0 {
+			return // later
+		}
+		s.links[idle].retire(conn.ErrClosedHere)
+	}
+	if s.connect(); s.dialing {
+		s.renewAt = time.Time{}
+	}
+}
--- a/internal/dispatchers/link.go
+++ b/internal/dispatchers/link.go
@@ -194,25 +194,25 @@
 // while this one brought no answer at all: it is open, but of no use any more.
 func (l *link) overtaken() bool {
 	for _, i := range l.invites {
-		if l.owes(i) && i.withdrawn.IsZero() && l.server.answered.Sub(i.sentAt) > overtakenBy {
+		if l.unanswered(i) && i.withdrawn.IsZero() && l.server.answered.Sub(i.sentAt) > overtakenBy {
 			return true
 		}
 	}
 	return false
 }
 
-// owes reports whether no answer has come at all since the set-up was sent.
-func (l *link) owes(i *invite) bool { return l.finalAt.Before(i.sentAt) }
+// unanswered reports whether no answer has come at all since the set-up was sent.
+func (l *link) unanswered(i *invite) bool { return l.finalAt.Before(i.sentAt) }
 
-// mute reports whether a set-up was given up here without a word since it was sent, not even of the dispatcher's state; or without one
+// unresponsive reports whether a set-up was given up here without a word since it was sent, not even of the dispatcher's state; or without one
 // since it was given up, while others brought some: what takes it back has an answer at once where the connection lives. The next one
 // is better tried elsewhere: it may be the connection that is dead, and not the dispatcher.
-func (l *link) mute(now time.Time) bool {
+func (l *link) unresponsive(now time.Time) bool {
 	for _, i := range l.invites {
-		if i.withdrawn.IsZero() || !l.owes(i) {
+		if i.withdrawn.IsZero() || !l.unanswered(i) {
 			continue
 		}
-		if now.Sub(i.withdrawn) > muteFor && l.heardAt.Before(i.sentAt) ||
+		if now.Sub(i.withdrawn) > unresponsiveFor && l.heardAt.Before(i.sentAt) ||
 			now.Sub(i.withdrawn) > closesWithin && l.heardAt.Before(i.withdrawn) && l.server.heardAt.After(i.withdrawn) {
 			return true
 		}
@@ -228,8 +228,8 @@
 		switch {
 		case i.withdrawn.IsZero():
 			n++
-		case l.owes(i):
-			n += owedWeight
+		case l.unanswered(i):
+			n += unansweredWeight
 		}
 	}
 	return n
@@ -239,7 +239,7 @@
 // a set-up and what takes it back may both be stuck, if its dispatcher is cut off: they arrive together as that ends, and the
 // guard counts from there. And where one was given up without an answer, it may be the connection that is dead.
 func (l *link) sound(now time.Time) bool {
-	return now.Sub(l.heardAt) <= silence && l.load() < owedWeight
+	return now.Sub(l.heardAt) <= silence && l.load() < unansweredWeight
 }
 
 // take acts on a message. An error ends the connection.
@@ -306,13 +306,13 @@
 	invites := l.invites
 	l.Closed(reason)
 	l.retired, l.invites, l.since = true, invites, time.Now()
-	l.conn.Finish(lingerFor)
+	l.conn.Finish(halfClosedFor)
 	s := l.server
 	s.pool.touch(s)
 	s.doubt(s.pool.core.StandAt(s.ID))
-	if s.lingering = append(s.lingering, l); len(s.lingering) > MaxLinks { // of one dispatcher, so many are held at most
-		s.lingering[0].conn.Close(conn.ErrClosedHere)
-		s.lingering = s.lingering[1:]
+	if s.halfClosed = append(s.halfClosed, l); len(s.halfClosed) > MaxLinks { // of one dispatcher, so many are held at most
+		s.halfClosed[0].conn.Close(conn.ErrClosedHere)
+		s.halfClosed = s.halfClosed[1:]
 	}
 	s.track()
 }
@@ -321,7 +321,7 @@
 func (l *link) Closed(reason error) {
 	if l.closed {
 		s := l.server
-		s.lingering = slices.DeleteFunc(s.lingering, func(o *link) bool { return o == l })
+		s.halfClosed = slices.DeleteFunc(s.halfClosed, func(o *link) bool { return o == l })
 		s.track()
 		if errors.Is(reason, conn.ErrClosedHere) && (l.retired || !l.evicted) {
 			s.unclosed = true // its dispatcher may hold it for open still
--- /dev/null
+++ b/internal/dispatchers/server.go
@@ -0,0 +1,203 @@
+package dispatchers
+
+import (
+	"slices"
+	"time"
+
+	"cherryrelay/control"
+	"cherryrelay/internal/call"
+	"cherryrelay/internal/conn"
+	"cherryrelay/internal/decide/links"
+)
+
+// trim closes connections beyond the limit, as far as no set-up is open on them. A call that stands needs none of its own.
+func (s *server) trim() {
+	for _, l := range slices.Clone(s.links) {
+		if len(s.links) <= s.pool.links {
+			return
+		}
+		if l.open() == 0 {
+			s.letGo(l)
+		}
+	}
+}
+
+// letGo gives up a connection that has nothing to do. An end may be on its way there, and its dispatcher may reset it in the moment in
+// which it closes: while calls stand, another connection brings what has been told since.
+func (s *server) letGo(l *link) {
+	reason := conn.ErrClosedHere
+	if s.pool.core.Standing(s.ID) > 0 {
+		reason = errDead
+	}
+	l.retire(reason)
+}
+
+// server is one dispatcher and the connections to it.
+type server struct {
+	call.Server
+	pool         *Pool
+	links        []*link
+	renewAt      time.Time       // when one more connection is due, however many there are; zero if none is
+	halfClosed   []*link         // given up, and still read; MaxLinks at most
+	doubtful     map[string]bool // calls that stood as a connection was given up: their ends may be told there, in vain
+	doubtAt      time.Time       // when their ends are to be told on a new connection
+	unclosed     bool            // there was one that the dispatcher never closed
+	dialing      bool
+	backoff      links.Backoff
+	waiting      []waiting
+	heardAt      time.Time
+	answered     time.Time // when the latest set-up was sent that has an answer
+	answeredAt   time.Time // when a call last came to stand here
+	dialTimedOut bool      // the last connection tried did not come up in time
+	replaced     bool      // another dispatcher has its address now
+	releases     []release
+	demand       links.Demand
+
+	active       bool      // it is looked at with the next check
+	queued       bool      // it is in the queue of those that no call needs
+	due          time.Time // there
+	starved      bool      // room is being made for a connection
+	withoutSince time.Time // when it last came to have no open connection
+}
+
+// waiting is an attempt for which there is no connection yet.
+type waiting struct {
+	call.SetUp
+	since, until time.Time
+}
+
+// due is the set-up as it is to be sent by now; not ok if its time has passed. What it tells its dispatcher is how long the
+// controller will wait: told the whole limit, the dispatcher would still have it out when the controller has given it up,
+// and the next attempt would come before the end of the guard.
+func (w *waiting) due(now time.Time) (a call.SetUp, ok bool) {
+	a = w.SetUp
+	a.Limit -= max(now.Sub(w.since), 0)
+	return a, a.Limit > 0
+}
+
+// release is one that no connection was open for.
+type release struct {
+	id    string
+	cause int
+}
+
+// expire tells of attempts that no connection came up for: they never ran.
+func (s *server) expire(now time.Time) {
+	for len(s.waiting) > 0 && (now.After(s.waiting[0].until) || now.IsZero()) {
+		w := s.waiting[0]
+		s.waiting = s.waiting[1:]
+		s.pool.core.Ended(s.ID, w.ID, w.Attempt, control.Unreachable, false, nil)
+	}
+}
+
+// gone reports whether nothing is to be expected of a dispatcher any more: its place is another's, or it is off the list. One
+// that people left out, and whose calls may go on, is kept until they have ended.
+func (s *server) gone() bool {
+	return s.replaced || s.Status == control.Removed && !(s.Lingers && s.pool.core.Standing(s.ID) > 0)
+}
+
+// wanted is how many connections there should be.
+func (s *server) wanted(now time.Time) int {
+	return s.demand.Wanted(now, s.oldestUnheard(now), s.pool.links)
+}
+
+// oldestUnheard is the age of the oldest open set-up since which nothing has come on its connection.
+func (s *server) oldestUnheard(now time.Time) time.Duration {
+	oldest := time.Duration(0)
+	for _, l := range s.links {
+		for _, i := range l.invites {
+			if i.withdrawn.IsZero() && l.heardAt.Before(i.sentAt) {
+				oldest = max(oldest, now.Sub(i.sentAt))
+			}
+		}
+	}
+	return oldest
+}
+
+// holds reports whether a dispatcher has anything to say: set-ups are open at it, or calls stand.
+func (s *server) holds() bool { return s.openSetUps() > 0 || s.pool.core.Standing(s.ID) > 0 }
+
+func (s *server) openSetUps() int {
+	n := 0
+	for _, l := range s.links {
+		n += l.open()
+	}
+	return n
+}
+
+// serve sends what has waited for a connection. Releases go first: a set-up under the same id is not to be ended by one. Of many, some
+// go at once; the rest comes with the next look at the dispatcher.
+func (s *server) serve(l *link) {
+	if l.conn.Unsent() > 0 && len(s.releases) > 0 {
+		return // it has not taken the last ones yet
+	}
+	some := s.releases[:min(len(s.releases), releasesAtOnce)]
+	for _, r := range some {
+		l.send(l.wire.Release(r.id, r.cause))
+	}
+	if s.releases = s.releases[len(some):]; len(s.releases) > 0 {
+		return
+	}
+	s.releases = nil
+	waited := s.waiting
+	s.waiting = nil
+	for _, w := range waited {
+		if a, ok := w.due(time.Now()); ok {
+			l.setUp(a)
+		} else {
+			s.pool.core.Ended(s.ID, w.ID, w.Attempt, control.Unreachable, false, nil)
+		}
+	}
+}
+
+// drop closes all connections and ends what was under way.
+func (s *server) drop(reason error) {
+	for _, l := range slices.Clone(s.links) {
+		l.conn.Close(reason)
+		l.Closed(reason)
+	}
+	s.expire(time.Time{})
+	s.releases, s.doubtful, s.unclosed = nil, nil, false
+}
+
+// best is the connection that was heard from last.
+func (s *server) best() *link {
+	var best *link
+	for _, l := range s.links {
+		if l.ready() && l.partial.IsZero() && (best == nil || l.heardAt.After(best.heardAt)) {
+			best = l
+		}
+	}
+	return best
+}
+
+// least is the connection for a set-up: the one with the fewest, so that little is lost with any. An attempt does not
+// follow an earlier one of its call on the same connection, where a late answer to that could be taken for its own.
+func (s *server) least(id string) *link {
+	var least *link
+	now := time.Now()
+	for i, l := range s.links {
+		if !l.ready() || !l.partial.IsZero() || l.invites[id] != nil || i >= s.pool.links { // beyond those, one is to go
+
+			continue
+		}
+		if least == nil || l.sound(now) && !least.sound(now) || l.sound(now) == least.sound(now) && l.load() < least.load() {
+			least = l
+		}
+	}
+	return least
+}
+
+// room reports whether one more connection may be opened. One that has long been silent and has nothing to do makes room.
+func (s *server) room(now time.Time) bool {
+	if len(s.links) < s.pool.links {
+		return true
+	}
+	for _, l := range s.links {
+		if l.open() == 0 && !l.sound(now) {
+			l.retire(conn.ErrClosedHere)
+			return true
+		}
+	}
+	return false
+}
