--- a/cmd/cherryrelay/upgrade.go
+++ b/cmd/cherryrelay/upgrade.go
@@ -301,6 +301,7 @@
 // divide has callers and dispatchers keep to their parts of the descriptors, by the callers that there are.
 func (n *node) divide() {
 	if n.config.Limits.Sockets == 0 {
+		n.pool.Budget(0)
 		return
 	}
 	connected := 0
