--- a/internal/dispatchers/budget.go
+++ b/internal/dispatchers/budget.go
@@ -50,29 +50,25 @@
 		return false
 	}
 	if plenty || p.sockets.budget.Allows(purpose, p.sockets.held) {
-		if purpose >= links.Standing || !s.backoff.Failed() || p.sockets.pace.Take(now) {
-			return true
-		}
-	} else if p.makeRoom(s, purpose, now) {
-		return false
+		return purpose >= links.Standing || !s.backoff.Failed() || p.sockets.pace.Take(now)
 	}
+	p.makeRoom(s, purpose, now)
 	return false
 }
 
 // plenty reports whether connections are opened whatever they are for.
 func (p *Pool) plenty() bool { return p.sockets.budget.Allows(links.Draining, p.sockets.held) }
 
-// makeRoom reports whether a connection ends to make room for one to the dispatcher, which is dialled then.
-func (p *Pool) makeRoom(s *server, purpose links.Purpose, now time.Time) bool {
+// makeRoom has a connection closed to make room for one to the dispatcher, if the purpose is worth it. It is dialled then.
+func (p *Pool) makeRoom(s *server, purpose links.Purpose, now time.Time) {
 	if s.starved {
-		return true
+		return
 	}
 	unclaimed := len(p.sockets.starved) < p.sockets.evicted
 	if purpose >= links.Standing && unclaimed || p.evict(purpose, s.without(now)) {
 		s.starved = true
 		p.sockets.starved = append(p.sockets.starved, s)
 	}
-	return s.starved
 }
 
 // without is how long the dispatcher has had no open connection.
--- a/internal/dispatchers/server.go
+++ b/internal/dispatchers/server.go
@@ -115,7 +115,7 @@
 }
 
 // holds reports whether a dispatcher has anything to say: set-ups are open at it, or calls stand.
-func (s *server) holds() bool { return s.openSetUps() > 0 || s.pool.core.Standing(s.ID) > 0 }
+func (s *server) holds() bool { return s.openSetUps() > 0 || s.pool.standingAt(s.ID, time.Now()) > 0 }
 
 func (s *server) openSetUps() int {
 	n := 0
