--- a/cmd/cherryrelay/upgrade.go
+++ b/cmd/cherryrelay/upgrade.go
@@ -11,9 +11,12 @@
 	"cherryrelay/control"
 	"cherryrelay/internal/call"
 	"cherryrelay/internal/callers"
+	"cherryrelay/internal/config"
 	"cherryrelay/internal/conn"
+	"cherryrelay/internal/decide/links"
 	"cherryrelay/internal/dispatchers"
 	"cherryrelay/internal/handover"
+	"cherryrelay/internal/management"
 )
 
 const (
@@ -259,17 +262,84 @@
 	return nil
 }
 
+// divided is how the descriptors are divided, and by what.
+type divided struct {
+	links.Share
+	connected, held int
+}
+
+// programDescriptors are kept for what a process opens besides callers', operators' and dispatchers' sockets: its standard files, pollers,
+// listeners, the list's and the store's connections, the handover, and files of its state.
+const programDescriptors = 24
+
+const (
+	// callersKeep is the part of the limit that callers hold by themselves.
+	callersKeep = 3
+	// callersAhead is the part, and leastAhead the least number, that is kept beyond the callers that there are.
+	callersAhead, leastAhead = 16, 8
+)
+
+// shares is what the descriptors that callers and dispatchers have between them come to, while so many processes share the limit. Of two,
+// each has half of what is left beside the callers of both; the callers themselves are divided by the processes (upgrade.held).
+func shares(c *config.Config, processes int) links.Share {
+	limit, most := c.Limits.Sockets, bounds(c).Most()
+	if c.WebSocket != nil {
+		most *= 2
+	}
+	own := programDescriptors
+	if c.Management != "" {
+		own += management.Descriptors
+	}
+	least := dispatchers.MaxLinks // dispatchers are connected to however small the limit is
+	if processes == 1 {
+		sockets := max(limit-own, most+least)
+		return links.Share{Sockets: sockets, Callers: most, Kept: min(limit/callersKeep, most), Ahead: max(limit/callersAhead, leastAhead)}
+	}
+	return links.Share{Sockets: most + max((limit-most)/processes-own, least), Callers: most, Kept: most}
+}
+
+// divide has callers and dispatchers keep to their parts of the descriptors, by the callers that there are.
+func (n *node) divide() {
+	if n.config.Limits.Sockets == 0 {
+		n.pool.Budget(0)
+		return
+	}
+	connected := 0
+	for _, f := range n.fronts() {
+		connected += f.Open()
+	}
+	held := n.pool.Held()
+	if connected == n.divided.connected && held == n.divided.held {
+		return
+	}
+	n.divided.connected, n.divided.held = connected, held
+	_, sockets := n.divided.Divide(connected)
+	n.pool.Budget(sockets)
+	free := n.divided.Accept(connected, held) - connected
+	for _, f := range n.fronts() {
+		if free < n.divided.Ahead/2 { // dispatchers have nothing to give up
+			f.Squeeze()
+		}
+		f.Accept(max(f.Open()+free/len(n.fronts()), 1))
+	}
+}
+
 // share takes no more than this process's part while two run: together they have what one may.
 func (n *node) share() {
 	c, u := n.config, n.upgrade
 	two := u.predecessor != nil || u.successor != nil
-	memory, links := c.Limits.MemoryMB<<20, dispatchers.MaxLinks
+	memory, each := c.Limits.MemoryMB<<20, dispatchers.MaxLinks
 	if two {
-		memory, links = memory/sharers, links/sharers
+		memory, each = memory/sharers, each/sharers
 	}
 	limitMemory(memory)
 	n.core.Within(memory)
-	n.pool.Limit(links)
+	n.pool.Limit(each)
+	processes := 1
+	if two {
+		processes = sharers
+	}
+	n.divided = divided{Share: shares(c, processes), connected: -1}
 	most := n.bounds.Connections
 	if u.predecessor != nil && most > 0 {
 		most = max(most-u.held, 1)
@@ -278,6 +348,7 @@
 		f.Limit(most)
 		f.Listener().Shared(two)
 	}
+	n.divide()
 }
 
 func (n *node) fronts() []*callers.Front {
--- a/internal/dispatchers/link.go
+++ b/internal/dispatchers/link.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -81,8 +82,12 @@
 	wire    Wire
 	closed  bool
 	retired bool // given up, but what still comes is taken
+	evicted bool // closed to make room
+	dirty   bool // written to since the last Flush
 	openedAt,
 	heardAt time.Time
+	since   time.Time // when it was opened or, if it is, half-closed
+	usedAt  time.Time // when a set-up was sent here last; when it was opened if none was
 	finalAt time.Time // when a set-up last had its final answer here
 	partial time.Time // since when a message has not been whole; zero if none is under way
 	invites map[string]*invite
@@ -93,13 +98,25 @@
 func (l *link) send(p []byte) {
 	if len(p) > 0 && !l.closed {
 		l.conn.Write(p)
+		l.written()
+	}
+}
+
+// written has the link flushed with the others at the end of the turn.
+func (l *link) written() {
+	if !l.dirty {
+		l.dirty = true
+		l.server.pool.dirty = append(l.server.pool.dirty, l)
 	}
 }
 
 func (l *link) setUp(a call.SetUp) {
 	i := &invite{attempt: a.Attempt, called: a.Called, sentAt: time.Now()}
+	l.usedAt = i.sentAt
 	l.invites[a.ID] = i
 	i.ticket = l.conn.WriteThen(l.wire.SetUp(a), l.server.pool.core.Written)
+	l.written()
+	l.server.pool.touch(l.server)
 }
 
 // withdraw gives a set-up up. One that still lies in the queue does not go out at all: its caller may have left long before the
@@ -177,25 +194,25 @@
 // while this one brought no answer at all: it is open, but of no use any more.
 func (l *link) overtaken() bool {
 	for _, i := range l.invites {
-		if l.owes(i) && i.withdrawn.IsZero() && l.server.answered.Sub(i.sentAt) > overtakenBy {
+		if l.unanswered(i) && i.withdrawn.IsZero() && l.server.answered.Sub(i.sentAt) > overtakenBy {
 			return true
 		}
 	}
 	return false
 }
 
-// owes reports whether no answer has come at all since the set-up was sent.
-func (l *link) owes(i *invite) bool { return l.finalAt.Before(i.sentAt) }
+// unanswered reports whether no answer has come at all since the set-up was sent.
+func (l *link) unanswered(i *invite) bool { return l.finalAt.Before(i.sentAt) }
 
-// mute reports whether a set-up was given up here without a word since it was sent, not even of the dispatcher's state; or without one
+// unresponsive reports whether a set-up was given up here without a word since it was sent, not even of the dispatcher's state; or without one
 // since it was given up, while others brought some: what takes it back has an answer at once where the connection lives. The next one
 // is better tried elsewhere: it may be the connection that is dead, and not the dispatcher.
-func (l *link) mute(now time.Time) bool {
+func (l *link) unresponsive(now time.Time) bool {
 	for _, i := range l.invites {
-		if i.withdrawn.IsZero() || !l.owes(i) {
+		if i.withdrawn.IsZero() || !l.unanswered(i) {
 			continue
 		}
-		if now.Sub(i.withdrawn) > muteFor && l.heardAt.Before(i.sentAt) ||
+		if now.Sub(i.withdrawn) > unresponsiveFor && l.heardAt.Before(i.sentAt) ||
 			now.Sub(i.withdrawn) > closesWithin && l.heardAt.Before(i.withdrawn) && l.server.heardAt.After(i.withdrawn) {
 			return true
 		}
@@ -211,8 +228,8 @@
 		switch {
 		case i.withdrawn.IsZero():
 			n++
-		case l.owes(i):
-			n += owedWeight
+		case l.unanswered(i):
+			n += unansweredWeight
 		}
 	}
 	return n
@@ -222,7 +239,7 @@
 // a set-up and what takes it back may both be stuck, if its dispatcher is cut off: they arrive together as that ends, and the
 // guard counts from there. And where one was given up without an answer, it may be the connection that is dead.
 func (l *link) sound(now time.Time) bool {
-	return now.Sub(l.heardAt) <= silence && l.load() < owedWeight
+	return now.Sub(l.heardAt) <= silence && l.load() < unansweredWeight
 }
 
 // take acts on a message. An error ends the connection.
@@ -265,6 +282,7 @@
 	case hello:
 		s.ready(l)
 	case answer:
+		s.answeredAt = time.Now()
 		core.Answered(s.ID, m.id, attempt, m.description)
 	case refusal:
 		core.Ended(s.ID, m.id, attempt, m.outcome, m.noLine, m.report)
@@ -287,32 +305,37 @@
 func (l *link) retire(reason error) {
 	invites := l.invites
 	l.Closed(reason)
-	l.retired, l.invites = true, invites
-	l.conn.Finish(lingerFor)
+	l.retired, l.invites, l.since = true, invites, time.Now()
+	l.conn.Finish(halfClosedFor)
 	s := l.server
+	s.pool.touch(s)
 	s.doubt(s.pool.core.StandAt(s.ID))
-	if s.lingering = append(s.lingering, l); len(s.lingering) > MaxLinks { // of one dispatcher, so many are held at most
-		s.lingering[0].conn.Close(conn.ErrClosedHere)
-		s.lingering = s.lingering[1:]
+	if s.halfClosed = append(s.halfClosed, l); len(s.halfClosed) > MaxLinks { // of one dispatcher, so many are held at most
+		s.halfClosed[0].conn.Close(conn.ErrClosedHere)
+		s.halfClosed = s.halfClosed[1:]
 	}
+	s.track()
 }
 
 // Closed ends the set-ups that were open on the connection.
 func (l *link) Closed(reason error) {
 	if l.closed {
 		s := l.server
-		s.lingering = slices.DeleteFunc(s.lingering, func(o *link) bool { return o == l })
-		if errors.Is(reason, conn.ErrClosedHere) {
+		s.halfClosed = slices.DeleteFunc(s.halfClosed, func(o *link) bool { return o == l })
+		s.track()
+		if errors.Is(reason, conn.ErrClosedHere) && (l.retired || !l.evicted) {
 			s.unclosed = true // its dispatcher may hold it for open still
 		}
 		return
 	}
 	l.closed = true
 	s := l.server
+	s.pool.touch(s)
 	if !errors.Is(reason, io.EOF) && !errors.Is(reason, conn.ErrClosedHere) && !errors.Is(reason, errDead) {
 		s.pool.Log.Warn("connection to dispatcher closed", "server", s.ID, "reason", reason)
 	}
 	s.links = slices.DeleteFunc(s.links, func(o *link) bool { return o == l })
+	s.track()
 	ids := make([]string, 0, len(l.invites))
 	for id := range l.invites {
 		ids = append(ids, id)
@@ -324,8 +347,11 @@
 		}
 	}
 	l.invites = nil
-	if now := time.Now(); now.Sub(l.openedAt) < redialLeast {
-		s.redialAt = now.Add(redialLeast) // a dispatcher that closes whatever is new is not dialled without pause
+	if len(s.links) == 0 {
+		s.withoutSince = time.Now()
+	}
+	if now := time.Now(); now.Sub(l.openedAt) < endsAtOnce {
+		s.backoff.Fail(now, rand.Float64())
 	}
 	before := s.dialing
 	if len(s.links) == 0 || len(s.links) < s.wanted(time.Now()) {
--- a/internal/dispatchers/queue_test.go
+++ b/internal/dispatchers/queue_test.go
@@ -21,6 +21,7 @@
 }
 
 func (e *ends) Standing(control.ServerID) int        { return 0 }
+func (e *ends) EachStanding(func(control.ServerID))  {}
 func (e *ends) Reached()                             {}
 func (e *ends) Written()                             {}
 func (e *ends) Reported(control.ServerID, []float64) {}
