--- a/internal/lists/files/files.go
+++ b/internal/lists/files/files.go
@@ -12,6 +12,7 @@
 	"log/slog"
 	"os"
 	"path/filepath"
+	"slices"
 	"syscall"
 	"time"
 
@@ -37,12 +38,14 @@
 // Watcher follows one file.
 type Watcher struct {
 	Options
-	log   *slog.Logger
-	take  func(pool.Candidate)
-	start time.Time
-	last  identity // of the file at the last look
-	open  func() (notifier, error)
-	nudge chan struct{}
+	log    *slog.Logger
+	take   func(pool.Candidate)
+	start  time.Time
+	last   identity // of the file at the last look
+	judged string   // the digest that was judged last
+	read   stamp    // of the file, as a look read those bytes; zero before
+	open   func() (notifier, error)
+	nudge  chan struct{}
 }
 
 // identity tells one file from another at the same path.
@@ -68,33 +71,99 @@
 func (w *Watcher) First() pool.Candidate {
 	looks := pool.NewLooks(w.now(), false)
 	for {
-		if c, sight := w.look(); looks.Looked(w.now(), sight) {
-			return c
+		if f := w.look(); looks.Looked(w.now(), f.Sight) {
+			w.judge(f)
+			return f.candidate()
 		}
 		time.Sleep(max(looks.Due()-w.now(), 0))
 	}
 }
 
-// look reads the file as it is. One that changes while it is read is read again soon.
-func (w *Watcher) look() (pool.Candidate, pool.Sight) {
-	text, id, err := read(w.File, poolfile.MaxBytes)
-	var key []byte
-	if err == nil && w.KeyFile != "" {
-		if key, err = Key(w.KeyFile); err != nil {
-			err = fmt.Errorf("key: %w", err)
+// found is what a look has found.
+type found struct {
+	pool.Sight
+	stamp
+	text, key []byte
+	err       error
+}
+
+// stamp tells whether a file may hold other bytes than those that were read. Its key belongs to it.
+type stamp struct {
+	identity
+	size    int64
+	changed time.Time // of the file's bytes or its other properties, as the file system has it
+	key     string
+	digest  string // of what was read
+}
+
+// settled is how long before it was read a file must have changed last for its stamp to tell every later change: file systems keep such
+// times by steps of some milliseconds.
+const settled = time.Second
+
+// look reads the file as it is, unless it is as it was when it was judged: a large one is not read over and over. One that changes while it
+// is read is read again soon.
+func (w *Watcher) look() *found {
+	f := new(found)
+	if w.KeyFile != "" {
+		if f.key, f.err = Key(w.KeyFile); f.err != nil {
+			f.err = fmt.Errorf("key: %w", f.err)
 		}
 	}
-	if err != nil {
-		reason := pool.Missing
-		if errors.Is(err, errTooLarge) {
-			reason = pool.TooLarge
+	if s, ok := stampOf(w.File, f.key); f.err == nil && ok && w.read.digest != "" {
+		if s.digest = w.read.digest; s == w.read {
+			f.stamp, f.Sight = s, pool.Sight{Digest: s.digest}
+			return f
 		}
-		c := pool.Candidate{Source: pool.FromFile, Digest: "error " + err.Error(), Faults: []pool.Fault{{Reason: reason, Text: err.Error()}}}
-		return c, pool.Sight{Digest: c.Digest, Unfinished: reason == pool.Missing}
 	}
-	sight := pool.Sight{Digest: poolfile.Digest(append(key, text...)), Unfinished: poolfile.Unfinished(text), InPlace: id == w.last}
+	begun := time.Now()
+	text, id, err := read(w.File, poolfile.MaxBytes)
+	if f.err == nil || err != nil {
+		f.err = err
+	}
+	if f.err != nil {
+		f.Digest = "error " + f.err.Error()
+		f.Unfinished = !errors.Is(f.err, errTooLarge)
+		return f
+	}
+	f.text = text
+	f.Sight = pool.Sight{Digest: poolfile.Digest(append(slices.Clone(f.key), text...)), Unfinished: poolfile.Unfinished(text), InPlace: id == w.last}
 	w.last = id
-	return poolfile.Read(text, key), sight
+	if s, ok := stampOf(w.File, f.key); ok && begun.Sub(s.changed) > settled && s.size == int64(len(text)) && s.identity == id {
+		f.stamp = s
+		f.stamp.digest = f.Digest
+	}
+	if f.Digest == w.judged {
+		w.read = f.stamp
+	}
+	return f
+}
+
+// judge notes that what was found is judged.
+func (w *Watcher) judge(f *found) { w.judged, w.read = f.Digest, f.stamp }
+
+// candidate is what is to be judged.
+func (f *found) candidate() pool.Candidate {
+	if f.err == nil {
+		return poolfile.Read(f.text, f.key)
+	}
+	reason := pool.Missing
+	if errors.Is(f.err, errTooLarge) {
+		reason = pool.TooLarge
+	}
+	return pool.Candidate{Source: pool.FromFile, Digest: f.Digest, Faults: []pool.Fault{{Reason: reason, Text: f.err.Error()}}}
+}
+
+// stampOf is that of a file by now.
+func stampOf(path string, key []byte) (stamp, bool) {
+	info, err := os.Stat(path)
+	if err != nil || !info.Mode().IsRegular() {
+		return stamp{}, false
+	}
+	s, ok := info.Sys().(*syscall.Stat_t)
+	if !ok {
+		return stamp{}, false
+	}
+	return stamp{identity: identify(info), size: info.Size(), changed: time.Unix(s.Ctim.Unix()), key: string(key)}, true
 }
 
 var errTooLarge = errors.New("the file is too large")
@@ -219,9 +288,9 @@
 			if notify != nil {
 				looks.Watched(w.now(), w.watch(notify, watched))
 			}
-			c, sight := w.look()
-			if looks.Looked(w.now(), sight) {
-				w.take(c)
+			if f := w.look(); looks.Looked(w.now(), f.Sight) {
+				w.judge(f)
+				w.take(f.candidate())
 			}
 		}
 		due.Reset(max(looks.Due()-w.now(), 0))
