--- a/internal/call/selection_test.go
+++ b/internal/call/selection_test.go
@@ -434,6 +434,9 @@
 	d.Peers = 100
 	for _, test := range []struct{ listed, want int }{{5, 100}, {10, 100}, {50, 20}, {200, 5}, {3, 100}} {
 		s.core.Update(Update{Whole: true, Servers: servers(0, test.listed)})
+		for len(s.core.selection.queue) > 0 {
+			s.core.loop.takeIn()
+		}
 		if got := s.core.selection.scaled(d).Peers; got != test.want {
 			t.Errorf("%d listed: %d peers, not %d", test.listed, got, test.want)
 		}
