--- a/internal/call/selection_test.go
+++ b/internal/call/selection_test.go
@@ -267,8 +267,7 @@
 	})
 }
 
-// TestAWholeFirstChoiceThatIsFull: with all of a call's group full, it goes elsewhere; and a class that may go to some groups alone is
-// served though none of them is in the subset.
+// TestAClassWithGroupsOfItsOwn: a class that may go to some groups alone is served though none of them is in the subset, and most are full.
 func TestAClassWithGroupsOfItsOwn(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newScene(t, &subset.Options{Size: 4, Most: 20})
--- a/internal/decide/subset/subset.go
+++ b/internal/decide/subset/subset.go
@@ -277,9 +277,6 @@
 	return true
 }
 
-// Need notes that all places are still needed.
-func (s *Subset) Need(now time.Duration) { s.needAt = now }
-
 // Rest gives back what has not been needed for long: what one growth has brought, and groups that no call has had as first choice. The
 // places stay needed while those that would remain are scarce. Its cost goes by the subset and the groups in use.
 func (s *Subset) Rest(now time.Duration, sound func(control.ServerID) bool) {
@@ -355,17 +352,11 @@
 	return 0
 }
 
-// Listed is the number of dispatchers in the list.
-func (s *Subset) Listed() int { return len(s.members) }
-
-// Active is the number of those that can fill a place.
+// Active is the number of listed dispatchers that can fill a place.
 func (s *Subset) Active() int { return s.near.len() + s.far.len() }
 
 // Len is the number of dispatchers in the subset.
 func (s *Subset) Len() int { return s.chosen }
 
-// Size is the number of dispatchers that the subset has without need.
-func (s *Subset) Size() int { return s.options.Size }
-
 // Growths is how often it has grown.
 func (s *Subset) Growths() int { return s.growths }
--- a/internal/decide/subset/subset_test.go
+++ b/internal/decide/subset/subset_test.go
@@ -188,15 +188,15 @@
 			if len(told) != len(after) || s.Len() != len(after) {
 				t.Fatalf("told of %d, counted %d, there are %d", len(told), s.Len(), len(after))
 			}
-			if s.Listed() <= o.Size && len(after) != s.Active() {
+			if len(s.members) <= o.Size && len(after) != s.Active() {
 				t.Fatalf("%d of %d are in the subset, though the size is %d", len(after), s.Active(), o.Size)
 			}
 		}
 	})
 }
 
-// TestALostZone takes a zone off the list, and in another run has it stay on the list and refuse: neither leaves a controller without
-// dispatchers.
+// TestALostZone: the subset of a controller that prefers a zone has some of others, for when that zone is lost while it is listed; and with
+// a zone off the list, the places are filled by what is left.
 func TestALostZone(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(30, 400).Draw(t, "dispatchers")
@@ -242,7 +242,7 @@
 		}
 	}
 	now += 50 * time.Second
-	s.Need(now)
+	s.Grow(now) // which it can't, but the need is noted
 	for _, step := range []struct {
 		after time.Duration
 		want  int
