--- a/internal/trial/peers.go
+++ b/internal/trial/peers.go
@@ -31,7 +31,12 @@
 
 // Stand opens a dispatcher; its acts are drawn for each call.
 func Stand(transport, name string, j *Judge) (*Dispatcher, error) {
-	d, err := peer.Dispatch(transport, "127.0.0.1:0", "x0:1000000;x1:1000000")
+	return StandAt(transport, "127.0.0.1:0", name, j)
+}
+
+// StandAt opens one at an address.
+func StandAt(transport, address, name string, j *Judge) (*Dispatcher, error) {
+	d, err := peer.Dispatch(transport, address, "x0:1000000;x1:1000000")
 	if err != nil {
 		return nil, err //nolint:wrapcheck // it says what it is
 	}
