--- a/cmd/cherryrelay/subset_test.go
+++ b/cmd/cherryrelay/subset_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"os"
 	"path/filepath"
 	"slices"
@@ -67,9 +68,11 @@
 	s.Helper()
 	for range n {
 		i := len(s.dispatchers)
-		address, err := peer.Free() // nobody else listens there once it is lost
+		free, err := peer.Free()
 		s.must(err)
-		d, err := trial.StandAt("tcp", address, fmt.Sprint("s", i), s.judge)
+		host, _, err := net.SplitHostPort(free) // nobody else listens there once it is lost
+		s.must(err)
+		d, err := trial.StandAt("tcp", net.JoinHostPort(host, "0"), fmt.Sprint("s", i), s.judge)
 		s.must(err)
 		s.Cleanup(d.Die)
 		s.dispatchers = append(s.dispatchers, d)
