--- a/internal/capacity/lists.go
+++ b/internal/capacity/lists.go
@@ -438,7 +438,8 @@
 	}, err
 }
 
-// playReload has the settings read again with a list in force.
+// playReload has the settings read again with a list in force: some times to see when they are in force, and some times for the processor
+// time, in which nothing is asked.
 func playReload(ctx context.Context, b *bench, size int) ([]Figure, error) {
 	const times = 5
 	f, err := b.follow(ctx, size, 0, 0)
@@ -447,25 +448,40 @@
 	}
 	defer f.close()
 	var took []time.Duration
-	used := time.Duration(0)
 	for i := range times {
-		u, t, err := f.cpuDuring(func() error {
-			if err := f.controller.reload(); err != nil {
-				return err
-			}
-			return until(ctx, eventWithin, 5*time.Millisecond, func() bool { return int(f.telemetry(ctx, "reloads_ok_total")) == i+1 })
-		})
-		if err != nil {
+		begun := time.Now()
+		if err := f.controller.reload(); err != nil {
 			return nil, err
 		}
-		used, took = used+u, append(took, t)
-		if err := pause(ctx, time.Second/2); err != nil {
+		if err := until(ctx, eventWithin, 5*time.Millisecond, func() bool { return int(f.telemetry(ctx, "reloads_ok_total")) == i+1 }); err != nil {
 			return nil, err
 		}
+		took = append(took, time.Since(begun))
+	}
+	if err := pause(ctx, b.settleFor()); err != nil {
+		return nil, err
+	}
+	idle, _, err := f.cpuDuring(func() error { return pause(ctx, b.lasting) })
+	if err != nil {
+		return nil, err
+	}
+	used, _, err := f.cpuDuring(func() error {
+		for range times {
+			if err := errors.Join(f.controller.reload(), pause(ctx, b.lasting/times)); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+	if err != nil {
+		return nil, err
+	}
+	if n := int(f.telemetry(ctx, "reloads_ok_total")); n != 2*times {
+		return nil, fmt.Errorf("capacity: %d of %d reloads came into force", n, 2*times)
 	}
 	return []Figure{
 		{"in force after, median", "ms", milliseconds(median(took))},
-		{"processor a reload", "ms", milliseconds(used) / times},
+		{"processor a reload", "ms", milliseconds(used-idle) / times},
 	}, nil
 }
 
