--- a/internal/capacity/lists.go
+++ b/internal/capacity/lists.go
@@ -297,17 +297,17 @@
 		return nil, err
 	}
 	before := held.reset()
-	var size1 int
+	var length int
 	used, took, err := f.cpuDuring(func() error {
-		size1, err = f.coordinator.publish(true, entries(1, f.addresses[:size]))
+		length, err = f.coordinator.publish(true, entries(1, f.addresses[:size]))
 		return errors.Join(err, f.knows(ctx, size, eventWithin))
 	})
 	if err != nil {
-		return nil, fmt.Errorf("%w; %d bytes, the stream was asked for %d times; logged: %s", err, size1, f.coordinator.streams.Load(), f.lastLine())
+		return nil, fmt.Errorf("%w; %d bytes, the stream was asked for %d times; logged: %s", err, length, f.coordinator.streams.Load(), f.lastLine())
 	}
 	later, _, err := f.cpuDuring(func() error { return pause(ctx, b.settleFor()) })
 	return []Figure{
-		{"bytes", "", float64(size1)},
+		{"bytes", "", float64(length)},
 		{"in force after", "ms", milliseconds(took)},
 		{"processor until in force", "ms", milliseconds(used)},
 		{fmt.Sprintf("processor in the %v after", b.settleFor()), "ms", milliseconds(later)},
