--- a/internal/inifile/inifile.go
+++ b/internal/inifile/inifile.go
@@ -6,6 +6,7 @@
 import (
 	"bytes"
 	"fmt"
+	"strconv"
 	"strings"
 	"unicode"
 	"unicode/utf8"
@@ -45,6 +46,15 @@
 	return strings.TrimSpace(rest), first == word
 }
 
+// Number reads a whole number from least to most. The fault is nil if the value is one.
+func (k *Key) Number(least, most int) (int, *Fault) {
+	n, err := strconv.Atoi(k.Value)
+	if err != nil || n < least || n > most {
+		return 0, &Fault{Line: k.Line, Text: fmt.Sprintf("%s: %.40q is no whole number from %d to %d", k.Name, k.Value, least, most)}
+	}
+	return n, nil
+}
+
 // Fault is what is wrong with a line.
 type Fault struct {
 	Line int // 0 for the whole file
--- a/internal/trial/scenario.go
+++ b/internal/trial/scenario.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
-	"strconv"
 	"strings"
 	"time"
 
@@ -65,9 +64,9 @@
 		faults = append(faults, inifile.Fault{Line: line, Text: fmt.Sprintf(format, args...)})
 	}
 	number := func(k *inifile.Key, least, most int) int {
-		n, err := strconv.Atoi(k.Value)
-		if err != nil || n < least || n > most {
-			fault(k.Line, "%s: %.40q is no whole number from %d to %d", k.Name, k.Value, least, most)
+		n, wrong := k.Number(least, most)
+		if wrong != nil {
+			faults = append(faults, *wrong)
 		}
 		return n
 	}
