--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -66,8 +66,11 @@
 	Deaf bool
 }
 
-// Counts are what was asked of the store.
-type Counts struct{ Reads, Writes, Renewals, Watches, Progress int }
+// Counts are what was asked of the store, and what it told its watches: Notices are messages, Events the changes in them.
+type Counts struct {
+	Reads, Writes, Renewals, Watches, Progress int
+	Notices, Events                            int
+}
 
 // Sum is all requests.
 func (c Counts) Sum() int { return c.Reads + c.Writes + c.Renewals + c.Watches + c.Progress }
--- a/internal/store/streams.go
+++ b/internal/store/streams.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.etcd.io/etcd/api/v3/etcdserverpb"
@@ -240,8 +241,8 @@
 		return nil, false
 	}
 	var events []*mvccpb.Event
-	for _, e := range s.history {
-		if e.Kv.ModRevision >= w.next && within(string(e.Kv.Key), w.r.Key, w.r.RangeEnd) {
+	for _, e := range s.since(w.next) {
+		if within(string(e.Kv.Key), w.r.Key, w.r.RangeEnd) {
 			events = append(events, e)
 		}
 	}
@@ -249,13 +250,23 @@
 	if len(events) == 0 {
 		return nil, false
 	}
+	s.counts.Notices++
+	s.counts.Events += len(events)
 	return &etcdserverpb.WatchResponse{Header: s.header(), WatchId: w.id, Events: events}, false
 }
 
+// since is the history from a revision on. The events stand in the order of their revisions.
+func (s *Store) since(revision int64) []*mvccpb.Event {
+	first, _ := slices.BinarySearchFunc(s.history, revision, func(e *mvccpb.Event, revision int64) int {
+		return compareInt(e.Kv.ModRevision, revision)
+	})
+	return s.history[first:]
+}
+
 // has reports whether a watch has events that it was not told.
 func (s *Store) has(w *watching) bool {
-	for _, e := range s.history {
-		if e.Kv.ModRevision >= w.next && within(string(e.Kv.Key), w.r.Key, w.r.RangeEnd) {
+	for _, e := range s.since(w.next) {
+		if within(string(e.Kv.Key), w.r.Key, w.r.RangeEnd) {
 			return true
 		}
 	}
