--- /dev/null
+++ b/internal/scale/scenario.go
@@ -0,0 +1,269 @@
+// Package scale runs large fleets on one machine: controllers without callers ("hollow"), many in one process, beside a few real ones, over
+// stand-ins of the store and of the dispatchers. It causes the faults of a scenario and measures what each controller costs and how long
+// a change takes to be in force. docs/scale.md is its page.
+package scale
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"cherryrelay/internal/inifile"
+)
+
+// Kind is what an event does.
+type Kind string
+
+// The events. Restart and Change are drawn at the scenario's rates as well.
+const (
+	Restart   Kind = "restart"    // a controller ends in order and starts again
+	Change    Kind = "change"     // an entry of the list of dispatchers changes
+	Release   Kind = "release"    // the controllers of a service restart one after the other
+	Rack      Kind = "rack"       // the controllers of a rack are lost, and started later
+	Zone      Kind = "zone"       // a zone is cut off, and is back later
+	Region    Kind = "region"     // a region is cut off, and is back later
+	StartAll  Kind = "start all"  // every hollow controller is lost, and all start at once
+	StopStore Kind = "stop store" // the store is not there
+	Settings  Kind = "settings"   // every controller is given other settings
+)
+
+// targets says what an event of a kind is done to.
+var targets = map[Kind]func(*Scenario) []string{
+	Restart: (*Scenario).names, Change: (*Scenario).scopes, Release: (*Scenario).serviceNames, Rack: (*Scenario).racks,
+	Zone: (*Scenario).zoneNames, Region: (*Scenario).regionNames, StartAll: nil, StopStore: nil, Settings: nil,
+}
+
+// Scenario is what a run plays. Rates are those of the whole deployment; a run has the share that its controllers are of it.
+type Scenario struct {
+	Controllers    int // hollow
+	Real           int
+	Services       int
+	Regions, Zones int // zones of each region
+	RackSize       int // hollow controllers in a rack
+	Dispatchers    int
+	ListByService  bool // a controller follows the dispatchers of its own service alone
+	Lease          time.Duration
+	Lasting        time.Duration // without the start
+	Recover        time.Duration // how long after a fault it still counts as its time
+	Fleet          int           // controllers of the whole deployment, which the rates are of
+	RestartsPerDay int
+	ChangesPerDay  int
+	Compress       int // simulated seconds in a second
+	CallsPerSecond int // at each real controller
+	PerProcess     int // hollow controllers in one process
+	Faults         []Event
+}
+
+// Event is one thing that happens, and what undoes it after a while.
+type Event struct {
+	At, For time.Duration
+	Do      Kind
+	Who     string // "?" in a scenario: the seed draws it
+}
+
+func (e Event) String() string {
+	text := fmt.Sprintf("%v %s", e.At, e.Do)
+	if e.Who != "" {
+		text += " " + e.Who
+	}
+	if e.For > 0 {
+		text += fmt.Sprintf(" for %v", e.For)
+	}
+	return text
+}
+
+// The bounds of a scenario.
+const (
+	maxControllers = 50_000
+	maxReal        = 64
+	maxDispatchers = 10_000
+	maxLasting     = time.Hour
+	maxPerDay      = 100_000_000
+	maxFaults      = 1000
+)
+
+// Default is a scenario without faults.
+func Default() *Scenario {
+	return &Scenario{Controllers: 100, Services: 10, Regions: 2, Zones: 3, RackSize: 20, Dispatchers: 20, Lease: 3 * time.Second,
+		Lasting: 20 * time.Second, Recover: 3 * time.Second, Fleet: 37_000, RestartsPerDay: 9_900, ChangesPerDay: 14_000, Compress: 10,
+		CallsPerSecond: 20, PerProcess: 250}
+}
+
+// Read reads a scenario: a section [scale], and a section [fault NAME] for each fault. All that is wrong is told.
+func Read(text []byte) (*Scenario, []inifile.Fault) {
+	f, wrong := inifile.Parse(text)
+	if len(wrong) > 0 {
+		return nil, wrong
+	}
+	r := &reader{s: Default()}
+	for i := range f.Sections {
+		section := &f.Sections[i]
+		if _, is := section.Named("fault"); is {
+			r.fault(section)
+		} else if section.Name == "scale" {
+			r.scale(section)
+		} else {
+			r.wrong(section.Line, "unknown section [%.80s]", section.Name)
+		}
+	}
+	r.check()
+	if len(r.faults) > 0 {
+		return nil, r.faults
+	}
+	return r.s, nil
+}
+
+// reader takes a scenario off a file.
+type reader struct {
+	s      *Scenario
+	lines  []int // of the sections of faults
+	faults []inifile.Fault
+}
+
+func (r *reader) wrong(line int, format string, args ...any) {
+	r.faults = append(r.faults, inifile.Fault{Line: line, Text: fmt.Sprintf(format, args...)})
+}
+
+func (r *reader) number(k *inifile.Key, into *int, least, most int) {
+	n, wrong := k.Number(least, most)
+	if wrong != nil {
+		r.faults = append(r.faults, *wrong)
+		return
+	}
+	*into = n
+}
+
+func (r *reader) millis(k *inifile.Key, into *time.Duration, least, most time.Duration) {
+	ms := 0
+	r.number(k, &ms, int(least.Milliseconds()), int(most.Milliseconds()))
+	*into = time.Duration(ms) * time.Millisecond
+}
+
+func (r *reader) scale(section *inifile.Section) {
+	s := r.s
+	for i := range section.Keys {
+		switch k := &section.Keys[i]; k.Name {
+		case "controllers":
+			r.number(k, &s.Controllers, 0, maxControllers)
+		case "real":
+			r.number(k, &s.Real, 0, maxReal)
+		case "services":
+			r.number(k, &s.Services, 1, maxControllers)
+		case "regions":
+			r.number(k, &s.Regions, 1, 100)
+		case "zones":
+			r.number(k, &s.Zones, 1, 100)
+		case "rack_size":
+			r.number(k, &s.RackSize, 1, maxControllers)
+		case "dispatchers":
+			r.number(k, &s.Dispatchers, 1, maxDispatchers)
+		case "list":
+			if s.ListByService = k.Value == "service"; !s.ListByService && k.Value != "all" {
+				r.wrong(k.Line, "list: %.40q is neither all nor service", k.Value)
+			}
+		case "lease_ms":
+			r.millis(k, &s.Lease, time.Second, 30*time.Second)
+		case "lasting_ms":
+			r.millis(k, &s.Lasting, time.Second, maxLasting)
+		case "recover_ms":
+			r.millis(k, &s.Recover, 0, maxLasting)
+		case "fleet":
+			r.number(k, &s.Fleet, 1, maxPerDay)
+		case "restarts_per_day":
+			r.number(k, &s.RestartsPerDay, 0, maxPerDay)
+		case "changes_per_day":
+			r.number(k, &s.ChangesPerDay, 0, maxPerDay)
+		case "compress":
+			r.number(k, &s.Compress, 1, 100_000)
+		case "calls_per_second":
+			r.number(k, &s.CallsPerSecond, 1, 1000)
+		case "per_process":
+			r.number(k, &s.PerProcess, 1, 5000)
+		default:
+			r.wrong(k.Line, "unknown key %.40q", k.Name)
+		}
+	}
+}
+
+func (r *reader) fault(section *inifile.Section) {
+	if len(r.s.Faults) == maxFaults {
+		r.wrong(section.Line, "more than %d faults", maxFaults)
+		return
+	}
+	e := Event{Who: "?"}
+	for i := range section.Keys {
+		switch k := &section.Keys[i]; k.Name {
+		case "at_ms":
+			r.millis(k, &e.At, 0, maxLasting)
+		case "for_ms":
+			r.millis(k, &e.For, 0, maxLasting)
+		case "do":
+			if e.Do = Kind(k.Value); !known(e.Do) {
+				r.wrong(k.Line, "do: %.40q is none of %s", k.Value, strings.Join(Kinds(), ", "))
+			}
+		case "who":
+			e.Who = k.Value
+		default:
+			r.wrong(k.Line, "unknown key %.40q", k.Name)
+		}
+	}
+	if e.Do == "" {
+		r.wrong(section.Line, "[%.80s] lacks the key do", section.Name)
+	}
+	r.s.Faults, r.lines = append(r.s.Faults, e), append(r.lines, section.Line)
+}
+
+// check looks at what only the whole tells.
+func (r *reader) check() {
+	for i, e := range r.s.Faults {
+		if !known(e.Do) {
+			continue
+		}
+		if e.At+e.For > r.s.Lasting {
+			r.wrong(r.lines[i], "%v: the run lasts %v", e, r.s.Lasting)
+		}
+	}
+}
+
+// Check reports whether a scenario can be played, as the command line may have changed it since it was read.
+func (s *Scenario) Check() error {
+	switch {
+	case s.Controllers < 0 || s.Controllers > maxControllers:
+		return fmt.Errorf("%d controllers: 0 to %d can be", s.Controllers, maxControllers)
+	case s.Real < 0 || s.Real > maxReal:
+		return fmt.Errorf("%d real controllers: 0 to %d can be", s.Real, maxReal)
+	case s.Controllers+s.Real == 0:
+		return fmt.Errorf("there is no controller")
+	case s.Services < 1:
+		return fmt.Errorf("%d services: there must be one", s.Services)
+	}
+	for _, e := range s.Faults {
+		among := targets[e.Do]
+		if among == nil || e.Who == "?" {
+			continue
+		}
+		if !slices.Contains(among(s), e.Who) {
+			return fmt.Errorf("%v: there is no %.40q in a run of %d controllers", e, e.Who, s.Controllers)
+		}
+	}
+	return nil
+}
+
+func known(do Kind) bool { _, is := targets[do]; return is }
+
+// Kinds are the events that there are.
+func Kinds() []string {
+	var all []string
+	for kind := range targets {
+		all = append(all, string(kind))
+	}
+	slices.Sort(all)
+	return all
+}
+
+// perSecond is a rate of a run, of one that is so much a day.
+func (s *Scenario) perSecond(perDay int) float64 {
+	return float64(perDay) / (24 * time.Hour).Seconds() * float64(cmp.Or(s.Compress, 1))
+}
