--- /dev/null
+++ b/internal/scale/play_test.go
@@ -0,0 +1,97 @@
+package scale
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+)
+
+// asWorker has this test program be a worker process.
+const asWorker = "CHERRYRELAY_SCALE_WORKER"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(asWorker) != "" {
+		if err := Work(os.Stdin, os.Stdout); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		os.Exit(0)
+	}
+	os.Exit(m.Run())
+}
+
+// program builds the controller.
+func program(t *testing.T) []string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "cherryrelay")
+	if out, err := exec.Command("go", "build", "-o", path, "cherryrelay/cmd/cherryrelay").CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	return []string{path}
+}
+
+func example(t *testing.T, name string) *Scenario {
+	t.Helper()
+	text, err := os.ReadFile(filepath.Join("..", "..", "example", "scale", name))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, faults := Read(text)
+	if len(faults) > 0 {
+		t.Fatal(faults)
+	}
+	return s
+}
+
+func mustPlay(t *testing.T, s *Scenario, seed uint64) *Report {
+	t.Helper()
+	var programOf []string
+	if s.Real > 0 {
+		programOf = program(t)
+	}
+	r, err := Play(t.Context(), s, seed, Options{Worker: []string{os.Args[0]}, Env: []string{asWorker + "=1"}, Program: programOf})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var text strings.Builder
+	if err := r.Print(&text); err != nil {
+		t.Error(err)
+	}
+	t.Log("\n" + text.String())
+	for _, f := range r.Faults {
+		t.Error(f)
+	}
+	return r
+}
+
+// TestASmallFleet: through every fault once, all controllers come together again and have the last change, the store is not asked beyond its
+// bound, and what happened is what the seed plans.
+func TestASmallFleet(t *testing.T) {
+	s := example(t, "small.ini")
+	r := mustPlay(t, s, 5)
+	var planned []string
+	for _, e := range s.Plan(5) {
+		planned = append(planned, e.String())
+	}
+	if !slices.Equal(r.Events, planned) {
+		t.Errorf("done: %v\nplanned: %v", r.Events, planned)
+	}
+	if r.Processes > MostProcesses || r.MemoryMB > MostMemory>>20 {
+		t.Errorf("%d processes, %d MB", r.Processes, r.MemoryMB)
+	}
+	if r.Latency.Calls == 0 {
+		t.Error("no call was answered")
+	}
+	for _, kind := range []string{hollowKind, realKind} {
+		if !slices.ContainsFunc(r.Staleness, func(f InForce) bool { return f.Kind == kind && f.Change == Settings && f.Count > 0 }) {
+			t.Errorf("no %s controller has told of other settings", kind)
+		}
+		if !slices.ContainsFunc(r.Staleness, func(f InForce) bool { return f.Kind == kind && f.Change == Change && f.Count > 0 }) {
+			t.Errorf("no %s controller has told of a change of the list", kind)
+		}
+	}
+}
--- /dev/null
+++ b/internal/scale/report.go
@@ -0,0 +1,233 @@
+package scale
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Report is what a run came to. It is kept as JSON.
+type Report struct {
+	Command     string        `json:"command"` // plays it again
+	Version     string        `json:"version"`
+	Seed        uint64        `json:"seed"`
+	Controllers int           `json:"controllers"`
+	Real        int           `json:"real"`
+	Services    int           `json:"services"`
+	Dispatchers int           `json:"dispatchers"`
+	Compress    int           `json:"compress"`
+	LeaseMs     int64         `json:"lease_ms"`
+	Events      []string      `json:"events"`
+	Phases      []Phase       `json:"phases"`
+	Staleness   []InForce     `json:"staleness"`
+	Latency     *Latency      `json:"latency"` // nil without real controllers
+	Faults      []string      `json:"faults"`  // rules broken
+	MemoryMB    int64         `json:"memory_mb"`
+	Processes   int           `json:"processes"`
+	Took        time.Duration `json:"took_ns"`
+}
+
+// Passed reports whether no rule was broken.
+func (r *Report) Passed() bool { return len(r.Faults) == 0 }
+
+// Phase is a part of the run: the start, ordinary time, or the time of a kind of fault.
+type Phase struct {
+	Name    string  `json:"name"`
+	Seconds float64 `json:"seconds"`
+	Kinds   []Cost  `json:"kinds"`
+	// Of the store, all controllers together.
+	Requests float64 `json:"requests_per_second"`
+	Notices  float64 `json:"notices_per_second"` // messages to watches
+	Changes  float64 `json:"changes_per_second"` // in those messages
+	Accepted float64 `json:"accepted_per_second"`
+}
+
+// Cost is what controllers of a kind take, each.
+type Cost struct {
+	Kind           string  `json:"kind"`
+	Count          int     `json:"count"`
+	ProcessorShare float64 `json:"processor_percent"` // of a core
+	MemoryKB       float64 `json:"memory_kb"`         // resident
+	Bytes          float64 `json:"bytes_per_second"`  // to and from the store
+	Sockets        float64 `json:"sockets"`
+	FailedDials    float64 `json:"failed_dials_per_second"`
+}
+
+// InForce is the staleness of changes that were made in a phase.
+type InForce struct {
+	Phase  string `json:"phase"`
+	Kind   string `json:"kind"`
+	Change Kind   `json:"change"`
+	Staleness
+}
+
+// Latency is that of set-ups, from request to answer, in microseconds.
+type Latency struct {
+	Calls      int       `json:"calls"`
+	Refused    int       `json:"refused"`
+	Unanswered int       `json:"unanswered"`
+	Direct     Quantiles `json:"direct_us"`
+	Relayed    Quantiles `json:"relayed_us"`
+}
+
+// Quantiles are those of a histogram.
+type Quantiles struct {
+	P50 int64 `json:"p50"`
+	P90 int64 `json:"p90"`
+	P99 int64 `json:"p99"`
+	Max int64 `json:"max"`
+}
+
+func quantiles(h *hdrhistogram.Histogram) Quantiles {
+	return Quantiles{h.ValueAtQuantile(50), h.ValueAtQuantile(90), h.ValueAtQuantile(99), h.Max()}
+}
+
+// The phases beside those that bear the name of a fault.
+const (
+	startPhase    = "start"
+	ordinaryPhase = "ordinary"
+	settlePhase   = "settling" // after the last event, until every controller has all
+)
+
+// span is a time that belongs to a phase.
+type span struct {
+	phase    string
+	from, to time.Duration
+}
+
+// spans are the times of faults; the rest is ordinary. Where they overlap, the one that began last has its start.
+func (s *Scenario) spans(plan []Event) []span {
+	var all []span
+	for _, e := range plan {
+		if e.Do != Restart && e.Do != Change {
+			all = append(all, span{string(e.Do), e.At, e.At + e.For + s.Recover})
+		}
+	}
+	return all
+}
+
+func phaseAt(spans []span, at time.Duration) string {
+	phase := ordinaryPhase
+	for _, s := range spans {
+		if at >= s.from && at < s.to {
+			phase = s.phase
+		}
+	}
+	return phase
+}
+
+// phases sums up the samples by phase.
+func phases(samples []sample, phaseOf func(time.Time) string, s *Scenario) []Phase {
+	type sum struct {
+		Phase
+		cost   map[string]Cost
+		weight float64
+	}
+	found := map[string]*sum{}
+	var order []string
+	for i := 1; i < len(samples); i++ {
+		a, b := &samples[i-1], &samples[i]
+		name := phaseOf(a.at.Add(b.at.Sub(a.at) / 2))
+		p := found[name]
+		if p == nil {
+			p = &sum{Phase: Phase{Name: name}, cost: map[string]Cost{}}
+			found[name], order = p, append(order, name)
+		}
+		seconds := b.at.Sub(a.at).Seconds()
+		p.Seconds += seconds
+		p.Requests += float64(b.store.Sum() - a.store.Sum())
+		p.Notices += float64(b.store.Notices - a.store.Notices)
+		p.Changes += float64(b.store.Events - a.store.Events)
+		p.Accepted += float64(b.accepted - a.accepted)
+		for kind, used := range b.used {
+			c := p.cost[kind]
+			c.ProcessorShare += 100 * (used.Processor - a.used[kind].Processor).Seconds()
+			c.MemoryKB += float64(used.Memory) / 1024 * seconds
+			c.Bytes += float64(b.bytes[kind] - a.bytes[kind])
+			c.Sockets += float64(used.Sockets) * seconds
+			c.FailedDials += float64(b.failed[kind] - a.failed[kind])
+			p.cost[kind] = c
+		}
+	}
+	var all []Phase
+	for _, name := range order {
+		p := found[name]
+		for kind, c := range p.cost {
+			p.Kinds = append(p.Kinds, s.each(kind, c, p.Seconds))
+		}
+		slices.SortFunc(p.Kinds, func(a, b Cost) int { return cmp.Compare(a.Kind, b.Kind) })
+		p.Requests, p.Notices, p.Changes, p.Accepted = p.Requests/p.Seconds, p.Notices/p.Seconds, p.Changes/p.Seconds, p.Accepted/p.Seconds
+		all = append(all, p.Phase)
+	}
+	return all
+}
+
+// each is what one of a kind takes in a second.
+func (s *Scenario) each(kind string, c Cost, seconds float64) Cost {
+	c.Kind, c.Count = kind, 1
+	switch kind {
+	case hollowKind:
+		c.Count = s.Controllers
+	case realKind:
+		c.Count = s.Real
+	}
+	by := seconds * float64(max(c.Count, 1))
+	c.ProcessorShare, c.MemoryKB, c.Bytes, c.Sockets, c.FailedDials = c.ProcessorShare/by, c.MemoryKB/by, c.Bytes/by, c.Sockets/by, c.FailedDials/by
+	return c
+}
+
+// inForce lists staleness in the order of phases.
+func inForce(found map[stalenessKey]*hdrhistogram.Histogram) []InForce {
+	var all []InForce
+	for key, h := range found {
+		all = append(all, InForce{key.phase, key.kind, key.change, stalenessOf(h)})
+	}
+	slices.SortFunc(all, func(a, b InForce) int {
+		return cmp.Or(cmp.Compare(a.Phase, b.Phase), cmp.Compare(a.Change, b.Change), cmp.Compare(a.Kind, b.Kind))
+	})
+	return all
+}
+
+// Print writes the report as tables.
+func (r *Report) Print(out io.Writer) error {
+	fmt.Fprintf(out, "%d hollow and %d real controllers in %d services, %d dispatchers, lease %v, %d events, seed %d, %s, version %s\n", r.Controllers, r.Real,
+		r.Services, r.Dispatchers, time.Duration(r.LeaseMs)*time.Millisecond, len(r.Events), r.Seed, r.Took.Round(time.Second), r.Version)
+	fmt.Fprintf(out, "%d processes, at most %d MB of memory together\n", r.Processes, r.MemoryMB)
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "phase\ts\tkind\tcount\tcore %\tKB\tstore B/s\tsockets\tfailed dials/s")
+	for _, p := range r.Phases {
+		for _, c := range p.Kinds {
+			fmt.Fprintf(table, "%s\t%.1f\t%s\t%d\t%.3f\t%.0f\t%.0f\t%.1f\t%.3f\n", p.Name, p.Seconds, c.Kind, c.Count, c.ProcessorShare, c.MemoryKB, c.Bytes, c.Sockets,
+				c.FailedDials)
+		}
+	}
+	fmt.Fprintln(table, "\nphase\tstore requests/s\ta controller\twatch messages/s\tchanges in them/s\tmessages/s a controller\tdials taken/s")
+	all := float64(max(r.Controllers+r.Real, 1))
+	for _, p := range r.Phases {
+		fmt.Fprintf(table, "%s\t%.0f\t%.2f\t%.0f\t%.0f\t%.2f\t%.1f\n", p.Name, p.Requests, p.Requests/all, p.Notices, p.Changes, (2*p.Requests+p.Notices)/all, p.Accepted)
+	}
+	fmt.Fprintln(table, "\nin force after, made in\tchange\tkind\tcount\tp50 ms\tp99 ms\tlast ms")
+	for _, f := range r.Staleness {
+		fmt.Fprintf(table, "%s\t%s\t%s\t%d\t%.1f\t%.1f\t%.1f\n", f.Phase, f.Change, f.Kind, f.Count, f.P50, f.P99, f.Last)
+	}
+	if l := r.Latency; l != nil {
+		fmt.Fprintln(table, "\nset-up to answer\tcalls\tp50 us\tp90 us\tp99 us\tmax us")
+		fmt.Fprintf(table, "direct\t%d\t%d\t%d\t%d\t%d\n", l.Calls, l.Direct.P50, l.Direct.P90, l.Direct.P99, l.Direct.Max)
+		fmt.Fprintf(table, "through a real controller\t%d\t%d\t%d\t%d\t%d\n", l.Calls, l.Relayed.P50, l.Relayed.P90, l.Relayed.P99, l.Relayed.Max)
+		fmt.Fprintf(table, "added\t%d refused, %d unanswered\t%d\t%d\t%d\n", l.Refused, l.Unanswered, l.Relayed.P50-l.Direct.P50, l.Relayed.P90-l.Direct.P90,
+			l.Relayed.P99-l.Direct.P99)
+	}
+	if err := table.Flush(); err != nil {
+		return err //nolint:wrapcheck // it says what it is
+	}
+	for _, f := range r.Faults {
+		fmt.Fprintln(out, "broken:", f)
+	}
+	fmt.Fprintln(out, "play it again:", r.Command)
+	return nil
+}
--- /dev/null
+++ b/internal/scale/samples.go
@@ -0,0 +1,145 @@
+package scale
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	"cherryrelay/internal/store"
+)
+
+const (
+	// sampleEvery is the pace of samples, and socketsEvery how many samples are between two counts of sockets.
+	sampleEvery  = 500 * time.Millisecond
+	socketsEvery = 4
+)
+
+// standIns names the part that stands in for the store, the links to it and the dispatchers in figures.
+const standIns = "stand-ins"
+
+// sample is what had been used by some time.
+type sample struct {
+	at       time.Time
+	used     map[string]usage // by kind
+	bytes    map[string]int64 // to and from the store, by kind
+	failed   map[string]int64 // dials, by kind
+	accepted int64            // connections, by dispatchers
+	store    store.Counts
+	up       int // hollow controllers
+}
+
+// sampler takes samples until it is stopped, and ends the run if that takes more than is allowed.
+type sampler struct {
+	w       *world
+	samples []sample
+	sockets map[string]int
+	memory  int64 // the most
+	applied []Applied
+}
+
+// take takes a sample.
+func (m *sampler) take(count int) error {
+	s := sample{at: time.Now(), used: map[string]usage{}, bytes: map[string]int64{}, failed: map[string]int64{}, store: m.w.store.Counts()}
+	if err := m.processes(&s, count%socketsEvery == 0); err != nil {
+		return err
+	}
+	m.traffic(&s)
+	if err := m.replies(&s); err != nil {
+		return err
+	}
+	m.samples = append(m.samples, s)
+	return m.within(&s)
+}
+
+// processes sums up what processes have used.
+func (m *sampler) processes(s *sample, sockets bool) error {
+	pids := map[string][]int{standIns: {os.Getpid()}}
+	for _, p := range m.w.ends {
+		pids[standIns] = append(pids[standIns], p.cmd.Process.Pid)
+	}
+	for _, p := range m.w.workers {
+		pids[hollowKind] = append(pids[hollowKind], p.cmd.Process.Pid)
+	}
+	for _, r := range m.w.real {
+		pids[realKind] = append(pids[realKind], r.cmd.Process.Pid)
+	}
+	for kind, all := range pids {
+		var sum usage
+		for _, pid := range all {
+			u, err := usageOf(pid, sockets && kind != standIns)
+			if err != nil {
+				return fmt.Errorf("%w (a process of kind %s has ended)", err, kind)
+			}
+			sum.add(u)
+		}
+		if sockets {
+			m.sockets[kind] = sum.Sockets
+		}
+		sum.Sockets = m.sockets[kind]
+		s.used[kind] = sum
+	}
+	return nil
+}
+
+// traffic sums up the bytes to and from the store.
+func (m *sampler) traffic(s *sample) {
+	for _, rack := range m.w.s.racks() {
+		forth, back := m.w.net.Passed(rack + ">" + storeName)
+		s.bytes[hollowKind] += forth + back
+	}
+	for _, r := range m.w.real {
+		forth, back := m.w.net.Passed(r.name + ">" + storeName)
+		s.bytes[realKind] += forth + back
+	}
+}
+
+// replies asks the processes what they have counted and applied.
+func (m *sampler) replies(s *sample) error {
+	if err := m.w.ask(0); err != nil {
+		return err
+	}
+	for _, p := range m.w.workers {
+		p.mu.Lock()
+		s.failed[hollowKind] += p.last.Failed
+		s.up += p.last.Controllers
+		p.mu.Unlock()
+		m.applied = append(m.applied, p.take()...)
+	}
+	for _, p := range m.w.ends {
+		p.mu.Lock()
+		s.accepted += p.last.Accepted
+		p.mu.Unlock()
+	}
+	for _, r := range m.w.real {
+		applied, failed := r.take()
+		m.applied = append(m.applied, applied...)
+		s.failed[realKind] += failed
+	}
+	return nil
+}
+
+// within reports whether the run is within its bounds.
+func (m *sampler) within(s *sample) error {
+	memory := int64(0)
+	for _, u := range s.used {
+		memory += u.Memory
+	}
+	m.memory = max(m.memory, memory)
+	return withinMemory(memory)
+}
+
+func withinMemory(memory int64) error {
+	if memory > MostMemory {
+		return fmt.Errorf("scale: the run takes %d MB of memory, %d are allowed: it is ended", memory>>20, MostMemory>>20)
+	}
+	return nil
+}
+
+// ask has all processes tell their state, and so many controllers of each how many members they know.
+func (w *world) ask(members int) error {
+	all := append(append([]*process{}, w.workers...), w.ends...)
+	return atOnce(all, func(p *process) error {
+		_, err := p.ask(&Order{Action: Look, Members: members})
+		return err
+	})
+}
--- a/internal/scale/scenario_test.go
+++ b/internal/scale/scenario_test.go
@@ -9,7 +9,7 @@
 	"pgregory.net/rapid"
 )
 
-const sample = `[scale]
+const sampleScenario = `[scale]
 controllers = 120
 services = 4
 regions = 2
@@ -32,7 +32,7 @@
 `
 
 func TestScenario(t *testing.T) {
-	s, faults := Read([]byte(sample))
+	s, faults := Read([]byte(sampleScenario))
 	if len(faults) > 0 {
 		t.Fatal(faults)
 	}
--- /dev/null
+++ b/internal/scale/staleness.go
@@ -0,0 +1,107 @@
+package scale
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// The kinds of controllers.
+const (
+	hollowKind = "hollow"
+	realKind   = "real"
+)
+
+// issued is a change that was made.
+type issued struct {
+	kind   Kind
+	scope  string
+	number int
+	at     time.Time
+	phase  string
+}
+
+// Staleness is how long changes took to be in force at controllers of a kind, of those that were up from the change on.
+type Staleness struct {
+	Count int     `json:"count"`
+	P50   float64 `json:"p50_ms"`
+	P99   float64 `json:"p99_ms"`
+	Last  float64 `json:"last_ms"`
+}
+
+// maxStaleness bounds what a histogram takes, in microseconds.
+const maxStaleness = int64(time.Hour / time.Microsecond)
+
+// newHistogram is for microseconds.
+func newHistogram() *hdrhistogram.Histogram { return hdrhistogram.New(1, maxStaleness, 3) }
+
+func millis(us int64) float64 { return float64(us) / 1000 }
+
+func stalenessOf(h *hdrhistogram.Histogram) Staleness {
+	return Staleness{Count: int(h.TotalCount()), P50: millis(h.ValueAtQuantile(50)), P99: millis(h.ValueAtQuantile(99)), Last: millis(h.Max())}
+}
+
+// stalenessKey is what histograms are kept by.
+type stalenessKey struct {
+	phase, kind string
+	change      Kind
+}
+
+// stream is a sequence of numbered changes: those of the list of one scope, or of the settings.
+type stream struct {
+	kind  Kind
+	scope string
+}
+
+// timesToForce compares when changes were made with when controllers had them in force. A controller that has a change has all before it.
+// One that starts after a change finds it in its first list: that is not timed.
+func timesToForce(made []issued, applied []Applied, kindOf func(controller string) string) map[stalenessKey]*hdrhistogram.Histogram {
+	changes := map[stream][]issued{}
+	for _, c := range made {
+		s := stream{c.kind, c.scope}
+		changes[s] = append(changes[s], c)
+	}
+	slices.SortStableFunc(applied, func(a, b Applied) int { return cmp.Compare(a.AtNs, b.AtNs) })
+	type at struct {
+		controller string
+		stream     stream
+	}
+	has := map[at]int{} // how many changes of a stream a controller has
+	found := map[stalenessKey]*hdrhistogram.Histogram{}
+	for _, a := range applied {
+		s := stream{a.Kind, a.Scope}
+		who := at{a.Controller, s}
+		number := a.Number
+		if number < 0 { // the log tells the status alone: it is the last change to it that has been made by then
+			number = lastWithStatus(changes[s], -1-number, a.AtNs)
+		}
+		if a.First {
+			has[who] = max(number, 0)
+			continue
+		}
+		for _, c := range changes[s] {
+			if c.number <= has[who] || c.number > number {
+				continue
+			}
+			key := stalenessKey{c.phase, kindOf(a.Controller), c.kind}
+			if found[key] == nil {
+				found[key] = newHistogram()
+			}
+			_ = found[key].RecordValue(max((a.AtNs-c.at.UnixNano())/1000, 1)) // beyond an hour there is none
+		}
+		has[who] = max(has[who], number)
+	}
+	return found
+}
+
+func lastWithStatus(changes []issued, status int, atNs int64) int {
+	last := 0
+	for _, c := range changes {
+		if int(statusOf(c.number)) == status && c.at.UnixNano() <= atNs {
+			last = c.number
+		}
+	}
+	return last
+}
--- /dev/null
+++ b/internal/scale/usage.go
@@ -0,0 +1,77 @@
+package scale
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// The bounds of a run, over all its processes.
+const (
+	MostMemory    = 12 << 30
+	MostProcesses = 200
+)
+
+// clockTick is the unit of processor time in /proc: USER_HZ, which is 100 on every Linux that Go runs on.
+const clockTick = 10 * time.Millisecond
+
+// usage is what processes have used.
+type usage struct {
+	Processor time.Duration
+	Memory    int64 // resident, in bytes; pages that processes share count for each
+	Sockets   int
+}
+
+func (u *usage) add(o usage) {
+	u.Processor += o.Processor
+	u.Memory += o.Memory
+	u.Sockets += o.Sockets
+}
+
+// usageOf reads /proc for a process. Its sockets are counted only if that is asked for: there may be thousands of descriptors.
+func usageOf(pid int, sockets bool) (usage, error) {
+	var u usage
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return u, fmt.Errorf("scale: %w", err)
+	}
+	if u.Processor, u.Memory, err = parseStat(string(text)); err != nil {
+		return u, err
+	}
+	if !sockets {
+		return u, nil
+	}
+	directory := fmt.Sprintf("/proc/%d/fd", pid)
+	files, err := os.ReadDir(directory)
+	if err != nil {
+		return u, fmt.Errorf("scale: %w", err)
+	}
+	for _, f := range files {
+		if target, err := os.Readlink(directory + "/" + f.Name()); err == nil && strings.HasPrefix(target, "socket:") {
+			u.Sockets++
+		}
+	}
+	return u, nil
+}
+
+// The fields of /proc/PID/stat behind the name, as proc(5) numbers them less 3.
+const (
+	userField, systemField, residentField = 14 - 3, 15 - 3, 24 - 3
+)
+
+func parseStat(text string) (processor time.Duration, memory int64, err error) {
+	_, rest, _ := strings.Cut(text[max(strings.LastIndexByte(text, ')'), 0):], " ")
+	fields := strings.Fields(rest)
+	if len(fields) <= residentField {
+		return 0, 0, fmt.Errorf("scale: a stat line of %d fields", len(fields))
+	}
+	var numbers [3]int64
+	for i, field := range []int{userField, systemField, residentField} {
+		if numbers[i], err = strconv.ParseInt(fields[field], 10, 64); err != nil {
+			return 0, 0, fmt.Errorf("scale: a stat line: %w", err)
+		}
+	}
+	return time.Duration(numbers[0]+numbers[1]) * clockTick, numbers[2] * int64(os.Getpagesize()), nil
+}
