--- a/cmd/cherryrelay-lab/main.go
+++ b/cmd/cherryrelay-lab/main.go
@@ -1,5 +1,5 @@
 // Command cherryrelay-lab plays trials: several controllers as processes, with stand-ins around them and faults between them, judged at
-// both ends of every call. It also runs the stand-in of the store alone.
+// both ends of every call. It runs large fleets and measures them (scale), and the stand-in of the store alone.
 package main
 
 import (
@@ -35,11 +35,12 @@
 
 func root() *cobra.Command {
 	c := &cobra.Command{
-		Use: "cherryrelay-lab", Short: "Trials of several controllers under faults", Args: cobra.NoArgs, SilenceUsage: true, SilenceErrors: true,
+		Use: "cherryrelay-lab", Short: "Trials of several controllers under faults, and large fleets", Args: cobra.NoArgs, SilenceUsage: true, SilenceErrors: true,
 		RunE:              func(c *cobra.Command, _ []string) error { return c.Help() },
 		CompletionOptions: cobra.CompletionOptions{DisableDefaultCmd: true},
 	}
 	c.AddCommand(trialCommand(), storeCommand())
+	c.AddCommand(scaleCommand(), scaleWorkerCommand())
 	return c
 }
 
--- /dev/null
+++ b/cmd/cherryrelay-lab/scalechart.go
@@ -0,0 +1,108 @@
+package main
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"os"
+	"slices"
+
+	"github.com/spf13/cobra"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+
+	"cherryrelay/internal/scale"
+)
+
+func scaleChartCommand() *cobra.Command {
+	return &cobra.Command{
+		Use: "chart OUT.svg RESULT.json...", Short: "Draw what results of several sizes come to", Args: cobra.MinimumNArgs(2),
+		Long: "Draws, over the number of controllers, the requests to the store and the messages of watches a second, all together, and the p99 of the\n" +
+			"time from a change of the list to its being in force, in ms, each in ordinary time. Both axes are logarithmic.",
+		RunE: func(_ *cobra.Command, args []string) error {
+			reports, err := readReports(args[1:])
+			if err != nil {
+				return err
+			}
+			return scaleChart(args[0], reports)
+		},
+	}
+}
+
+func readReports(paths []string) ([]*scale.Report, error) {
+	var all []*scale.Report
+	for _, path := range paths {
+		text, err := os.ReadFile(path)
+		if err != nil {
+			return nil, err //nolint:wrapcheck // it says what it is
+		}
+		var r scale.Report
+		if err := json.Unmarshal(text, &r); err != nil {
+			return nil, fmt.Errorf("%s: %w", path, err)
+		}
+		all = append(all, &r)
+	}
+	slices.SortStableFunc(all, func(a, b *scale.Report) int { return cmp.Compare(a.Controllers, b.Controllers) })
+	return all, nil
+}
+
+// scaleChart draws each figure as points, one a result.
+func scaleChart(path string, reports []*scale.Report) error {
+	p := plot.New()
+	p.Title.Text = "A fleet in ordinary time"
+	p.X.Label.Text, p.Y.Label.Text = "controllers", "a second, or ms"
+	p.X.Scale, p.Y.Scale = plot.LogScale{}, plot.LogScale{}
+	p.X.Tick.Marker, p.Y.Tick.Marker = plot.LogTicks{}, plot.LogTicks{}
+	p.Legend.Top, p.Legend.Left = true, true
+	for i, figure := range []struct {
+		name string
+		of   func(*scale.Report) float64
+	}{
+		{"store requests/s", func(r *scale.Report) float64 { return ordinary(r).Requests }},
+		{"watch messages/s", func(r *scale.Report) float64 { return ordinary(r).Notices }},
+		{"in force, p99 ms", staleness},
+	} {
+		var points plotter.XYs
+		for _, r := range reports {
+			if y := figure.of(r); y > 0 && r.Controllers > 0 { // there is no logarithm of 0
+				points = append(points, plotter.XY{X: float64(r.Controllers), Y: y})
+			}
+		}
+		if len(points) == 0 {
+			continue
+		}
+		scatter, err := plotter.NewScatter(points)
+		if err != nil {
+			return fmt.Errorf("chart: %w", err)
+		}
+		scatter.Color, scatter.Shape = plotutil.Color(i), plotutil.Shape(i)
+		p.Add(scatter)
+		p.Legend.Add(figure.name, scatter)
+	}
+	if err := p.Save(16*vg.Centimeter, 10*vg.Centimeter, path); err != nil {
+		return fmt.Errorf("chart: %w", err)
+	}
+	return nil
+}
+
+// ordinary is the phase without faults.
+func ordinary(r *scale.Report) scale.Phase {
+	for _, p := range r.Phases {
+		if p.Name == scale.OrdinaryPhase {
+			return p
+		}
+	}
+	return scale.Phase{}
+}
+
+// staleness is the p99 of changes of the list in ordinary time, in milliseconds, at hollow controllers.
+func staleness(r *scale.Report) float64 {
+	for _, f := range r.Staleness {
+		if f.Phase == scale.OrdinaryPhase && f.Kind == scale.HollowKind && f.Change == scale.Change {
+			return f.P99
+		}
+	}
+	return 0
+}
--- a/internal/scale/play.go
+++ b/internal/scale/play.go
@@ -326,9 +326,9 @@
 	}
 	kindOf := func(controller string) string {
 		if p.host[controller] == nil {
-			return realKind
+			return RealKind
 		}
-		return hollowKind
+		return HollowKind
 	}
 	_, _, processes := p.s.processes()
 	r := &Report{Controllers: p.s.Controllers, Real: p.s.Real, Services: p.s.Services, Dispatchers: p.s.Dispatchers, Compress: p.s.Compress,
--- a/internal/scale/play_test.go
+++ b/internal/scale/play_test.go
@@ -86,7 +86,7 @@
 	if r.Latency.Calls == 0 {
 		t.Error("no call was answered")
 	}
-	for _, kind := range []string{hollowKind, realKind} {
+	for _, kind := range []string{HollowKind, RealKind} {
 		if !slices.ContainsFunc(r.Staleness, func(f InForce) bool { return f.Kind == kind && f.Change == Settings && f.Count > 0 }) {
 			t.Errorf("no %s controller has told of other settings", kind)
 		}
--- a/internal/scale/report.go
+++ b/internal/scale/report.go
@@ -90,7 +90,7 @@
 // The phases beside those that bear the name of a fault.
 const (
 	startPhase    = "start"
-	ordinaryPhase = "ordinary"
+	OrdinaryPhase = "ordinary"
 	settlePhase   = "settling" // after the last event, until every controller has all
 )
 
@@ -112,7 +112,7 @@
 }
 
 func phaseAt(spans []span, at time.Duration) string {
-	phase := ordinaryPhase
+	phase := OrdinaryPhase
 	for _, s := range spans {
 		if at >= s.from && at < s.to {
 			phase = s.phase
@@ -171,9 +171,9 @@
 func (s *Scenario) each(kind string, c Cost, seconds float64) Cost {
 	c.Kind, c.Count = kind, 1
 	switch kind {
-	case hollowKind:
+	case HollowKind:
 		c.Count = s.Controllers
-	case realKind:
+	case RealKind:
 		c.Count = s.Real
 	}
 	by := seconds * float64(max(c.Count, 1))
--- a/internal/scale/samples.go
+++ b/internal/scale/samples.go
@@ -58,10 +58,10 @@
 		pids[standIns] = append(pids[standIns], p.cmd.Process.Pid)
 	}
 	for _, p := range m.w.workers {
-		pids[hollowKind] = append(pids[hollowKind], p.cmd.Process.Pid)
+		pids[HollowKind] = append(pids[HollowKind], p.cmd.Process.Pid)
 	}
 	for _, r := range m.w.real {
-		pids[realKind] = append(pids[realKind], r.cmd.Process.Pid)
+		pids[RealKind] = append(pids[RealKind], r.cmd.Process.Pid)
 	}
 	for kind, all := range pids {
 		var sum usage
@@ -85,11 +85,11 @@
 func (m *sampler) traffic(s *sample) {
 	for _, rack := range m.w.s.racks() {
 		forth, back := m.w.net.Passed(rack + ">" + storeName)
-		s.bytes[hollowKind] += forth + back
+		s.bytes[HollowKind] += forth + back
 	}
 	for _, r := range m.w.real {
 		forth, back := m.w.net.Passed(r.name + ">" + storeName)
-		s.bytes[realKind] += forth + back
+		s.bytes[RealKind] += forth + back
 	}
 }
 
@@ -100,7 +100,7 @@
 	}
 	for _, p := range m.w.workers {
 		p.mu.Lock()
-		s.failed[hollowKind] += p.last.Failed
+		s.failed[HollowKind] += p.last.Failed
 		s.up += p.last.Controllers
 		p.mu.Unlock()
 		m.applied = append(m.applied, p.take()...)
@@ -113,7 +113,7 @@
 	for _, r := range m.w.real {
 		applied, failed := r.take()
 		m.applied = append(m.applied, applied...)
-		s.failed[realKind] += failed
+		s.failed[RealKind] += failed
 	}
 	return nil
 }
--- a/internal/scale/staleness.go
+++ b/internal/scale/staleness.go
@@ -10,8 +10,8 @@
 
 // The kinds of controllers.
 const (
-	hollowKind = "hollow"
-	realKind   = "real"
+	HollowKind = "hollow"
+	RealKind   = "real"
 )
 
 // issued is a change that was made.
