--- /dev/null
+++ b/internal/scale/figures_test.go
@@ -0,0 +1,76 @@
+package scale
+
+import (
+	"os"
+	"strings"
+	"testing"
+	"time"
+)
+
+// TestTimesToForce: a controller that has a change has all before it; what a first list holds is not timed; a log that tells the status alone
+// means the last change to it.
+func TestTimesToForce(t *testing.T) {
+	begun := time.Unix(1000, 0)
+	at := func(ms int) time.Time { return begun.Add(time.Duration(ms) * time.Millisecond) }
+	var made []issued
+	for number := 1; number <= 3; number++ {
+		made = append(made, issued{Change, allServices, number, at(100 * number), OrdinaryPhase})
+	}
+	tell := func(controller string, number, ms int, first bool) Applied {
+		return Applied{Controller: controller, Kind: Change, Scope: allServices, Number: number, AtNs: at(ms).UnixNano(), First: first}
+	}
+	applied := []Applied{
+		tell("c1", 0, 10, true), tell("c1", 1, 101, false), tell("c1", 3, 310, false), tell("c1", 3, 400, false),
+		tell("c2", 2, 250, true), tell("c2", 3, 305, false),
+		tell("real-1", -1-int(statusOf(1)), 120, false), tell("real-1", -1-int(statusOf(2)), 220, false),
+	}
+	found := timesToForce(made, applied, func(name string) string {
+		if strings.HasPrefix(name, RealKind) {
+			return RealKind
+		}
+		return HollowKind
+	})
+	hollow := stalenessOf(found[stalenessKey{OrdinaryPhase, HollowKind, Change}])
+	if hollow.Count != 4 || hollow.P50 < 4 || hollow.P50 > 11 || hollow.Last < 109 || hollow.Last > 111 {
+		t.Errorf("hollow %+v: of 1, 110, 10 and 5 ms", hollow)
+	}
+	if real := stalenessOf(found[stalenessKey{OrdinaryPhase, RealKind, Change}]); real.Count != 2 || real.Last < 19 || real.Last > 21 {
+		t.Errorf("real %+v: of 20 and 20 ms", real)
+	}
+}
+
+// TestBounds: what a machine or the rules do not bear is refused before anything starts, or ended with one plain line.
+func TestBounds(t *testing.T) {
+	if err := withinMemory(MostMemory); err != nil {
+		t.Error(err)
+	}
+	if err := withinMemory(MostMemory + 1<<20); err == nil || strings.Contains(err.Error(), "\n") || !strings.Contains(err.Error(), "12289 MB") {
+		t.Errorf("%v", err)
+	}
+	s := Default()
+	s.PerProcess, s.Controllers = 1, MostProcesses
+	if err := s.bounds(); err == nil || !strings.Contains(err.Error(), "processes, 200 are allowed") {
+		t.Errorf("too many processes: %v", err)
+	}
+	s = Default()
+	s.Controllers, s.PerProcess, s.Dispatchers = maxControllers, 5000, 1
+	if err := s.bounds(); err == nil || !strings.Contains(err.Error(), "descriptors") {
+		t.Errorf("too many descriptors: %v", err)
+	}
+}
+
+// TestUsage reads this process's own figures, and a stat line whose name has spaces and brackets.
+func TestUsage(t *testing.T) {
+	u, err := usageOf(os.Getpid(), true)
+	if err != nil || u.Memory < 1<<20 {
+		t.Errorf("%+v, %v", u, err)
+	}
+	line := "7 (a ) b) S 1 2 3 4 5 6 7 8 9 10 150 50 0 0 20 0 1 0 99 4096 25 0"
+	processor, memory, err := parseStat(line)
+	if err != nil || processor != 2*time.Second || memory != 25*int64(os.Getpagesize()) {
+		t.Errorf("%v, %d, %v", processor, memory, err)
+	}
+	if _, _, err := parseStat("7 (a) S 1"); err == nil {
+		t.Error("a short line was read")
+	}
+}
--- a/internal/scale/play.go
+++ b/internal/scale/play.go
@@ -150,7 +150,7 @@
 		p.progress(what, 0)
 		select {
 		case <-ctx.Done():
-			return nil
+			return fmt.Errorf("scale: broken off at the %s after %v: %s", what, time.Since(begun).Round(time.Second), p.lacking())
 		case <-time.After(lookEvery):
 		}
 	}
@@ -203,6 +203,9 @@
 
 // call has callers at the real controllers, and returns what ends them.
 func (p *play) call() (end func()) {
+	if p.s.CallsPerSecond == 0 {
+		return func() {}
+	}
 	over := make(chan struct{})
 	ended := make(chan struct{}, len(p.real))
 	for i, r := range p.real {
@@ -334,7 +337,7 @@
 	r := &Report{Controllers: p.s.Controllers, Real: p.s.Real, Services: p.s.Services, Dispatchers: p.s.Dispatchers, Compress: p.s.Compress,
 		LeaseMs: p.s.Lease.Milliseconds(), Events: p.runner.events, Faults: p.faults, MemoryMB: p.sampler.memory >> 20, Processes: processes,
 		Phases: phases(p.sampler.samples, phaseOf, p.s), Staleness: inForce(timesToForce(p.made, p.sampler.applied, kindOf))}
-	if p.s.Real > 0 {
+	if p.s.Real > 0 && p.s.CallsPerSecond > 0 {
 		r.Latency = p.callers.latency()
 	}
 	return r
--- a/internal/scale/report.go
+++ b/internal/scale/report.go
@@ -132,7 +132,10 @@
 	var order []string
 	for i := 1; i < len(samples); i++ {
 		a, b := &samples[i-1], &samples[i]
-		name := phaseOf(a.at.Add(b.at.Sub(a.at) / 2))
+		name := phaseOf(b.at)
+		if name == OrdinaryPhase { // what a fault began or ended in is its own
+			name = phaseOf(a.at)
+		}
 		p := found[name]
 		if p == nil {
 			p = &sum{Phase: Phase{Name: name}, cost: map[string]Cost{}}
--- a/internal/scale/scenario.go
+++ b/internal/scale/scenario.go
@@ -51,7 +51,7 @@
 	RestartsPerDay int
 	ChangesPerDay  int
 	Compress       int // simulated seconds in a second
-	CallsPerSecond int // at each real controller
+	CallsPerSecond int // at each real controller; 0 for none
 	PerProcess     int // hollow controllers in one process
 	Faults         []Event
 }
@@ -178,7 +178,7 @@
 		case "compress":
 			r.number(k, &s.Compress, 1, 100_000)
 		case "calls_per_second":
-			r.number(k, &s.CallsPerSecond, 1, 1000)
+			r.number(k, &s.CallsPerSecond, 0, 1000)
 		case "per_process":
 			r.number(k, &s.PerProcess, 1, 5000)
 		default:
--- /dev/null
+++ b/internal/scale/soak_test.go
@@ -0,0 +1,23 @@
+package scale
+
+import (
+	"fmt"
+	"os"
+	"testing"
+)
+
+// TestSoakSlopes plays three seeds of each size, for the slopes of docs/scale.md.
+func TestSoakSlopes(t *testing.T) {
+	if os.Getenv("CHERRYRELAY_SOAK") == "" {
+		t.Skip("a long run: make soak")
+	}
+	for _, controllers := range []int{100, 300, 1000} {
+		for seed := range uint64(3) {
+			t.Run(fmt.Sprintf("%d controllers, seed %d", controllers, seed+1), func(t *testing.T) {
+				s := example(t, "slopes.ini")
+				s.Controllers = controllers
+				mustPlay(t, s, seed+1)
+			})
+		}
+	}
+}
