--- a/internal/scale/play.go
+++ b/internal/scale/play.go
@@ -25,7 +25,10 @@
 
 // Play plays a scenario once. All that it starts has ended when it returns.
 func Play(ctx context.Context, s *Scenario, seed uint64, o Options) (*Report, error) {
-	if err := errors.Join(s.Check(), s.bounds()); err != nil {
+	if err := s.Check(); err != nil {
+		return nil, err
+	}
+	if err := s.bounds(); err != nil {
 		return nil, err
 	}
 	begun := time.Now()
