--- a/internal/call/core.go
+++ b/internal/call/core.go
@@ -219,6 +219,12 @@
 	return nil
 }
 
+// TurnAway refuses a set-up whose connection there is no room for.
+func (c *Core) TurnAway(r Request) {
+	c.log.Warn("no room for another connection", "id", r.ID)
+	c.end(&r, End{Cause: CauseCongestion, Reason: ReasonRefused, HoldOff: c.holdOff()})
+}
+
 // limit has a call answered at its caller's limit, come what may.
 func (c *Core) limit(k *record) {
 	// The module answers by itself. This is for what it could miss: a call must never be left without an answer.
--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -69,6 +69,8 @@
 	Offer(call.Request) error
 	// Reject answers a set-up that makes no sense.
 	Reject(call.Request)
+	// TurnAway refuses a set-up that there is no room for.
+	TurnAway(call.Request)
 	GiveUp(caller call.Caller, id string, cause int)
 	// Claim is a caller's word that a call of another connection is its own.
 	Claim(call.Claim) error
@@ -196,11 +198,12 @@
 	return 0
 }
 
-// makeRoom closes the connection that is missed least, and the oldest of these.
+// makeRoom closes the connection that is missed least, and the oldest of these. If each is needed, the newest stays, within Most, until
+// its set-up has been refused.
 func (f *Front) makeRoom(newest *Conn) {
 	var least *Conn
 	for _, c := range f.all {
-		if c.closed || c == newest || f.core.Owes(c) > 0 {
+		if c.closed || c == newest || c.overflow || f.core.Owes(c) > 0 {
 			continue
 		}
 		better := -1
@@ -212,7 +215,8 @@
 		}
 	}
 	if least == nil {
-		least = newest
+		newest.overflow = true
+		return
 	}
 	least.shut(conn.ErrClosedHere)
 }
@@ -321,16 +325,18 @@
 	format  Format
 	joined  bool
 	closed  bool
-	asked   bool      // a set-up has come
-	tested  bool      // a test has
-	said    bool      // it has been told something
-	stood   bool      // a call of it did
-	faults  int       // set-ups that made no sense
-	resumed int       // calls it came back for
-	partial bool      // what came last is no whole message yet
-	since   time.Time // when it connected or, if later, the message that is not whole began
-	usedAt  time.Time
-	sent    []release // lately, of calls that stood
+	asked   bool // a set-up has come
+	tested  bool // a test has
+	said    bool // it has been told something
+	stood   bool // a call of it did
+	faults  int  // set-ups that made no sense
+	resumed int  // calls it came back for
+	partial bool // what came last is no whole message yet
+	// overflow marks a connection beyond the bound, when none could make room for it.
+	overflow bool
+	since    time.Time // when it connected or, if later, the message that is not whole began
+	usedAt   time.Time
+	sent     []release // lately, of calls that stood
 }
 
 // Data takes in what callers have sent.
@@ -443,6 +449,11 @@
 		return nil
 	}
 	r.Caller = c
+	if c.overflow && len(c.front.all) > c.front.bounds.Connections {
+		c.front.core.TurnAway(r)
+		return conn.ErrClosedHere
+	}
+	c.overflow = false
 	return c.front.core.Offer(r)
 }
 
