--- a/cmd/cherryrelay/terms_fleet_test.go
+++ b/cmd/cherryrelay/terms_fleet_test.go
@@ -100,11 +100,11 @@
 	defer close(busy)
 	for range runtime.GOMAXPROCS(0) { // other work for every core
 		go func() {
-			for {
+			for spin := true; spin; {
 				select {
 				case <-busy:
-					return
-				default:
+					spin = false
+				default: // go on working
 				}
 			}
 		}()
--- a/internal/scale/process.go
+++ b/internal/scale/process.go
@@ -22,10 +22,9 @@
 	lines  *bufio.Scanner
 	stderr *tail
 
-	mu       sync.Mutex // one order at a time
-	applied  []Applied  // what replies have told and nobody has taken
-	last     Reply
-	rejected error // the first error that a reply told
+	mu      sync.Mutex // one order at a time
+	applied []Applied  // what replies have told and nobody has taken
+	last    Reply
 }
 
 // tail keeps the end of what is written.
--- a/internal/scale/real.go
+++ b/internal/scale/real.go
@@ -77,7 +77,6 @@
 	mu      sync.Mutex
 	applied []Applied
 	failed  int64
-	reloads int // settings that were ordered and are not told of yet
 	number  int // of the last settings
 }
 
--- a/internal/scale/report.go
+++ b/internal/scale/report.go
@@ -125,8 +125,7 @@
 func phases(samples []sample, phaseOf func(time.Time) string, s *Scenario) []Phase {
 	type sum struct {
 		Phase
-		cost   map[string]Cost
-		weight float64
+		cost map[string]Cost
 	}
 	found := map[string]*sum{}
 	var order []string
