--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -226,12 +226,11 @@
 			least = c
 		}
 	}
-	if least == nil {
-		newest.overflow = true
-		return
-	}
-	if least != nil {
+	switch {
+	case least != nil:
 		least.shut(conn.ErrClosedHere)
+	case newest != nil:
+		newest.overflow = true
 	}
 }
 
