--- a/internal/dispatchers/dial.go
+++ b/internal/dispatchers/dial.go
@@ -30,6 +30,7 @@
 		s.pool.touch(s)
 		if err != nil {
 			s.refused(err)
+			s.renewalFailed()
 			s.pool.released(false)
 			return
 		}
@@ -77,7 +78,7 @@
 
 func (s *server) opened(l *link) {
 	s.backoff.Reset()
-	s.dialTimedOut = false
+	s.dialTimedOut, s.renewing = false, false
 	s.links = append(s.links, l)
 	s.track()
 	l.send(l.wire.Hello())
--- a/internal/dispatchers/doubt.go
+++ b/internal/dispatchers/doubt.go
@@ -55,6 +55,18 @@
 		s.links[idle].retire(conn.ErrClosedHere)
 	}
 	if s.connect(); s.dialing {
-		s.renewAt = time.Time{}
+		s.renewAt, s.renewing = time.Time{}, true
+	}
+}
+
+// renewalFailed has a renewal tried again whose dial failed, while calls stand: their ends may be told on the next connection alone. The
+// dispatcher's backoff sets the pace.
+func (s *server) renewalFailed() {
+	if !s.renewing {
+		return
+	}
+	s.renewing = false
+	if s.pool.core.Standing(s.ID) > 0 {
+		s.pool.Renew(s.ID)
 	}
 }
--- a/internal/dispatchers/server.go
+++ b/internal/dispatchers/server.go
@@ -38,6 +38,7 @@
 	pool         *Pool
 	links        []*link
 	renewAt      time.Time       // when one more connection is due, however many there are; zero if none is
+	renewing     bool            // the connection that is being dialled is that one
 	halfClosed   []*link         // given up, and still read; MaxLinks at most
 	doubtful     map[string]bool // calls that stood as a connection was given up: their ends may be told there, in vain
 	doubtAt      time.Time       // when their ends are to be told on a new connection
