--- a/internal/dispatchers/dial.go
+++ b/internal/dispatchers/dial.go
@@ -22,7 +22,7 @@
 	var l *link
 	handler := func(c *conn.Conn) conn.Handler {
 		now := time.Now()
-		l = &link{server: s, conn: c, wire: wire, invites: map[string]*invite{}, openedAt: now, heardAt: now, since: now, usedAt: now}
+		l = &link{server: s, lifetime: new(lifetime), conn: c, wire: wire, invites: map[string]*invite{}, openedAt: now, heardAt: now, since: now, usedAt: now}
 		return socket{l}
 	}
 	conn.Dial(s.pool.loop, dial, s.pool.ConnectTimeout, handler, func(err error) {
--- a/internal/dispatchers/dispatchers.go
+++ b/internal/dispatchers/dispatchers.go
@@ -157,6 +157,7 @@
 		if id != "" && s.ID != id || s.gone() && len(s.links) == 0 {
 			continue
 		}
+		delete(s.standing, callID)
 		if l := s.best(); l != nil && len(s.releases) == 0 {
 			l.send(l.wire.Release(callID, cause))
 		} else if id != "" || len(s.releases) < maxReleases {
--- /dev/null
+++ b/internal/dispatchers/earlier_test.go
@@ -0,0 +1,96 @@
+package dispatchers
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"cherryrelay/control"
+	"cherryrelay/internal/call"
+	"cherryrelay/internal/peer"
+)
+
+// releaseLog is a core that records releases by attempt.
+type releaseLog struct {
+	standings
+	attempts []int
+}
+
+func (r *releaseLog) Released(_ control.ServerID, _ string, attempt, _ int, _ []float64) {
+	r.attempts = append(r.attempts, attempt)
+}
+
+// TestAnEndOnTheConnectionOfAnEarlierAttempt: a call stands by its second attempt at a dispatcher, on a second connection. Once that one has
+// closed, the end comes on the first one, where the withdrawn attempt is still known: it is the end of the call that stands. While it is open,
+// what comes on the first one belongs to the earlier attempt.
+func TestAnEndOnTheConnectionOfAnEarlierAttempt(t *testing.T) {
+	t.Parallel()
+	for name, test := range map[string]struct {
+		closed bool
+		want   int
+	}{"the later connection is open": {false, 0}, "the later connection is closed": {true, noAttempt}} {
+		t.Run(name, func(t *testing.T) { endOnEarlierConnection(t, test.closed, test.want) })
+	}
+}
+
+func endOnEarlierConnection(t *testing.T, closed bool, want int) {
+	const id = "00000000000000a1"
+	b := newBudgeted(t, 0, 1)
+	core := &releaseLog{standings: *b.core}
+	b.do(func() {
+		b.pool.core = core
+		b.pool.Update(b.list)
+	})
+	b.comes(0, "opened")
+	b.setUp(0, id)
+	first := b.comes(0, "setup")
+	b.do(func() {
+		b.pool.Withdraw(name(0), id, 0)
+		b.pool.SetUp(name(0), call.SetUp{ID: id, Attempt: 1, Class: "c", Called: "k", Description: "x", Limit: time.Minute})
+	})
+	b.comes(0, "opened")
+	second := b.comes(0, "setup")
+	if err := second.Answer("yes"); err != nil {
+		t.Fatal(err)
+	}
+	waitOnLoop(b, func() bool { return len(core.at[name(0)]) == 1 })
+	b.dispatchers[0].Stop() // no further connection comes up
+	if closed {
+		b.do(func() {
+			s := b.pool.servers[name(0)]
+			for _, l := range s.links {
+				if l.lifetime == s.standing[id] {
+					l.conn.Close(errors.New("broken"))
+				}
+			}
+		})
+		waitOnLoop(b, func() bool { return b.dispatchers[0].Links() == 1 })
+	}
+	if err := first.ReleaseHere(id, call.CauseNormal); err != nil {
+		t.Fatal(err)
+	}
+	waitOnLoop(b, func() bool { return len(core.attempts) > 0 })
+	b.do(func() {
+		if got := core.attempts[0]; got != want {
+			t.Errorf("the release is that of attempt %d, want %d", got, want)
+		}
+	})
+}
+
+// waitOnLoop waits until a condition holds on the loop.
+func waitOnLoop(b *budgeted, condition func() bool) {
+	b.Helper()
+	for begun := time.Now(); ; time.Sleep(time.Millisecond) {
+		holds := false
+		b.do(func() {
+			b.pool.Flush()
+			holds = condition()
+		})
+		if holds {
+			return
+		}
+		if time.Since(begun) > peer.Patience {
+			b.Fatal("it does not come to that")
+		}
+	}
+}
--- a/internal/dispatchers/link.go
+++ b/internal/dispatchers/link.go
@@ -66,6 +66,9 @@
 	Bye(err error) []byte
 }
 
+// noAttempt is the number of an attempt where a message belongs to none.
+const noAttempt = -1
+
 // invite is a set-up on a connection that has had no final answer there.
 type invite struct {
 	attempt   int
@@ -75,9 +78,13 @@
 	ticket    conn.Ticket
 }
 
+// lifetime tells whether a connection has closed. What refers to it keeps none of the connection's buffers.
+type lifetime struct{ over bool }
+
 // link is one connection to a dispatcher.
 type link struct {
-	server  *server
+	server *server
+	*lifetime
 	conn    *conn.Conn
 	wire    Wire
 	closed  bool
@@ -261,13 +268,13 @@
 		}
 		l.send(m.reply(called))
 	}
-	attempt := -1
+	attempt := noAttempt
 	if i != nil {
 		attempt = i.attempt
 	}
 	if m.kind == ended {
 		m.kind = refusal
-		if i == nil {
+		if i == nil || s.attemptReleased(m.id, attempt) == noAttempt {
 			m.kind = released
 		}
 	}
@@ -283,6 +290,7 @@
 		s.ready(l)
 	case answer:
 		s.answeredAt = time.Now()
+		s.standing[m.id] = l.lifetime
 		core.Answered(s.ID, m.id, attempt, m.description)
 	case refusal:
 		core.Ended(s.ID, m.id, attempt, m.outcome, m.noLine, m.report)
@@ -290,7 +298,8 @@
 		if !call.ValidID(m.id) {
 			return nil
 		}
-		core.Released(s.ID, m.id, attempt, m.cause, m.report)
+		core.Released(s.ID, m.id, s.attemptReleased(m.id, attempt), m.cause, m.report)
+		delete(s.standing, m.id)
 		if i != nil && i.withdrawn.IsZero() {
 			i.withdrawn = time.Now() // its answer may still come, late
 		}
@@ -300,6 +309,17 @@
 	return nil
 }
 
+// attemptReleased is the attempt whose call a release ends that came on the connection of the given attempt. A dispatcher sends the end of a
+// call on the connection of its set-up and, once that is closed, on any other: there an earlier attempt of the same call may have been
+// withdrawn, whose call it is not.
+func (s *server) attemptReleased(id string, attempt int) int {
+	answered := s.standing[id]
+	if answered != nil && answered.over {
+		return noAttempt
+	}
+	return attempt
+}
+
 // retire gives the connection up. Its set-ups end at once, but an end of a call may be on its way here: a dispatcher that
 // has sent it does not send it again. So this side is closed alone, and the rest is read until the dispatcher closes too.
 func (l *link) retire(reason error) {
@@ -328,7 +348,7 @@
 		}
 		return
 	}
-	l.closed = true
+	l.closed, l.lifetime.over = true, true
 	s := l.server
 	s.pool.touch(s)
 	if !errors.Is(reason, io.EOF) && !errors.Is(reason, conn.ErrClosedHere) && !errors.Is(reason, errDead) {
--- a/internal/dispatchers/list.go
+++ b/internal/dispatchers/list.go
@@ -18,7 +18,7 @@
 		named[entry.ID] = true
 		s := p.servers[entry.ID]
 		if s == nil {
-			s = &server{Server: entry, pool: p, heardAt: now, withoutSince: now}
+			s = &server{Server: entry, pool: p, heardAt: now, withoutSince: now, standing: map[string]*lifetime{}}
 			p.servers[entry.ID] = s
 			p.order = append(p.order, s)
 			p.at[s.Address] = append(p.at[s.Address], s)
--- a/internal/dispatchers/server.go
+++ b/internal/dispatchers/server.go
@@ -52,6 +52,7 @@
 	dialTimedOut bool      // the last connection tried did not come up in time
 	replaced     bool      // another dispatcher has its address now
 	releases     []release
+	standing     map[string]*lifetime // of the connection on which the set-up was answered, for each call that stands
 	demand       links.Demand
 
 	active       bool      // it is looked at with the next check
@@ -159,6 +160,7 @@
 	}
 	s.expire(time.Time{})
 	s.releases, s.doubtful, s.unclosed = nil, nil, false
+	clear(s.standing)
 }
 
 // best is the connection that was heard from last.
