--- a/internal/dispatchers/budget.go
+++ b/internal/dispatchers/budget.go
@@ -86,7 +86,7 @@
 		return links.SetUp
 	case (len(s.links) == 0 || !s.renewAt.IsZero() || now.Sub(s.heardAt) > silence) && s.pool.standingAt(s.ID, now) > 0:
 		return links.Standing
-	case links.Doubtful(s.oldestUnheard(now)):
+	case links.Doubtful(s.oldestUnheard(now)), len(s.links) == 0 && s.hasRelease():
 		return links.Standing
 	case s.Status != control.Active:
 		return links.Draining
@@ -94,6 +94,11 @@
 	return links.Ahead
 }
 
+// hasRelease reports whether the release of a call at this dispatcher waits for a connection: until then the call keeps its line.
+func (s *server) hasRelease() bool {
+	return slices.ContainsFunc(s.releases, func(r release) bool { return r.here })
+}
+
 // standingAt is how many calls stood at a dispatcher a moment ago. They are counted for all dispatchers at once.
 func (p *Pool) standingAt(id control.ServerID, now time.Time) int {
 	p.countStanding(now, checkEvery)
--- a/internal/dispatchers/budget_test.go
+++ b/internal/dispatchers/budget_test.go
@@ -95,7 +95,10 @@
 // comes waits for an event of a kind at a dispatcher.
 func (b *budgeted) comes(i int, kind string) peer.Event {
 	b.Helper()
-	for {
+	for begun := time.Now(); ; {
+		if time.Since(begun) > peer.Patience {
+			b.Fatalf("no %s comes to dispatcher %d", kind, i)
+		}
 		// What was queued while the pool was flushed goes out with the next turn.
 		b.do(b.pool.Flush)
 		select {
--- a/internal/dispatchers/check.go
+++ b/internal/dispatchers/check.go
@@ -127,7 +127,7 @@
 	case s.Status == control.Removed, s.dialing, len(s.waiting) > 0, len(s.doubtful) > 0, len(s.halfClosed) > 0, !s.renewAt.IsZero():
 		return true
 	case len(s.links) == 0:
-		return !s.gone() && s.pool.sockets.standing[s.ID] > 0
+		return !s.gone() && (s.pool.sockets.standing[s.ID] > 0 || s.hasRelease())
 	case s.gone(), len(s.links) > s.pool.links, len(s.releases) > 0:
 		return true
 	case slices.ContainsFunc(s.links, func(l *link) bool { return len(l.invites) > 0 }):
--- a/internal/dispatchers/dispatchers.go
+++ b/internal/dispatchers/dispatchers.go
@@ -161,7 +161,7 @@
 		if l := s.best(); l != nil && len(s.releases) == 0 {
 			l.send(l.wire.Release(callID, cause))
 		} else if id != "" || len(s.releases) < maxReleases {
-			s.releases = append(s.releases, release{callID, cause})
+			s.releases = append(s.releases, release{callID, cause, id != ""})
 			p.touch(s)
 		}
 	}
--- /dev/null
+++ b/internal/dispatchers/release_test.go
@@ -0,0 +1,40 @@
+package dispatchers
+
+import (
+	"testing"
+	"time"
+
+	"cherryrelay/internal/call"
+	"cherryrelay/internal/peer"
+)
+
+// TestAReleaseIsNotHeldUpByTheBackoff: a dispatcher has refused connections for long, so that it is dialled rarely. The release of a call there
+// that waits for a connection has it dialled soon, and goes out as it comes back.
+func TestAReleaseIsNotHeldUpByTheBackoff(t *testing.T) {
+	t.Parallel()
+	const id, refusals = "00000000000000b1", 20
+	b := newBudgeted(t, 0, 1)
+	b.dispatchers[0].Die()
+	b.do(func() {
+		b.pool.Update(b.list)
+		s := b.pool.servers[name(0)]
+		for range refusals {
+			s.backoff.Fail(time.Now(), 1)
+		}
+	})
+	waitOnLoop(b, func() bool { return !b.pool.servers[name(0)].dialing })
+	back, err := peer.Dispatch("tcp", b.dispatchers[0].Address(), "x0:40")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(back.Die)
+	b.dispatchers[0] = back
+	begun := time.Now()
+	b.do(func() { b.pool.Release(name(0), id, call.CauseNormal) })
+	if e := b.comes(0, "release"); e.ID != id {
+		t.Errorf("released %s, want %s", e.ID, id)
+	}
+	if took, most := time.Since(begun), 3*time.Second; took > most {
+		t.Errorf("the release went out after %v, want %v", took, most)
+	}
+}
--- a/internal/dispatchers/server.go
+++ b/internal/dispatchers/server.go
@@ -81,6 +81,7 @@
 type release struct {
 	id    string
 	cause int
+	here  bool // the call is known to be at this dispatcher
 }
 
 // expire tells of attempts that no connection came up for: they never ran.
