--- a/cmd/cherryrelay/reload_test.go
+++ b/cmd/cherryrelay/reload_test.go
@@ -12,6 +12,9 @@
 	"testing"
 	"time"
 
+	jsoniter "github.com/json-iterator/go"
+
+	"cherryrelay/internal/lists"
 	"cherryrelay/internal/peer"
 )
 
@@ -42,24 +45,40 @@
 
 func hears(t *testing.T, asked chan string, want string) {
 	t.Helper()
+	patience := time.After(peer.Patience)
 	for {
 		select {
 		case got := <-asked:
 			if got == want {
 				return
 			}
-		case <-time.After(peer.Patience):
+		case <-patience:
 			t.Fatalf("no coordinator was asked for what follows %s", want)
 		}
 	}
 }
 
+// awaitServers waits until a list with so many dispatchers is in force.
+func awaitServers(t *testing.T, management string, servers int) {
+	t.Helper()
+	for begun := time.Now(); ; time.Sleep(time.Millisecond) {
+		var state lists.State
+		if _, body := ask(management, lists.StatePath); jsoniter.UnmarshalFromString(body, &state) == nil && state.Servers == servers {
+			return
+		}
+		if time.Since(begun) > peer.Patience {
+			t.Fatalf("%d dispatchers are in force, want %d", state.Servers, servers)
+		}
+	}
+}
+
 // TestReload: SIGHUP ended the program. It moves to the coordinator that the file now names, the numbers go on, and a
 // file that cannot be read changes nothing.
 func TestReload(t *testing.T) {
-	event := "id: %d\ndata: {\"index\":%[1]d,\"endpoints\":{\"snapshot\":true,\"endpoints\":[]}}\n\n"
-	first, askedFirst := lister(t, fmt.Sprintf(event, 4))
-	second, askedSecond := lister(t, fmt.Sprintf(event, 9))
+	event := "id: %d\ndata: {\"index\":%[1]d,\"endpoints\":{\"snapshot\":true,\"endpoints\":[%s]}}\n\n"
+	entry := `{"name":"d9","address":"127.0.0.1:1","status":"active","group":0,"zone":"east","since_ms":0}`
+	first, askedFirst := lister(t, fmt.Sprintf(event, 4, ""))
+	second, askedSecond := lister(t, fmt.Sprintf(event, 9, entry))
 	third, askedThird := lister(t, "")
 	path := filepath.Join(t.TempDir(), "config.json")
 	write := func(text string) {
@@ -79,8 +98,9 @@
 		return strings.Replace(string(whole), `"coordinator": ""`, `"coordinator":"`+address+`"`, 1)
 	}
 	write(file(first))
+	management := fixed(t)
 	cmd := exec.Command(os.Args[0])
-	cmd.Env = append(os.Environ(), asProgram+"=1", "LB_CONFIG="+path, "LB_LISTEN=127.0.0.1:0", "LB_MANAGEMENT=127.0.0.1:0")
+	cmd.Env = append(os.Environ(), asProgram+"=1", "LB_CONFIG="+path, "LB_LISTEN=127.0.0.1:0", "LB_MANAGEMENT="+management)
 	if err := cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
@@ -97,6 +117,7 @@
 	write(file(second))
 	hup()
 	hears(t, askedSecond, "4")
+	awaitServers(t, management, 1) // what the second one tells is taken in before the next move
 	write("{")
 	hup()
 	write(file(third))
