Answer a set-up before its connection is closed, beyond the bound and ahead of a flood

Cause, by a trace of the calls: accepting.Accept closed what came beyond the bound before anything was read, and conn.flooded closed the socket while the set-up lay in the ring (Conn.read is deaf after a close by this side). Ruled out: the front's own refusal (Core.TurnAway), which answers.

- What comes beyond the bound waits in the kernel's queue (conn/accept.go, in place of netpoll's server, which can't pause).
A socket closed with bytes unread sends a reset, and that throws away the answer.
Abort closes at once.
- In a flood the rest is discarded, the loop takes in what came before it, and then answers what is open.
- Set-ups behind a message that ends its connection, and behind one that was turned away, are answered as well.
- callers.go is split by job: conn.go, room.go, ends.go.

--- a/cmd/cherryrelay/upgrade.go
+++ b/cmd/cherryrelay/upgrade.go
@@ -279,6 +279,9 @@
 	callersAhead, leastAhead = 16, 8
 )
 
+// keptForRefusals is how many descriptors are kept for connections on which set-ups are refused.
+const keptForRefusals = 2
+
 // shares is what the descriptors that callers and dispatchers have between them come to, while so many processes share the limit. Of two,
 // each has half of what is left beside the callers of both; the callers themselves are divided by the processes (upgrade.held).
 func shares(c *config.Config, processes int) links.Share {
@@ -320,6 +323,7 @@
 		if free < n.divided.Ahead/2 { // dispatchers have nothing to give up
 			f.Squeeze()
 		}
+		f.Scarce(free <= keptForRefusals)
 		f.Accept(max(f.Open()+free/len(n.fronts()), 1))
 	}
 }
--- a/internal/call/figures.go
+++ b/internal/call/figures.go
@@ -30,8 +30,12 @@
 	r.Caller.End(r.ID, end)
 }
 
-// Reject answers a set-up that makes no sense.
-func (c *Core) Reject(r Request) { c.end(&r, BadRequest) }
+// Reject answers a set-up that makes no sense. One under the id of another that is open on the same connection has that one's answer.
+func (c *Core) Reject(r Request) {
+	if old := c.calls[r.ID]; old == nil || old.state == over || old.Caller != r.Caller {
+		c.end(&r, BadRequest)
+	}
+}
 
 // Written tells that all of a set-up has gone to a dispatcher.
 func (c *Core) Written() { c.figures.Attempts++ }
--- /dev/null
+++ b/internal/callers/ends.go
@@ -0,0 +1,110 @@
+package callers
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+	"time"
+
+	"cherryrelay/internal/call"
+	"cherryrelay/internal/jsonl"
+)
+
+// The ends of calls that stood, which may be told on another connection than that of their set-up.
+
+type release struct {
+	id  string
+	end call.End
+	at  time.Time
+}
+
+// deliver passes on the ends that have waited for a connection.
+func (f *Front) deliver() {
+	if len(f.pending) == 0 || !slices.ContainsFunc(f.open, (*Conn).hears) {
+		return
+	}
+	pending := f.pending
+	f.pending = nil
+	for _, r := range pending {
+		if time.Since(r.at) < keep {
+			f.release(r)
+		}
+	}
+}
+
+// Release passes on the end of a call that no connection is known for.
+func (f *Front) Release(id string, end call.End) { f.release(release{id, end, time.Now()}) }
+
+// release sends the end of a call that stood on another connection, as no connection owns the call: one on which a call
+// stood rather than one that only asked, since that may be anybody's, and of these the one that was used last.
+func (f *Front) release(r release) {
+	hears := slices.DeleteFunc(slices.Clone(f.open), func(c *Conn) bool { return !c.hears() })
+	slices.SortStableFunc(hears, func(a, b *Conn) int {
+		return cmp.Or(cmp.Compare(b.rank(), a.rank()), b.usedAt.Compare(a.usedAt))
+	})
+	for _, c := range hears {
+		if !c.gone() {
+			c.release(r)
+			return
+		}
+	}
+	f.pending = slices.DeleteFunc(f.pending, func(o release) bool { return time.Since(o.at) > keep })
+	f.pending = append(f.pending, r)
+}
+
+// rank says how much a connection is to be counted on.
+func (c *Conn) rank() int {
+	switch {
+	case c.stood:
+		return 2
+	case c.asked:
+		return 1
+	}
+	return 0
+}
+
+// Over sends the end of a call that stood, on another connection if this one has closed since.
+func (c *Conn) Over(id string, end call.End) {
+	r := release{id, end, time.Now()}
+	if c.gone() {
+		c.front.release(r)
+		return
+	}
+	c.release(r)
+}
+
+func (c *Conn) writeRelease(r release) {
+	m := jsonl.Message{Type: "release", ID: r.id, Cause: &r.end.Cause, Fields: map[string]jsonl.Value{}}
+	if r.end.HoldOff > 0 {
+		m.Fields["wait"] = jsonl.Value(strconv.FormatInt(r.end.HoldOff.Milliseconds(), 10))
+	}
+	if c.format.NamesErrors() {
+		m.Fields["error"] = jsonl.Value(r.end.Reason)
+	}
+	c.write(m)
+}
+
+// release sends the end of a call that stood and keeps it for a moment: callers close connections without calls, and
+// one that crosses such a close is lost.
+func (c *Conn) release(r release) {
+	c.writeRelease(r)
+	c.sent = slices.DeleteFunc(c.sent, func(o release) bool { return !c.unheard(o) })
+	r.at = time.Now()
+	c.sent = append(c.sent, r)
+}
+
+// passOn has others told what this connection was while it said nothing: it is for tests, and who made it has taken an end for the
+// result of one.
+func (c *Conn) passOn() {
+	sent := c.sent
+	c.sent, c.tested = nil, true
+	for _, r := range sent {
+		c.front.release(r)
+	}
+}
+
+// unheard reports whether a release that was sent may not have been read: it is recent, or nobody ever spoke here.
+func (c *Conn) unheard(r release) bool {
+	age := time.Since(r.at)
+	return age <= recent || !c.asked && !c.tested && age <= keep
+}
--- a/internal/conn/conn.go
+++ b/internal/conn/conn.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"net"
 	"sync"
 	"syscall"
 	"time"
@@ -84,6 +85,9 @@
 	handler Handler
 	in, out *ring.Buffer
 
+	listener *Listener // that accepted it; nil if it was dialled
+	remote   net.Addr  // of one that was accepted
+
 	mu     sync.Mutex // guards the fields below, and the socket against a write after its close
 	posted bool
 	moves  bool      // what came is being put into the ring
@@ -93,6 +97,11 @@
 	closed bool      // this side did
 	reason error
 	space  chan struct{}
+	// What comes after the close, or in a flood, is discarded.
+	discards  bool
+	flood     bool // discarded since before the close
+	discarded int
+	closedAt  time.Time // when this side was closed
 	// The rest is the event loop's.
 	retries      bool
 	told         bool
@@ -105,38 +114,6 @@
 	return &Conn{loop: loop, nc: nc, in: ring.New(inSize), out: ring.New(outSize), space: make(chan struct{}, 1)}
 }
 
-// Close ends the connection; the handler is told the reason on this or a later turn of the loop.
-func (c *Conn) Close(reason error) {
-	if !c.told && c.out.Len() > 0 {
-		c.commit()
-	}
-	c.mu.Lock()
-	if c.ended {
-		c.mu.Unlock()
-		return
-	}
-	if fd, ok := c.nc.(netpoll.Conn); ok && c.out.Len() > 0 { // last words, as far as the socket takes them
-		first, _ := c.out.Parts()
-		if n, err := syscall.Write(fd.Fd(), first); err == nil {
-			c.took(n)
-			if first, _ = c.out.Parts(); len(first) > 0 {
-				n, _ = syscall.Write(fd.Fd(), first)
-				c.took(max(n, 0))
-			}
-		}
-	}
-	c.reason, c.ended, c.closed = reason, true, true
-	c.mu.Unlock()
-	select {
-	case c.space <- struct{}{}: // let a waiting fill go
-	default:
-	}
-	if err := c.nc.Close(); err != nil {
-		slog.Debug("closing a connection", "err", err)
-	}
-	c.loop.Post(c.tell)
-}
-
 // Finish ends this side of the connection and goes on reading: what the peer has sent, or sends before it closes too, still
 // comes. One that does not close is closed after the time.
 func (c *Conn) Finish(within time.Duration) {
@@ -148,8 +125,13 @@
 		}
 	}
 	c.mu.Unlock()
-	time.AfterFunc(within, func() { c.loop.Post(func() { c.Close(ErrClosedHere) }) })
+	time.AfterFunc(within, func() { c.loop.Post(func() { c.Abort(ErrClosedHere) }) })
 }
 
 // Remote is the peer's address.
-func (c *Conn) Remote() string { return c.nc.RemoteAddr().String() }
+func (c *Conn) Remote() string {
+	if c.remote != nil {
+		return c.remote.String()
+	}
+	return c.nc.RemoteAddr().String()
+}
--- a/internal/conn/listener.go
+++ b/internal/conn/listener.go
@@ -4,14 +4,14 @@
 	"context"
 	"errors"
 	"fmt"
-	"log/slog"
+	"maps"
 	"net"
 	"os"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
-
-	"github.com/cloudwego/netpoll"
 )
 
 // Listener accepts connections.
@@ -19,49 +19,40 @@
 	loop    Poster
 	handler func(*Conn) Handler
 	tcp     *net.TCPListener
-	open    atomic.Int64
-	most    atomic.Int64
 	shared  atomic.Bool // another process accepts from the same socket
 	serving *accepting  // nil before Start and after Stop; event loop only
+
+	mu        sync.Mutex
+	room      *sync.Cond // signalled when a connection may have become acceptable
+	open      map[*Conn]struct{}
+	most      int
+	lingering []*Conn // closed by this side, oldest first; some may have ended since
 }
 
-// accepting is the time between a Start and a Stop.
-type accepting struct {
-	netpoll.Listener
-	of      *Listener
-	serve   netpoll.EventLoop
-	stopped atomic.Bool
+// Limit bounds the connections that hold a descriptor at once; 0 is no bound. Open ones stay. What comes beyond the bound waits in the
+// kernel's queue until there is room: closed at once, it would lose what it has sent.
+func (l *Listener) Limit(most int) {
+	l.mu.Lock()
+	l.most = most
+	l.mu.Unlock()
+	l.room.Broadcast()
 }
 
-// Accept closes what comes beyond the limit at once: a descriptor that callers take is one that dispatchers and the
-// list may lack, and netpoll accepts whatever the process can hold.
-func (a *accepting) Accept() (net.Conn, error) {
-	if a.stopped.Load() {
-		return nil, net.ErrClosed // netpoll then leaves the socket alone, and what waits there to the other process
-	}
-	nc, err := a.Listener.Accept()
-	if nc == nil || err != nil {
-		return nil, err //nolint:wrapcheck // netpoll looks at the very error, and takes nil for nothing to accept
-	}
-	if most := a.of.most.Load(); most > 0 && a.of.open.Load() >= most {
-		return nil, nc.Close() //nolint:nilnil // as above
-	}
-	return nc, nil
+// Held is the number of connections that hold a descriptor, those that are being closed included.
+func (l *Listener) Held() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.open)
 }
 
-// Close stops listening. netpoll's own Close closes the descriptor that it made of the socket twice, and by the second
-// time the number may be another connection's; here that is left to the collector, which does it once. A socket that
-// another process has as well must not be shut down.
-func (a *accepting) Close() error {
-	var err error
-	if !a.of.shared.Load() {
-		err = syscall.Shutdown(a.Fd(), syscall.SHUT_RD)
-	}
-	return errors.Join(err, a.of.tcp.Close())
+// Full reports whether no more connections are accepted for now.
+func (l *Listener) Full() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.full()
 }
 
-// Limit bounds the connections that are open at once; 0 is no bound. Open ones stay.
-func (l *Listener) Limit(most int) { l.most.Store(int64(most)) }
+func (l *Listener) full() bool { return l.most > 0 && len(l.open) >= l.most }
 
 // reusePort is SO_REUSEPORT, which package syscall lacks for some machines.
 const reusePort = 0xf
@@ -93,8 +84,8 @@
 // NewListener prepares to accept connections from a socket, of which at most so many are open at once if most is above
 // 0; handler is called on the loop for each one.
 func NewListener(loop Poster, tcp *net.TCPListener, most int, handler func(*Conn) Handler) *Listener {
-	l := &Listener{loop: loop, handler: handler, tcp: tcp}
-	l.Limit(most)
+	l := &Listener{loop: loop, handler: handler, tcp: tcp, most: most, open: map[*Conn]struct{}{}}
+	l.room = sync.NewCond(&l.mu)
 	return l
 }
 
@@ -116,44 +107,19 @@
 	if l.serving != nil {
 		return nil
 	}
-	ln, err := netpoll.ConvertListener(l.tcp)
+	a, err := l.newAccepting()
 	if err != nil {
 		return fmt.Errorf("listening at %s: %w", l.Address(), err)
 	}
-	a := &accepting{Listener: ln, of: l}
-	type key struct{}
-	prepare := func(nc netpoll.Connection) context.Context {
-		c := wrap(l.loop, nc)
-		l.open.Add(1)
-		l.loop.Post(func() { c.handler = l.handler(c) })
-		if err := nc.AddCloseCallback(func(netpoll.Connection) error { l.open.Add(-1); c.rest(); c.hup(); return nil }); err != nil {
-			slog.Warn("accepting a connection", "err", err)
-		}
-		return context.WithValue(context.Background(), key{}, c)
-	}
-	fill := func(ctx context.Context, nc netpoll.Connection) error {
-		c, ok := ctx.Value(key{}).(*Conn)
-		if !ok {
-			return errors.New("connection without its object")
-		}
-		return c.fill(nc.Reader())
-	}
-	if a.serve, err = netpoll.NewEventLoop(fill, netpoll.WithOnPrepare(prepare)); err != nil {
-		return fmt.Errorf("listening at %s: %w", l.Address(), err)
-	}
 	l.serving = a
-	go func() {
-		if err := a.serve.Serve(a); err != nil && !a.stopped.Load() {
-			slog.Error("accepting connections ended", "address", l.Address(), "err", err)
-		}
-	}()
+	go a.run()
 	return nil
 }
 
 // Stop accepts no more. The socket stays open, and what waits there is left to whoever shares it.
 func (l *Listener) Stop() {
 	if l.serving != nil {
-		l.serving.stopped.Store(true)
+		l.serving.stop()
 		l.serving = nil
 	}
 }
@@ -173,16 +139,37 @@
 // Address is where the listener listens.
 func (l *Listener) Address() string { return l.tcp.Addr().String() }
 
-// Shutdown stops accepting; open connections end too.
+// Shutdown stops accepting; open connections end too, after a moment in which their peers can read what was sent last. The event loop need
+// not run any more.
 func (l *Listener) Shutdown() error {
-	a := l.serving
-	if a == nil {
+	if l.serving == nil {
 		return l.tcp.Close() //nolint:wrapcheck // it says what it is
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-	defer cancel()
-	if err := a.serve.Shutdown(ctx); err != nil {
+	var err error
+	l.serving.stopped.Store(true) // before its socket is shut down, which ends a wait there
+	if !l.shared.Load() {         // a socket that another process has as well must not be shut down
+		err = l.serving.refuse()
+	}
+	l.Stop()
+	err = errors.Join(err, l.tcp.Close())
+	for _, c := range l.connections() {
+		c.halfClose(ErrClosedHere)
+	}
+	for until := time.Now().Add(lingerAtExit); l.Held() > 0 && time.Now().Before(until); {
+		time.Sleep(time.Millisecond)
+	}
+	for _, c := range l.connections() {
+		c.Abort(ErrClosedHere)
+	}
+	if err != nil {
 		return fmt.Errorf("closing the listener: %w", err)
 	}
 	return nil
 }
+
+// connections are those that hold a descriptor.
+func (l *Listener) connections() []*Conn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Collect(maps.Keys(l.open))
+}
--- a/internal/conn/read.go
+++ b/internal/conn/read.go
@@ -15,7 +15,7 @@
 // start begins to read what a dialled connection brings. It must not run on the loop: if more has come already
 // than the ring holds, it waits for the loop.
 func (c *Conn) start() error {
-	if err := c.nc.AddCloseCallback(func(netpoll.Connection) error { c.rest(); c.hup(); return nil }); err != nil {
+	if err := c.nc.AddCloseCallback(func(netpoll.Connection) error { c.rest(); c.hup(); c.released(); return nil }); err != nil {
 		return err
 	}
 	err := c.nc.SetOnRequest(func(_ context.Context, nc netpoll.Connection) error { return c.fill(nc.Reader()) })
@@ -29,8 +29,8 @@
 }
 
 // fill runs on netpoll's pool, once at a time for a connection. It moves what came into the ring and waits while that
-// is full; the loop empties every ring each turn, so the wait is short. netpoll reads on meanwhile without bound, so a
-// peer that is too far ahead is dropped.
+// is full; the loop empties every ring each turn, so the wait is short. netpoll reads on meanwhile without bound, so what a
+// peer sends that is too far ahead is discarded, and its connection closed once the loop has taken in what came before.
 func (c *Conn) fill(r netpoll.Reader) error {
 	c.mu.Lock()
 	c.moves = true
@@ -41,16 +41,25 @@
 		c.mu.Unlock()
 	}()
 	for n := r.Len(); n > 0; n = r.Len() {
+		discards, tooMuch := c.discarding(n)
+		if discards {
+			err := errors.Join(r.Skip(n), r.Release())
+			if tooMuch {
+				c.Abort(ErrFlood)
+			}
+			if tooMuch || err != nil {
+				return err
+			}
+			continue
+		}
 		if n > maxBacklog {
-			return errors.Join(r.Skip(n), r.Release(), c.flooded())
+			c.flooded()
+			continue
 		}
 		free := c.in.Free()
 		if free == 0 {
 			c.notify()
 			<-c.space
-			if c.isEnded() {
-				return io.EOF
-			}
 			continue
 		}
 		p, err := r.Next(min(n, free))
@@ -66,19 +75,6 @@
 	return nil
 }
 
-// flooded closes the connection at once: until the loop came to it, netpoll would read on, megabytes in a moment.
-func (c *Conn) flooded() error {
-	c.mu.Lock()
-	if c.ended {
-		c.mu.Unlock()
-		return nil
-	}
-	c.reason, c.ended, c.closed = ErrFlood, true, true
-	c.mu.Unlock()
-	c.loop.Post(c.tell)
-	return c.nc.Close()
-}
-
 func (c *Conn) notify() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -105,7 +101,9 @@
 	}
 	if err != nil {
 		c.Close(err)
+		return
 	}
+	c.breakFlood()
 }
 
 func (c *Conn) isEnded() bool {
--- a/internal/dispatchers/budget.go
+++ b/internal/dispatchers/budget.go
@@ -148,7 +148,7 @@
 // evict closes the connection to make room. Where calls stand, their ends come on the next one.
 func (l *link) evict() {
 	l.evicted = true
-	l.conn.Close(conn.ErrClosedHere)
+	l.conn.Abort(conn.ErrClosedHere) // nothing is open on it, and its descriptor is wanted
 	if !l.closed {
 		l.Closed(conn.ErrClosedHere)
 	}
@@ -169,11 +169,8 @@
 	}
 }
 
-// socket is a link as its connection knows it: it counts until the connection has ended, however early the link was given up.
+// socket is a link as its connection knows it: it counts until the connection holds no descriptor, however early the link was given up.
 type socket struct{ *link }
 
-// Closed comes once, last.
-func (s socket) Closed(reason error) {
-	s.link.Closed(reason)
-	s.server.pool.released(s.evicted)
-}
+// Released comes once, last.
+func (s socket) Released() { s.server.pool.released(s.evicted) }
--- a/internal/dispatchers/link.go
+++ b/internal/dispatchers/link.go
@@ -331,7 +331,7 @@
 	s.pool.touch(s)
 	s.doubt(s.pool.core.StandAt(s.ID))
 	if s.halfClosed = append(s.halfClosed, l); len(s.halfClosed) > MaxLinks { // of one dispatcher, so many are held at most
-		s.halfClosed[0].conn.Close(conn.ErrClosedHere)
+		s.halfClosed[0].conn.Abort(conn.ErrClosedHere)
 		s.halfClosed = s.halfClosed[1:]
 	}
 	s.track()
--- a/internal/management/management.go
+++ b/internal/management/management.go
@@ -159,9 +159,6 @@
 	s.loop.After(lookEvery, s.look)
 }
 
-// lingerFor is how long a connection with a bad request is still read.
-const lingerFor = 250 * time.Millisecond
-
 // client is one connection.
 type client struct {
 	server *Server
@@ -181,10 +178,7 @@
 	switch {
 	case err != nil:
 		c.conn.Write(http1.Response(http.StatusBadRequest, err.Error()+"\n", "Content-Type: "+plain))
-		in.Discard(in.Len())
-		c.Closed(err)
-		c.conn.Finish(lingerFor) // closed with bytes unread, it would be reset, and the answer lost
-		return nil
+		return err
 	case r == nil:
 		return nil
 	}
