Have a crowd of callers wait to be accepted, and answer all that was read before a close

What comes beyond the bound waits in the kernel; a set-up that has waited there counts its time from when it came (TCP_INFO), so that its answer is not late. A connection beyond the bound that says nothing goes after 50 ms while others wait; idle ones that are too new to tell are not closed for it.

--- /dev/null
+++ b/cmd/cherryrelay/closes_test.go
@@ -0,0 +1,131 @@
+package main
+
+import (
+	"testing"
+	"time"
+
+	"cherryrelay/internal/call"
+	"cherryrelay/internal/callers"
+	"cherryrelay/internal/jsonl"
+	"cherryrelay/internal/peer"
+)
+
+// What has come on a connection from callers as this program decides to close it: docs/crossings.md, "A new connection is closed".
+
+// answersOf reads the final answers to the set-ups of the given numbers, in any order, and then the end of the connection.
+func (w *world) answersOf(c *peer.Caller, numbers ...int) map[int]*jsonl.Message {
+	w.Helper()
+	answers := map[int]*jsonl.Message{}
+	for {
+		m, err := c.Next()
+		if err != nil {
+			break
+		}
+		for _, n := range numbers {
+			if m.ID == id(n) && answers[n] != nil {
+				w.Errorf("set-up %d has a second answer: %+v", n, m)
+			} else if m.ID == id(n) {
+				answers[n] = m
+			}
+		}
+	}
+	for _, n := range numbers {
+		if answers[n] == nil {
+			w.Errorf("set-up %d has no answer", n)
+		}
+	}
+	return answers
+}
+
+// frames are set-ups in one segment.
+func (w *world) frames(c *peer.Caller, numbers ...int) []byte {
+	w.Helper()
+	var text []byte
+	for _, n := range numbers {
+		text = append(text, w.frame(c, n)...)
+	}
+	return text
+}
+
+// TestEverySetUpOnAConnectionWithoutRoomIsRefused: the first refusal closed the connection, and the set-ups behind it were lost.
+func TestEverySetUpOnAConnectionWithoutRoomIsRefused(t *testing.T) {
+	for _, transport := range []string{"tcp", "ws"} {
+		t.Run(transport, func(t *testing.T) {
+			t.Parallel()
+			w := newWorldWithin(t, transport, "tcp", callers.Bounds{Connections: 2, Silent: long, Idle: long})
+			w.fillConnections(2)
+			c := w.connect()
+			w.must(c.SendRaw(w.frames(c, 1, 2, 3)))
+			for n, m := range w.answersOf(c, 1, 2, 3) {
+				if m.CauseOr(0) != call.CauseCongestion || m.Fields["wait"] == "" {
+					t.Errorf("set-up %d is told %+v: want a refusal with a time to come back", n, m)
+				}
+			}
+		})
+	}
+}
+
+// TestSetUpsBehindAFaultAreAnswered: behind a message that ends the connection lie set-ups that were read with it.
+func TestSetUpsBehindAFaultAreAnswered(t *testing.T) {
+	for _, transport := range []string{"tcp", "ws"} {
+		t.Run(transport, func(t *testing.T) {
+			t.Parallel()
+			w := newWorldWithin(t, transport, "tcp", callers.Bounds{Silent: long, Idle: long})
+			c := w.connect()
+			w.must(c.SendRaw(w.frames(c, 1, 1, 2, 3))) // the second 1 can't be told from the first
+			w.answersOf(c, 1, 2, 3)
+		})
+	}
+}
+
+// TestASetUpAheadOfAFloodOverTheAPI is the story of the flood for the other front.
+func TestASetUpAheadOfAFloodOverTheAPI(t *testing.T) {
+	t.Parallel()
+	w := newWorldWithin(t, "ws", "tcp", callers.Bounds{Silent: long, Idle: long})
+	c := w.connect()
+	free := w.holds()
+	before := w.node.loop.Waiting()
+	w.must(c.SendRaw(w.frame(c, 1)))
+	w.queued(before + 1)
+	text := c.Frame([]byte(`{"type":"progress","id":"` + id(2) + `","fields":{}}`))
+	var flood []byte
+	for len(flood) < 1<<20 {
+		flood = append(flood, text...)
+	}
+	w.must(c.SetWriteDeadline(time.Now().Add(time.Second)))
+	_ = c.SendRaw(flood)
+	free()
+	w.answersOf(c, 1)
+}
+
+// TestARestThatComesAsItsTimeIsUp: a message has not been whole for too long, and its rest lies before the loop as that is noticed.
+func TestARestThatComesAsItsTimeIsUp(t *testing.T) {
+	const silent = 200 * time.Millisecond
+	for _, transport := range []string{"tcp", "ws"} {
+		t.Run(transport, func(t *testing.T) {
+			t.Parallel()
+			w := newWorldWithin(t, transport, "tcp", callers.Bounds{Silent: silent, Idle: long})
+			c := w.connect()
+			text := w.frame(c, 1)
+			w.must(c.SendRaw(text[:len(text)/2]))
+			time.Sleep(silent / 2) // it is taken in
+			free := w.holds()
+			before := w.node.loop.Waiting()
+			w.must(c.SendRaw(text[len(text)/2:]))
+			w.queued(before + 1)
+			time.Sleep(silent) // its time is up by now
+			free()
+			w.must(w.gets(0).Answer("y"))
+			if m := w.answersOfOne(c); m.Type != "answer" {
+				t.Errorf("%+v: want the answer", m)
+			}
+		})
+	}
+}
+
+func (w *world) answersOfOne(c *peer.Caller) *jsonl.Message {
+	w.Helper()
+	m, err := c.Next()
+	w.must(err)
+	return m
+}
--- /dev/null
+++ b/cmd/cherryrelay/crowd_test.go
@@ -0,0 +1,157 @@
+package main
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"os"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"cherryrelay/internal/call"
+	"cherryrelay/internal/jsonl"
+	"cherryrelay/internal/peer"
+)
+
+// A crowd of callers at once, as after a restart. What happened: of 600 callers, each with a set-up in its first segment, 479 were closed
+// without a word by a process that may hold 256 descriptors and held 148. Why: the listener closed what came beyond its bound before
+// anything was read. What showed it: a count of the ends that callers saw, and of the descriptors in /proc while they came.
+
+const (
+	// crowdLeft is what callers say that they wait for their answer, and crowdLimit what they do: the difference is this machine's, which
+	// plays thousands of callers beside the program.
+	crowdLeft, crowdLimit = 2500 * time.Millisecond, 3 * time.Second
+	// crossesWithin is within what a set-up that crosses the close of its connection is sent once more, by the protocol.
+	crossesWithin = 50 * time.Millisecond
+	// crowdTries is how often a set-up is sent again that crosses the close of its connection.
+	crowdTries = 3
+)
+
+// crowdCaller connects, and sends a set-up in its first segment unless it is silent. It tells how its set-up ended: "answer", "refused",
+// or what went wrong. One that crosses the close of its connection is sent again.
+func crowdCaller(address netip.AddrPort, number int, silent bool) string {
+	for try := 0; ; try++ {
+		end, err := crowdCall(address, number|try<<20, silent)
+		if err == nil {
+			return end
+		}
+		if !errors.Is(err, errCrossed) || try == crowdTries {
+			return err.Error()
+		}
+	}
+}
+
+// errCrossed is the end of a try whose connection was closed before its set-up was written, or within crossesWithin after it.
+var errCrossed = errors.New("closed as the set-up came")
+
+// crowdCall is one try. Its system calls follow one another at once: where Go's scheduler lies between them, on a busy machine the
+// set-up comes long after the connection.
+func crowdCall(address netip.AddrPort, number int, silent bool) (end string, err error) {
+	text, err := jsonl.Append(nil, (&peer.Caller{Class: "send-setup", Tenant: "acme"}).Asks(id(number), crowdLeft, 0, "x"))
+	if err != nil {
+		return "", err
+	}
+	text = append(text, '\n')
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return "", err
+	}
+	file := os.NewFile(uintptr(fd), "caller")
+	defer file.Close()
+	if err := syscall.Connect(fd, &syscall.SockaddrInet4{Addr: address.Addr().As4(), Port: int(address.Port())}); err != nil {
+		return "", err
+	}
+	begun := time.Now()
+	if !silent {
+		if n, _, err := syscall.Recvfrom(fd, make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT); n == 0 && err == nil {
+			return "", errCrossed
+		}
+		if _, err := syscall.Write(fd, text); err != nil {
+			return "", errCrossed
+		}
+	}
+	wrote := time.Now()
+	c, err := net.FileConn(file)
+	if err != nil {
+		return "", err
+	}
+	defer c.Close()
+	if err := errors.Join(file.Close(), c.SetReadDeadline(begun.Add(2*crowdLimit))); err != nil {
+		return "", err
+	}
+	line, err := bufio.NewReader(c).ReadBytes('\n')
+	switch took := time.Since(wrote); {
+	case silent:
+		return "silent", nil
+	case err != nil && (took < crossesWithin || wrote.Sub(begun) > crossesWithin/5): // then it is not known when the set-up was written
+		return "", errCrossed
+	case err != nil:
+		return "", fmt.Errorf("closed without an answer: %w", err)
+	case took > crowdLimit:
+		return "answered late", nil
+	}
+	m, err := jsonl.Parse(line)
+	switch {
+	case err != nil:
+		return "", err
+	case m.Type == "answer":
+		return "answer", nil
+	case m.Type == "release" && m.CauseOr(0) == call.CauseCongestion && m.Fields["wait"] != "":
+		return "refused", nil
+	}
+	return fmt.Sprintf("told %s", line), nil
+}
+
+// TestACrowdOfCallersIsAnswered: every set-up of a crowd has an answer or a refusal that says when to come back, in its time, and
+// descriptors are left for the list, dispatchers and operators.
+func TestACrowdOfCallersIsAnswered(t *testing.T) {
+	const sockets = 256
+	for name, crowd := range map[string]struct {
+		callers     int
+		everySilent int // one in so many says nothing; 0 for none
+	}{
+		"600 with a set-up each":        {600, 0},
+		"2000 with a set-up each":       {2000, 0},
+		"2560, of whom half are silent": {10 * sockets, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := answers(t)
+			coordinator := fixed(t)
+			s := startScarce(t, sockets, coordinator, listed("d0", d.Address(), "active", 0))
+			s.coordinate(coordinator)
+			var mu sync.Mutex
+			ends := map[string]int{}
+			var all sync.WaitGroup
+			for i := range crowd.callers {
+				silent := crowd.everySilent > 0 && i%crowd.everySilent == 0
+				all.Go(func() {
+					end := crowdCaller(netip.MustParseAddrPort(s.lines), i+1, silent)
+					mu.Lock()
+					ends[end]++
+					mu.Unlock()
+				})
+			}
+			newest := answers(t) // the list is followed meanwhile
+			s.tell(2, listed("newest", newest.Address(), "active", 1))
+			s.inForce(2, time.Second)
+			all.Wait()
+			t.Logf("%v", ends)
+			for end, n := range ends {
+				if end != "answer" && end != "refused" && end != "silent" {
+					t.Errorf("%d callers: %s", n, end)
+				}
+			}
+			if ends["answer"] == 0 {
+				t.Error("nobody was served")
+			}
+			s.inBounds()
+			if t.Failed() {
+				t.Log(s.log.String())
+			}
+		})
+	}
+}
--- a/internal/callers/room.go
+++ b/internal/callers/room.go
@@ -15,6 +15,10 @@
 // spare is the part of the connections that may be open for a moment beyond the bound, while idle ones make room.
 const spare = 0.25
 
+// overflowFor is how long a connection beyond the bound may bring no set-up while others wait to be accepted. A set-up that crosses a close
+// within as much is sent again, by the protocol.
+const overflowFor = 50 * time.Millisecond
+
 // Most is how many may be open at once for a moment.
 func (b Bounds) Most() int {
 	if b.Connections == 0 {
@@ -105,7 +109,7 @@
 		case c.closed:
 		case c.partial && now.Sub(c.since) > silent:
 			c.cutShort()
-		case c.overflow && f.listener.Full() && now.Sub(c.since) > settle:
+		case c.overflow && f.listener.Full() && now.Sub(c.since) > overflowFor:
 			c.leaveOverflow()
 		case closing && f.core.Owes(c) == 0 && (f.core.StandingOf(c) == 0 || f.core.Superseded()) && now.Sub(c.since) > settle &&
 			!slices.ContainsFunc(c.sent, c.unheard) && c.conn.Quiet():
--- a/internal/conn/accept.go
+++ b/internal/conn/accept.go
@@ -25,6 +25,7 @@
 	socket  *os.File // another descriptor of the listener's socket
 	raw     syscall.RawConn
 	stopped atomic.Bool
+	paused  bool // since there was no room, no connection has been waited for: the next one may have waited for long
 }
 
 func (l *Listener) newAccepting() (*accepting, error) {
@@ -46,12 +47,12 @@
 		switch {
 		case a.stopped.Load() && err != nil:
 			return
-		case errors.Is(err, syscall.ECONNABORTED): // its peer has reset it while it waited
+		case errors.Is(err, syscall.EINTR), errors.Is(err, syscall.ECONNABORTED): // its peer has reset it while it waited
 		case err != nil:
 			slog.Warn("accepting a connection", "address", a.of.Address(), "err", err)
 			time.Sleep(acceptAgain)
 		default:
-			a.of.take(fd, remote)
+			a.of.take(fd, remote, a.paused)
 		}
 	}
 }
@@ -61,7 +62,11 @@
 	var from syscall.Sockaddr
 	waitErr := a.raw.Read(func(listener uintptr) bool {
 		fd, from, err = syscall.Accept4(int(listener), syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC)
-		return !errors.Is(err, syscall.EAGAIN) && !errors.Is(err, syscall.EINTR)
+		if errors.Is(err, syscall.EAGAIN) {
+			a.paused = false
+			return false
+		}
+		return true
 	})
 	if waitErr != nil {
 		return 0, remote, waitErr //nolint:wrapcheck // it ends the loop, or is logged
@@ -89,6 +94,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for l.full() && !a.stopped.Load() {
+		a.paused = true
 		if oldest := l.oldestLingering(); oldest != nil {
 			if rest := lingerLeast - time.Since(oldest.halfClosedAt()); rest > 0 {
 				time.AfterFunc(rest, l.room.Broadcast)
@@ -146,8 +152,25 @@
 // Waiting reports whether connections wait to be accepted. Only the loop may call it.
 func (l *Listener) Waiting() bool { return l.serving != nil && l.serving.waiting() }
 
-// take serves a connection that was accepted.
-func (l *Listener) take(fd int, remote netip.AddrPort) {
+// lastArrival is when the last bytes came that can be read from a socket; zero if there are none, or it can't be told.
+func lastArrival(fd int) time.Time {
+	n, _, _ := syscall.Recvfrom(fd, make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	if n <= 0 {
+		return time.Time{}
+	}
+	info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+	if err != nil {
+		return time.Time{}
+	}
+	return time.Now().Add(-time.Duration(info.Last_data_recv) * time.Millisecond)
+}
+
+// take serves a connection that was accepted, after a pause or not.
+func (l *Listener) take(fd int, remote netip.AddrPort, paused bool) {
+	var arrived time.Time
+	if paused {
+		arrived = lastArrival(fd)
+	}
 	if err := syscall.SetsockoptInt(fd, syscall.IPPROTO_TCP, syscall.TCP_NODELAY, 1); err != nil {
 		slog.Debug("accepting a connection", "err", err)
 	}
@@ -157,7 +180,7 @@
 		return
 	}
 	c := wrap(l.loop, nc)
-	c.listener, c.remote = l, net.TCPAddrFromAddrPort(remote)
+	c.listener, c.remote, c.arrived = l, net.TCPAddrFromAddrPort(remote), arrived
 	l.mu.Lock()
 	l.open[c] = struct{}{}
 	l.mu.Unlock()
--- a/internal/conn/conn.go
+++ b/internal/conn/conn.go
@@ -87,6 +87,7 @@
 
 	listener *Listener // that accepted it; nil if it was dialled
 	remote   net.Addr  // of one that was accepted
+	arrived  time.Time // when the first bytes came, if they waited in the kernel
 
 	mu     sync.Mutex // guards the fields below, and the socket against a write after its close
 	posted bool
--- a/internal/conn/read.go
+++ b/internal/conn/read.go
@@ -81,6 +81,9 @@
 	c.sought = false
 	if !c.posted {
 		c.posted, c.at = true, time.Now()
+		if !c.arrived.IsZero() {
+			c.at, c.arrived = c.arrived, time.Time{}
+		}
 		c.loop.Post(c.read)
 	}
 }
