--- a/cmd/cherryrelay/node.go
+++ b/cmd/cherryrelay/node.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"net/url"
 
 	"cherryrelay/internal/call"
 	"cherryrelay/internal/callers"
@@ -136,6 +137,7 @@
 			n.manage.Show(path, page)
 		}
 		n.manage.Show("/api/recovery", n.recoveryPage)
+		n.manage.Show("/api/shares", n.sharesPage)
 		log.Info("serving operators", "address", n.manage.Address())
 	}
 	n.list = coordinator.New(c.Coordinator, c.Known.Index, log, keeper.Stream(decide.FromCoordinator))
@@ -197,6 +199,9 @@
 	return f, nil
 }
 
+// sharesPage shows what this controller gets of each dispatcher.
+func (n *node) sharesPage(url.Values) (any, error) { return n.core.Shares(), nil }
+
 // run serves until the node has drained.
 func (n *node) run() error {
 	n.loop.Run()
--- /dev/null
+++ b/cmd/cherryrelay/shares_test.go
@@ -0,0 +1,40 @@
+package main
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	jsoniter "github.com/json-iterator/go"
+
+	"cherryrelay/internal/call"
+	"cherryrelay/internal/callers"
+	"cherryrelay/internal/peer"
+)
+
+// TestOperatorsSeeTheSharesOfDispatchers: how often each was asked, and how often in vain for want of a line.
+func TestOperatorsSeeTheSharesOfDispatchers(t *testing.T) {
+	t.Parallel()
+	w := newWorldWithin(t, "tcp", "tcp", callers.Bounds{Silent: long, Idle: long})
+	c := w.caller()
+	w.must(c.SetUp(id(1), long, 0, "x"))
+	w.must(w.gets(0).Refuse(peer.NoLine))
+	w.must(w.gets(1).Answer("y"))
+	w.hears(c)
+	var shares []call.DispatcherShare
+	for until := time.Now().Add(peer.Patience); ; time.Sleep(time.Millisecond) {
+		status, body := w.operator(http.MethodGet, "/api/shares")
+		if status != http.StatusOK || jsoniter.UnmarshalFromString(body, &shares) != nil || len(shares) != 2 {
+			t.Fatalf("%d %s", status, body)
+		}
+		if shares[0].NoLine == 1 && shares[1].Own == 1 {
+			break
+		}
+		if time.Now().After(until) {
+			t.Fatalf("%+v: want one request of the first in vain, and a line of the second", shares)
+		}
+	}
+	if shares[0].Asked != 1 || shares[1].Asked != 1 || shares[0].Own != 0 || shares[0].RestMS <= 0 {
+		t.Errorf("%+v: want each asked once, and a rest for the first", shares)
+	}
+}
--- a/control/api.go
+++ b/control/api.go
@@ -153,6 +153,32 @@
 	NotSent
 )
 
+// mayHaveRun reports whether the server may have begun to do what was asked.
+func (o Outcome) mayHaveRun() bool { return o == Failed || o.mayLinger() }
+
+// mayLinger reports whether the server may still be at it, or hold something for it.
+func (o Outcome) mayLinger() bool { return o == TimedOut || o == Reset || o == Cancelled }
+
+// ServerFigures is what the node knows of a server that decides how much of it the node gets.
+type ServerFigures struct {
+	ID    ServerID
+	Lines float64       // that it has; 1 if that is not told
+	Free  int           // lines that are free, as far as is known; -1 if that is not told
+	Own   int           // lines that this node's calls have
+	Rest  time.Duration // for which it gets no set-up from this node any more
+	Open  bool          // it has no window
+	Limit float64       // its window, in starts a control period
+}
+
+// Figures of all servers, in the order in which they were first listed.
+func (c *Controller) Figures(now time.Duration) []ServerFigures {
+	var all []ServerFigures
+	for _, s := range c.servers {
+		all = append(all, ServerFigures{ID: s.ID, Lines: s.lines, Free: s.free, Own: s.own, Rest: max(s.restUntil-now, 0), Open: s.open, Limit: s.limit})
+	}
+	return all
+}
+
 // Event is something that happened at the access node: one of the types below.
 type Event interface{ event() }
 
--- a/control/control.go
+++ b/control/control.go
@@ -104,7 +104,9 @@
 // server is what the node knows of one core server.
 type server struct {
 	ServerEntry
-	out       []*call // attempts without an answer, oldest first
+	out       []*call       // attempts without an answer, oldest first
+	own       int           // lines that this node's calls have, those being set up included
+	shortAt   time.Duration // when it last had no line; 0 for never
 	restUntil time.Duration
 	restAt    time.Duration // when the last rest began
 	rest      time.Duration // how long that was; 0 once a call has stood
@@ -301,9 +303,10 @@
 
 // allows reports whether the server can be sent one more set-up now, as first choice or not. Even an open
 // window holds those of second choice to the node's part of the rate that the server tells: what spills over
-// from large servers would jam small ones, with little from each of many nodes.
+// from large servers would jam small ones, with little from each of many nodes. So it is for calls of first
+// choice while lines are short and the node has its part of them.
 func (c *Controller) allows(s *server, first bool) bool {
-	if s.Status != Active || c.now < s.restUntil || s.free == 0 || s.spare == 0 && !first ||
+	if s.Status != Active || c.now < s.restUntil || s.free == 0 || s.spare == 0 && (!first || c.hasPart(s)) ||
 		s.rest > 0 && len(s.out) > 0 { // one at a time until a call has stood
 		return false
 	}
@@ -368,6 +371,11 @@
 	return c.last[k.class.Name]
 }
 
+// hasPart reports whether the server was short of lines lately, and the node has its even part of them.
+func (c *Controller) hasPart(s *server) bool {
+	return s.shortAt > 0 && c.now-s.shortAt < mostRest && s.own*max(c.settings.Peers, 1) >= int(s.lines)
+}
+
 // draw picks a server at random, by what each can take.
 func (c *Controller) draw(from []*server) *server {
 	drawn, total := from[0], 0.0
@@ -441,9 +449,7 @@
 func (c *Controller) forget(k *call) {
 	delete(c.calls, k.id)
 	k.at.drop(k)
-	if i := slices.Index(c.held, k); i >= 0 {
-		c.held = slices.Delete(c.held, i, i+1)
-	}
+	c.held = slices.DeleteFunc(c.held, func(o *call) bool { return o == k })
 }
 
 // value is what the call earns if it is sent to a server now.
@@ -537,9 +543,7 @@
 
 // send starts an attempt.
 func (c *Controller) send(k *call, s *server) {
-	if i := slices.Index(c.held, k); i >= 0 {
-		c.held = slices.Delete(c.held, i, i+1)
-	}
+	c.held = slices.DeleteFunc(c.held, func(o *call) bool { return o == k })
 	k.attempts++
 	k.at, k.sentAt, k.undone = s, c.now, false
 	if len(s.out) == 0 {
@@ -547,6 +551,7 @@
 	}
 	s.out = append(s.out, k)
 	s.accepted++
+	s.own++
 	s.credit = max(0, s.credit-1)
 	if !s.cold && !s.suspect {
 		s.starts++
@@ -598,15 +603,17 @@
 	s, k := c.byID[e.Server], c.calls[e.ID]
 	if s != nil {
 		c.report(s, e.Report)
+		s.own = max(s.own-1, 0)
 		switch e.Outcome {
 		case Completed:
-			if s.free >= 0 {
+			if s.free >= 0 && !c.hasPart(s) { // else it is left to those that have fewer
 				s.free, s.spare = s.free+1, s.spare+1 // the call's own line
 			}
 		case Full:
 			s.heardAt = c.now
 			if e.NoLine {
-				c.rest(s, fullRest, c.now-e.Elapsed)
+				s.shortAt = c.now
+				c.rest(s, fullRest, -1) // a longer one each time would leave the lines to whoever has them
 			} else {
 				// Its queue is at its limit: nothing sent now can stand in time.
 				c.doubt(s, c.now-e.Elapsed)
@@ -625,19 +632,15 @@
 		return
 	}
 	k.at.drop(k)
-	switch e.Outcome {
-	case Failed, TimedOut, Reset, Cancelled:
-		if k.ranAt == nil {
-			k.ranAt, k.ranSince = k.at, k.sentAt
-		}
+	if k.ranAt == nil && e.Outcome.mayHaveRun() {
+		k.ranAt, k.ranSince = k.at, k.sentAt
 	}
 	k.at = nil
 	if e.CallOver {
 		c.forget(k)
 		return
 	}
-	switch e.Outcome {
-	case TimedOut, Reset, Cancelled:
+	if e.Outcome.mayLinger() {
 		k.readyAt = c.now + c.settings.ReleaseGuard
 	}
 	if c.now >= k.deadline-2*c.settings.Tick {
@@ -658,9 +661,7 @@
 	if s == nil {
 		return
 	}
-	if i := slices.Index(s.out, k); i >= 0 {
-		s.out = slices.Delete(s.out, i, i+1)
-	}
+	s.out = slices.DeleteFunc(s.out, func(o *call) bool { return o == k })
 }
 
 // --- Server health ---
--- a/internal/call/core.go
+++ b/internal/call/core.go
@@ -106,6 +106,7 @@
 	relay        func(id string, end End) bool
 	heir         *heir
 	figures      telemetry.Figures
+	asked        map[control.ServerID]asks
 	durable      *durable // nil without a ledger
 	lost         *lost
 	passing      *passing // nil without other controllers
@@ -135,6 +136,7 @@
 	c := &Core{
 		loop: loop, log: log, decisions: decisions, module: module, calls: map[string]*record{},
 		owing: map[Caller]map[string]*record{}, standing: map[Caller]int{}, maxHeld: math.MaxInt, status: map[control.ServerID]control.ServerStatus{}, epoch: time.Now(),
+		asked: map[control.ServerID]asks{},
 	}
 	c.heir, c.lost, c.places = &heir{c}, &lost{heir{c}}, map[control.ServerID]Server{}
 	c.showClasses()
@@ -465,6 +467,9 @@
 	}
 	c.loop.Stop(k.timer)
 	k.out = false
+	if noLine {
+		c.countAsk(server, true)
+	}
 	c.noteBack(k, o)
 	c.tell(control.AttemptEnded{ID: control.CallID(id), Server: server, Attempt: k.attempts - 1, Outcome: o,
 		Elapsed: time.Since(k.sentAt), NoLine: noLine, Report: report})
@@ -618,6 +623,7 @@
 	}
 	if status == control.Removed {
 		delete(c.status, id)
+		c.forgetAsks(id)
 		delete(c.places, id) // they come and go under new names all day
 		return
 	}
@@ -744,6 +750,7 @@
 	limit = max(limit, time.Millisecond)
 	k.out, k.server, k.sentAt = true, a.Server, now
 	k.attempts++
+	c.countAsk(a.Server, false)
 	c.note(k, recovery.Sent, nil)
 	attempt := k.attempts - 1
 	k.timer = c.loop.After(limit, func() {
--- /dev/null
+++ b/internal/call/shares.go
@@ -0,0 +1,45 @@
+package call
+
+import "cherryrelay/control"
+
+// DispatcherShare is what this controller gets of one dispatcher, and what keeps it from more. Counts are since the start, and of
+// dispatchers that are listed.
+type DispatcherShare struct {
+	ID        control.ServerID `json:"id"`
+	Asked     int              `json:"asked"`   // set-ups sent
+	NoLine    int              `json:"no_line"` // of them, turned away for want of a line
+	Lines     float64          `json:"lines"`   // that it has, as far as is told
+	Free      int              `json:"free"`    // that it has left, as far as is known; -1 if that is not told
+	Own       int              `json:"own"`     // that calls of this controller have
+	RestMS    int64            `json:"rest_ms"` // for which it gets no more set-ups from here
+	Unlimited bool             `json:"open"`    // it has no window
+	Window    float64          `json:"window"`  // starts a control period, if it has one
+}
+
+// asks counts what a dispatcher was asked.
+type asks struct{ sent, noLine int }
+
+func (c *Core) countAsk(id control.ServerID, noLine bool) {
+	n := c.asked[id]
+	if noLine {
+		n.noLine++
+	} else {
+		n.sent++
+	}
+	c.asked[id] = n
+}
+
+// Shares are those of all dispatchers that the module knows, in the order in which they were first listed.
+func (c *Core) Shares() []DispatcherShare {
+	figures := c.module.Figures(c.now())
+	shares := make([]DispatcherShare, 0, len(figures))
+	for _, f := range figures {
+		n := c.asked[f.ID]
+		shares = append(shares, DispatcherShare{ID: f.ID, Asked: n.sent, NoLine: n.noLine, Lines: f.Lines, Free: f.Free, Own: f.Own,
+			RestMS: f.Rest.Milliseconds(), Unlimited: f.Open, Window: f.Limit})
+	}
+	return shares
+}
+
+// forgetAsks drops the counts of a dispatcher that is gone.
+func (c *Core) forgetAsks(id control.ServerID) { delete(c.asked, id) }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -5,6 +5,7 @@
 package fleet
 
 import (
+	"cmp"
 	"container/heap"
 	"math"
 	"math/rand/v2"
@@ -17,6 +18,7 @@
 type Scenario struct {
 	Seed        uint64
 	Lasting     time.Duration
+	ServedFrom  time.Duration // calls that stand before it are not counted in Result.Served
 	Controllers int
 	Dispatchers int
 	Rate        float64 // calls a second that one warm processor can carry
@@ -30,8 +32,14 @@
 	ReportDelay time.Duration // told so late,
 	ReportNoise float64       // and is off by so much
 	Settings    control.Settings
+	Lines       int           // that a dispatcher has for calls; 0 for as many as come
+	CallTime    time.Duration // how long calls stand on average; 0 for lasts
+	NoReports   bool          // dispatchers tell nothing of themselves
 }
 
+// callTime is how long calls stand on average.
+func (s *Scenario) callTime() time.Duration { return cmp.Or(s.CallTime, lasts) }
+
 // Jump multiplies the calls offered for a time.
 type Jump struct {
 	From, For time.Duration
@@ -96,7 +104,8 @@
 // Result is what a scenario came to.
 type Result struct {
 	Seconds []Second
-	Tipped  int // cold dispatchers that were pushed over
+	Tipped  int   // cold dispatchers that were pushed over
+	Served  []int // calls that stood, by controller, from ServedFrom on
 	Faults  []string
 }
 
@@ -185,7 +194,11 @@
 	for _, x := range s.Replaced {
 		w.after(x.At, func() { w.replace(x.Dispatcher) })
 	}
+	w.result.Served = make([]int, s.Controllers)
 	for i := range s.Dispatchers {
+		if s.NoReports {
+			break
+		}
 		w.after(time.Duration(w.rng.Int64N(int64(s.ReportEvery))), func() { w.report(i) })
 	}
 	w.after(0, w.arrive)
@@ -351,9 +364,13 @@
 func (w *world) report(i int) {
 	d := w.dispatchers[i]
 	wait := float64(d.waits()) / float64(time.Millisecond) * math.Max(0, 1+w.ReportNoise*w.rng.NormFloat64())
+	free, lines := -1.0, -1.0
+	if w.Lines > 0 {
+		free, lines = float64(max(w.Lines-d.inUse, 0)), float64(w.Lines)
+	}
 	w.after(w.ReportDelay+hop, func() {
 		for _, c := range w.controllers {
-			c.tell(control.ReportReceived{Server: d.id, OK: true, Report: []float64{-1, -1, wait}})
+			c.tell(control.ReportReceived{Server: d.id, OK: true, Report: []float64{free, lines, wait}})
 		}
 	})
 	w.after(w.ReportEvery, func() { w.report(i) })
--- a/internal/fleet/parts.go
+++ b/internal/fleet/parts.go
@@ -198,9 +198,13 @@
 	delete(c.calls, t.id)
 	c.tell(control.CallStands{ID: t.id, Server: x.at.id, Attempt: x.number, Elapsed: c.w.now - x.sentAt})
 	t.person.stands()
+	if c.w.now >= c.w.ServedFrom {
+		c.w.result.Served[c.index]++
+	}
 	elapsed := c.w.now - x.sentAt
-	c.w.after(time.Duration(float64(lasts)*(0.5+c.w.rng.Float64())), func() {
+	c.w.after(time.Duration(float64(c.w.callTime())*(0.5+c.w.rng.Float64())), func() {
 		x.at.put(work{cost: endPart, done: func() {
+			x.at.inUse--
 			c.tell(control.AttemptEnded{ID: t.id, Server: x.at.id, Attempt: x.number, Outcome: control.Completed, Elapsed: elapsed, CallOver: true})
 		}})
 	})
@@ -223,6 +227,7 @@
 	busy     time.Duration
 	pressure float64 // set-ups that came, lately, against what it can do
 	pressed  time.Duration
+	inUse    int // lines that calls have, those being set up included
 	seenAt   time.Duration
 }
 
@@ -274,12 +279,20 @@
 		return
 	}
 	d.press()
+	if d.w.Lines > 0 && d.inUse >= d.w.Lines {
+		d.put(work{cost: refusePart, done: func() { d.w.after(hop, func() { x.from.ended(x, control.Full, true) }) }})
+		return
+	}
 	if d.waits() > fullAfter {
 		d.put(work{cost: refusePart, done: func() { d.w.after(hop, func() { x.from.ended(x, control.Full, false) }) }})
 		return
 	}
+	d.inUse++
 	d.setUp(work{cost: setUpPart, done: func() {
 		d.put(work{cost: answerPart, done: func() {
+			if x.gone {
+				d.inUse-- // nobody waits for it
+			}
 			x.answered = true
 			d.w.after(hop, func() { x.from.answered(x) })
 		}})
