Tell an end again that had not left as its connection ended, however late that is noticed

Cause, by a trace of each end and close: the end was queued on a connection (472 ms), whose peer closed it (564) before the turn had flushed it; the loop took the close in at 695, more than 200 ms after the end was queued, and so counted it as heard. An end counts from when it has left, against the end of the connection by the socket, not by the loop.

--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -32,7 +32,7 @@
 	turnedAway bool      // a set-up has been refused for that
 	since      time.Time // when it connected or, if later, the message that is not whole began
 	usedAt     time.Time
-	sent       []release // lately, of calls that stood
+	sent       []*told // lately, of calls that stood
 }
 
 // Data takes in what callers have sent.
@@ -178,13 +178,16 @@
 	return c.front.core.Offer(r)
 }
 
-func (c *Conn) write(m jsonl.Message) {
-	if err := c.tryWrite(m); err != nil {
+func (c *Conn) write(m jsonl.Message) { c.writeThen(m, func() {}) }
+
+// writeThen writes a message, and runs a function once all of it has left.
+func (c *Conn) writeThen(m jsonl.Message, then func()) {
+	if err := c.tryWrite(m, then); err != nil {
 		c.front.log.Error("message to a caller", "err", err)
 	}
 }
 
-func (c *Conn) tryWrite(m jsonl.Message) error {
+func (c *Conn) tryWrite(m jsonl.Message, then func()) error {
 	text, err := jsonl.Append(nil, m)
 	if err != nil {
 		return err //nolint:wrapcheck // it says what it is
@@ -193,13 +196,13 @@
 		return jsonl.ErrTooLong
 	}
 	c.said, c.usedAt = true, time.Now()
-	c.conn.Write(c.format.Frame(text))
+	c.conn.WriteThen(c.format.Frame(text), then)
 	return nil
 }
 
 // Answer tells that the call stands.
 func (c *Conn) Answer(id, description string) error {
-	if err := c.tryWrite(jsonl.Message{Type: "answer", ID: id, SDP: &description}); err != nil {
+	if err := c.tryWrite(jsonl.Message{Type: "answer", ID: id, SDP: &description}, func() {}); err != nil {
 		return err
 	}
 	c.stood = true
@@ -207,7 +210,7 @@
 }
 
 // End sends a final answer.
-func (c *Conn) End(id string, end call.End) { c.writeRelease(release{id: id, end: end}) }
+func (c *Conn) End(id string, end call.End) { c.writeRelease(release{id: id, end: end}, func() {}) }
 
 // Closed ends the connection's set-ups. Calls that stand are released on other connections.
 func (c *Conn) Closed(reason error) {
@@ -222,9 +225,9 @@
 		f.log.Warn("connection from callers closed", "peer", c.conn.Remote(), "reason", reason)
 	}
 	f.core.CallerClosed(c)
-	for _, r := range c.sent {
-		if c.unheard(r) {
-			f.release(r)
+	for _, t := range c.sent {
+		if c.unheard(t) {
+			f.release(t.release)
 		}
 	}
 	c.sent = nil
--- a/internal/callers/ends.go
+++ b/internal/callers/ends.go
@@ -18,6 +18,12 @@
 	at  time.Time
 }
 
+// told is a release that was written to a connection.
+type told struct {
+	release
+	leftAt time.Time // when all of it was with the kernel; zero until then
+}
+
 // deliver passes on the ends that have waited for a connection.
 func (f *Front) deliver() {
 	if len(f.pending) == 0 || !slices.ContainsFunc(f.open, (*Conn).hears) {
@@ -73,7 +79,7 @@
 	c.release(r)
 }
 
-func (c *Conn) writeRelease(r release) {
+func (c *Conn) writeRelease(r release, then func()) {
 	m := jsonl.Message{Type: "release", ID: r.id, Cause: &r.end.Cause, Fields: map[string]jsonl.Value{}}
 	if r.end.HoldOff > 0 {
 		m.Fields["wait"] = jsonl.Value(strconv.FormatInt(r.end.HoldOff.Milliseconds(), 10))
@@ -81,16 +87,17 @@
 	if c.format.NamesErrors() {
 		m.Fields["error"] = jsonl.Value(r.end.Reason)
 	}
-	c.write(m)
+	c.writeThen(m, then)
 }
 
 // release sends the end of a call that stood and keeps it for a moment: callers close connections without calls, and
 // one that crosses such a close is lost.
 func (c *Conn) release(r release) {
-	c.writeRelease(r)
-	c.sent = slices.DeleteFunc(c.sent, func(o release) bool { return !c.unheard(o) })
 	r.at = time.Now()
-	c.sent = append(c.sent, r)
+	t := &told{release: r}
+	c.writeRelease(r, func() { t.leftAt = time.Now() })
+	c.sent = slices.DeleteFunc(c.sent, func(o *told) bool { return !c.unheard(o) })
+	c.sent = append(c.sent, t)
 }
 
 // passOn has others told what this connection was while it said nothing: it is for tests, and who made it has taken an end for the
@@ -98,13 +105,21 @@
 func (c *Conn) passOn() {
 	sent := c.sent
 	c.sent, c.tested = nil, true
-	for _, r := range sent {
-		c.front.release(r)
+	for _, t := range sent {
+		c.front.release(t.release)
 	}
 }
 
-// unheard reports whether a release that was sent may not have been read: it is recent, or nobody ever spoke here.
-func (c *Conn) unheard(r release) bool {
-	age := time.Since(r.at)
+// unheard reports whether a release that was sent may not have been read: it has not left, it left shortly before now or the end of the
+// connection, or nobody ever spoke here.
+func (c *Conn) unheard(t *told) bool {
+	if t.leftAt.IsZero() {
+		return true
+	}
+	until := c.conn.EndedAt()
+	if until.IsZero() {
+		until = time.Now()
+	}
+	age := until.Sub(t.leftAt)
 	return age <= recent || !c.asked && !c.tested && age <= keep
 }
--- a/internal/conn/conn.go
+++ b/internal/conn/conn.go
@@ -103,6 +103,7 @@
 	flood     bool // discarded since before the close
 	discarded int
 	closedAt  time.Time // when this side was closed
+	endedAt   time.Time // when either was
 	// The rest is the event loop's.
 	retries      bool
 	told         bool
--- a/internal/conn/linger.go
+++ b/internal/conn/linger.go
@@ -48,6 +48,7 @@
 	first := !c.ended
 	if first {
 		c.reason, c.ended, c.closed, c.discards = reason, true, true, true
+		c.endedAt = time.Now()
 	}
 	c.mu.Unlock()
 	c.freeFill()
@@ -71,6 +72,7 @@
 		}
 	}
 	c.reason, c.ended, c.closed, c.discards, c.closedAt = reason, true, true, true, time.Now()
+	c.endedAt = c.closedAt
 	c.mu.Unlock()
 	c.freeFill()
 	if c.listener != nil {
@@ -113,6 +115,13 @@
 	return c.closedAt
 }
 
+// EndedAt is when the connection was closed by either side, which the handler may be told later; zero while it is open.
+func (c *Conn) EndedAt() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.endedAt
+}
+
 // discarding reports whether what comes is not taken in, and notes how much more that is.
 func (c *Conn) discarding(n int) (discards, tooMuch bool) {
 	c.mu.Lock()
--- a/internal/conn/read.go
+++ b/internal/conn/read.go
@@ -143,7 +143,9 @@
 			}
 		}
 	}
-	c.ended = true
+	if !c.ended {
+		c.ended, c.endedAt = true, time.Now()
+	}
 	c.mu.Unlock()
 	c.loop.Post(c.tell)
 }
