Close a connection from callers only once all that its kernel has received is taken in

Conn.Quiet looks at the socket, at netpoll's reader and at the ring; what netpoll's poller has read and not shown yet is in none of them, and the poller may wait for its core then. The kernel's count of bytes received is held against those taken before each such close, and before the exit.

--- a/internal/callers/room.go
+++ b/internal/callers/room.go
@@ -84,7 +84,7 @@
 		}
 	}
 	switch {
-	case least != nil && (least.asked || least.tested || now.Sub(least.since) > settle):
+	case least != nil && (least.asked || least.tested || now.Sub(least.since) > settle) && least.conn.AllTaken():
 		least.shut(conn.ErrClosedHere)
 	case newest != nil:
 		newest.overflow = true
@@ -112,12 +112,12 @@
 		case c.overflow && f.listener.Full() && now.Sub(c.since) > overflowFor:
 			c.leaveOverflow()
 		case closing && f.core.Owes(c) == 0 && (f.core.StandingOf(c) == 0 || f.core.Superseded()) && now.Sub(c.since) > settle &&
-			!slices.ContainsFunc(c.sent, c.unheard) && c.conn.Quiet():
+			!slices.ContainsFunc(c.sent, c.unheard) && c.conn.Quiet() && c.conn.AllTaken():
 			c.shut(conn.ErrClosedHere)
 		case f.core.Owes(c) > 0 || f.core.StandingOf(c) > 0 || !c.conn.Quiet():
-		case !c.said && now.Sub(c.since) > f.bounds.Silent:
+		case !c.said && now.Sub(c.since) > f.bounds.Silent && c.conn.AllTaken():
 			c.shut(errSilent)
-		case now.Sub(c.usedAt) > f.bounds.Idle:
+		case now.Sub(c.usedAt) > f.bounds.Idle && c.conn.AllTaken():
 			c.shut(conn.ErrClosedHere)
 		}
 	}
@@ -135,7 +135,9 @@
 }
 
 // mayLeave reports whether a connection whose set-ups were refused can be closed with nothing of its caller's unread.
-func (c *Conn) mayLeave(in *ring.Buffer) bool { return c.turnedAway && in.Len() == 0 && c.conn.Quiet() }
+func (c *Conn) mayLeave(in *ring.Buffer) bool {
+	return c.turnedAway && in.Len() == 0 && c.conn.Quiet() && c.conn.AllTaken()
+}
 
 // leaveOverflow closes a connection beyond the bound that is of no use by now, so that those that wait to be accepted have their turn.
 func (c *Conn) leaveOverflow() {
@@ -144,7 +146,7 @@
 	case c.closed:
 	case c.partial:
 		c.cutShort()
-	case c.conn.Quiet():
+	case c.conn.Quiet() && c.conn.AllTaken():
 		c.shut(errSilent)
 	}
 }
@@ -153,7 +155,7 @@
 func (c *Conn) cutShort() {
 	since := c.since
 	c.conn.Hear()
-	if !c.closed && c.partial && c.since.Equal(since) && !c.conn.Unread() {
+	if !c.closed && c.partial && c.since.Equal(since) && !c.conn.Unread() && c.conn.AllTaken() {
 		c.fail(errCutShort)
 	}
 }
--- a/internal/conn/conn.go
+++ b/internal/conn/conn.go
@@ -102,6 +102,7 @@
 	discards  bool
 	flood     bool // discarded since before the close
 	discarded int
+	taken     uint64    // bytes that were put into the ring, or discarded
 	closedAt  time.Time // when this side was closed
 	endedAt   time.Time // when either was
 	// The rest is the event loop's.
--- a/internal/conn/linger_test.go
+++ b/internal/conn/linger_test.go
@@ -5,9 +5,12 @@
 	"io"
 	"net"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/cloudwego/netpoll"
+
 	"cherryrelay/internal/ring"
 )
 
@@ -153,3 +156,59 @@
 		t.Error(err)
 	}
 }
+
+// TestAllTakenKnowsOfBytesBetween: bytes that the kernel has received, and that are neither in its socket any more nor with the loop, are known.
+// On a busy machine netpoll's poller had read a set-up and waited for its core for 0.1 s, and the connection was closed as quiet.
+func TestAllTakenKnowsOfBytesBetween(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	peer, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer peer.Close()
+	nc, err := ln.(*net.TCPListener).AcceptTCP()
+	if err != nil {
+		t.Fatal(err)
+	}
+	file, err := nc.File()
+	if err := errors.Join(err, nc.Close()); err != nil {
+		t.Fatal(err)
+	}
+	defer file.Close()
+	fd := int(file.Fd())
+	c := wrap(make(loop, 16), heldBack{fd: fd, rest: netpoll.NewLinkBuffer()})
+	if !c.AllTaken() || !c.Quiet() {
+		t.Error("not all is taken before anything has come")
+	}
+	if _, err := peer.Write([]byte("set-up")); err != nil {
+		t.Fatal(err)
+	}
+	read := make([]byte, 16)
+	if n, err := syscall.Read(fd, read); n != len("set-up") || err != nil { // by the poller, which shows it to nobody yet
+		t.Fatal(n, err)
+	}
+	if !c.Quiet() {
+		t.Error("Quiet knows of the bytes: AllTaken is not needed any more")
+	}
+	if c.AllTaken() {
+		t.Error("all is taken, though the ring has had nothing")
+	}
+	c.tookIn(len("set-up"))
+	if !c.AllTaken() {
+		t.Error("not all is taken once the ring has it")
+	}
+}
+
+// heldBack is a connection of netpoll's whose poller has read bytes and shows none.
+type heldBack struct {
+	netpoll.Connection
+	fd   int
+	rest netpoll.Reader
+}
+
+func (h heldBack) Reader() netpoll.Reader { return h.rest }
+func (h heldBack) Fd() int                { return h.fd }
--- a/internal/conn/read.go
+++ b/internal/conn/read.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/cloudwego/netpoll"
+	"golang.org/x/sys/unix"
 )
 
 // start begins to read what a dialled connection brings. It must not run on the loop: if more has come already
@@ -43,6 +44,7 @@
 	for n := r.Len(); n > 0; n = r.Len() {
 		discards, tooMuch := c.discarding(n)
 		if discards {
+			c.tookIn(n)
 			err := errors.Join(r.Skip(n), r.Release())
 			if tooMuch {
 				c.Abort(ErrFlood)
@@ -67,6 +69,7 @@
 			return fmt.Errorf("reading: %w", err)
 		}
 		c.in.Write(p)
+		c.tookIn(len(p))
 		if err := r.Release(); err != nil {
 			return fmt.Errorf("reading: %w", err)
 		}
@@ -178,6 +181,27 @@
 	return n <= 0
 }
 
+// tookIn counts bytes that have been taken from netpoll.
+func (c *Conn) tookIn(n int) {
+	c.mu.Lock()
+	c.taken += uint64(n)
+	c.mu.Unlock()
+}
+
+// AllTaken reports whether all bytes that the kernel has received are in the ring, or were taken from there. netpoll may have read some, and
+// not show them yet: its poller may have to wait for its core just then, and neither the socket nor Quiet knows of them. Where the kernel does
+// not count what it has received, it is taken for so.
+func (c *Conn) AllTaken() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	fd, ok := c.nc.(netpoll.Conn)
+	if c.ended || !ok {
+		return true
+	}
+	info, err := unix.GetsockoptTCPInfo(fd.Fd(), unix.IPPROTO_TCP, unix.TCP_INFO)
+	return err != nil || info.Bytes_received <= c.taken
+}
+
 // Unread reports whether bytes wait that the ring could take and has not. After a pause they may tell what must be known before what is
 // overdue is done.
 func (c *Conn) Unread() bool {
