--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 
 # RED is an expression for tests that fail for a known fault (KNOWN-RED.txt), which CI passes over.
 test:
-	go test -race -count=1 -timeout 480s $(if $(RED),-skip '$(RED)') ./...
+	go test -race -count=1 -timeout 900s $(if $(RED),-skip '$(RED)') ./...
 
 # With SEEDS, so many plays of the soak of shutdowns from the seed FIRST on, and nothing else.
 soak:
--- a/cmd/cherryrelay/shutdown_callers_test.go
+++ b/cmd/cherryrelay/shutdown_callers_test.go
@@ -122,12 +122,12 @@
 
 // note has the judge know of set-ups that are about to be written.
 func (s *shutdownConnection) note(ids []string, left time.Duration) {
-	s.mu.Lock()
-	s.ids = append(s.ids, ids...)
-	s.mu.Unlock()
 	for _, id := range ids {
 		s.of.judge.written(id, time.Now(), left, s.excluded)
 	}
+	s.mu.Lock()
+	s.ids = append(s.ids, ids...)
+	s.mu.Unlock()
 }
 
 func (s *shutdownConnection) releases(id string) []byte {
--- a/cmd/cherryrelay/shutdown_soak_test.go
+++ b/cmd/cherryrelay/shutdown_soak_test.go
@@ -31,7 +31,7 @@
 
 const (
 	// shortSeeds are played by make test, and shortAtOnce of them side by side.
-	shortSeeds, shortAtOnce = 24, 4
+	shortSeeds, shortAtOnce = 48, 4
 	// killedAfter is the earliest at which the platform kills after SIGTERM: the longest deadline, which counts as 3 s where it is longer,
 	// and 0.7 s.
 	killedAfter = 3*time.Second + 700*time.Millisecond
@@ -59,7 +59,7 @@
 
 // The troubles of dispatchers, and the signals beside SIGTERM.
 var (
-	shutdownTroubles = []string{"hangs", "resets", "breaks", "goes and comes back cold", "drains"}
+	shutdownTroubles = []string{"hangs", "resets", "breaks", "dies", "drains"}
 	shutdownSignals  = []string{"hangup before", "hangup with", "hangup after", "again", "stop and go on", "broken file"}
 )
 
@@ -181,7 +181,8 @@
 		})
 	case "breaks":
 		d.Break(10)
-	case "goes and comes back cold":
+	case "dies":
+		p.judge.AnswersLost(d.Name, time.Now().Add(-answerOnItsWay), time.Now())
 		d.Die()
 	case "drains":
 		p.members[i].Status = control.Draining
@@ -220,7 +221,7 @@
 	if p.killFirst {
 		r.readyAgain = p.killedAndBack()
 	} else {
-		p.start()
+		p.begin()
 	}
 	address := p.lines
 	if p.transport == "ws" {
@@ -249,7 +250,7 @@
 	p.signalled("with")
 	if p.successor {
 		next := *p.process
-		next.launch()
+		next.launchWith(exitAtOnce)
 		t.Cleanup(next.kill)
 	}
 	time.Sleep(time.Duration(p.rng.IntN(300)) * time.Millisecond)
@@ -297,9 +298,18 @@
 	return m
 }
 
+// exitAtOnce has a process that was built with the race detector exit without the second that it sleeps by default.
+const exitAtOnce = "GORACE=atexit_sleep_ms=0"
+
+// begin starts the process and waits until it is ready.
+func (p *shutdownPlay) begin() {
+	p.launchWith(exitAtOnce)
+	p.waitReady()
+}
+
 // killedAndBack has the process killed right after it has accepted callers, and started again; it tells after how long it was ready.
 func (p *shutdownPlay) killedAndBack() time.Duration {
-	p.start()
+	p.begin()
 	c, err := peer.Call("tcp", p.lines)
 	if err == nil {
 		_ = c.SetUp(id(1<<40), time.Second, 0, "x")
@@ -307,7 +317,7 @@
 	}
 	p.kill()
 	begun := time.Now()
-	p.start()
+	p.begin()
 	return time.Since(begun)
 }
 
