Take in an event of the list that comes slowly, and one of up to 8 MiB

Symptom (docs/CAPACITY.md): an event that takes over 1.7 s to come was begun anew for ever, and one of over 1 MiB asked for 378 times in 20 s. Cause: the watch for silence was wound up by lines, not by bytes, and any line that came, a comment too, had the pause begin anew. The watch hears bytes now; an event beyond 8 MiB is told in the log and asked for again after 10 s. The list of the largest fleet has 4.88 MB.

--- a/internal/lists/coordinator/coordinator.go
+++ b/internal/lists/coordinator/coordinator.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"net"
 	"net/http"
@@ -32,8 +33,10 @@
 	// retryLeast and retryMost bound the pause before the stream is asked for again, which doubles. What it has to
 	// tell counts as told 2 s after a break, so it must not grow long.
 	retryLeast, retryMost = 50 * time.Millisecond, 500 * time.Millisecond
-	// maxEvent bounds one line of the stream.
-	maxEvent = 1 << 20
+	// maxEvent bounds one line of the stream: the whole list of the largest fleet has 5 MiB.
+	maxEvent = 8 << 20
+	// tooLargeAgain is the pause after an event beyond that bound, which would come again as it is.
+	tooLargeAgain = 10 * time.Second
 )
 
 // Event is one numbered change of the list.
@@ -211,6 +214,10 @@
 		if pause = min(2*pause, retryMost); heard {
 			pause = retryLeast
 		}
+		if errors.Is(err, bufio.ErrTooLong) {
+			s.log.Error("event that is too large", "address", address, "bytes at most", maxEvent, "asked for again in", tooLargeAgain)
+			pause = tooLargeAgain
+		}
 		select {
 		case <-ctx.Done():
 		case <-moved:
@@ -242,12 +249,11 @@
 	if resp.StatusCode != http.StatusOK {
 		return false, fmt.Errorf("coordinator answers %s", resp.Status)
 	}
-	lines := bufio.NewScanner(resp.Body)
+	lines := bufio.NewScanner(&heardReader{resp.Body, func() { watchdog.Reset(s.quiet) }})
 	lines.Buffer(make([]byte, 4096), maxEvent)
 	var id string
 	var data []byte
 	for lines.Scan() {
-		watchdog.Reset(s.quiet)
 		heard = true
 		line := lines.Bytes()
 		if len(line) == 0 {
@@ -280,6 +286,21 @@
 	return heard, nil
 }
 
+// heardReader tells of each time that something comes: an event may take long, and comes all the while.
+type heardReader struct {
+	io.Reader
+	heard func()
+}
+
+// Read reads what there is.
+func (h *heardReader) Read(p []byte) (int, error) {
+	n, err := h.Reader.Read(p)
+	if n > 0 {
+		h.heard()
+	}
+	return n, err //nolint:wrapcheck // as the reader itself
+}
+
 // event takes in one event. One that cannot be read ends the stream, and is asked for again: it came spoilt, and what
 // it told would be missing. One that can be read but makes no sense would come again as it is, so it is passed over.
 func (s *Stream) event(id string, data []byte) error {
