Send the release of a call again that had not left as its connection to a dispatcher ended

Found by reading, after the same fault in the other direction: a release queued on a connection that its dispatcher reset before the flush went down with it, and the call kept its line. Seen by the new test, which fails before (no release in 20 s). Releases of calls that are known to be at the dispatcher are kept until they have left, and wait for the next connection.

--- a/internal/dispatchers/dispatchers.go
+++ b/internal/dispatchers/dispatchers.go
@@ -159,7 +159,7 @@
 		}
 		delete(s.standing, callID)
 		if l := s.best(); l != nil && len(s.releases) == 0 {
-			l.send(l.wire.Release(callID, cause))
+			l.release(release{callID, cause, id != ""})
 		} else if id != "" || len(s.releases) < maxReleases {
 			s.releases = append(s.releases, release{callID, cause, id != ""})
 			p.touch(s)
--- a/internal/dispatchers/link.go
+++ b/internal/dispatchers/link.go
@@ -98,6 +98,7 @@
 	finalAt time.Time // when a set-up last had its final answer here
 	partial time.Time // since when a message has not been whole; zero if none is under way
 	invites map[string]*invite
+	unsent  []*release // that have not left yet
 }
 
 func (l *link) ready() bool { return !l.closed && l.wire.Greeted() }
@@ -126,6 +127,29 @@
 	l.server.pool.touch(l.server)
 }
 
+// release ends a call that stands at the dispatcher, or may. It is kept until it has left.
+func (l *link) release(r release) {
+	if l.closed {
+		return
+	}
+	kept := &r
+	l.unsent = append(l.unsent, kept)
+	l.conn.WriteThen(l.wire.Release(r.id, r.cause), func() {
+		l.unsent = slices.DeleteFunc(l.unsent, func(o *release) bool { return o == kept })
+	})
+	l.written()
+}
+
+// keepUnsent has the releases of calls that are known to be at the dispatcher wait for the next connection, if they have not left on this one.
+func (l *link) keepUnsent() {
+	for _, r := range l.unsent {
+		if r.here {
+			l.server.releases = append(l.server.releases, *r)
+		}
+	}
+	l.unsent = nil
+}
+
 // withdraw gives a set-up up. One that still lies in the queue does not go out at all: its caller may have left long before the
 // dispatcher reads on, or the dispatcher may drain by then.
 func (l *link) withdraw(id string, i *invite) {
@@ -324,6 +348,7 @@
 // has sent it does not send it again. So this side is closed alone, and the rest is read until the dispatcher closes too.
 func (l *link) retire(reason error) {
 	invites := l.invites
+	l.conn.Flush() // what the socket takes has left
 	l.Closed(reason)
 	l.retired, l.invites, l.since = true, invites, time.Now()
 	l.conn.Finish(halfClosedFor)
@@ -367,6 +392,7 @@
 		}
 	}
 	l.invites = nil
+	l.keepUnsent()
 	if len(s.links) == 0 {
 		s.withoutSince = time.Now()
 	}
--- a/internal/dispatchers/release_test.go
+++ b/internal/dispatchers/release_test.go
@@ -38,3 +38,25 @@
 		t.Errorf("the release went out after %v, want %v", took, most)
 	}
 }
+
+// TestAReleaseThatHasNotLeftAsItsConnectionEnds: the release of a call was queued on a connection that its dispatcher reset before it was flushed,
+// and went down with it: the call kept its line until it ended by itself. It goes out on the next connection. Found by reading, after the same fault
+// in the other direction (docs/incidents/end-not-left.md).
+func TestAReleaseThatHasNotLeftAsItsConnectionEnds(t *testing.T) {
+	t.Parallel()
+	const id = "00000000000000b2"
+	b := newBudgeted(t, 0, 1)
+	b.do(func() { b.pool.Update(b.list) })
+	b.comes(0, "opened")
+	waitOnLoop(b, func() bool { return b.pool.servers[name(0)].best() != nil })
+	b.do(func() {
+		l := b.pool.servers[name(0)].best()
+		b.pool.Release(name(0), id, call.CauseNormal)
+		b.dispatchers[0].Cut()
+		for until := time.Now().Add(peer.Patience); l.conn.EndedAt().IsZero() && time.Now().Before(until); time.Sleep(time.Millisecond) { // netpoll takes it in
+		}
+	})
+	if e := b.comes(0, "release"); e.ID != id {
+		t.Errorf("released %s, want %s", e.ID, id)
+	}
+}
--- a/internal/dispatchers/server.go
+++ b/internal/dispatchers/server.go
@@ -136,7 +136,7 @@
 	}
 	some := s.releases[:min(len(s.releases), releasesAtOnce)]
 	for _, r := range some {
-		l.send(l.wire.Release(r.id, r.cause))
+		l.release(r)
 	}
 	if s.releases = s.releases[len(some):]; len(s.releases) > 0 {
 		return
