--- a/cmd/cherryrelay/node.go
+++ b/cmd/cherryrelay/node.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"log/slog"
 	"net/url"
+	"slices"
 	"sync"
 
 	"cherryrelay/internal/call"
@@ -200,8 +201,17 @@
 	return f, nil
 }
 
-// sharesPage shows what this controller gets of each dispatcher.
-func (n *node) sharesPage(url.Values) (any, error) { return n.core.Shares(), nil }
+// mostShares is how many dispatchers a page shows: it has to stay below what is written to a slow reader.
+const mostShares = 250
+
+// sharesPage shows what this controller gets of each dispatcher: of the one that the query names, or of the first ones.
+func (n *node) sharesPage(query url.Values) (any, error) {
+	shares := n.core.Shares()
+	if name := query.Get("dispatcher"); name != "" {
+		shares = slices.DeleteFunc(shares, func(s call.DispatcherShare) bool { return string(s.ID) != name })
+	}
+	return shares[:min(len(shares), mostShares)], nil
+}
 
 // run serves until the node has drained.
 func (n *node) run() error {
--- a/cmd/cherryrelay/shares_test.go
+++ b/cmd/cherryrelay/shares_test.go
@@ -38,3 +38,18 @@
 		t.Errorf("%+v: want each asked once, and a rest for the first", shares)
 	}
 }
+
+// TestTheSharesOfOneDispatcher: the query names it.
+func TestTheSharesOfOneDispatcher(t *testing.T) {
+	t.Parallel()
+	w := newWorldWithin(t, "tcp", "tcp", callers.Bounds{Silent: long, Idle: long})
+	var all, one []call.DispatcherShare
+	_, body := w.operator(http.MethodGet, "/api/shares")
+	if err := jsoniter.UnmarshalFromString(body, &all); err != nil || len(all) != 2 {
+		t.Fatal(err, body)
+	}
+	_, body = w.operator(http.MethodGet, "/api/shares?dispatcher="+string(all[1].ID))
+	if err := jsoniter.UnmarshalFromString(body, &one); err != nil || len(one) != 1 || one[0].ID != all[1].ID {
+		t.Errorf("%v, %s: want %s alone", err, body, all[1].ID)
+	}
+}
