--- /dev/null
+++ b/internal/call/outcomes.go
@@ -0,0 +1,180 @@
+package call
+
+import (
+	"iter"
+	"slices"
+	"time"
+
+	"cherryrelay/control"
+	"cherryrelay/internal/decide/recovery"
+)
+
+// What dispatchers say of attempts, and of calls that stand.
+
+// Answered tells that a dispatcher says that a call stands. Nobody waits for it if the attempt was withdrawn or
+// the caller has left; then the dispatcher's call is released.
+func (c *Core) Answered(server control.ServerID, id string, attempt int, description string) {
+	k := c.calls[id]
+	if k != nil && k.state == stands && k.server == server {
+		return // said twice, or late, of an earlier attempt
+	}
+	if k != nil && k.out && k.server == server && attempt >= 0 && attempt < k.attempts-1 {
+		// An earlier attempt's, late. A release would go out under the id that both have, and cut the call that the later
+		// one is about to stand as.
+		return
+	}
+	if k != nil && k.state == open && k.Caller.Left() && k.state == open {
+		c.callerLeft(k) // before the answer came: whoever leaves later has had it, and its call stands
+	}
+	if k == nil || !k.out || k.server != server || attempt >= 0 && attempt != k.attempts-1 {
+		c.dispatchers.Release(server, id, CauseNormal)
+		return
+	}
+	if err := k.Caller.Answer(id, description); err != nil {
+		c.log.Warn("answer that cannot be passed on", "id", id, "server", server, "err", err)
+		c.dispatchers.Release(server, id, CauseNormal)
+		c.Ended(server, id, attempt, control.Failed, false, nil)
+		return
+	}
+	c.note(k, recovery.Stood, func(e *recovery.Event) {
+		if k.Token != nil {
+			e.Description = description
+		}
+	})
+	c.figures.Class(k.Class).Served++
+	c.stopTimers(k)
+	c.settle(k)
+	k.out, k.state = false, stands
+	c.standing[k.Caller]++
+	k.Description, k.told = "", k.Caller
+	if k.Token != nil {
+		k.answer = description
+	}
+	if k.Caller == c.lost {
+		c.claimWithin(k, recovery.ClaimWithin)
+	}
+	c.tell(control.CallStands{ID: control.CallID(id), Server: server, Attempt: k.attempts - 1,
+		Elapsed: time.Since(k.sentAt)})
+	c.overtook(k)
+}
+
+// Ended tells the outcome of an attempt that does not stand. The outcome of one that was withdrawn has been told
+// already, so only its report counts.
+func (c *Core) Ended(server control.ServerID, id string, attempt int, o control.Outcome, noLine bool, report []float64) {
+	k := c.calls[id]
+	if k == nil || !k.out || k.server != server || attempt >= 0 && attempt != k.attempts-1 {
+		c.Reported(server, report)
+		return
+	}
+	c.loop.Stop(k.timer)
+	if k.overtaken != nil { // it stood, whatever has become of its answer
+		c.endUnanswered(k, report)
+		return
+	}
+	k.out = false
+	if noLine {
+		c.countAsk(server, true)
+	}
+	c.noteBack(k, o)
+	c.tell(control.AttemptEnded{ID: control.CallID(id), Server: server, Attempt: k.attempts - 1, Outcome: o,
+		Elapsed: time.Since(k.sentAt), NoLine: noLine, Report: report})
+}
+
+// Released tells that a dispatcher has released a call that stood. The attempt is the one that was made on the connection
+// that it came on; -1 for none.
+func (c *Core) Released(server control.ServerID, id string, attempt, cause int, report []float64) {
+	k := c.calls[id]
+	switch {
+	case k != nil && k.moving:
+		c.passing.finder.Ended(id, cause)
+	case k == nil && c.passing != nil: // another controller may have it
+		c.passing.finder.Ended(id, cause)
+	case k == nil:
+		// A call from before a restart: its caller still has to hear of it.
+		c.knowOver(id)
+		c.tellOver(c.heir, id, endOf(cause))
+	case attempt >= 0 && attempt < k.attempts-1: // what an earlier attempt led to; a later one has taken its place
+	case k.state == stands && k.server == server:
+		c.finish(k, cause, report)
+	case k.out && k.server == server && attempt >= 0:
+		c.endUnanswered(k, report) // were it another attempt's, it would not have come here
+	case k.out && k.server == server:
+		c.overtakes(k, cause, report)
+	}
+}
+
+// finish ends a call that stood.
+func (c *Core) finish(k *record, cause int, report []float64) {
+	outcome := control.Completed
+	if cause != CauseNormal {
+		outcome = control.Reset
+	}
+	c.tell(control.AttemptEnded{ID: control.CallID(k.ID), Server: k.server, Attempt: k.attempts - 1, Outcome: outcome,
+		Elapsed: time.Since(k.sentAt), CallOver: true, Report: report})
+	caller := k.Caller
+	c.noteOver(k, endOf(cause))
+	c.close(k)
+	k.end = endOf(cause)
+	c.tellOver(caller, k.ID, endOf(cause))
+}
+
+// knowOver notes that a call of another process is over.
+func (c *Core) knowOver(id string) {
+	c.calls[id] = &record{Request: Request{ID: id}, state: stands}
+	c.close(c.calls[id])
+}
+
+// endOf is the end of a call that stood.
+func endOf(cause int) End {
+	if cause == CauseNormal {
+		return End{Cause: cause, Reason: ReasonEnded}
+	}
+	return End{Cause: cause, Reason: ReasonCut}
+}
+
+// Reported brings a load report outside an attempt.
+func (c *Core) Reported(server control.ServerID, report []float64) {
+	if len(report) > 0 {
+		c.tell(control.ReportReceived{Server: server, OK: true, Report: report})
+	}
+}
+
+// Died tells that a dispatcher is no more. Its calls were cut, and it can't say so itself.
+func (c *Core) Died(server control.ServerID) {
+	cut := slices.Sorted(c.StandAt(server))
+	for _, id := range cut {
+		c.finish(c.calls[id], CauseTemporary, nil)
+	}
+	if len(cut) > 0 {
+		c.log.Warn("dispatcher died with calls", "server", server, "calls", len(cut))
+	}
+}
+
+// StandAt names the calls that stand at a dispatcher, in no order.
+func (c *Core) StandAt(server control.ServerID) iter.Seq[string] {
+	return func(yield func(string) bool) {
+		for id, k := range c.calls {
+			if k.state == stands && k.server == server && !yield(id) {
+				return
+			}
+		}
+	}
+}
+
+// Standing is their number.
+func (c *Core) Standing(server control.ServerID) int {
+	n := 0
+	for range c.StandAt(server) {
+		n++
+	}
+	return n
+}
+
+// EachStanding calls f with the dispatcher of each call that stands, in no order.
+func (c *Core) EachStanding(f func(server control.ServerID)) {
+	for _, k := range c.calls {
+		if k.state == stands {
+			f(k.server)
+		}
+	}
+}
--- /dev/null
+++ b/internal/call/turn.go
@@ -0,0 +1,149 @@
+package call
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"time"
+
+	"cherryrelay/control"
+	"cherryrelay/internal/decide/recovery"
+)
+
+// What the module is asked in each round of the loop, and what it has done.
+
+// now is the Unix clock, as it was at the start and has run since: a clock that is set back would leave the module
+// waiting for a turn that it has been given already.
+func (c *Core) now() time.Duration { return time.Duration(c.epoch.UnixNano()) + time.Since(c.epoch) }
+
+// turn gives the module all that the round brought, and does what it says.
+func (c *Core) turn() {
+	for c.consult(); c.selection.relieve(); c.consult() {
+	}
+	if len(c.events) > 0 {
+		c.loop.Post(func() {})
+	}
+	c.loop.Commit()
+	for _, f := range c.flush {
+		f()
+	}
+	c.leave()
+}
+
+// consult tells the module what has happened, and does what it says.
+func (c *Core) consult() {
+	for range turns {
+		if len(c.events) == 0 {
+			break
+		}
+		events := c.events
+		c.events = nil
+		now := c.now()
+		actions := c.module.Step(now, events)
+		if c.log.Enabled(context.Background(), slog.LevelDebug) {
+			c.trace(now, events, actions)
+		}
+		for _, a := range actions {
+			c.do(a)
+		}
+	}
+}
+
+// trace logs what the module was told and what it said.
+func (c *Core) trace(now time.Duration, events []control.Event, actions []control.Action) {
+	for _, e := range events {
+		if _, idle := e.(control.Woken); !idle {
+			c.log.Debug("told", "now", now, "event", fmt.Sprintf("%T%+v", e, e))
+		}
+	}
+	for _, a := range actions {
+		if _, idle := a.(control.Wake); !idle {
+			c.log.Debug("says", "now", now, "action", fmt.Sprintf("%T%+v", a, a))
+		}
+	}
+}
+
+func (c *Core) do(a control.Action) {
+	switch a := a.(type) {
+	case control.SetUp:
+		c.setUp(a)
+	case control.Cancel:
+		if k := c.calls[string(a.ID)]; k != nil && k.out && a.Attempt == k.attempts-1 {
+			c.withdraw(k, control.Cancelled, false)
+		}
+	case control.Refuse:
+		if k := c.calls[string(a.ID)]; k != nil && !c.selection.retries(k) {
+			c.final(k, End{Cause: CauseCongestion, Reason: ReasonRefused, HoldOff: a.HoldOff})
+		}
+	case control.Fail:
+		if k := c.calls[string(a.ID)]; k != nil {
+			c.final(k, End{Cause: CauseTemporary, Reason: failure(k)})
+		}
+	case control.Probe:
+		c.dispatchers.Probe(a.Server)
+	case control.Wake:
+		c.loop.Stop(c.wake)
+		c.wake = c.loop.After(a.After, func() { c.tell(control.Woken{}) })
+	case control.Log:
+		c.log.Info("module", "text", a.Text)
+	case control.Subscribe: // the lists here come unasked
+	}
+}
+
+// failure says why the module failed a call.
+func failure(k *record) Reason {
+	if time.Until(k.Deadline) <= 2*early {
+		return ReasonDeadline
+	}
+	return ReasonFailed
+}
+
+// setUp starts an attempt. One that can't be is told to the module as never sent: the rules hold whatever it asks.
+func (c *Core) setUp(a control.SetUp) {
+	k := c.calls[string(a.ID)]
+	if k == nil || k.state != open || k.out || !c.active(a.Server) {
+		c.log.Error("attempt that must not be made", "id", a.ID, "server", a.Server)
+		if k != nil && k.state == open && !k.out {
+			k.attempts++
+			c.tell(control.AttemptEnded{ID: a.ID, Server: a.Server, Attempt: k.attempts - 1, Outcome: control.NotSent})
+		}
+		return
+	}
+	if k.Caller.Left() || k.state != open { // while it waited; that is told in a later turn, or was lying unread
+		if k.attempts++; k.state == open {
+			c.callerLeft(k)
+		}
+		c.tell(control.AttemptEnded{ID: a.ID, Server: a.Server, Attempt: k.attempts - 1, Outcome: control.NotSent, CallOver: k.state == over})
+		return
+	}
+	now := time.Now()
+	limit := k.Deadline.Sub(now) - early
+	if a.Limit > 0 {
+		limit = min(limit, a.Limit)
+	}
+	limit = max(limit, time.Millisecond)
+	k.out, k.server, k.sentAt = true, a.Server, now
+	k.attempts++
+	c.countAsk(a.Server, false)
+	c.noteTried(k, a.Server)
+	c.note(k, recovery.Sent, nil)
+	attempt := k.attempts - 1
+	k.timer = c.loop.After(limit, func() {
+		if k.out && k.attempts-1 == attempt {
+			c.withdraw(k, control.TimedOut, false)
+		}
+	})
+	c.dispatchers.SetUp(a.Server, SetUp{ID: k.ID, Attempt: attempt, Class: k.Class, Called: k.Called,
+		Description: k.Description, Limit: limit})
+}
+
+// withdraw gives up the attempt that is out. Its outcome is told at once; what the dispatcher still says of it is
+// late.
+func (c *Core) withdraw(k *record, o control.Outcome, callOver bool) {
+	c.loop.Stop(k.timer)
+	k.out = false
+	c.dispatchers.Withdraw(k.server, k.ID, k.attempts-1)
+	c.noteBack(k, o)
+	c.tell(control.AttemptEnded{ID: control.CallID(k.ID), Server: k.server, Attempt: k.attempts - 1, Outcome: o,
+		Elapsed: time.Since(k.sentAt), CallOver: callOver})
+}
