--- /dev/null
+++ b/cmd/cherryrelay/little_time_test.go
@@ -0,0 +1,43 @@
+package main
+
+import (
+	"testing"
+	"time"
+
+	"cherryrelay/internal/callers"
+)
+
+// TestLittleTimeLeft: callers wait for 20 to 80 ms more, and a dispatcher drops such set-ups without a word. Each caller has one final answer, no later
+// than half a second after its time, and a call with time left is placed as ever.
+func TestLittleTimeLeft(t *testing.T) {
+	for _, mix := range [][2]string{{"tcp", "tcp"}, {"ws", "ws"}} {
+		t.Run(mix[0], func(t *testing.T) {
+			t.Parallel()
+			w := newWorldWithin(t, mix[0], mix[1], callers.Bounds{Silent: long, Idle: long})
+			meter := startMeter()
+			c := w.caller()
+			for n := range 20 {
+				left := time.Duration(20+3*n) * time.Millisecond
+				begun := time.Now()
+				w.must(c.SetUp(id(10+n), left, n%2, "x"))
+				m, err := c.Next()
+				w.must(err)
+				if m.ID != id(10+n) || m.Type != "release" {
+					t.Fatalf("%+v: want the final answer to call %d", m, 10+n)
+				}
+				if late := time.Since(begun) - left; late > lateMost && late-meter.between(begun, time.Now()) > lateMost {
+					t.Errorf("call %d is answered %v after its time", 10+n, late)
+				}
+			}
+			w.must(c.SetUp(id(1), long, 0, "x"))
+			e := w.comes()
+			for e.ID != id(1) {
+				e = w.comes()
+			}
+			w.must(e.Answer("y"))
+			if m := w.answersOfOne(c); m.ID != id(1) || m.Type != "answer" {
+				t.Errorf("%+v: want the answer to the call with time left", m)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/cmd/cherryrelay/quiet_time_test.go
@@ -0,0 +1,76 @@
+package main
+
+import (
+	"testing"
+	"time"
+
+	"cherryrelay/internal/callers"
+	"cherryrelay/internal/peer"
+)
+
+// quietTime is longer than a connection to a dispatcher may be silent before it is doubted.
+const quietTime = 3 * time.Second
+
+// TestTroubleAfterAQuietTime: nothing was said for long, and then a dispatcher's connections are reset, dead, or gone with it in the moment in
+// which calls come again. Each call has one final answer in its time, and those that another dispatcher can take stand.
+func TestTroubleAfterAQuietTime(t *testing.T) {
+	const calls, left = 8, 8 * time.Second
+	for name, trouble := range map[string]func(d *peer.Dispatcher, e peer.Event){
+		"reset":              func(d *peer.Dispatcher, _ peer.Event) { d.Cut() },
+		"dead":               func(_ *peer.Dispatcher, e peer.Event) { e.Deafen() },
+		"gone":               func(d *peer.Dispatcher, _ peer.Event) { d.Die() },
+		"listens no more":    func(d *peer.Dispatcher, _ peer.Event) { d.Stop() },
+		"takes nothing in":   func(d *peer.Dispatcher, _ peer.Event) { d.Rest(); time.AfterFunc(time.Second, d.Wake) },
+		"reset, again later": func(d *peer.Dispatcher, _ peer.Event) { d.Cut(); time.AfterFunc(200*time.Millisecond, d.Cut) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			w := newWorldWithin(t, "tcp", "tcp", callers.Bounds{Silent: long, Idle: long})
+			c := w.caller()
+			w.must(c.SetUp(id(1), long, 0, "x"))
+			first := w.gets(0)
+			w.must(first.Answer("y"))
+			w.hears(c)
+			w.must(c.Release(id(1), 16))
+			time.Sleep(quietTime)
+			over := make(chan struct{})
+			defer close(over)
+			for _, d := range w.dispatchers {
+				go func() {
+					for {
+						select {
+						case e := <-d.Events:
+							if e.Kind == "setup" {
+								_ = e.Answer("y")
+							}
+						case <-over:
+							return
+						}
+					}
+				}()
+			}
+			trouble(w.dispatchers[0], first)
+			for n := range calls {
+				w.must(c.SetUp(id(10+n), left, 0, "x"))
+			}
+			finals, stand := map[string]int{}, 0
+			begun := time.Now()
+			for len(finals) < calls {
+				m, err := c.NextWithin(left + left/2)
+				if err != nil {
+					t.Fatalf("%d of %d calls have a final answer: %v", len(finals), calls, err)
+				}
+				if finals[m.ID]++; finals[m.ID] > 1 && m.Type == "answer" {
+					t.Errorf("%s has a second final answer", m.ID)
+				}
+				if m.Type == "answer" {
+					stand++
+				}
+			}
+			t.Logf("%d of %d stand, after %v", stand, calls, time.Since(begun))
+			if stand < calls/2 || time.Since(begun) > left+time.Second {
+				t.Errorf("%d of %d stand after %v", stand, calls, time.Since(begun))
+			}
+		})
+	}
+}
