Order the story of reloads by what is in force at the first move, too

Cause: the move came before the event of the first coordinator was taken in, so the second one was asked for what follows 1, rightly, and told its own. Forced by an event that comes 0.1 s after the request: it fails each time, and passes with the wait for the event. What is checked is the same.

--- a/cmd/cherryrelay/reload_test.go
+++ b/cmd/cherryrelay/reload_test.go
@@ -114,6 +114,7 @@
 		}
 	}
 	hears(t, askedFirst, "1")
+	awaitServers(t, management, 0) // what the first one tells is taken in before the move
 	write(file(second))
 	hup()
 	hears(t, askedSecond, "4")
