Search all orders of a call's, its dispatcher's and the list's events, without sockets

The search of overtaken_test.go had the core without the pool.

Change: the pool takes its connections by an interface (transport.go), so that the real core and pool run over stand-in dispatchers and connections, on synctest's clock. Orders of 20 events (answer, refusal, end, arrival on the oldest or newest connection, reset, close, another connection, cancel, caller gone, drain, off and on the list, no listener, cut off and back, death, three pauses) to a depth of 2, CHERRYRELAY_DEPTH by hand, from three starts.

--- a/internal/dispatchers/dial.go
+++ b/internal/dispatchers/dial.go
@@ -20,12 +20,12 @@
 	address := s.Address
 	dial, wire := Place(address, &s.pool.Fields)
 	var l *link
-	handler := func(c *conn.Conn) conn.Handler {
+	handler := func(c connection) conn.Handler {
 		now := time.Now()
 		l = &link{server: s, lifetime: new(lifetime), conn: c, wire: wire, invites: map[string]*invite{}, openedAt: now, heardAt: now, since: now, usedAt: now}
 		return socket{l}
 	}
-	conn.Dial(s.pool.loop, dial, s.pool.ConnectTimeout, handler, func(err error) {
+	s.pool.dial(dial, s.pool.ConnectTimeout, handler, func(err error) {
 		s.dialing = false
 		s.pool.touch(s)
 		if err != nil {
--- a/internal/dispatchers/dispatchers.go
+++ b/internal/dispatchers/dispatchers.go
@@ -86,6 +86,7 @@
 	Options
 	core      Core
 	loop      *call.Loop
+	dial      dialer
 	servers   map[control.ServerID]*server
 	order     []*server
 	links     int // that each may be given
@@ -100,7 +101,7 @@
 
 // New returns an empty Pool.
 func New(loop *call.Loop, core Core, o Options) *Pool {
-	p := &Pool{Options: o, core: core, loop: loop, servers: map[control.ServerID]*server{}, at: map[string][]*server{}, linked: map[*server]struct{}{}, links: MaxLinks}
+	p := &Pool{Options: o, core: core, loop: loop, dial: dialTCP(loop), servers: map[control.ServerID]*server{}, at: map[string][]*server{}, linked: map[*server]struct{}{}, links: MaxLinks}
 	p.check()
 	return p
 }
--- a/internal/dispatchers/link.go
+++ b/internal/dispatchers/link.go
@@ -85,7 +85,7 @@
 type link struct {
 	server *server
 	*lifetime
-	conn    *conn.Conn
+	conn    connection
 	wire    Wire
 	closed  bool
 	retired bool // given up, but what still comes is taken
--- /dev/null
+++ b/internal/dispatchers/orders_test.go
@@ -0,0 +1,425 @@
+package dispatchers
+
+import (
+	"fmt"
+	"log/slog"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	jsoniter "github.com/json-iterator/go"
+
+	"cherryrelay/control"
+	"cherryrelay/internal/call"
+	"cherryrelay/internal/settings"
+)
+
+const (
+	orderedID = "00000000000000c1"
+	// orderSettings have one class, whose callers wait for 9 s, and a guard of 60 ms.
+	orderSettings = `{"caps":{"maxRetryAfterUs":2000000,"mayCancel":true,"retryAfter":true,"sendCap":5},
+"familyInfo":{"guardUs":60000,"layout":"skills","thisNode":-1},"membershipMode":"pushed","peersTotal":2,"report":{"fields":["idle"]},
+"requestClasses":[{"aimUs":900000,"deadlineUs":9000000,"name":"c","semantics":"read_like","worth":1}],"resolutionUs":5000,
+"rules":{"coldUs":1000000,"startCapacity":0.3,"tipMultiple":2}}`
+	orderDeadline = 9 * time.Second
+	// endWithin is how soon the end of a call must reach its caller if the dispatcher could tell it; endUntold is as much if it could not.
+	endWithin, endUntold = time.Second, 8 * time.Second
+)
+
+// orderSite is a core and a pool over stand-in dispatchers, with one call.
+type orderSite struct {
+	orderStart
+	core    *call.Core
+	pool    *Pool
+	network *standInNetwork
+	first   *process // the dispatcher that events are about
+	faults  []string
+
+	answers, finals, overs int
+	cancelled, left        bool
+	endedAt, overAt        time.Time // at its dispatcher, and as its caller was told
+}
+
+func (s *orderSite) fault(format string, args ...any) {
+	s.faults = append(s.faults, fmt.Sprintf(format, args...))
+}
+
+// Answer tells the caller that the call is established.
+func (s *orderSite) Answer(string, string) error { s.answers++; return nil }
+
+// End is the final answer.
+func (s *orderSite) End(string, call.End) { s.finals++ }
+
+// Left reports whether the caller has gone.
+func (s *orderSite) Left() bool { return s.left }
+
+// Over tells the caller the end of the call.
+func (s *orderSite) Over(string, call.End) {
+	s.overs++
+	s.overAt = time.Now()
+}
+
+// orderFront passes on the ends of calls whose connection has closed.
+type orderFront struct{ *orderSite }
+
+// Release tells the caller the end of the call on another connection.
+func (f orderFront) Release(id string, end call.End) { f.Over(id, end) }
+
+// Open is the number of connections.
+func (f orderFront) Open() int { return 1 }
+
+// Quiet reports that nothing waits.
+func (f orderFront) Quiet() bool { return true }
+
+// attempted takes in the arrival of an attempt at a dispatcher. One that is cut off can't be told that an earlier attempt is given up.
+func (s *orderSite) attempted(id string) {
+	for _, p := range s.network.processes {
+		if p.pending(id) != nil && !p.cutOff {
+			s.fault("an attempt while another one is out")
+		}
+	}
+	if s.answers+s.finals > 0 {
+		s.fault("an attempt after the final answer")
+	}
+}
+
+// newOrderSite must be called on the loop's goroutine or before it runs.
+func newOrderSite(t *testing.T, start orderStart) *orderSite {
+	t.Helper()
+	set := new(settings.Settings)
+	if err := jsoniter.UnmarshalFromString(orderSettings, set); err != nil {
+		t.Fatal(err)
+	}
+	loop, log := call.NewLoop(), slog.New(slog.DiscardHandler)
+	core, err := call.New(loop, log, set, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &orderSite{orderStart: start, core: core, network: &standInNetwork{loop: loop, processes: map[string]*process{}}}
+	s.pool = New(loop, core, Options{ConnectTimeout: 500 * time.Millisecond, Fields: []string{"idle"}, Log: log})
+	s.pool.dial = s.network.dial
+	core.Serve(s.pool)
+	core.AddFront(orderFront{s})
+	core.OnFlush(s.pool.Flush)
+	s.first = newProcess(s)
+	s.network.processes["first"] = s.first
+	if start.second {
+		s.network.processes["second"] = newProcess(s)
+		s.network.processes["second"].prompt = true
+	}
+	return s
+}
+
+// list tells the core of dispatchers.
+func (s *orderSite) list(status control.ServerStatus, names ...control.ServerID) {
+	var u call.Update
+	for i, name := range names {
+		u.Servers = append(u.Servers, call.Server{ServerEntry: control.ServerEntry{ID: name, Cell: i, Status: status}, Address: string(name)})
+	}
+	s.core.Update(u)
+}
+
+// do runs a function on the loop, and waits until all that it leads to at once has been done.
+func (s *orderSite) do(f func()) {
+	s.core.Loop().Post(f)
+	synctest.Wait()
+}
+
+// orderEvent is one thing that may happen. It reports whether it could.
+type orderEvent struct {
+	letter byte
+	what   string
+	occurs func(s *orderSite) bool
+	after  time.Duration // that passes after it
+}
+
+// connectionWithFlight is the oldest or newest connection on which something is on its way.
+func (p *process) connectionWithFlight(newest bool) *standInConnection {
+	var found *standInConnection
+	for _, c := range p.all {
+		if (len(c.flight) > 0 || c.peerClosed) && !c.closed && (found == nil || newest) {
+			found = c
+		}
+	}
+	return found
+}
+
+func deliverTo(newest bool) func(*orderSite) bool {
+	return func(s *orderSite) bool {
+		c := s.first.connectionWithFlight(newest)
+		if c == nil || s.first.cutOff || newest && c == s.first.connectionWithFlight(false) {
+			return false
+		}
+		c.deliver()
+		return true
+	}
+}
+
+// passes is an event in which nothing happens for a time.
+func passes(letter byte, d time.Duration) orderEvent {
+	return orderEvent{letter, "time passes: " + d.String(), func(*orderSite) bool { return true }, d}
+}
+
+func orderEvents() []orderEvent {
+	return []orderEvent{
+		{'a', "the first dispatcher answers", func(s *orderSite) bool { return s.first.finalAnswer(orderedID, 200) }, 0},
+		{'f', "it refuses", func(s *orderSite) bool { return s.first.finalAnswer(orderedID, 504) }, 0},
+		{'e', "it ends the call", func(s *orderSite) bool { return s.end(s.first) }, 0},
+		{'d', "what is on its way on the oldest connection arrives", deliverTo(false), 0},
+		{'D', "what is on its way on the newest connection arrives", deliverTo(true), 0},
+		{'r', "the oldest connection is reset", func(s *orderSite) bool { return s.onOldest((*standInConnection).reset) }, 0},
+		{'h', "it closes the oldest connection in good order", func(s *orderSite) bool { return s.onOldest((*standInConnection).close) }, 0},
+		{'n', "one more connection is opened", func(s *orderSite) bool {
+			if len(s.first.connections) >= MaxLinks {
+				return false
+			}
+			s.pool.Renew("first")
+			return true
+		}, 2 * checkEvery},
+		{'c', "the caller cancels", func(s *orderSite) bool {
+			if s.cancelled || s.left {
+				return false
+			}
+			s.cancelled = true
+			s.core.GiveUp(s, orderedID, call.CauseNormal)
+			return true
+		}, 0},
+		{'l', "the caller's connection closes", func(s *orderSite) bool {
+			if s.left {
+				return false
+			}
+			s.left = true
+			s.core.CallerClosed(s)
+			return true
+		}, 0},
+		{'g', "the first dispatcher drains", func(s *orderSite) bool { s.list(control.Draining, "first"); return true }, 0},
+		{'x', "it is taken off the list", func(s *orderSite) bool { s.list(control.Removed, "first"); return true }, 0},
+		{'y', "it is on the list", func(s *orderSite) bool { s.list(control.Active, "first"); return true }, 0},
+		{'s', "it listens no more", func(s *orderSite) bool {
+			listened := s.first.listens
+			s.first.listens = false
+			return listened
+		}, 0},
+		{'v', "it is cut off", func(s *orderSite) bool {
+			cutOff := s.first.cutOff
+			s.first.cutOff = true
+			return !cutOff
+		}, 0},
+		{'w', "it can be reached again", func(s *orderSite) bool {
+			if !s.first.cutOff {
+				return false
+			}
+			s.first.returns()
+			return true
+		}, 0},
+		{'k', "it dies", func(s *orderSite) bool {
+			listened := s.first.listens
+			s.first.dies()
+			return listened
+		}, 0},
+		passes('t', 700*time.Millisecond),
+		passes('T', silence+3*checkEvery),
+		passes('q', deadAfter+10*checkEvery),
+	}
+}
+
+func (s *orderSite) onOldest(f func(*standInConnection)) bool {
+	if s.first.cutOff || len(s.first.connections) == 0 {
+		return false
+	}
+	f(s.first.connections[0])
+	return true
+}
+
+// end has a dispatcher end the call.
+func (s *orderSite) end(at *process) bool {
+	if !at.ends(orderedID) {
+		return false
+	}
+	s.endedAt = time.Now()
+	return true
+}
+
+// play plays an order of events, and then has everything arrive and come to its end. It reports false if one of the events could not be.
+func (s *orderSite) play(order []orderEvent) bool {
+	go s.core.Loop().Run()
+	defer func() {
+		s.core.Loop().Quit()
+		synctest.Wait()
+	}()
+	s.do(func() {
+		if s.second {
+			s.list(control.Active, "first", "second")
+		} else {
+			s.list(control.Active, "first")
+		}
+	})
+	time.Sleep(time.Second)
+	if s.two {
+		s.do(func() { s.pool.Renew("first") })
+		time.Sleep(time.Second)
+	}
+	s.do(func() {
+		_ = s.core.Offer(call.Request{ID: orderedID, Class: "c", Deadline: time.Now().Add(orderDeadline), Caller: s, Description: "x"})
+	})
+	time.Sleep(10 * time.Millisecond)
+	for _, e := range order {
+		could := false
+		s.do(func() { could = e.occurs(s) })
+		if !could {
+			return false
+		}
+		time.Sleep(e.after)
+	}
+	s.settle()
+	return true
+}
+
+// settle has what is on its way arrive, until the call's time is over; then what is established ends.
+func (s *orderSite) settle() {
+	for until := time.Now().Add(orderDeadline + time.Second); time.Now().Before(until); time.Sleep(50 * time.Millisecond) {
+		s.do(s.arrive)
+	}
+	s.do(s.checkEstablished)
+	s.do(func() {
+		for _, p := range s.network.processes {
+			s.end(p)
+		}
+	})
+	for until := time.Now().Add(endUntold + 2*time.Second); time.Now().Before(until); time.Sleep(50 * time.Millisecond) {
+		s.do(s.arrive)
+	}
+	s.do(s.checkEnd)
+}
+
+// arrive has all that is on its way arrive.
+func (s *orderSite) arrive() {
+	for _, p := range s.network.processes {
+		for _, c := range p.all {
+			c.deliver()
+		}
+	}
+}
+
+// checkEstablished checks that a call that a dispatcher holds is known here.
+func (s *orderSite) checkEstablished() {
+	if want := 1; !s.cancelled && !s.left && s.answers+s.finals != want {
+		s.fault("%d answers and %d refusals", s.answers, s.finals)
+	}
+	for name, p := range s.network.processes {
+		if _, ok := p.established[orderedID]; !ok || p.answerLost[orderedID] || p.cutOff {
+			continue
+		}
+		known := false
+		for id := range s.core.StandAt(control.ServerID(name)) {
+			known = known || id == orderedID
+		}
+		if !known && (p.listens || len(p.open()) > 0) {
+			s.fault("%s holds a call that is not known here, and nobody releases it", name)
+		}
+	}
+}
+
+// checkEnd checks that the end of what was established was told, and that nothing is left.
+func (s *orderSite) checkEnd() {
+	if s.answers+s.finals > 1 || s.overs > 1 {
+		s.fault("%d answers, %d refusals, %d ends", s.answers, s.finals, s.overs)
+	}
+	if s.answers == 1 && s.overs == 0 && !s.cancelled {
+		s.fault("its end is not told")
+	}
+	if s.answers == 1 && s.overs == 1 && !s.endedAt.IsZero() && s.overAt.Sub(s.endedAt) > endUntold {
+		s.fault("its end is told %v late", s.overAt.Sub(s.endedAt))
+	}
+	for name, server := range s.pool.servers {
+		if len(server.standing) > 0 {
+			s.fault("%s has an entry of a call that is over", name)
+		}
+	}
+}
+
+// orderStart is what an order of events begins with.
+type orderStart struct {
+	name   string
+	second bool // there is another dispatcher, which answers by itself
+	two    bool // two connections to the first one are open
+}
+
+// orderResult is what came of one order.
+type orderResult struct {
+	possible bool
+	faults   []string
+}
+
+func (start orderStart) play(t *testing.T, order []orderEvent) (result orderResult) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		s := newOrderSite(t, start)
+		result.possible = s.play(order)
+		result.faults = s.faults
+	})
+	return result
+}
+
+func spellOrder(order []orderEvent) string {
+	var letters strings.Builder
+	for _, e := range order {
+		letters.WriteByte(e.letter)
+	}
+	return letters.String()
+}
+
+// orderDepth is how many events an order has, CHERRYRELAY_DEPTH by hand.
+func orderDepth(t *testing.T) int {
+	t.Helper()
+	text := os.Getenv("CHERRYRELAY_DEPTH")
+	if text == "" {
+		return 2
+	}
+	depth, err := strconv.Atoi(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return depth
+}
+
+// TestCallsAndConnectionsInEveryOrder guards against calls that nobody releases, untold ends, and second attempts beside a first: all orders of
+// what may happen to a call, its dispatcher, their connections and the list, to a depth, over the real core and pool.
+func TestCallsAndConnectionsInEveryOrder(t *testing.T) {
+	for _, start := range []orderStart{{name: "one dispatcher"}, {name: "two dispatchers", second: true}, {name: "two connections", two: true}} {
+		t.Run(start.name, func(t *testing.T) {
+			t.Parallel()
+			for _, first := range orderEvents() {
+				t.Run(first.what, func(t *testing.T) {
+					t.Parallel()
+					count := start.extend(t, []orderEvent{first}, orderDepth(t))
+					t.Logf("%d orders played", count)
+				})
+			}
+		})
+	}
+}
+
+// extend plays an order and all that go on from it, to a depth, and returns how many could be played.
+func (start orderStart) extend(t *testing.T, order []orderEvent, depth int) (played int) {
+	t.Helper()
+	result := start.play(t, order)
+	if !result.possible {
+		return 0
+	}
+	if len(result.faults) > 0 {
+		t.Errorf("order %s: %s", spellOrder(order), strings.Join(result.faults, "; "))
+	}
+	played = 1
+	if depth == 1 {
+		return played
+	}
+	for _, next := range orderEvents() {
+		played += start.extend(t, append(slices.Clone(order), next), depth-1)
+	}
+	return played
+}
--- /dev/null
+++ b/internal/dispatchers/transport.go
@@ -0,0 +1,32 @@
+package dispatchers
+
+import (
+	"time"
+
+	"cherryrelay/internal/conn"
+)
+
+// connection is one connection to a dispatcher; *conn.Conn is one, and documents the methods.
+type connection interface {
+	Write(p []byte)
+	WriteThen(p []byte, then func()) conn.Ticket
+	Recall(ticket conn.Ticket) bool
+	Flush()
+	Unsent() int
+	Unread() bool
+	EndedAt() time.Time
+	Finish(within time.Duration)
+	Close(reason error)
+	Abort(reason error)
+}
+
+// dialer opens a connection without holding up the loop. Once it is up, opened makes what takes its callbacks; then, or as the dial has
+// failed, done is called. Both run on the loop.
+type dialer func(address string, timeout time.Duration, opened func(connection) conn.Handler, done func(error))
+
+// dialTCP returns the dialer of TCP connections.
+func dialTCP(loop conn.Poster) dialer {
+	return func(address string, timeout time.Duration, opened func(connection) conn.Handler, done func(error)) {
+		conn.Dial(loop, address, timeout, func(c *conn.Conn) conn.Handler { return opened(c) }, done)
+	}
+}
