Release calls of a dispatcher that is given up, also those whose answer comes after

What callers saw: nothing at once; a dispatcher that was taken for gone held a call that its caller knew nothing of, or had been told to be cut, and kept its line until it ended by itself.

Cause: server.drop closed the connections and discarded what came after. An answer on its way established a call that nobody released; calls that stood at a dispatcher that lives without listening were told to be cut here, and stood on there.

The stand-ins of two older tests name the calls that stand, as the pool asks for them now.

--- a/internal/dispatchers/budget.go
+++ b/internal/dispatchers/budget.go
@@ -120,7 +120,7 @@
 	var all []*link
 	var connections []links.Connection
 	for s := range p.linked {
-		for _, l := range slices.Concat(s.links, s.halfClosed) {
+		for _, l := range slices.Concat(s.links, s.givenUp) {
 			if !l.evicted {
 				all, connections = append(all, l), append(connections, l.counts(now))
 			}
@@ -139,7 +139,7 @@
 func (l *link) counts(now time.Time) links.Connection {
 	s := l.server
 	return links.Connection{
-		Drains: s.Status != control.Active || s.replaced, Sole: len(s.links) == 1, HalfClosed: l.retired,
+		Drains: s.Status != control.Active || s.replaced, Sole: len(s.links) == 1, HalfClosed: l.givenUp(),
 		Heard: l.heardAt.After(l.openedAt), SetUps: len(l.invites),
 		Standing: s.pool.standingAt(s.ID, now) > 0, Since: l.since, UsedAt: l.usedAt,
 	}
@@ -149,7 +149,7 @@
 func (l *link) evict() {
 	l.evicted = true
 	l.conn.Abort(conn.ErrClosedHere) // nothing is open on it, and its descriptor is wanted
-	if !l.closed {
+	if l.state == linkOpen {
 		l.Closed(conn.ErrClosedHere)
 	}
 }
--- a/internal/dispatchers/check.go
+++ b/internal/dispatchers/check.go
@@ -42,7 +42,7 @@
 		s.active = false
 		s.check(now)
 		switch {
-		case s.Status == control.Removed && s.gone() && len(s.links) == 0 && !s.dialing:
+		case s.Status == control.Removed && s.gone() && len(s.links)+len(s.givenUp) == 0 && !s.dialing:
 			p.leave(s)
 			delete(p.servers, s.ID)
 			forgotten = true
@@ -124,7 +124,7 @@
 // busy reports whether there is anything to look at again with the next check.
 func (s *server) busy(now time.Time) bool {
 	switch {
-	case s.Status == control.Removed, s.dialing, len(s.waiting) > 0, len(s.doubtful) > 0, len(s.halfClosed) > 0, !s.renewAt.IsZero():
+	case s.Status == control.Removed, s.dialing, len(s.waiting) > 0, len(s.doubtful) > 0, len(s.givenUp) > 0, !s.renewAt.IsZero():
 		return true
 	case len(s.links) == 0:
 		return !s.gone() && (s.pool.sockets.standing[s.ID] > 0 || s.hasRelease())
--- a/internal/dispatchers/dial.go
+++ b/internal/dispatchers/dial.go
@@ -69,7 +69,7 @@
 
 // track notes whether the dispatcher has connections.
 func (s *server) track() {
-	if len(s.links)+len(s.halfClosed) > 0 {
+	if len(s.links)+len(s.givenUp) > 0 {
 		s.pool.linked[s] = struct{}{}
 	} else {
 		delete(s.pool.linked, s)
--- a/internal/dispatchers/doubt.go
+++ b/internal/dispatchers/doubt.go
@@ -25,7 +25,7 @@
 	if len(s.doubtful) == 0 || now.Before(s.doubtAt) {
 		return
 	}
-	if len(s.halfClosed) == 0 && !s.unclosed {
+	if len(s.givenUp) == 0 && !s.unclosed {
 		s.doubtful = nil
 		return
 	}
--- a/internal/dispatchers/link.go
+++ b/internal/dispatchers/link.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"io"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -81,14 +80,23 @@
 // lifetime tells whether a connection has closed. What refers to it keeps none of the connection's buffers.
 type lifetime struct{ over bool }
 
+// linkState is how far a connection is used.
+type linkState int
+
+const (
+	linkOpen       linkState = iota
+	linkDraining             // no set-up goes out; what still comes is taken, and may be replied to
+	linkHalfClosed           // this side has ended; what still comes is taken
+	linkClosed
+)
+
 // link is one connection to a dispatcher.
 type link struct {
 	server *server
 	*lifetime
 	conn    connection
 	wire    Wire
-	closed  bool
-	retired bool // given up, but what still comes is taken
+	state   linkState
 	evicted bool // closed to make room
 	dirty   bool // written to since the last Flush
 	openedAt,
@@ -101,10 +109,16 @@
 	unsent  []*release // that have not left yet
 }
 
-func (l *link) ready() bool { return !l.closed && l.wire.Greeted() }
+func (l *link) ready() bool { return l.state == linkOpen && l.wire.Greeted() }
+
+// writable reports whether messages can go out.
+func (l *link) writable() bool { return l.state == linkOpen || l.state == linkDraining }
+
+// givenUp reports whether the connection is only read until it ends.
+func (l *link) givenUp() bool { return l.state == linkDraining || l.state == linkHalfClosed }
 
 func (l *link) send(p []byte) {
-	if len(p) > 0 && !l.closed {
+	if len(p) > 0 && l.writable() {
 		l.conn.Write(p)
 		l.written()
 	}
@@ -129,7 +143,7 @@
 
 // release ends a call that stands at the dispatcher, or may. It is kept until it has left.
 func (l *link) release(r release) {
-	if l.closed {
+	if !l.writable() {
 		return
 	}
 	kept := &r
@@ -163,7 +177,7 @@
 
 // Data takes in what a dispatcher has sent.
 func (l *link) Data(in *ring.Buffer, at time.Time) error {
-	if l.closed && !l.retired {
+	if l.state == linkClosed {
 		in.Discard(in.Len())
 		return nil
 	}
@@ -204,7 +218,7 @@
 	}
 	l.partial = at
 	l.server.pool.loop.After(wholeWithin, func() {
-		if l.partial.Equal(at) && !l.closed {
+		if l.partial.Equal(at) && l.state == linkOpen {
 			l.conn.Close(errCutShort)
 		}
 	})
@@ -313,6 +327,10 @@
 	case hello:
 		s.ready(l)
 	case answer:
+		if l.state == linkDraining { // the attempt has ended here
+			l.release(release{m.id, call.CauseNormal, true})
+			return nil
+		}
 		s.answeredAt = time.Now()
 		s.standing[m.id] = l.lifetime
 		core.Answered(s.ID, m.id, attempt, m.description)
@@ -343,70 +361,3 @@
 	}
 	return attempt
 }
-
-// retire gives the connection up. Its set-ups end at once, but an end of a call may be on its way here: a dispatcher that
-// has sent it does not send it again. So this side is closed alone, and the rest is read until the dispatcher closes too.
-func (l *link) retire(reason error) {
-	invites := l.invites
-	l.conn.Flush() // what the socket takes has left
-	l.Closed(reason)
-	l.retired, l.invites, l.since = true, invites, time.Now()
-	l.conn.Finish(halfClosedFor)
-	s := l.server
-	s.pool.touch(s)
-	s.doubt(s.pool.core.StandAt(s.ID))
-	if s.halfClosed = append(s.halfClosed, l); len(s.halfClosed) > MaxLinks { // of one dispatcher, so many are held at most
-		s.halfClosed[0].conn.Abort(conn.ErrClosedHere)
-		s.halfClosed = s.halfClosed[1:]
-	}
-	s.track()
-}
-
-// Closed ends the set-ups that were open on the connection.
-func (l *link) Closed(reason error) {
-	if l.closed {
-		s := l.server
-		s.halfClosed = slices.DeleteFunc(s.halfClosed, func(o *link) bool { return o == l })
-		s.track()
-		if errors.Is(reason, conn.ErrClosedHere) && (l.retired || !l.evicted) {
-			s.unclosed = true // its dispatcher may hold it for open still
-		}
-		return
-	}
-	l.closed, l.lifetime.over = true, true
-	s := l.server
-	s.pool.touch(s)
-	if !errors.Is(reason, io.EOF) && !errors.Is(reason, conn.ErrClosedHere) && !errors.Is(reason, errDead) {
-		s.pool.Log.Warn("connection to dispatcher closed", "server", s.ID, "reason", reason)
-	}
-	s.links = slices.DeleteFunc(s.links, func(o *link) bool { return o == l })
-	s.track()
-	ids := make([]string, 0, len(l.invites))
-	for id := range l.invites {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-	for _, id := range ids {
-		if i := l.invites[id]; i.withdrawn.IsZero() {
-			s.pool.core.Ended(s.ID, id, i.attempt, control.Reset, false, nil)
-		}
-	}
-	l.invites = nil
-	l.keepUnsent()
-	if len(s.links) == 0 {
-		s.withoutSince = time.Now()
-	}
-	if now := time.Now(); now.Sub(l.openedAt) < endsAtOnce {
-		s.backoff.Fail(now, rand.Float64())
-	}
-	before := s.dialing
-	if len(s.links) == 0 || len(s.links) < s.wanted(time.Now()) {
-		s.connect()
-	}
-	inOrder := errors.Is(reason, conn.ErrClosedHere) || errors.Is(reason, io.EOF) && !errors.Is(reason, conn.ErrReset)
-	if !inOrder && (before || !s.dialing) {
-		// It may have taken ends of calls along: behind what was spoilt, unread as it was reset, or swallowed while it was dead. Its
-		// dispatcher tells them once more, on the next connection that opens; the others that are open bring nothing of them.
-		s.pool.Renew(s.ID)
-	}
-}
--- /dev/null
+++ b/internal/dispatchers/link_end.go
@@ -0,0 +1,110 @@
+package dispatchers
+
+import (
+	"errors"
+	"io"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"cherryrelay/control"
+	"cherryrelay/internal/conn"
+)
+
+// How connections to dispatchers end.
+
+// retire gives the connection up. Its set-ups end at once, but an end of a call may be on its way here: a dispatcher that
+// has sent it does not send it again. So this side is closed alone, and the rest is read until the dispatcher closes too.
+func (l *link) retire(reason error) {
+	l.conn.Flush() // what the socket takes has left
+	l.giveUp(reason, linkHalfClosed)
+	l.conn.Finish(halfClosedFor)
+	s := l.server
+	s.doubt(s.pool.core.StandAt(s.ID))
+}
+
+// drain gives the connection up whose dispatcher may live, though it counts as gone. Its set-ups end at once and are cancelled. A call that the
+// dispatcher has established meanwhile is released, as are those that it had: it may have no other connection, and listen no more.
+func (l *link) drain(reason error) {
+	l.giveUp(reason, linkDraining)
+	for id, i := range l.invites {
+		if i.withdrawn.IsZero() {
+			l.withdraw(id, i)
+		}
+	}
+	l.server.pool.loop.After(halfClosedFor, func() { l.conn.Close(conn.ErrClosedHere) })
+}
+
+// giveUp ends the set-ups on an open connection, which is read on in the given state.
+func (l *link) giveUp(reason error, state linkState) {
+	s, invites := l.server, l.invites
+	l.end(reason)
+	l.state, l.invites, l.since = state, invites, time.Now()
+	s.pool.touch(s)
+	if s.givenUp = append(s.givenUp, l); len(s.givenUp) > MaxLinks { // of one dispatcher, so many are held at most
+		s.givenUp[0].conn.Abort(conn.ErrClosedHere)
+		s.givenUp = s.givenUp[1:]
+	}
+	s.track()
+}
+
+// Closed takes in that the connection has ended.
+func (l *link) Closed(reason error) {
+	if l.state == linkOpen {
+		l.end(reason)
+		return
+	}
+	s := l.server
+	if errors.Is(reason, conn.ErrClosedHere) && (l.givenUp() || !l.evicted) {
+		s.unclosed = true // its dispatcher may hold it for open still
+	}
+	l.state = linkClosed
+	s.givenUp = slices.DeleteFunc(s.givenUp, func(o *link) bool { return o == l })
+	s.track()
+}
+
+// end ends the set-ups that were open on the connection.
+func (l *link) end(reason error) {
+	l.state, l.lifetime.over = linkClosed, true
+	s := l.server
+	s.pool.touch(s)
+	if !errors.Is(reason, io.EOF) && !errors.Is(reason, conn.ErrClosedHere) && !errors.Is(reason, errDead) {
+		s.pool.Log.Warn("connection to dispatcher closed", "server", s.ID, "reason", reason)
+	}
+	s.links = slices.DeleteFunc(s.links, func(o *link) bool { return o == l })
+	s.track()
+	l.endSetUps()
+	l.keepUnsent()
+	if len(s.links) == 0 {
+		s.withoutSince = time.Now()
+	}
+	if now := time.Now(); now.Sub(l.openedAt) < endsAtOnce {
+		s.backoff.Fail(now, rand.Float64())
+	}
+	before := s.dialing
+	if len(s.links) == 0 || len(s.links) < s.wanted(time.Now()) {
+		s.connect()
+	}
+	inOrder := errors.Is(reason, conn.ErrClosedHere) || errors.Is(reason, io.EOF) && !errors.Is(reason, conn.ErrReset)
+	if !inOrder && (before || !s.dialing) {
+		// It may have taken ends of calls along: behind what was spoilt, unread as it was reset, or swallowed while it was dead. Its
+		// dispatcher tells them once more, on the next connection that opens; the others that are open bring nothing of them.
+		s.pool.Renew(s.ID)
+	}
+}
+
+// endSetUps tells the core that the set-ups on the connection have broken, in the order of their ids.
+func (l *link) endSetUps() {
+	s := l.server
+	ids := make([]string, 0, len(l.invites))
+	for id := range l.invites {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	for _, id := range ids {
+		if i := l.invites[id]; i.withdrawn.IsZero() {
+			s.pool.core.Ended(s.ID, id, i.attempt, control.Reset, false, nil)
+		}
+	}
+	l.invites = nil
+}
--- a/internal/dispatchers/queue_test.go
+++ b/internal/dispatchers/queue_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"iter"
 	"log/slog"
 	"net"
 	"strings"
@@ -20,8 +21,11 @@
 	told map[string]control.Outcome
 }
 
-func (e *ends) Standing(control.ServerID) int        { return 0 }
-func (e *ends) EachStanding(func(control.ServerID))  {}
+func (e *ends) Standing(control.ServerID) int       { return 0 }
+func (e *ends) EachStanding(func(control.ServerID)) {}
+func (e *ends) StandAt(control.ServerID) iter.Seq[string] {
+	return func(func(string) bool) {}
+}
 func (e *ends) Reached()                             {}
 func (e *ends) Written()                             {}
 func (e *ends) Reported(control.ServerID, []float64) {}
--- a/internal/dispatchers/server.go
+++ b/internal/dispatchers/server.go
@@ -39,7 +39,7 @@
 	links        []*link
 	renewAt      time.Time       // when one more connection is due, however many there are; zero if none is
 	renewing     bool            // the connection that is being dialled is that one
-	halfClosed   []*link         // given up, and still read; MaxLinks at most
+	givenUp      []*link         // that are still read; MaxLinks at most
 	doubtful     map[string]bool // calls that stood as a connection was given up: their ends may be told there, in vain
 	doubtAt      time.Time       // when their ends are to be told on a new connection
 	unclosed     bool            // there was one that the dispatcher never closed
@@ -153,12 +153,24 @@
 	}
 }
 
-// drop closes all connections and ends what was under way.
+// drop gives up all connections, ends what was under way, and releases what stood. The dispatcher may live, and not listen any more: what it
+// still says is taken for a while.
 func (s *server) drop(reason error) {
+	standing := slices.Sorted(s.pool.core.StandAt(s.ID))
+	heard := s.best()
 	for _, l := range slices.Clone(s.links) {
+		if len(l.invites) > 0 || l == heard && len(standing) > 0 {
+			l.drain(reason)
+			continue
+		}
 		l.conn.Close(reason)
 		l.Closed(reason)
 	}
+	if heard != nil {
+		for _, id := range standing {
+			heard.release(release{id, call.CauseTemporary, true})
+		}
+	}
 	s.expire(time.Time{})
 	s.releases, s.doubtful, s.unclosed = nil, nil, false
 	clear(s.standing)
--- a/internal/dispatchers/standin_test.go
+++ b/internal/dispatchers/standin_test.go
@@ -42,10 +42,10 @@
 type process struct {
 	site        *orderSite
 	listens     bool
-	cutOff      bool // nothing gets through, in either direction
-	prompt      bool // it answers each set-up by itself
-	connections []*standInConnection // that it has open
-	all         []*standInConnection // and those that have ended, on which something may be on its way
+	cutOff      bool                          // nothing gets through, in either direction
+	prompt      bool                          // it answers each set-up by itself
+	connections []*standInConnection          // that it has open
+	all         []*standInConnection          // and those that have ended, on which something may be on its way
 	established map[string]*standInConnection // calls, with the connection of their set-up
 	repeats     []string                      // calls whose ends are told again on the next connection
 	answerLost  map[string]bool               // calls whose answer went down with a reset connection
--- a/internal/dispatchers/vanished_test.go
+++ b/internal/dispatchers/vanished_test.go
@@ -1,6 +1,7 @@
 package dispatchers
 
 import (
+	"iter"
 	"log/slog"
 	"net"
 	"os"
@@ -32,6 +33,14 @@
 	}
 }
 
+func (h *holding) StandAt(control.ServerID) iter.Seq[string] {
+	return func(yield func(string) bool) {
+		if !h.gone {
+			yield("a call")
+		}
+	}
+}
+
 func (h *holding) Reached() {}
 
 func (h *holding) Died(id control.ServerID) {
