Probe a silent dispatcher that refuses connections before its calls are told as cut

Cause: one that drains listens no more and is silent until its calls end. A refused dial after 2.5 s of silence was taken for the end of the process, though connections to it were open; so was the silence of one off the list.

Why this works: a probe on an open connection is answered by a process that lives, and by no other. Unanswered for a second, the dispatcher counts as stopped as before, 3.6 s after it was heard from last.

--- a/internal/dispatchers/check.go
+++ b/internal/dispatchers/check.go
@@ -64,7 +64,7 @@
 	switch {
 	case s.gone():
 		// The register may be ahead of the process: it is let go when it is quiet.
-		if len(s.links) == 0 || silent > silence {
+		if len(s.links) == 0 || silent > silence && s.probeUnanswered(now) {
 			s.drop(errors.New("dispatcher is gone"))
 			s.pool.core.Died(s.ID)
 		}
@@ -74,6 +74,9 @@
 		s.drop(errors.New("dispatcher is silent"))
 		s.pool.core.Died(s.ID)
 		return
+	case s.refuses && len(s.links) > 0 && silent > silence && s.holds() && s.probeUnanswered(now):
+		s.stopped()
+		return
 	case len(s.links) == 0:
 		if s.purpose(now) >= links.Standing {
 			s.connect()
@@ -107,6 +110,21 @@
 	s.expire(now)
 }
 
+// probeUnanswered reports whether the dispatcher leaves a probe unanswered for probeWithin on the connection that was heard from last. It sends
+// the probe first. One that drains may listen no more, and have nothing to say of its calls until they end.
+func (s *server) probeUnanswered(now time.Time) bool {
+	if s.probedAt.IsZero() || s.heardAt.After(s.probedAt) {
+		l := s.best()
+		if l == nil {
+			return true
+		}
+		s.probedAt = now
+		l.send(l.wire.Probe())
+		return false
+	}
+	return now.Sub(s.probedAt) > probeWithin
+}
+
 // touchStanding has dispatchers looked at where calls stand, some of which the pool has not seen to stand: those of a predecessor.
 func (p *Pool) touchStanding(now time.Time) {
 	if age := now.Sub(p.touchedAt); age >= 0 && age < countEvery {
--- a/internal/dispatchers/dial.go
+++ b/internal/dispatchers/dial.go
@@ -49,7 +49,8 @@
 		return
 	}
 	s.backoff.Fail(time.Now(), rand.Float64())
-	s.dialTimedOut = !errors.Is(err, conn.ErrRefused)
+	s.refuses = errors.Is(err, conn.ErrRefused)
+	s.dialTimedOut = !s.refuses
 	s.pool.Log.Info("no connection", "server", s.ID, "err", err)
 	if len(s.links) > 0 && (s.dialTimedOut || time.Since(s.heardAt) <= silence) {
 		return
@@ -57,14 +58,19 @@
 	if len(s.links) > 0 && !s.holds() {
 		return // it has nothing to say
 	}
-	if !s.dialTimedOut {
-		// Nothing listens, and every connection is gone or has long been silent: a process that stops at the end of
-		// its drain may leave its connections open. It is no more, and its calls with it.
-		s.drop(errors.New("dispatcher has stopped"))
-		s.pool.core.Died(s.ID)
-		return
+	switch {
+	case s.dialTimedOut:
+		s.expire(time.Time{})
+	case len(s.links) == 0:
+		s.stopped()
 	}
-	s.expire(time.Time{})
+}
+
+// stopped takes in that nothing listens, and that every connection is gone or has long been silent: a process that stops at the end of its
+// drain may leave its connections open. It is no more, and its calls with it.
+func (s *server) stopped() {
+	s.drop(errors.New("dispatcher has stopped"))
+	s.pool.core.Died(s.ID)
 }
 
 // track notes whether the dispatcher has connections.
@@ -78,7 +84,7 @@
 
 func (s *server) opened(l *link) {
 	s.backoff.Reset()
-	s.dialTimedOut, s.renewing = false, false
+	s.dialTimedOut, s.refuses, s.renewing = false, false, false
 	s.links = append(s.links, l)
 	s.track()
 	l.send(l.wire.Hello())
--- a/internal/dispatchers/dispatchers.go
+++ b/internal/dispatchers/dispatchers.go
@@ -25,6 +25,9 @@
 	// silence without a word where calls are held has a new connection tried: a machine that has vanished leaves
 	// the old ones open.
 	silence = 2500 * time.Millisecond
+	// probeWithin is how long a dispatcher that has long been silent, and refuses connections or is off the list, has to answer a probe. What
+	// it had must be released within 8 s of its end.
+	probeWithin = time.Second
 	// deadAfter is the silence after which, with no new connection coming up, calls are held no more. A call's end
 	// may stay untold for 8 s.
 	deadAfter = 5 * time.Second
--- a/internal/dispatchers/orders_test.go
+++ b/internal/dispatchers/orders_test.go
@@ -26,6 +26,8 @@
 "requestClasses":[{"aimUs":900000,"deadlineUs":9000000,"name":"c","semantics":"read_like","worth":1}],"resolutionUs":5000,
 "rules":{"coldUs":1000000,"startCapacity":0.3,"tipMultiple":2}}`
 	orderDeadline = 9 * time.Second
+	// onItsWay is the longest that anything is on its way, and arrivalStep the pace at which it arrives after that.
+	onItsWay, arrivalStep = time.Second, 50 * time.Millisecond
 	// endWithin is how soon the end of a call must reach its caller if the dispatcher could tell it; endUntold is as much if it could not.
 	endWithin, endUntold = time.Second, 8 * time.Second
 )
@@ -59,6 +61,9 @@
 
 // Over tells the caller the end of the call.
 func (s *orderSite) Over(string, call.End) {
+	if _, ok := s.first.established[orderedID]; ok && !s.first.cutOff && len(s.first.open()) > 0 && !s.cancelled {
+		s.fault("its end is told while it goes on, at a dispatcher that can be reached")
+	}
 	s.overs++
 	s.overAt = time.Now()
 }
@@ -267,32 +272,44 @@
 		_ = s.core.Offer(call.Request{ID: orderedID, Class: "c", Deadline: time.Now().Add(orderDeadline), Caller: s, Description: "x"})
 	})
 	time.Sleep(10 * time.Millisecond)
+	if s.called {
+		s.do(func() {
+			s.first.finalAnswer(orderedID, 200)
+			s.arrive()
+		})
+	}
 	for _, e := range order {
 		could := false
 		s.do(func() { could = e.occurs(s) })
 		if !could {
 			return false
 		}
-		time.Sleep(e.after)
+		s.pass(e.after)
 	}
 	s.settle()
 	return true
 }
 
+// pass has time pass. Nothing is on its way for longer than onItsWay, unless it is cut off.
+func (s *orderSite) pass(d time.Duration) {
+	for until := time.Now().Add(d); time.Now().Before(until); {
+		if time.Until(until) <= d-onItsWay {
+			s.do(s.arrive)
+		}
+		time.Sleep(min(arrivalStep, time.Until(until)))
+	}
+}
+
 // settle has what is on its way arrive, until the call's time is over; then what is established ends.
 func (s *orderSite) settle() {
-	for until := time.Now().Add(orderDeadline + time.Second); time.Now().Before(until); time.Sleep(50 * time.Millisecond) {
-		s.do(s.arrive)
-	}
+	s.pass(onItsWay + orderDeadline + time.Second)
 	s.do(s.checkEstablished)
 	s.do(func() {
 		for _, p := range s.network.processes {
 			s.end(p)
 		}
 	})
-	for until := time.Now().Add(endUntold + 2*time.Second); time.Now().Before(until); time.Sleep(50 * time.Millisecond) {
-		s.do(s.arrive)
-	}
+	s.pass(onItsWay + endUntold + time.Second)
 	s.do(s.checkEnd)
 }
 
@@ -347,6 +364,7 @@
 	name   string
 	second bool // there is another dispatcher, which answers by itself
 	two    bool // two connections to the first one are open
+	called bool // the call is established, and its caller knows
 }
 
 // orderResult is what came of one order.
@@ -390,7 +408,8 @@
 // TestCallsAndConnectionsInEveryOrder guards against calls that nobody releases, untold ends, and second attempts beside a first: all orders of
 // what may happen to a call, its dispatcher, their connections and the list, to a depth, over the real core and pool.
 func TestCallsAndConnectionsInEveryOrder(t *testing.T) {
-	for _, start := range []orderStart{{name: "one dispatcher"}, {name: "two dispatchers", second: true}, {name: "two connections", two: true}} {
+	for _, start := range []orderStart{{name: "one dispatcher"}, {name: "two dispatchers", second: true}, {name: "two connections", two: true},
+		{name: "an established call", called: true}} {
 		t.Run(start.name, func(t *testing.T) {
 			t.Parallel()
 			for _, first := range orderEvents() {
--- a/internal/dispatchers/server.go
+++ b/internal/dispatchers/server.go
@@ -50,6 +50,8 @@
 	answered     time.Time // when the latest set-up was sent that has an answer
 	answeredAt   time.Time // when a call last came to stand here
 	dialTimedOut bool      // the last connection tried did not come up in time
+	refuses      bool      // the last connection tried was refused
+	probedAt     time.Time // when a probe was sent to see whether it lives; zero for never
 	replaced     bool      // another dispatcher has its address now
 	releases     []release
 	standing     map[string]*lifetime // of the connection on which the set-up was answered, for each call that stands
--- a/internal/dispatchers/standin_test.go
+++ b/internal/dispatchers/standin_test.go
@@ -14,6 +14,9 @@
 // promptly is how soon a stand-in answers that does so by itself.
 const promptly = 20 * time.Millisecond
 
+// dialTime is how long a connection takes to come up.
+const dialTime = time.Millisecond
+
 // standInNetwork connects a pool with stand-in dispatchers, without sockets. All of it runs on the loop.
 type standInNetwork struct {
 	loop      *call.Loop
@@ -23,19 +26,20 @@
 // dial is the pool's dialer.
 func (n *standInNetwork) dial(address string, timeout time.Duration, opened func(connection) conn.Handler, done func(error)) {
 	p := n.processes[address]
-	switch {
-	case p == nil || !p.cutOff && !p.listens:
-		n.loop.After(time.Millisecond, func() { done(conn.ErrRefused) })
-	case p.cutOff:
+	if p != nil && p.cutOff {
 		n.loop.After(timeout, func() { done(io.ErrNoProgress) })
-	default:
-		n.loop.After(time.Millisecond, func() {
-			s := &standInConnection{loop: n.loop, process: p, setUps: map[string]int{}, in: ring.New(32 << 10), read: ring.New(64 << 10)}
-			s.handler = opened(s)
-			done(nil)
-			p.accepts(s)
-		})
+		return
 	}
+	n.loop.After(dialTime, func() {
+		if p == nil || !p.listens {
+			done(conn.ErrRefused)
+			return
+		}
+		s := &standInConnection{loop: n.loop, process: p, setUps: map[string]int{}, in: ring.New(32 << 10), read: ring.New(64 << 10)}
+		s.handler = opened(s)
+		done(nil)
+		p.accepts(s)
+	})
 }
 
 // process is a stand-in dispatcher, which does as the protocol page has it.
