Find out that a machine has vanished that has as many connections as there may be

What callers saw: the end of a call was told to nobody, for as long as they waited.

Cause: whether a silent machine lives is told by a new connection. With four connections, or as many as descriptors allow, none was dialled, and the machine never counted as gone while no set-up was open there.

Evidence: the search of orders, qTv from an established call, and v with one connection at most. Both fail without the change (TestOrdersThatHaveFailed).

Why this works: a probe first, so that a dispatcher that lives keeps its connections; unanswered for a second, an idle connection that has been silent makes room for the dial.

--- a/internal/dispatchers/check.go
+++ b/internal/dispatchers/check.go
@@ -83,7 +83,7 @@
 		}
 	case len(s.links) < s.wanted(now) && silent <= silence: // also to one that drains: a new one brings the releases of a lost one
 		s.connect()
-	case silent > silence && s.holds():
+	case silent > silence && s.holds() && (len(s.links) < s.pool.links || s.probeUnanswered(now) && s.room(now)):
 		s.connect()
 	}
 	for _, l := range slices.Clone(s.links) {
--- a/internal/dispatchers/orders_test.go
+++ b/internal/dispatchers/orders_test.go
@@ -107,6 +107,9 @@
 	s := &orderSite{orderStart: start, core: core, network: &standInNetwork{loop: loop, processes: map[string]*process{}}}
 	s.pool = New(loop, core, Options{ConnectTimeout: 500 * time.Millisecond, Fields: []string{"idle"}, Log: log})
 	s.pool.dial = s.network.dial
+	if start.most > 0 {
+		s.pool.Limit(start.most)
+	}
 	core.Serve(s.pool)
 	core.AddFront(orderFront{s})
 	core.OnFlush(s.pool.Flush)
@@ -365,6 +368,7 @@
 	second bool // there is another dispatcher, which answers by itself
 	two    bool // two connections to the first one are open
 	called bool // the call is established, and its caller knows
+	most   int  // connections to one dispatcher; 0 for MaxLinks
 }
 
 // orderResult is what came of one order.
@@ -409,7 +413,7 @@
 // what may happen to a call, its dispatcher, their connections and the list, to a depth, over the real core and pool.
 func TestCallsAndConnectionsInEveryOrder(t *testing.T) {
 	for _, start := range []orderStart{{name: "one dispatcher"}, {name: "two dispatchers", second: true}, {name: "two connections", two: true},
-		{name: "an established call", called: true}} {
+		{name: "an established call", called: true}, {name: "one connection at most", called: true, most: 1}} {
 		t.Run(start.name, func(t *testing.T) {
 			t.Parallel()
 			for _, first := range orderEvents() {
@@ -442,3 +446,39 @@
 	}
 	return played
 }
+
+// TestOrdersThatHaveFailed guards against faults that the search found, by the shortest orders that showed them.
+func TestOrdersThatHaveFailed(t *testing.T) {
+	established := orderStart{called: true}
+	for name, test := range map[string]struct {
+		start orderStart
+		order string
+	}{
+		"an answer is read after its dispatcher is off the list":            {orderStart{}, "ax"},
+		"a dispatcher that listens no more is silent":                       {established, "sT"},
+		"a dispatcher that is off the list is silent":                       {established, "xT"},
+		"a dispatcher with as many connections as there may be is cut off":  {established, "qTv"},
+		"a dispatcher with the one connection that there may be is cut off": {orderStart{called: true, most: 1}, "v"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			order := spelledOrder(test.order)
+			if result := test.start.play(t, order); !result.possible || len(result.faults) > 0 {
+				t.Errorf("order %s, possible: %v: %s", test.order, result.possible, strings.Join(result.faults, "; "))
+			}
+		})
+	}
+}
+
+// spelledOrder has the events of the letters.
+func spelledOrder(letters string) []orderEvent {
+	var order []orderEvent
+	for _, letter := range []byte(letters) {
+		for _, e := range orderEvents() {
+			if e.letter == letter {
+				order = append(order, e)
+			}
+		}
+	}
+	return order
+}
