Keep the release of a call until its dispatcher has confirmed it

What callers saw: nothing; a dispatcher held a call that its caller had ended, and its line, until it ended by itself.

Cause: a release counted as heard once it had left for the socket, also where the dispatcher had closed its side by then.

Why this works: what is not confirmed, and may not have come through, goes out on the next connection.

The releases have a file of their own.

--- a/internal/dispatchers/dispatchers.go
+++ b/internal/dispatchers/dispatchers.go
@@ -155,22 +155,6 @@
 	}
 }
 
-// Release cuts a call that stands.
-func (p *Pool) Release(id control.ServerID, callID string, cause int) {
-	for _, s := range p.order {
-		if id != "" && s.ID != id || s.gone() && len(s.links) == 0 {
-			continue
-		}
-		delete(s.standing, callID)
-		if l := s.best(); l != nil && len(s.releases) == 0 {
-			l.release(release{callID, cause, id != ""})
-		} else if id != "" || len(s.releases) < maxReleases {
-			s.releases = append(s.releases, release{callID, cause, id != ""})
-			p.touch(s)
-		}
-	}
-}
-
 // Renew opens one more connection to a dispatcher, soon: others that ask meanwhile are served by the same. Where there are as many as there
 // may be, one that has nothing to do makes room.
 func (p *Pool) Renew(id control.ServerID) {
--- a/internal/dispatchers/link.go
+++ b/internal/dispatchers/link.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"io"
-	"slices"
 	"time"
 
 	"cherryrelay/control"
@@ -31,7 +30,8 @@
 	answer
 	refusal
 	released
-	ended // a refusal if the set-up is open, else the end of a call that stood
+	ended        // a refusal if the set-up is open, else the end of a call that stood
+	confirmation // of a release
 	report
 )
 
@@ -106,7 +106,8 @@
 	finalAt time.Time // when a set-up last had its final answer here
 	partial time.Time // since when a message has not been whole; zero if none is under way
 	invites map[string]*invite
-	unsent  []*release // that have not left yet
+	// unconfirmed are releases that the dispatcher may not have heard.
+	unconfirmed []*sentRelease
 }
 
 func (l *link) ready() bool { return l.state == linkOpen && l.wire.Greeted() }
@@ -141,29 +142,6 @@
 	l.server.pool.touch(l.server)
 }
 
-// release ends a call that stands at the dispatcher, or may. It is kept until it has left.
-func (l *link) release(r release) {
-	if !l.writable() {
-		return
-	}
-	kept := &r
-	l.unsent = append(l.unsent, kept)
-	l.conn.WriteThen(l.wire.Release(r.id, r.cause), func() {
-		l.unsent = slices.DeleteFunc(l.unsent, func(o *release) bool { return o == kept })
-	})
-	l.written()
-}
-
-// keepUnsent has the releases of calls that are known to be at the dispatcher wait for the next connection, if they have not left on this one.
-func (l *link) keepUnsent() {
-	for _, r := range l.unsent {
-		if r.here {
-			l.server.releases = append(l.server.releases, *r)
-		}
-	}
-	l.unsent = nil
-}
-
 // withdraw gives a set-up up. One that still lies in the queue does not go out at all: its caller may have left long before the
 // dispatcher reads on, or the dispatcher may drain by then.
 func (l *link) withdraw(id string, i *invite) {
@@ -345,6 +323,11 @@
 		if i != nil && i.withdrawn.IsZero() {
 			i.withdrawn = time.Now() // its answer may still come, late
 		}
+	case confirmation:
+		l.confirmed(m.id)
+		if m.report != nil {
+			core.Reported(s.ID, m.report)
+		}
 	case report:
 		core.Reported(s.ID, m.report)
 	}
--- a/internal/dispatchers/link_end.go
+++ b/internal/dispatchers/link_end.go
@@ -59,6 +59,7 @@
 		s.unclosed = true // its dispatcher may hold it for open still
 	}
 	l.state = linkClosed
+	l.keepUnconfirmed()
 	s.givenUp = slices.DeleteFunc(s.givenUp, func(o *link) bool { return o == l })
 	s.track()
 }
@@ -74,7 +75,7 @@
 	s.links = slices.DeleteFunc(s.links, func(o *link) bool { return o == l })
 	s.track()
 	l.endSetUps()
-	l.keepUnsent()
+	l.keepUnconfirmed()
 	if len(s.links) == 0 {
 		s.withoutSince = time.Now()
 	}
--- a/internal/dispatchers/orders_test.go
+++ b/internal/dispatchers/orders_test.go
@@ -457,6 +457,8 @@
 		"an answer is read after its dispatcher is off the list":            {orderStart{}, "ax"},
 		"a dispatcher that listens no more is silent":                       {established, "sT"},
 		"a dispatcher that is off the list is silent":                       {established, "xT"},
+		"a release crosses the close of its connection":                     {established, "hc"},
+		"the release of a late answer crosses the close of its connection":  {orderStart{}, "ach"},
 		"a dispatcher with as many connections as there may be is cut off":  {established, "qTv"},
 		"a dispatcher with the one connection that there may be is cut off": {orderStart{called: true, most: 1}, "v"},
 	} {
--- /dev/null
+++ b/internal/dispatchers/release.go
@@ -0,0 +1,92 @@
+package dispatchers
+
+import (
+	"slices"
+	"time"
+
+	"cherryrelay/control"
+)
+
+// Releases of calls, from here to the dispatchers that hold them.
+
+// release is one of a call.
+type release struct {
+	id    string
+	cause int
+	here  bool // the call is known to be at this dispatcher
+}
+
+// sentRelease is a release on a connection, until its dispatcher has confirmed it.
+type sentRelease struct {
+	release
+	leftAt time.Time // when all of it had gone to the socket; zero before
+}
+
+// Release cuts a call that stands.
+func (p *Pool) Release(id control.ServerID, callID string, cause int) {
+	for _, s := range p.order {
+		if id != "" && s.ID != id || s.gone() && len(s.links) == 0 {
+			continue
+		}
+		delete(s.standing, callID)
+		if l := s.best(); l != nil && len(s.releases) == 0 {
+			l.release(release{callID, cause, id != ""})
+		} else if id != "" || len(s.releases) < maxReleases {
+			s.releases = append(s.releases, release{callID, cause, id != ""})
+			p.touch(s)
+		}
+	}
+}
+
+// serveReleases sends releases that have waited for a connection, and reports whether none is left. Of many, some go at once; the rest comes
+// with the next look at the dispatcher.
+func (s *server) serveReleases(l *link) bool {
+	if l.conn.Unsent() > 0 && len(s.releases) > 0 {
+		return false // it has not taken the last ones yet
+	}
+	some := s.releases[:min(len(s.releases), releasesAtOnce)]
+	for _, r := range some {
+		l.release(r)
+	}
+	if s.releases = s.releases[len(some):]; len(s.releases) > 0 {
+		return false
+	}
+	s.releases = nil
+	return true
+}
+
+// release ends a call that stands at the dispatcher, or may. It is kept until the dispatcher has confirmed it.
+func (l *link) release(r release) {
+	if !l.writable() {
+		return
+	}
+	sent := &sentRelease{release: r}
+	l.forgetDelivered()
+	l.unconfirmed = append(l.unconfirmed, sent)
+	l.conn.WriteThen(l.wire.Release(r.id, r.cause), func() { sent.leftAt = time.Now() })
+	l.written()
+}
+
+// confirmed takes in that the dispatcher has heard the release of a call.
+func (l *link) confirmed(id string) {
+	l.unconfirmed = slices.DeleteFunc(l.unconfirmed, func(r *sentRelease) bool { return r.id == id })
+}
+
+// forgetDelivered drops releases that the dispatcher has not confirmed, and must have heard: what it has said since came well after them.
+func (l *link) forgetDelivered() {
+	l.unconfirmed = slices.DeleteFunc(l.unconfirmed, func(r *sentRelease) bool {
+		return !r.leftAt.IsZero() && l.heardAt.Sub(r.leftAt) > closesWithin
+	})
+}
+
+// keepUnconfirmed has the releases of calls that are known to be at the dispatcher wait for the next connection, if they may not have come
+// through on this one.
+func (l *link) keepUnconfirmed() {
+	l.forgetDelivered()
+	for _, r := range l.unconfirmed {
+		if r.here {
+			l.server.releases = append(l.server.releases, r.release)
+		}
+	}
+	l.unconfirmed = nil
+}
--- a/internal/dispatchers/release_test.go
+++ b/internal/dispatchers/release_test.go
@@ -6,6 +6,9 @@
 
 	"cherryrelay/internal/call"
 	"cherryrelay/internal/peer"
+	"cherryrelay/internal/ring"
+	"cherryrelay/internal/sip"
+	"cherryrelay/internal/websocket"
 )
 
 // TestAReleaseIsNotHeldUpByTheBackoff: a dispatcher has refused connections for long, so that it is dialled rarely. The release of a call there
@@ -60,3 +63,19 @@
 		t.Errorf("released %s, want %s", e.ID, id)
 	}
 }
+
+// TestReleasesAreConfirmed guards against releases that are taken for heard as they have left: what confirms them, on either wire.
+func TestReleasesAreConfirmed(t *testing.T) {
+	const id = "00000000000000b3"
+	fields := []string{"idle"}
+	confirmedBy := func(w Wire, p []byte) {
+		t.Helper()
+		in := ring.New(1 << 10)
+		in.Write(p)
+		if m, err := w.Next(in); err != nil || m == nil || m.kind != confirmation || m.id != id {
+			t.Errorf("%T reads %+v, %v; want the confirmation of %s", w, m, err, id)
+		}
+	}
+	confirmedBy(&SIP{fields: &fields}, sip.Append(nil, &sip.Message{Status: 200, Phrase: "OK", CallID: id, Seq: byeSeq, SeqOf: "BYE"}))
+	confirmedBy(&WebSocket{fields: &fields, open: true}, websocket.Append(nil, websocket.Text, []byte(`{"type":"released","id":"`+id+`","fields":{}}`), false))
+}
--- a/internal/dispatchers/server.go
+++ b/internal/dispatchers/server.go
@@ -79,13 +79,6 @@
 	return a, a.Limit > 0
 }
 
-// release is one that no connection was open for.
-type release struct {
-	id    string
-	cause int
-	here  bool // the call is known to be at this dispatcher
-}
-
 // expire tells of attempts that no connection came up for: they never ran.
 func (s *server) expire(now time.Time) {
 	for len(s.waiting) > 0 && (now.After(s.waiting[0].until) || now.IsZero()) {
@@ -130,20 +123,11 @@
 	return n
 }
 
-// serve sends what has waited for a connection. Releases go first: a set-up under the same id is not to be ended by one. Of many, some
-// go at once; the rest comes with the next look at the dispatcher.
+// serve sends what has waited for a connection. Releases go first: a set-up under the same id is not to be ended by one.
 func (s *server) serve(l *link) {
-	if l.conn.Unsent() > 0 && len(s.releases) > 0 {
-		return // it has not taken the last ones yet
-	}
-	some := s.releases[:min(len(s.releases), releasesAtOnce)]
-	for _, r := range some {
-		l.release(r)
-	}
-	if s.releases = s.releases[len(some):]; len(s.releases) > 0 {
+	if !s.serveReleases(l) {
 		return
 	}
-	s.releases = nil
 	waited := s.waiting
 	s.waiting = nil
 	for _, w := range waited {
--- a/internal/dispatchers/sip.go
+++ b/internal/dispatchers/sip.go
@@ -83,6 +83,8 @@
 	case m.Method == "NOTIFY" || m.Method == "ACK":
 	case m.Method != "":
 		got.reply = respond(m)
+	case m.SeqOf == "BYE" && m.Status >= 200:
+		got.kind = confirmation
 	case m.SeqOf != "INVITE":
 	case m.Status >= 200:
 		w.finalAnswer(m, got)
--- a/internal/dispatchers/websocket.go
+++ b/internal/dispatchers/websocket.go
@@ -131,6 +131,8 @@
 	case "answer":
 		got.kind, got.final, got.description = answer, true, m.Description()
 		got.spoilt = !call.ValidDescription(got.description)
+	case "released":
+		got.kind = confirmation
 	case "release":
 		got.kind, got.final, got.cause = ended, true, m.CauseOr(call.CauseNormal)
 		got.outcome, got.noLine = outcome(got.cause)
