Release calls told as cut at a dispatcher that has no connection

What callers saw: a call was told to be cut, and its dispatcher held it on: one off the list, or one that came back after it had counted as gone.

Cause: server.drop threw away the releases that waited for a connection and made none for the calls that are told as cut; a dispatcher off the list was never dialled.

Why this works: such releases are kept and made, and go out on the connection that is drained or on the next one. One off the list is dialled for them for 10 s; one whose address is another's, or that began anew, gets none of its predecessor's.

--- a/internal/dispatchers/check.go
+++ b/internal/dispatchers/check.go
@@ -42,7 +42,7 @@
 		s.active = false
 		s.check(now)
 		switch {
-		case s.Status == control.Removed && s.gone() && len(s.links)+len(s.givenUp) == 0 && !s.dialing:
+		case s.Status == control.Removed && s.gone() && len(s.links)+len(s.givenUp)+len(s.releases) == 0 && !s.dialing:
 			p.leave(s)
 			delete(p.servers, s.ID)
 			forgotten = true
@@ -58,16 +58,32 @@
 	p.loop.After(checkEvery, p.check)
 }
 
+// checkGone looks at a dispatcher of which nothing is to be expected any more. The list may be ahead of the process: it is let go when it is quiet,
+// and dialled only to release calls.
+func (s *server) checkGone(now time.Time) {
+	if s.goneSince.IsZero() {
+		s.goneSince = now
+	}
+	if len(s.links) == 0 || now.Sub(s.heardAt) > silence && s.probeUnanswered(now) {
+		s.drop(errors.New("dispatcher is gone"))
+		s.pool.core.Died(s.ID)
+	}
+	if !s.mayRelease(now) {
+		s.releases = nil
+	} else if len(s.links) == 0 {
+		s.connect()
+	}
+}
+
 // check looks at one dispatcher.
 func (s *server) check(now time.Time) {
 	silent := now.Sub(s.heardAt)
+	if !s.gone() {
+		s.goneSince = time.Time{}
+	}
 	switch {
 	case s.gone():
-		// The register may be ahead of the process: it is let go when it is quiet.
-		if len(s.links) == 0 || silent > silence && s.probeUnanswered(now) {
-			s.drop(errors.New("dispatcher is gone"))
-			s.pool.core.Died(s.ID)
-		}
+		s.checkGone(now)
 		return
 	case silent > deadAfter && s.dialTimedOut && s.holds(): // also where all connections were given up before: as each was unresponsive
 		s.pool.Log.Warn("dispatcher is silent", "server", s.ID, "for", silent)
--- a/internal/dispatchers/dial.go
+++ b/internal/dispatchers/dial.go
@@ -11,7 +11,7 @@
 // connect opens one more connection if that is allowed now.
 func (s *server) connect() {
 	now := time.Now()
-	if s.dialing || s.gone() || len(s.links) >= s.pool.links || !s.pool.admit(s, now) {
+	if s.dialing || !s.reachable(now) || len(s.links) >= s.pool.links || !s.pool.admit(s, now) {
 		return
 	}
 	s.dialing = true
@@ -22,7 +22,7 @@
 	var l *link
 	handler := func(c connection) conn.Handler {
 		now := time.Now()
-		l = &link{server: s, lifetime: new(lifetime), conn: c, wire: wire, invites: map[string]*invite{}, openedAt: now, heardAt: now, since: now, usedAt: now}
+		l = &link{server: s, process: s.process, lifetime: new(lifetime), conn: c, wire: wire, invites: map[string]*invite{}, openedAt: now, heardAt: now, since: now, usedAt: now}
 		return socket{l}
 	}
 	s.pool.dial(dial, s.pool.ConnectTimeout, handler, func(err error) {
@@ -34,7 +34,7 @@
 			s.pool.released(false)
 			return
 		}
-		if s.Address != address || s.gone() {
+		if s.Address != address || !s.reachable(time.Now()) {
 			l.conn.Close(conn.ErrClosedHere)
 			return
 		}
@@ -42,6 +42,9 @@
 	})
 }
 
+// reachable reports whether connections to the dispatcher are of use.
+func (s *server) reachable(now time.Time) bool { return !s.gone() || s.mayRelease(now) }
+
 func (s *server) refused(err error) {
 	if errors.Is(err, conn.ErrNoSocket) { // says nothing of the dispatcher
 		s.backoff.Fail(time.Now(), rand.Float64())
@@ -70,6 +73,7 @@
 // drain may leave its connections open. It is no more, and its calls with it.
 func (s *server) stopped() {
 	s.drop(errors.New("dispatcher has stopped"))
+	s.releases = nil // there is no way to send them
 	s.pool.core.Died(s.ID)
 }
 
--- a/internal/dispatchers/link.go
+++ b/internal/dispatchers/link.go
@@ -92,7 +92,8 @@
 
 // link is one connection to a dispatcher.
 type link struct {
-	server *server
+	server  *server
+	process int // of those that have run under the server's name
 	*lifetime
 	conn    connection
 	wire    Wire
--- a/internal/dispatchers/list.go
+++ b/internal/dispatchers/list.go
@@ -44,6 +44,8 @@
 			// Its calls went with the old process, and old connections may look open still.
 			p.Log.Info("dispatcher began anew", "server", s.ID)
 			s.drop(errors.New("dispatcher began anew"))
+			s.releases = nil
+			s.process++
 			p.core.Died(s.ID)
 		}
 		if entry.Status != control.Removed {
--- a/internal/dispatchers/orders_test.go
+++ b/internal/dispatchers/orders_test.go
@@ -459,6 +459,9 @@
 		"a dispatcher that is off the list is silent":                       {established, "xT"},
 		"a release crosses the close of its connection":                     {established, "hc"},
 		"the release of a late answer crosses the close of its connection":  {orderStart{}, "ach"},
+		"a dispatcher off the list has no connection":                       {established, "xr"},
+		"a release waits as its dispatcher is off the list":                 {established, "hcx"},
+		"a dispatcher returns whose calls were told as cut":                 {orderStart{called: true, most: 1}, "vqw"},
 		"a dispatcher with as many connections as there may be is cut off":  {established, "qTv"},
 		"a dispatcher with the one connection that there may be is cut off": {orderStart{called: true, most: 1}, "v"},
 	} {
--- a/internal/dispatchers/release.go
+++ b/internal/dispatchers/release.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cherryrelay/control"
+	"cherryrelay/internal/call"
 )
 
 // Releases of calls, from here to the dispatchers that hold them.
@@ -22,10 +23,13 @@
 	leftAt time.Time // when all of it had gone to the socket; zero before
 }
 
+// releaseFor is how long a dispatcher that is off the list is dialled to release calls there.
+const releaseFor = 10 * time.Second
+
 // Release cuts a call that stands.
 func (p *Pool) Release(id control.ServerID, callID string, cause int) {
 	for _, s := range p.order {
-		if id != "" && s.ID != id || s.gone() && len(s.links) == 0 {
+		if id != "" && s.ID != id || s.gone() && len(s.links) == 0 && (id == "" || s.replaced) {
 			continue
 		}
 		delete(s.standing, callID)
@@ -38,6 +42,22 @@
 	}
 }
 
+// takeReleases takes the releases of calls that are known to be at the dispatcher: those that wait for a connection, and those of calls that stand,
+// which are about to count as cut.
+func (s *server) takeReleases() []release {
+	taken := slices.DeleteFunc(s.releases, func(r release) bool { return !r.here })
+	s.releases = nil
+	for _, id := range slices.Sorted(s.pool.core.StandAt(s.ID)) {
+		taken = append(taken, release{id, call.CauseTemporary, true})
+	}
+	return taken
+}
+
+// mayRelease reports whether a dispatcher of which nothing is to be expected any more may be dialled to release calls: its process may live.
+func (s *server) mayRelease(now time.Time) bool {
+	return !s.replaced && s.hasRelease() && (s.goneSince.IsZero() || now.Sub(s.goneSince) < releaseFor)
+}
+
 // serveReleases sends releases that have waited for a connection, and reports whether none is left. Of many, some go at once; the rest comes
 // with the next look at the dispatcher.
 func (s *server) serveReleases(l *link) bool {
@@ -84,7 +104,7 @@
 func (l *link) keepUnconfirmed() {
 	l.forgetDelivered()
 	for _, r := range l.unconfirmed {
-		if r.here {
+		if r.here && l.process == l.server.process {
 			l.server.releases = append(l.server.releases, r.release)
 		}
 	}
--- a/internal/dispatchers/server.go
+++ b/internal/dispatchers/server.go
@@ -54,6 +54,8 @@
 	probedAt     time.Time // when a probe was sent to see whether it lives; zero for never
 	replaced     bool      // another dispatcher has its address now
 	releases     []release
+	process      int                  // counts the processes that have run under its name
+	goneSince    time.Time            // when nothing was to be expected of it any more; zero while something is
 	standing     map[string]*lifetime // of the connection on which the set-up was answered, for each call that stands
 	demand       links.Demand
 
@@ -140,12 +142,12 @@
 }
 
 // drop gives up all connections, ends what was under way, and releases what stood. The dispatcher may live, and not listen any more: what it
-// still says is taken for a while.
+// still says is taken for a while. Where no connection is open, releases wait for one.
 func (s *server) drop(reason error) {
-	standing := slices.Sorted(s.pool.core.StandAt(s.ID))
 	heard := s.best()
+	pending := s.takeReleases()
 	for _, l := range slices.Clone(s.links) {
-		if len(l.invites) > 0 || l == heard && len(standing) > 0 {
+		if len(l.invites) > 0 || l == heard && len(pending) > 0 {
 			l.drain(reason)
 			continue
 		}
@@ -153,12 +155,14 @@
 		l.Closed(reason)
 	}
 	if heard != nil {
-		for _, id := range standing {
-			heard.release(release{id, call.CauseTemporary, true})
+		for _, r := range pending {
+			heard.release(r)
 		}
+	} else {
+		s.releases = append(s.releases, pending...)
 	}
 	s.expire(time.Time{})
-	s.releases, s.doubtful, s.unclosed = nil, nil, false
+	s.doubtful, s.unclosed = nil, false
 	clear(s.standing)
 }
 
