Release set-ups whose outcome went down with their connection

What callers saw: nothing; a dispatcher held a call for nobody, beside its next attempt elsewhere, until it ended by itself.

Cause: a connection that is reset, closed for a fault or given up may take an answer along. Its set-ups ended as reset, and what had come of them was nobody's.

Why this works: set-ups without a final answer are released at their dispatcher, on another connection or the next one, before any set-up that waits there. Not where another attempt of the call is at the same dispatcher by then.

--- a/internal/dispatchers/link_end.go
+++ b/internal/dispatchers/link_end.go
@@ -50,15 +50,32 @@
 
 // Closed takes in that the connection has ended.
 func (l *link) Closed(reason error) {
+	s, invites := l.server, l.invites
 	if l.state == linkOpen {
 		l.end(reason)
-		return
+	} else {
+		l.ended(reason)
+	}
+	if !inOrder(reason) {
+		l.releaseUnknown(invites)
 	}
+	if best := s.best(); best != nil {
+		s.serveReleases(best)
+	}
+}
+
+// inOrder reports whether a connection was ended by its dispatcher, behind all that it had to say.
+func inOrder(reason error) bool {
+	return errors.Is(reason, io.EOF) && !errors.Is(reason, conn.ErrReset)
+}
+
+// ended takes in the end of a connection that had been given up.
+func (l *link) ended(reason error) {
 	s := l.server
 	if errors.Is(reason, conn.ErrClosedHere) && (l.givenUp() || !l.evicted) {
 		s.unclosed = true // its dispatcher may hold it for open still
 	}
-	l.state = linkClosed
+	l.state, l.invites = linkClosed, nil
 	l.keepUnconfirmed()
 	s.givenUp = slices.DeleteFunc(s.givenUp, func(o *link) bool { return o == l })
 	s.track()
@@ -86,8 +103,7 @@
 	if len(s.links) == 0 || len(s.links) < s.wanted(time.Now()) {
 		s.connect()
 	}
-	inOrder := errors.Is(reason, conn.ErrClosedHere) || errors.Is(reason, io.EOF) && !errors.Is(reason, conn.ErrReset)
-	if !inOrder && (before || !s.dialing) {
+	if !errors.Is(reason, conn.ErrClosedHere) && !inOrder(reason) && (before || !s.dialing) {
 		// It may have taken ends of calls along: behind what was spoilt, unread as it was reset, or swallowed while it was dead. Its
 		// dispatcher tells them once more, on the next connection that opens; the others that are open bring nothing of them.
 		s.pool.Renew(s.ID)
--- a/internal/dispatchers/release.go
+++ b/internal/dispatchers/release.go
@@ -1,6 +1,7 @@
 package dispatchers
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -42,6 +43,32 @@
 	}
 }
 
+// releaseUnknown releases what may have come of set-ups whose connection ended without a word of theirs: an answer may have gone down with it,
+// and its dispatcher hold the call.
+func (l *link) releaseUnknown(invites map[string]*invite) {
+	s := l.server
+	if l.process != s.process || s.replaced {
+		return
+	}
+	for _, id := range slices.Sorted(maps.Keys(invites)) {
+		if !s.serves(id) && len(s.releases) < maxReleases {
+			s.releases = append(s.releases, release{id, call.CauseNormal, true})
+			s.pool.touch(s)
+		}
+	}
+}
+
+// serves reports whether another attempt of a call is at the dispatcher, or on its way there. A release would end that one too.
+func (s *server) serves(id string) bool {
+	if s.standing[id] != nil || slices.ContainsFunc(s.waiting, func(w waiting) bool { return w.ID == id }) {
+		return true
+	}
+	return slices.ContainsFunc(s.links, func(l *link) bool {
+		i := l.invites[id]
+		return i != nil && i.withdrawn.IsZero()
+	})
+}
+
 // takeReleases takes the releases of calls that are known to be at the dispatcher: those that wait for a connection, and those of calls that stand,
 // which are about to count as cut.
 func (s *server) takeReleases() []release {
