Keep no entry of an answer that establishes no call

What callers saw: nothing; the pool kept an entry for each answer that came for nobody, or behind the end of its call.

Cause: link.take noted the connection of an answer before the core said whether it took it.

Evidence: the search of orders, qrta with two connections, fails without the change.

Why this works: Core.Answered reports whether the call is established by the answer, and only then there is an entry.

--- a/internal/call/outcomes.go
+++ b/internal/call/outcomes.go
@@ -11,30 +11,30 @@
 
 // What dispatchers say of attempts, and of calls that stand.
 
-// Answered tells that a dispatcher says that a call stands. Nobody waits for it if the attempt was withdrawn or
-// the caller has left; then the dispatcher's call is released.
-func (c *Core) Answered(server control.ServerID, id string, attempt int, description string) {
+// Answered tells that a dispatcher says that a call stands, and reports whether it does by that. Nobody waits for it if the attempt was
+// withdrawn or the caller has left; then the dispatcher's call is released.
+func (c *Core) Answered(server control.ServerID, id string, attempt int, description string) bool {
 	k := c.calls[id]
 	if k != nil && k.state == stands && k.server == server {
-		return // said twice, or late, of an earlier attempt
+		return false // said twice, or late, of an earlier attempt
 	}
 	if k != nil && k.out && k.server == server && attempt >= 0 && attempt < k.attempts-1 {
 		// An earlier attempt's, late. A release would go out under the id that both have, and cut the call that the later
 		// one is about to stand as.
-		return
+		return false
 	}
 	if k != nil && k.state == open && k.Caller.Left() && k.state == open {
 		c.callerLeft(k) // before the answer came: whoever leaves later has had it, and its call stands
 	}
 	if k == nil || !k.out || k.server != server || attempt >= 0 && attempt != k.attempts-1 {
 		c.dispatchers.Release(server, id, CauseNormal)
-		return
+		return false
 	}
 	if err := k.Caller.Answer(id, description); err != nil {
 		c.log.Warn("answer that cannot be passed on", "id", id, "server", server, "err", err)
 		c.dispatchers.Release(server, id, CauseNormal)
 		c.Ended(server, id, attempt, control.Failed, false, nil)
-		return
+		return false
 	}
 	c.note(k, recovery.Stood, func(e *recovery.Event) {
 		if k.Token != nil {
@@ -56,6 +56,7 @@
 	c.tell(control.CallStands{ID: control.CallID(id), Server: server, Attempt: k.attempts - 1,
 		Elapsed: time.Since(k.sentAt)})
 	c.overtook(k)
+	return k.state == stands
 }
 
 // Ended tells the outcome of an attempt that does not stand. The outcome of one that was withdrawn has been told
--- a/internal/dispatchers/budget_test.go
+++ b/internal/dispatchers/budget_test.go
@@ -38,8 +38,9 @@
 	}
 }
 
-func (s *standings) Answered(server control.ServerID, id string, _ int, _ string) {
+func (s *standings) Answered(server control.ServerID, id string, _ int, _ string) bool {
 	s.at[server] = append(s.at[server], id)
+	return true
 }
 
 // budgeted is a pool with a budget and dispatchers to connect to.
--- a/internal/dispatchers/dispatchers.go
+++ b/internal/dispatchers/dispatchers.go
@@ -65,7 +65,8 @@
 	Reached()
 	// Written tells that all of a set-up has gone to a dispatcher.
 	Written()
-	Answered(server control.ServerID, id string, attempt int, description string)
+	// Answered reports whether the call is established by the answer.
+	Answered(server control.ServerID, id string, attempt int, description string) bool
 	Ended(server control.ServerID, id string, attempt int, o control.Outcome, noLine bool, report []float64)
 	Released(server control.ServerID, id string, attempt, cause int, report []float64)
 	Reported(server control.ServerID, report []float64)
--- a/internal/dispatchers/link.go
+++ b/internal/dispatchers/link.go
@@ -311,8 +311,9 @@
 			return nil
 		}
 		s.answeredAt = time.Now()
-		s.standing[m.id] = l.lifetime
-		core.Answered(s.ID, m.id, attempt, m.description)
+		if core.Answered(s.ID, m.id, attempt, m.description) {
+			s.standing[m.id] = l.lifetime
+		}
 	case refusal:
 		core.Ended(s.ID, m.id, attempt, m.outcome, m.noLine, m.report)
 	case released:
--- a/internal/dispatchers/orders_test.go
+++ b/internal/dispatchers/orders_test.go
@@ -464,6 +464,7 @@
 		"a dispatcher returns whose calls were told as cut":                 {orderStart{called: true, most: 1}, "vqw"},
 		"an answer goes down with its connection":                           {orderStart{}, "ar"},
 		"a late answer goes down with its connection":                       {orderStart{}, "acr"},
+		"an answer that comes too late leaves no entry":                     {orderStart{two: true}, "qrta"},
 		"a dispatcher with as many connections as there may be is cut off":  {established, "qTv"},
 		"a dispatcher with the one connection that there may be is cut off": {orderStart{called: true, most: 1}, "v"},
 	} {
