Answer resumed calls in the time that their callers name

Cause: a resume may say how long its caller waits. That held while the call was looked for, and no more once it was found, was known here, or while an earlier process had the ledger.

Evidence: TestAFinalAnswerComesInTheTimeThatAResumeNames forces five ways; four failed before the change.

Why this works: an open call that is resumed is answered by the earlier of the time noted and the time named; a claim that waits for the ledger in the time named.

--- /dev/null
+++ b/internal/call/claim_deadline_test.go
@@ -0,0 +1,74 @@
+package call
+
+import (
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"cherryrelay/control"
+	"cherryrelay/internal/decide/recovery"
+	"cherryrelay/internal/takeover"
+)
+
+// lookups is a Finder that looks for calls until it is told what to find.
+type lookups struct{}
+
+func (lookups) Want(string, []byte) bool  { return true }
+func (lookups) Kept(...string)            {}
+func (lookups) Ended(string, int)         {}
+func (lookups) Give(*takeover.Call) error { return nil }
+func (lookups) Gone(...string)            {}
+
+// recoveredOpen is a book with an open call.
+func recoveredOpen(core *Core, id string) *recovery.Book {
+	b := recovery.NewBook()
+	b.Apply(taken(id, core.now()))
+	return b
+}
+
+// TestAFinalAnswerComesInTheTimeThatAResumeNames guards against final answers that come later than the caller of a resumed call waits, whose own
+// account of that may be shorter than what was noted as the call was taken in.
+func TestAFinalAnswerComesInTheTimeThatAResumeNames(t *testing.T) {
+	const id, left = "00000000000000ab", 500 * time.Millisecond
+	for name, begin := range map[string]func(core *Core){
+		"it was left by an earlier process": func(core *Core) { core.Recover(recoveredOpen(core, id), nil) },
+		"its connection closed here": func(core *Core) {
+			gone := &stage{core: core}
+			_ = core.Offer(Request{ID: id, Class: "c", Deadline: time.Now().Add(9 * time.Second), Caller: gone, Token: recovery.Hash(callToken), Description: "x"})
+			core.CallerClosed(gone)
+		},
+		"an earlier process has the ledger": func(core *Core) { core.AwaitLedger() },
+		"it is looked for, and not found":   func(core *Core) { core.Seek(lookups{}, func() bool { return true }, func(error) {}) },
+		"it is looked for, and found": func(core *Core) {
+			core.Seek(lookups{}, func() bool { return true }, func(error) {})
+			core.Loop().After(left/2, func() {
+				e := taken(id, core.now())
+				core.Arrived(&takeover.Call{Events: []recovery.Event{e}, LastUs: e.AtUs}, -1)
+			})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				core := newSite(t).core
+				s := &stage{core: core}
+				core.Serve(s)
+				core.AddFront(atFront{s})
+				core.Loop().Post(func() {
+					core.Update(Update{Whole: true, Servers: []Server{{ServerEntry: control.ServerEntry{ID: "a"}, Address: "127.0.0.1:1"}}})
+					begin(core)
+					if err := core.Claim(Claim{Caller: s, ID: id, Token: callToken, By: time.Now().Add(left)}); err != nil {
+						t.Error(err)
+					}
+				})
+				go core.Loop().Run()
+				time.Sleep(left)
+				core.Loop().Quit()
+				synctest.Wait()
+				if told := strings.Join(s.said, "; "); strings.Count(told, "end "+id) != 1 {
+					t.Errorf("told in the time that the resume named: %q; want one final answer", told)
+				}
+			})
+		})
+	}
+}
--- a/internal/call/recover.go
+++ b/internal/call/recover.go
@@ -209,6 +209,7 @@
 			return ErrTooManyClaims
 		}
 		c.claims = append(c.claims, claim)
+		c.unlessFound(claim, func() { c.ledgerTooLate(claim) })
 		return nil
 	}
 	caller, id, token, answered := claim.Caller, claim.ID, claim.Token, claim.Answered
@@ -251,6 +252,7 @@
 		if k.Caller != caller {
 			c.move(k, caller)
 		}
+		c.shorten(k, claim.By)
 		if k.parked {
 			k.parked = false
 			class := c.class(k.Class)
@@ -264,6 +266,34 @@
 	return nil
 }
 
+// shorten has an open call answered by the time at which its caller gives up, if that is earlier than was known: the set-up may have waited
+// unread before its time was noted.
+func (c *Core) shorten(k *record, by time.Time) {
+	if by.IsZero() || !by.Before(k.Deadline) {
+		return
+	}
+	k.Deadline = by
+	c.loop.Stop(k.limit)
+	c.limit(k)
+}
+
+// unlessFound has tooLate run before the caller of a claim gives up, if it says when that is.
+func (c *Core) unlessFound(claim Claim, tooLate func()) {
+	if !claim.Answered && !claim.By.IsZero() {
+		c.loop.After(max(time.Until(claim.By)-early, 0), tooLate)
+	}
+}
+
+// ledgerTooLate tells a caller whose time is over that nothing is known of its call, as a predecessor has the ledger still.
+func (c *Core) ledgerTooLate(claim Claim) {
+	i := slices.Index(c.claims, claim)
+	if i < 0 {
+		return
+	}
+	c.claims = slices.Delete(c.claims, i, i+1)
+	c.unknown(claim.Caller, claim.ID, claim.Token, false)
+}
+
 // unknown tells a caller that nothing is known of a call. With cut, nobody else can have it either.
 func (c *Core) unknown(caller Caller, id, token string, cut bool) {
 	c.recovered.Unknown++
--- a/internal/call/takeover.go
+++ b/internal/call/takeover.go
@@ -52,9 +52,7 @@
 	}
 	p.claims[claim.ID] = append(p.claims[claim.ID], claim)
 	p.waiting[claim.Caller]++
-	if !claim.Answered && !claim.By.IsZero() {
-		c.loop.After(max(time.Until(claim.By)-early, 0), func() { c.tooLate(claim) })
-	}
+	c.unlessFound(claim, func() { c.tooLate(claim) })
 	return true
 }
 
