Have the judge of trials know of answers that a dying dispatcher could not send

Cause: the stand-in told its judge that it answers and ignored that the write failed, as it had closed its connections in dying. The controller saw the reset and tried the call elsewhere after the guard.

Evidence: TestAnAnswerOfADispatcherThatHasDied forces the order and gives the same message on the judge of before.

Why this works: an answer that can't be written ends the attempt as a broken one does. As strict: an attempt inside the guard from then on is a fault, and one beside a call whose answer has left, as before.

--- a/internal/trial/judge.go
+++ b/internal/trial/judge.go
@@ -113,6 +113,15 @@
 	}
 }
 
+// AnswerUnsent is an answer that its dispatcher could not send, as its connection had been closed there: the attempt ended with that.
+func (j *Judge) AnswerUnsent(id, at string, when time.Time) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if c := j.call(id); c.stands == at {
+		c.stands, c.guarded = "", when
+	}
+}
+
 // AnswersLost are the answers that a dispatcher has sent since a time on connections that it resets now: no controller may have read them.
 func (j *Judge) AnswersLost(at string, since, when time.Time) {
 	j.mu.Lock()
--- a/internal/trial/peers.go
+++ b/internal/trial/peers.go
@@ -74,11 +74,21 @@
 	defer d.mu.Unlock()
 	for id, e := range d.links {
 		delete(d.links, id)
-		d.judge.Answered(id, d.Name)
-		_ = e.Answer(Description(id))
+		d.answer(e)
 	}
 }
 
+// answer answers a set-up, and reports whether the answer has left. The judge is told before it leaves: what its controller does then may come
+// first.
+func (d *Dispatcher) answer(e peer.Event) bool {
+	d.judge.Answered(e.ID, d.Name)
+	if e.Answer(Description(e.ID)) != nil { // the connection is closed here: this dispatcher dies
+		d.judge.AnswerUnsent(e.ID, d.Name, time.Now())
+		return false
+	}
+	return true
+}
+
 func (d *Dispatcher) event(e peer.Event) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -143,9 +153,7 @@
 			d.judge.Refused(e.ID, d.Name)
 			_ = e.Refuse(peer.NoLine)
 		default:
-			d.judge.Answered(e.ID, d.Name)
-			_ = e.Answer(Description(e.ID))
-			if !d.quick {
+			if d.answer(e) && !d.quick {
 				time.AfterFunc(time.Duration(draw.IntN(1500))*time.Millisecond, func() { d.End(e.ID) })
 			}
 		}
--- /dev/null
+++ b/internal/trial/peers_test.go
@@ -0,0 +1,53 @@
+package trial
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"cherryrelay/internal/peer"
+	"cherryrelay/internal/sip"
+)
+
+// TestAnAnswerOfADispatcherThatHasDied guards against a judge that takes an answer for given that its dispatcher could not send any more: the
+// next attempt counted as one beside a call that stands.
+func TestAnAnswerOfADispatcherThatHasDied(t *testing.T) {
+	const id, guard = "00000000000000d1", 50 * time.Millisecond
+	judge := NewJudge(guard, time.Minute)
+	d, err := Stand("tcp", "s8", judge)
+	if err != nil {
+		t.Fatal(err)
+	}
+	d.Act(false, true)
+	controller, err := net.Dial("tcp", d.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer controller.Close()
+	if _, err := controller.Write(sip.Append(nil, &sip.Message{Method: "INVITE", URI: "sip:k@net", CallID: id, Seq: 1, SeqOf: "INVITE", Body: []byte("x")})); err != nil {
+		t.Fatal(err)
+	}
+	for until := time.Now().Add(peer.Patience); judge.Out(id) == "" && time.Now().Before(until); {
+		time.Sleep(time.Millisecond)
+	}
+	d.mu.Lock() // the close of its connections is told to it after its answer
+	e := d.links[id]
+	delete(d.links, id)
+	d.Die()
+	d.answer(e)
+	d.mu.Unlock()
+	if at := judge.Stands(id); at != "" {
+		t.Errorf("it stands at %s, which has died before it could answer", at)
+	}
+	judge.SetUp(id, "s31", time.Now().Add(guard))
+	if faults, _, _ := judge.Verdict(); len(faults) > 0 {
+		t.Error(faults)
+	}
+	judge.SetUp("00000000000000d2", "s8", time.Now())
+	judge.Answered("00000000000000d2", "s8")
+	judge.AnswerUnsent("00000000000000d2", "s8", time.Now())
+	judge.SetUp("00000000000000d2", "s31", time.Now())
+	if faults, _, _ := judge.Verdict(); len(faults) != 1 {
+		t.Errorf("an attempt inside the guard: %v; want one fault", faults)
+	}
+}
