Have ends that a reset took along told again where a probe is answered

Why this works: a dispatcher off the list is dialled for ends that may have been lost; where it can't be dialled, its calls count as cut as before the probe. A probe is sent anew if a connection ends. The 10 s of a release count from the loss of the last connection.

--- a/internal/dispatchers/check.go
+++ b/internal/dispatchers/check.go
@@ -59,18 +59,16 @@
 }
 
 // checkGone looks at a dispatcher of which nothing is to be expected any more. The list may be ahead of the process: it is let go when it is quiet,
-// and dialled only to release calls.
+// and dialled only to release calls, and for ends that may have been lost.
 func (s *server) checkGone(now time.Time) {
-	if s.goneSince.IsZero() {
-		s.goneSince = now
-	}
-	if len(s.links) == 0 || now.Sub(s.heardAt) > silence && s.probeUnanswered(now) {
+	if len(s.links) == 0 || now.Sub(s.heardAt) > silence && s.quietForGood(now) {
 		s.drop(errors.New("dispatcher is gone"))
 		s.pool.core.Died(s.ID)
 	}
 	if !s.mayRelease(now) {
 		s.releases = nil
-	} else if len(s.links) == 0 {
+	}
+	if len(s.links) == 0 || s.endsLost {
 		s.connect()
 	}
 }
@@ -78,9 +76,6 @@
 // check looks at one dispatcher.
 func (s *server) check(now time.Time) {
 	silent := now.Sub(s.heardAt)
-	if !s.gone() {
-		s.goneSince = time.Time{}
-	}
 	switch {
 	case s.gone():
 		s.checkGone(now)
@@ -90,7 +85,7 @@
 		s.drop(errors.New("dispatcher is silent"))
 		s.pool.core.Died(s.ID)
 		return
-	case s.refuses && len(s.links) > 0 && silent > silence && s.holds() && s.probeUnanswered(now):
+	case s.refuses && len(s.links) > 0 && silent > silence && s.holds() && s.quietForGood(now):
 		s.stopped()
 		return
 	case len(s.links) == 0:
@@ -126,6 +121,12 @@
 	s.expire(now)
 }
 
+// quietForGood reports whether a silent dispatcher counts as no more: it leaves a probe unanswered, or ends of its calls may have been lost and it
+// can't be connected to for what it would tell again.
+func (s *server) quietForGood(now time.Time) bool {
+	return s.endsLost && (s.refuses || s.dialTimedOut || s.replaced) || s.probeUnanswered(now)
+}
+
 // probeUnanswered reports whether the dispatcher leaves a probe unanswered for probeWithin on the connection that was heard from last. It sends
 // the probe first. One that drains may listen no more, and have nothing to say of its calls until they end.
 func (s *server) probeUnanswered(now time.Time) bool {
--- a/internal/dispatchers/dial.go
+++ b/internal/dispatchers/dial.go
@@ -43,7 +43,9 @@
 }
 
 // reachable reports whether connections to the dispatcher are of use.
-func (s *server) reachable(now time.Time) bool { return !s.gone() || s.mayRelease(now) }
+func (s *server) reachable(now time.Time) bool {
+	return !s.gone() || s.mayRelease(now) || s.endsLost && !s.replaced && s.pool.core.Standing(s.ID) > 0
+}
 
 func (s *server) refused(err error) {
 	if errors.Is(err, conn.ErrNoSocket) { // says nothing of the dispatcher
@@ -88,7 +90,7 @@
 
 func (s *server) opened(l *link) {
 	s.backoff.Reset()
-	s.dialTimedOut, s.refuses, s.renewing = false, false, false
+	s.dialTimedOut, s.refuses, s.renewing, s.endsLost = false, false, false, false
 	s.links = append(s.links, l)
 	s.track()
 	l.send(l.wire.Hello())
--- a/internal/dispatchers/link_end.go
+++ b/internal/dispatchers/link_end.go
@@ -57,6 +57,7 @@
 		l.ended(reason)
 	}
 	if !inOrder(reason) {
+		s.endsLost = true
 		l.releaseUnknown(invites)
 	}
 	if best := s.best(); best != nil {
@@ -85,6 +86,7 @@
 func (l *link) end(reason error) {
 	l.state, l.lifetime.over = linkClosed, true
 	s := l.server
+	s.probedAt = time.Time{} // it may have gone out here
 	s.pool.touch(s)
 	if !errors.Is(reason, io.EOF) && !errors.Is(reason, conn.ErrClosedHere) && !errors.Is(reason, errDead) {
 		s.pool.Log.Warn("connection to dispatcher closed", "server", s.ID, "reason", reason)
--- a/internal/dispatchers/release.go
+++ b/internal/dispatchers/release.go
@@ -24,7 +24,7 @@
 	leftAt time.Time // when all of it had gone to the socket; zero before
 }
 
-// releaseFor is how long a dispatcher that is off the list is dialled to release calls there.
+// releaseFor is how long a dispatcher that is off the list is dialled, once it has no connection, to release calls there.
 const releaseFor = 10 * time.Second
 
 // Release cuts a call that stands.
@@ -82,7 +82,7 @@
 
 // mayRelease reports whether a dispatcher of which nothing is to be expected any more may be dialled to release calls: its process may live.
 func (s *server) mayRelease(now time.Time) bool {
-	return !s.replaced && s.hasRelease() && (s.goneSince.IsZero() || now.Sub(s.goneSince) < releaseFor)
+	return !s.replaced && s.hasRelease() && s.without(now) < releaseFor
 }
 
 // serveReleases sends releases that have waited for a connection, and reports whether none is left. Of many, some go at once; the rest comes
--- a/internal/dispatchers/server.go
+++ b/internal/dispatchers/server.go
@@ -53,9 +53,9 @@
 	refuses      bool      // the last connection tried was refused
 	probedAt     time.Time // when a probe was sent to see whether it lives; zero for never
 	replaced     bool      // another dispatcher has its address now
+	endsLost     bool      // a connection may have taken ends of calls along, which are told again on the next one alone
 	releases     []release
 	process      int                  // counts the processes that have run under its name
-	goneSince    time.Time            // when nothing was to be expected of it any more; zero while something is
 	standing     map[string]*lifetime // of the connection on which the set-up was answered, for each call that stands
 	demand       links.Demand
 
