--- a/internal/dispatchers/orders_test.go
+++ b/internal/dispatchers/orders_test.go
@@ -35,11 +35,12 @@
 // orderSite is a core and a pool over stand-in dispatchers, with one call.
 type orderSite struct {
 	orderStart
-	core    *call.Core
-	pool    *Pool
-	network *standInNetwork
-	first   *process // the dispatcher that events are about
-	faults  []string
+	core      *call.Core
+	pool      *Pool
+	network   *standInNetwork
+	first     *process      // the dispatcher that events are about
+	startedAt time.Duration // when its process began, as the list has it; 0 for long ago
+	faults    []string
 
 	disturbedAt time.Time // when the last event was that is more than time that passes
 
@@ -130,7 +131,11 @@
 func (s *orderSite) list(status control.ServerStatus, names ...control.ServerID) {
 	var u call.Update
 	for i, name := range names {
-		u.Servers = append(u.Servers, call.Server{ServerEntry: control.ServerEntry{ID: name, Cell: i, Status: status}, Address: string(name)})
+		entry := control.ServerEntry{ID: name, Cell: i, Status: status}
+		if name == "first" {
+			entry.StartedAt = s.startedAt
+		}
+		u.Servers = append(u.Servers, call.Server{ServerEntry: entry, Address: string(name)})
 	}
 	s.core.Update(u)
 }
@@ -234,12 +239,22 @@
 			s.first.dies()
 			return listened
 		}, 0, false},
+		{'b', "it dies and begins anew", func(s *orderSite) bool { s.beginAnew(); return true }, 2 * checkEvery, false},
 		passes('t', 700*time.Millisecond),
 		passes('T', silence+3*checkEvery),
 		passes('q', deadAfter+10*checkEvery),
 	}
 }
 
+// beginAnew has another process run under the name of the first dispatcher, at its address.
+func (s *orderSite) beginAnew() {
+	s.first.dies()
+	s.first = newProcess(s)
+	s.network.processes["first"] = s.first
+	s.startedAt += time.Second
+	s.list(control.Active, "first")
+}
+
 func (s *orderSite) onOldest(f func(*standInConnection)) bool {
 	if s.first.cutOff || len(s.first.connections) == 0 {
 		return false
