Say in tests what they guard against, and leave the stories to the incidents

The comments at the top of five test files told what is in docs/incidents. In the orders of a call's messages, word becomes message.

--- a/cmd/cherryrelay/closes_test.go
+++ b/cmd/cherryrelay/closes_test.go
@@ -10,8 +10,6 @@
 	"cherryrelay/internal/peer"
 )
 
-// What has come on a connection from callers as this program decides to close it: docs/crossings.md, "A new connection is closed".
-
 // answersOf reads the final answers to the set-ups of the given numbers, in any order, and then the end of the connection.
 func (w *world) answersOf(c *peer.Caller, numbers ...int) map[int]*jsonl.Message {
 	w.Helper()
@@ -47,7 +45,7 @@
 	return text
 }
 
-// TestEverySetUpOnAConnectionWithoutRoomIsRefused: the first refusal closed the connection, and the set-ups behind it were lost.
+// TestEverySetUpOnAConnectionWithoutRoomIsRefused guards against set-ups that are lost behind the first refusal.
 func TestEverySetUpOnAConnectionWithoutRoomIsRefused(t *testing.T) {
 	for _, transport := range []string{"tcp", "ws"} {
 		t.Run(transport, func(t *testing.T) {
@@ -65,7 +63,7 @@
 	}
 }
 
-// TestSetUpsBehindAFaultAreAnswered: behind a message that ends the connection lie set-ups that were read with it.
+// TestSetUpsBehindAFaultAreAnswered guards against set-ups that are lost behind a message that ends the connection.
 func TestSetUpsBehindAFaultAreAnswered(t *testing.T) {
 	for _, transport := range []string{"tcp", "ws"} {
 		t.Run(transport, func(t *testing.T) {
@@ -98,7 +96,7 @@
 	w.answersOf(c, 1)
 }
 
-// TestARestThatComesAsItsTimeIsUp: a message has not been whole for too long, and its rest lies before the loop as that is noticed.
+// TestARestThatComesAsItsTimeIsUp guards against a set-up that is lost as its last part comes in the moment in which its time is up.
 func TestARestThatComesAsItsTimeIsUp(t *testing.T) {
 	const silent = 200 * time.Millisecond
 	for _, transport := range []string{"tcp", "ws"} {
@@ -130,9 +128,7 @@
 	return m
 }
 
-// TestAnEndThatHasNotLeftAsItsConnectionEnds: an end was queued on a connection, whose peer closed it before the turn was over. The turn took
-// longer than an end is kept for that was told, and it was told to nobody. The soak of shutdowns showed it (seeds 15, 18, 21 and 24): its trace had the
-// end queued at 472 ms, the caller's end of file at 564 and the close taken in at 695.
+// TestAnEndThatHasNotLeftAsItsConnectionEnds guards against the end of a call that is queued on a connection as its caller closes it.
 func TestAnEndThatHasNotLeftAsItsConnectionEnds(t *testing.T) {
 	for _, transport := range []string{"tcp", "ws"} {
 		t.Run(transport, func(t *testing.T) {
--- a/cmd/cherryrelay/crowd_test.go
+++ b/cmd/cherryrelay/crowd_test.go
@@ -17,10 +17,6 @@
 	"cherryrelay/internal/peer"
 )
 
-// A crowd of callers at once, as after a restart. What happened: of 600 callers, each with a set-up in its first segment, 479 were closed
-// without a word by a process that may hold 256 descriptors and held 148. Why: the listener closed what came beyond its bound before
-// anything was read. What showed it: a count of the ends that callers saw, and of the descriptors in /proc while they came.
-
 const (
 	// crowdLeft is what callers say that they wait for their answer, and crowdLimit what they do: the difference is this machine's, which
 	// plays thousands of callers beside the program.
@@ -106,8 +102,7 @@
 	return fmt.Sprintf("told %s", line), nil
 }
 
-// TestACrowdOfCallersIsAnswered: every set-up of a crowd has an answer or a refusal that says when to come back, in its time, and
-// descriptors are left for the list, dispatchers and operators.
+// TestACrowdOfCallersIsAnswered guards against callers beyond the bound of connections that are closed without an answer.
 func TestACrowdOfCallersIsAnswered(t *testing.T) {
 	const sockets = 256
 	for name, crowd := range map[string]struct {
--- a/internal/call/overtaken_test.go
+++ b/internal/call/overtaken_test.go
@@ -9,21 +9,17 @@
 	"cherryrelay/control"
 )
 
-// What a dispatcher says of one call on two connections may be read in another order than it was said in. What happened: the end of a call
-// came on another connection than its answer, was read first, and was dropped, as no call stood; then the answer was read, the call stood, and its
-// caller was never told its end. The soak of shutdowns showed it (seed 6): a trace had the end of 0147 read 9 ms before its answer.
-
-// word is one thing that comes, by its letter in an order.
-type word struct {
+// message is one that comes, by its letter in an order.
+type message struct {
 	letter byte
 	comes  func(s *site)
 }
 
 const overtakenID = "1"
 
-// words are what may come for one attempt: its answer, its end on the same and on another connection, the loss of its connection, and that its
+// messages are what may come for one attempt: its answer, its end on the same and on another connection, the loss of its connection, and that its
 // caller gives it up.
-var words = []word{
+var messages = []message{
 	{'A', func(s *site) { s.core.Answered("a", overtakenID, 0, "y") }},
 	{'e', func(s *site) { s.core.Released("a", overtakenID, 0, CauseNormal, nil) }},
 	{'E', func(s *site) { s.core.Released("a", overtakenID, -1, CauseNormal, nil) }},
@@ -35,37 +31,36 @@
 	{'C', func(s *site) { s.core.GiveUp(s, overtakenID, CauseNormal) }},
 }
 
-// orders are all orders of any of the words that can come about: on one connection the answer comes before the end, and nothing after its loss.
-func orders(of []word) [][]word {
-	var all [][]word
-	var extend func(order []word)
-	extend = func(order []word) {
-		all = append(all, append([]word(nil), order...))
-		for _, w := range of {
+// orders are all orders of any of the messages that can come about: on one connection the answer comes before the end, and nothing after its loss.
+func orders(of []message) [][]message {
+	var all [][]message
+	var extend func(order []message)
+	extend = func(order []message) {
+		all = append(all, append([]message(nil), order...))
+		for _, m := range of {
 			letters := spell(order)
 			lost := strings.Contains(letters, "L")
-			if strings.IndexByte(letters, w.letter) >= 0 || lost && strings.IndexByte("AeL", w.letter) >= 0 || w.letter == 'A' && strings.Contains(letters, "e") {
+			if strings.IndexByte(letters, m.letter) >= 0 || lost && strings.IndexByte("AeL", m.letter) >= 0 || m.letter == 'A' && strings.Contains(letters, "e") {
 				continue
 			}
-			extend(append(append([]word(nil), order...), w))
+			extend(append(append([]message(nil), order...), m))
 		}
 	}
 	extend(nil)
 	return all
 }
 
-func spell(order []word) string {
+func spell(order []message) string {
 	var letters strings.Builder
-	for _, w := range order {
-		letters.WriteByte(w.letter)
+	for _, m := range order {
+		letters.WriteByte(m.letter)
 	}
 	return letters.String()
 }
 
-// TestWhatIsSaidOfACallInEveryOrder: whoever was told that its call stands is told its end, once; nobody has two final answers; an end in place
-// of an answer is a final answer within a second; and an answer that nobody waits for is released.
+// TestWhatIsSaidOfACallInEveryOrder guards against an untold end, a second final answer, and an answer that nobody waits for and nobody releases.
 func TestWhatIsSaidOfACallInEveryOrder(t *testing.T) {
-	for _, order := range orders(words) {
+	for _, order := range orders(messages) {
 		t.Run("order "+spell(order), func(t *testing.T) {
 			t.Parallel()
 			s := newSite(t)
@@ -111,8 +106,7 @@
 	}
 }
 
-// TestAnEndOfUnknownAttempt: of a call that was tried at the same dispatcher before, an end on another connection may be of either attempt: the
-// one that is out goes on.
+// TestAnEndOfUnknownAttempt guards against an end of an earlier attempt at the same dispatcher that is taken for that of the one that is out.
 func TestAnEndOfUnknownAttempt(t *testing.T) {
 	t.Parallel()
 	s := newSite(t)
--- a/internal/dispatchers/release_test.go
+++ b/internal/dispatchers/release_test.go
@@ -11,8 +11,7 @@
 	"cherryrelay/internal/websocket"
 )
 
-// TestAReleaseIsNotHeldUpByTheBackoff: a dispatcher has refused connections for long, so that it is dialled rarely. The release of a call there
-// that waits for a connection has it dialled soon, and goes out as it comes back.
+// TestAReleaseIsNotHeldUpByTheBackoff guards against a release that waits for as long as a dispatcher is dialled rarely.
 func TestAReleaseIsNotHeldUpByTheBackoff(t *testing.T) {
 	t.Parallel()
 	const id, refusals = "00000000000000b1", 20
@@ -42,9 +41,7 @@
 	}
 }
 
-// TestAReleaseThatHasNotLeftAsItsConnectionEnds: the release of a call was queued on a connection that its dispatcher reset before it was flushed,
-// and went down with it: the call kept its line until it ended by itself. It goes out on the next connection. Found by reading, after the same fault
-// in the other direction (docs/incidents/end-not-left.md).
+// TestAReleaseThatHasNotLeftAsItsConnectionEnds guards against a release that is queued on a connection as its dispatcher resets it.
 func TestAReleaseThatHasNotLeftAsItsConnectionEnds(t *testing.T) {
 	t.Parallel()
 	const id = "00000000000000b2"
--- a/internal/dispatchers/vanished_test.go
+++ b/internal/dispatchers/vanished_test.go
@@ -91,8 +91,7 @@
 	}
 }
 
-// TestAVanishedMachineWithNoConnectionLeft: a machine that no longer answers at all, and whose connections had been given up one by
-// one as mute, was dialled for ever, and the calls that it had were never told to be over.
+// TestAVanishedMachineWithNoConnectionLeft guards against calls held for ever at a machine that vanished after its connections were given up.
 func TestAVanishedMachineWithNoConnectionLeft(t *testing.T) {
 	t.Parallel()
 	address := unreachable(t)
--- a/internal/fleet/share_test.go
+++ b/internal/fleet/share_test.go
@@ -9,10 +9,6 @@
 	"time"
 )
 
-// What each controller gets of dispatchers whose lines are all in use. What happened: of six controllers with even demand, one had a tenth of
-// what the others had. Why: a call that ended freed its line to the controller that had it, which took it again in the same turn, and whoever
-// asked in vain rested for twice as long each time. What showed it: the calls that each was served, and how often each asked in vain.
-
 // scarceLines has callers ask for more lines than there are.
 func scarceLines(seed uint64, controllers int, load float64, reports bool) Scenario {
 	lines := max(6, controllers)
@@ -36,8 +32,7 @@
 	return sum * sum / (float64(len(served)) * squares)
 }
 
-// TestNoControllerIsLeftWithoutLines: over seeds, numbers of controllers and loads, with reports and without, the least served controller has
-// a tenth of the mean at least, and the median of Jain's index is 0.8 or more.
+// TestNoControllerIsLeftWithoutLines guards against controllers that get few lines while others with the same demand get many.
 func TestNoControllerIsLeftWithoutLines(t *testing.T) { shareLines(t, 6) }
 
 // TestSoakNoControllerIsLeftWithoutLines is the same over a hundred seeds of each kind.
--- a/internal/lists/coordinator/slow_test.go
+++ b/internal/lists/coordinator/slow_test.go
@@ -14,10 +14,6 @@
 	"cherryrelay/internal/call"
 )
 
-// An event that takes long to come, as the list is large or the way narrow. What happened: a line that took over 1.7 s counted as a
-// coordinator that has fallen silent, and was begun anew for ever; one of over 1 MiB was asked for again without a pause, 378 times in 20 s. Why:
-// the watch looked at lines, not at bytes, and any line that came had the pause begin anew. docs/CAPACITY.md has the figures.
-
 // streams serves a script at each request, and counts the requests.
 func streams(t *testing.T, serve func(w io.Writer, r *http.Request)) (s *Stream, updates chan call.Update, asked *atomic.Int32) {
 	t.Helper()
@@ -32,7 +28,7 @@
 	return s, updates, asked
 }
 
-// TestASlowEventComesWhole: its bytes come all the time, and it takes several times as long as the stream may be silent.
+// TestASlowEventComesWhole guards against a watch that is begun anew inside an event whose bytes come all the time.
 func TestASlowEventComesWhole(t *testing.T) {
 	t.Parallel()
 	const silence = 200 * time.Millisecond
@@ -67,7 +63,7 @@
 	return fmt.Sprintf("id: 1\ndata: {\"index\":1,\"endpoints\":{\"index\":1,\"snapshot\":true,\"endpoints\":[%s]}}\n\n", strings.Join(entries, ","))
 }
 
-// TestALargeEventIsTakenIn: the whole list of the largest fleet, in one event.
+// TestALargeEventIsTakenIn guards against the whole list of a large fleet that never comes into force.
 func TestALargeEventIsTakenIn(t *testing.T) {
 	t.Parallel()
 	const size = 5 << 20
@@ -88,7 +84,7 @@
 	}
 }
 
-// TestAnEventBeyondTheBoundIsAskedForSeldom: it would come again as it is.
+// TestAnEventBeyondTheBoundIsAskedForSeldom guards against an event that is asked for without a pause, and comes again as it is.
 func TestAnEventBeyondTheBoundIsAskedForSeldom(t *testing.T) {
 	t.Parallel()
 	text := ": here\n\n" + wide(maxEvent+1<<20)
