--- a/internal/dispatchers/orders_test.go
+++ b/internal/dispatchers/orders_test.go
@@ -28,8 +28,8 @@
 	orderDeadline = 9 * time.Second
 	// onItsWay is the longest that anything is on its way, and arrivalStep the pace at which it arrives after that.
 	onItsWay, arrivalStep = time.Second, 50 * time.Millisecond
-	// endWithin is how soon the end of a call must reach its caller if the dispatcher could tell it; endUntold is as much if it could not.
-	endWithin, endUntold = time.Second, 8 * time.Second
+	// endUntold is how soon the end of a call must reach its caller though its dispatcher could not tell it at first.
+	endUntold = 8 * time.Second
 )
 
 // orderSite is a core and a pool over stand-in dispatchers, with one call.
