Report a fault of the trials' judge with the call's trail

Late answers in trials and stories were reported with their time alone, so that nobody could say where the call had been: at a dispatcher, in the guard, on its way back to a controller. It judges as before.

Tests: the report of a late answer, and the bound.

--- a/internal/trial/judge.go
+++ b/internal/trial/judge.go
@@ -33,6 +33,8 @@
 	placed   time.Time
 	answered bool
 	settled  bool
+
+	trail trail
 }
 
 // tolerance is what the clocks of two ends of a loopback connection, and their goroutines, may be apart.
@@ -52,9 +54,10 @@
 	return c
 }
 
-func (j *Judge) fault(format string, args ...any) {
+// fault takes down a rule that was broken, with the call's trail.
+func (j *Judge) fault(c *judged, format string, args ...any) {
 	if len(j.faults) < maxFaults {
-		j.faults = append(j.faults, fmt.Sprintf(format, args...))
+		j.faults = append(j.faults, fmt.Sprintf(format, args...)+"; "+c.trail.String())
 	}
 }
 
@@ -68,20 +71,21 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	c := j.call(id)
+	c.trail.add(when, "set up at", at)
 	j.setUps++
 	if j.onSetUp != nil {
 		j.onSetUp(id, when)
 	}
 	switch {
 	case c.out != "":
-		j.fault("%s: a second attempt at %s while one is out at %s", id, at, c.out)
+		j.fault(c, "%s: a second attempt at %s while one is out at %s", id, at, c.out)
 	case c.stands != "":
-		j.fault("%s: an attempt at %s while it stands at %s", id, at, c.stands)
+		j.fault(c, "%s: an attempt at %s while it stands at %s", id, at, c.stands)
 	case c.answered: // one that stood unheard by its caller, as its controller was killed, may be tried again once it is over
-		j.fault("%s: an attempt at %s after its caller was answered", id, at)
+		j.fault(c, "%s: an attempt at %s after its caller was answered", id, at)
 	}
 	if since := when.Sub(c.guarded); since < j.guard-tolerance {
-		j.fault("%s: sent again after %v", id, since)
+		j.fault(c, "%s: sent again after %v", id, since)
 	}
 	c.out = at
 }
@@ -92,6 +96,7 @@
 	defer j.mu.Unlock()
 	if c := j.call(id); c.out == at {
 		c.out, c.guarded = "", when
+		c.trail.add(when, "given up at", at)
 	}
 }
 
@@ -101,6 +106,7 @@
 	defer j.mu.Unlock()
 	if c := j.call(id); c.out == at {
 		c.out = ""
+		c.trail.add(time.Now(), "refused at", at)
 	}
 }
 
@@ -110,6 +116,7 @@
 	defer j.mu.Unlock()
 	if c := j.call(id); c.out == at {
 		c.out, c.stands, c.answeredAt = "", at, time.Now()
+		c.trail.add(c.answeredAt, "answered at", at)
 	}
 }
 
@@ -119,6 +126,7 @@
 	defer j.mu.Unlock()
 	if c := j.call(id); c.stands == at {
 		c.stands, c.guarded = "", when
+		c.trail.add(when, "answer not sent at", at)
 	}
 }
 
@@ -129,6 +137,7 @@
 	for _, c := range j.calls {
 		if c.stands == at && c.answeredAt.After(since) {
 			c.stands, c.guarded = "", when
+			c.trail.add(when, "answer lost at", at)
 		}
 	}
 }
@@ -139,6 +148,7 @@
 	defer j.mu.Unlock()
 	if c := j.call(id); c.stands == at {
 		c.stands = ""
+		c.trail.add(time.Now(), "cut at", at)
 	}
 }
 
@@ -151,6 +161,7 @@
 		return false
 	}
 	c.stands, c.released, c.overAt = "", cause, time.Now()
+	c.trail.add(c.overAt, "ended at", at)
 	return true
 }
 
@@ -190,7 +201,9 @@
 func (j *Judge) Placed(id string, when time.Time) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	j.call(id).placed = when
+	c := j.call(id)
+	c.placed = when
+	c.trail.add(when, "placed", "")
 }
 
 // Heard is a message about a call that has come to its caller: an answer with its description, or a release with what was said of it.
@@ -200,22 +213,23 @@
 	defer j.mu.Unlock()
 	c := j.calls[id]
 	if c == nil || c.placed.IsZero() {
-		j.fault("%s: a %s for a call that nobody has placed", id, kind)
+		j.fault(&judged{}, "%s: a %s for a call that nobody has placed", id, kind)
 		return false
 	}
+	c.trail.add(when, "heard", fmt.Sprint(kind, " ", cause, " ", text))
 	if c.settled {
 		return false // the end of one that is over, told again
 	}
 	switch kind {
 	case "answer":
 		if c.answered {
-			j.fault("%s is answered twice", id)
+			j.fault(c, "%s is answered twice", id)
 		}
 		if text != Description(id) {
-			j.fault("%s has an answer that no dispatcher gave: %.40q", id, text)
+			j.fault(c, "%s has an answer that no dispatcher gave: %.40q", id, text)
 		}
 		if took := when.Sub(c.placed); took > j.deadline {
-			j.fault("%s is answered after %v", id, took)
+			j.fault(c, "%s is answered after %v", id, took)
 		}
 		c.answered = true
 		j.finals["answer"]++
@@ -225,7 +239,7 @@
 		if c.answered {
 			what = "after the answer: " + what
 		} else if took := when.Sub(c.placed); took > j.deadline {
-			j.fault("%s has its final answer after %v", id, took)
+			j.fault(c, "%s has its final answer after %v", id, took)
 		}
 		j.finals[what]++
 		c.settled = true
--- a/internal/trial/judge_test.go
+++ b/internal/trial/judge_test.go
@@ -1,6 +1,7 @@
 package trial
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -140,3 +141,29 @@
 		}
 	}
 }
+
+// TestAFaultIsReportedWithTheCallsTrail guards against faults of which nobody can say where the call was when.
+func TestAFaultIsReportedWithTheCallsTrail(t *testing.T) {
+	j := NewJudge(500*time.Millisecond, 9*time.Second)
+	begun := time.Now()
+	j.Placed("a", begun)
+	j.SetUp("a", "s1", begun.Add(3*time.Millisecond))
+	j.GivenUp("a", "s1", begun.Add(20*time.Millisecond))
+	j.Heard("a", "release", "failed", 41, begun.Add(9500*time.Millisecond))
+	faults, _, _ := j.Verdict()
+	const want = "a has its final answer after 9.5s; 0 ms placed, 3 ms set up at s1, 20 ms given up at s1, 9500 ms heard release 41 failed"
+	if len(faults) != 1 || faults[0] != want {
+		t.Errorf("got %q, want %q", faults, want)
+	}
+}
+
+// TestATrailIsBounded guards against trails that grow with a call's retries: the first stages and the last are kept.
+func TestATrailIsBounded(t *testing.T) {
+	var stages trail
+	for i := range 10 * keepStages {
+		stages.add(time.Time{}, fmt.Sprint("stage ", i), "")
+	}
+	if len(stages) != keepStages || stages[0].what != "stage 0" || stages[keepStages-1].what != fmt.Sprint("stage ", 10*keepStages-1) {
+		t.Errorf("%d stages are kept, from %q to %q", len(stages), stages[0].what, stages[len(stages)-1].what)
+	}
+}
--- a/internal/trial/peers.go
+++ b/internal/trial/peers.go
@@ -217,6 +217,9 @@
 		} else {
 			c.serve(connection, done)
 			_ = connection.Close()
+			for id := range c.open {
+				c.Judge.Note(id, "connection ended", connection.RemoteAddr().String())
+			}
 			if len(c.unheard) == 0 { // else it was lost again before all was heard
 				c.lost = time.Now()
 			}
@@ -248,6 +251,7 @@
 		} else {
 			fields["left"] = jsonl.Value(strconv.FormatInt(max(time.Until(c.until[id]), 0).Milliseconds(), 10))
 		}
+		c.Judge.Note(id, "resumed at", connection.RemoteAddr().String())
 		if connection.Send(jsonl.Message{Type: "resume", ID: id, Fields: fields}) != nil {
 			return
 		}
