Refuse a set-up that waited unread past its time, and don't tell it as failed

Of 2,000 callers that came at once beside a busy machine, some were told cause 41 (failed on its way), without a time to come back: they have to wait for the guard and come again together.

Cause: a set-up that waits in the kernel counts its time from when it came. Offer answered one whose time had passed by the time it was read as one that broke, though nothing had been tried for it.

Evidence: in one failed play with the log at debug, each of 181 callers that were told 41 has «set-up past its time» in the log, and none a set-up at a dispatcher. It is refused now: cause 42, error deadline, the settings' time to come back, as a call that the module gives up on.

--- a/internal/call/offers.go
+++ b/internal/call/offers.go
@@ -40,7 +40,7 @@
 		return nil
 	case !r.Deadline.After(now):
 		c.log.Debug("set-up past its time", "id", r.ID)
-		c.end(&r, End{Cause: CauseTemporary, Reason: ReasonDeadline})
+		c.end(&r, End{Cause: CauseCongestion, Reason: ReasonDeadline, HoldOff: c.holdOff()})
 		return nil
 	case len(c.owing[r.Caller]) >= maxOpen || c.held+len(r.Description) > c.maxHeld:
 		c.log.Warn("too many set-ups are open", "id", r.ID)
