Tell a set-up that is sent with no time left as failed, as before

Two stories have one that is sent with «left» 0 and want cause 41; they failed with it in a run of the whole package (TestTelemetry, TestBadFieldsFailTheirSetUpAlone, over every front). A request carries how long its caller said that it waits now, so that one which waited for its turn is told from one that was sent with no time left.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -31,7 +31,8 @@
 	FirstCell   int
 	Again       bool // a call that was cut and comes again, or a marked redial
 	Description string
-	Deadline    time.Time // when the caller gives up
+	Left        time.Duration // how long its caller said, as it sent the set-up, that it waits
+	Deadline    time.Time     // when the caller gives up
 	Caller      Caller
 	Token       []byte // hash of what its caller can claim it with on another connection; nil if it can't
 }
--- a/internal/call/offers.go
+++ b/internal/call/offers.go
@@ -40,7 +40,7 @@
 		return nil
 	case !r.Deadline.After(now):
 		c.log.Debug("set-up past its time", "id", r.ID)
-		c.end(&r, End{Cause: CauseCongestion, Reason: ReasonDeadline, HoldOff: c.holdOff()})
+		c.end(&r, c.pastItsTime(&r))
 		return nil
 	case len(c.owing[r.Caller]) >= maxOpen || c.held+len(r.Description) > c.maxHeld:
 		c.log.Warn("too many set-ups are open", "id", r.ID)
@@ -64,6 +64,15 @@
 	return nil
 }
 
+// pastItsTime is the final answer to a set-up whose time was over when it was read. One that waited for that has been tried nowhere: it is
+// refused. One that was sent with no time left has failed.
+func (c *Core) pastItsTime(r *Request) End {
+	if r.Left <= 0 {
+		return End{Cause: CauseTemporary, Reason: ReasonDeadline}
+	}
+	return End{Cause: CauseCongestion, Reason: ReasonDeadline, HoldOff: c.holdOff()}
+}
+
 // TurnAway refuses a set-up whose connection there is no room for.
 func (c *Core) TurnAway(r Request) {
 	c.log.Warn("no room for another connection", "id", r.ID)
--- a/internal/callers/terms.go
+++ b/internal/callers/terms.go
@@ -106,11 +106,12 @@
 	case len(description) > call.MaxDescription:
 		return r, errors.New("description too long to pass on")
 	}
+	waits := time.Duration(left) * time.Millisecond
 	return call.Request{
 		ID: m.ID, Class: field("class"), Called: field("key"), FirstCell: dest, Again: field("retry") == "1",
 		Description: description, Token: recovery.Hash(token),
 		// The caller counts from when it sent the last byte; the nearest to that is when it came in.
-		Deadline: at.Add(time.Duration(left) * time.Millisecond),
+		Left: waits, Deadline: at.Add(waits),
 	}, nil
 }
 
