Keep a connection whose set-up is heard as it would make way

Cause: a connection beyond the bound without a set-up is closed after 50 ms. leaveOverflow takes in before what waits for its turn. Where that was a set-up, and others had just been closed, there was room: the set-up was offered, and the connection closed all the same, its call given up with it.

Evidence: a log of each such close. In the three that were followed the connection had asked, was not turned away, and all of its bytes were taken. TestASetUpHeardAsItsConnectionWouldLeaveStays forces the order; it fails without the mend (closed, with the set-up taken).

A connection that is beyond the bound no more, or is owed an answer, is left alone.

--- /dev/null
+++ b/internal/callers/overflow_test.go
@@ -0,0 +1,127 @@
+package callers
+
+import (
+	"log/slog"
+	"testing"
+	"time"
+
+	jsoniter "github.com/json-iterator/go"
+
+	"cherryrelay/internal/call"
+	"cherryrelay/internal/conn"
+	"cherryrelay/internal/peer"
+	"cherryrelay/internal/settings"
+)
+
+// openCore keeps every set-up that it is offered open. It is used on the loop alone.
+type openCore struct {
+	Core
+	owes map[call.Caller]int
+}
+
+func (c *openCore) Offer(r call.Request) error      { c.owes[r.Caller]++; return nil }
+func (c *openCore) Owes(caller call.Caller) int     { return c.owes[caller] }
+func (c *openCore) CallerClosed(caller call.Caller) { delete(c.owes, caller) }
+func (c *openCore) StandingOf(call.Caller) int      { return 0 }
+func (c *openCore) Phase() call.Phase               { return call.Serving }
+func (c *openCore) Superseded() bool                { return false }
+
+// onLoop has a step run on the loop, and waits for it.
+func onLoop(loop *call.Loop, step func()) {
+	ran := make(chan struct{})
+	loop.Post(func() { defer close(ran); step() })
+	<-ran
+}
+
+// oneConnection serves a front that has room for one connection, and one more for a moment.
+func oneConnection(t *testing.T, core Core) *Front {
+	t.Helper()
+	tcp, err := conn.BindShared("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var set settings.Settings
+	if err := jsoniter.UnmarshalFromString(`{"requestClasses":[{"name":"c","deadlineUs":9000000}]}`, &set); err != nil {
+		t.Fatal(err)
+	}
+	loop := call.NewLoop()
+	f := New(loop, core, slog.New(slog.DiscardHandler), tcp, func() Format { return &Lines{} }, Bounds{Connections: 1, Silent: time.Minute, Idle: time.Minute}, NewTerms(&set))
+	onLoopEnd := make(chan struct{})
+	go func() { defer close(onLoopEnd); loop.Run() }()
+	onLoop(loop, func() { err = f.Listener().Start() })
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		onLoop(loop, func() {
+			if err := f.Close(); err != nil {
+				t.Error(err)
+			}
+		})
+		loop.Quit()
+		<-onLoopEnd
+	})
+	return f
+}
+
+// connects opens a connection and waits until it is the front's so many-th.
+func connects(t *testing.T, f *Front, number int) (*peer.Caller, *Conn) {
+	t.Helper()
+	caller, err := peer.Call("tcp", f.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = caller.Close() })
+	caller.Class = "c"
+	var accepted *Conn
+	for until := time.Now().Add(peer.Patience); accepted == nil; {
+		onLoop(f.loop, func() {
+			if len(f.all) == number {
+				accepted = f.all[number-1]
+			}
+		})
+		if time.Now().After(until) {
+			t.Fatal("the connection is never accepted")
+		}
+	}
+	return caller, accepted
+}
+
+// sets sends a set-up and has the loop hold still until all of it waits for its turn there; then the loop does the step.
+func sets(t *testing.T, f *Front, caller *peer.Caller, at *Conn, step func()) {
+	t.Helper()
+	onLoop(f.loop, func() {
+		if err := caller.SetUp("00000000000000b1", time.Second, 0, "x"); err != nil {
+			t.Error(err)
+			return
+		}
+		for until := time.Now().Add(peer.Patience); at.conn.Quiet() || !at.conn.AllTaken(); time.Sleep(time.Millisecond) {
+			if time.Now().After(until) {
+				t.Error("the set-up never comes")
+				return
+			}
+		}
+		step()
+	})
+}
+
+// TestASetUpHeardAsItsConnectionWouldLeaveStays guards against a connection beyond the bound that was closed without an answer right after its
+// set-up had been taken: it waited for its turn as the connection's time was up, and room had just been made.
+func TestASetUpHeardAsItsConnectionWouldLeaveStays(t *testing.T) {
+	core := &openCore{owes: map[call.Caller]int{}}
+	f := oneConnection(t, core)
+	_, first := connects(t, f, 1)
+	onLoop(f.loop, func() { core.owes[first] = 1 }) // it cannot make room
+	caller, newest := connects(t, f, 2)
+	sets(t, f, caller, newest, func() {
+		if !newest.overflow || !f.listener.Full() {
+			t.Error("the newest connection is not beyond the bound")
+		}
+		newest.since = time.Now().Add(-2 * overflowFor)
+		first.shut(conn.ErrClosedHere) // it holds its descriptor for a moment more
+		f.look()
+		if newest.closed || core.owes[newest] != 1 {
+			t.Errorf("closed %v with %d set-ups taken, want it open with one", newest.closed, core.owes[newest])
+		}
+	})
+}
--- a/internal/callers/room.go
+++ b/internal/callers/room.go
@@ -144,6 +144,7 @@
 	c.conn.Hear()
 	switch {
 	case c.closed:
+	case !c.overflow || c.front.core.Owes(c) > 0: // a set-up waited for its turn, and there is room for it by now
 	case c.partial:
 		c.cutShort()
 	case c.conn.Quiet() && c.conn.AllTaken():
