Don't refuse at its limit a call that may have run

Where the event loop is late, Core.limit answers what the module has not. It told cause 42 whatever had been tried: by the protocol a refusal, after which trying again is harmless. An attempt may have run, and a class may be one that must not run twice. Found by reading, beside the crowd that was told 41: no caller was seen to send such a call twice.

What may not be repeated is told as failed (41) now. The rule is the recovery's, which stands in one place with it (mayRepeat).

TestAtItsLimitACallThatMayHaveRunIsNotRefused fails before (42, want 41) and passes with it, as do the tests of internal/call with the race detector.

--- a/internal/call/offers.go
+++ b/internal/call/offers.go
@@ -85,10 +85,20 @@
 	k.limit = c.loop.After(time.Until(k.Deadline)-last, func() {
 		c.log.Warn("call without an answer at its limit", "id", k.ID)
 		c.abandon(k)
-		c.final(k, End{Cause: CauseCongestion, Reason: ReasonDeadline, HoldOff: c.holdOff()})
+		if c.mayRepeat(c.class(k.Class), k.attempts) {
+			c.final(k, End{Cause: CauseCongestion, Reason: ReasonDeadline, HoldOff: c.holdOff()})
+		} else {
+			c.final(k, End{Cause: CauseTemporary, Reason: ReasonDeadline})
+		}
 	})
 }
 
+// mayRepeat reports whether a set-up of the class that has been attempted so often does no harm if it comes again, whatever became of the
+// attempts.
+func (c *Core) mayRepeat(class, attempts int) bool {
+	return class >= 0 && (attempts == 0 || c.decisions.Classes[class].Effect == control.Safe)
+}
+
 // offer tells the module of a call.
 func (c *Core) offer(k *record, class int) {
 	c.selection.offered(k, c.decisions.Classes[class])
--- a/internal/call/offers_test.go
+++ b/internal/call/offers_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"cherryrelay/control"
 )
 
 // listener is a caller that keeps the last end that it was told.
@@ -37,3 +39,36 @@
 		t.Errorf("the caller is told %+v, want %+v", caller.end, want)
 	}
 }
+
+// TestAtItsLimitACallThatMayHaveRunIsNotRefused guards against callers that are told that their set-up may come again at once, where an attempt
+// was out that must not be repeated.
+func TestAtItsLimitACallThatMayHaveRunIsNotRefused(t *testing.T) {
+	for name, c := range map[string]struct {
+		effect  control.Effect
+		servers []control.ServerID
+		want    int
+	}{
+		"attempted, and harmful to repeat":     {control.Unsafe, []control.ServerID{"a"}, CauseTemporary},
+		"attempted, and harmless to repeat":    {control.Safe, []control.ServerID{"a"}, CauseCongestion},
+		"not attempted, and harmful to repeat": {control.Unsafe, nil, CauseCongestion},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t)
+			s.core.decisions.Classes[0].Effect = c.effect
+			s.react = func(control.ServerID, SetUp) {} // silent
+			s.list(control.Active, c.servers...)
+			caller := &listener{site: s}
+			if err := s.core.Offer(Request{ID: "1", Class: "c", Left: time.Second, Deadline: time.Now().Add(time.Second), Caller: caller}); err != nil {
+				t.Fatal(err)
+			}
+			limit := s.core.calls["1"].limit
+			if len(c.servers) > 0 {
+				s.core.turn()
+			}
+			limit.f() // before the module has answered
+			if caller.end.Cause != c.want || caller.end.Reason != ReasonDeadline {
+				t.Errorf("after %d set-ups the caller is told %+v, want cause %d", s.setUps, caller.end, c.want)
+			}
+		})
+	}
+}
--- a/internal/call/recover.go
+++ b/internal/call/recover.go
@@ -65,7 +65,7 @@
 	}
 	act := d.Act
 	// What is repeated must do no harm if it ran.
-	if class := c.class(d.Class); act == recovery.Await && (class < 0 || d.Attempts > 0 && c.decisions.Classes[class].Effect != control.Safe) {
+	if act == recovery.Await && !c.mayRepeat(c.class(d.Class), d.Attempts) {
 		act, d.Why = recovery.Fail, "it may not be repeated"
 	}
 	c.recovered.Acts[act.String()]++
