Don't give a call to the query of a lost controller, as its caller is here

Controllers lost one soon after the other: the final answer to a call that its caller had come back for came 9.3 to 10 s after it was placed, where 9 s are allowed, and the end of a call that was over came every 3 s for as long as the controller lived. TestTheTakerIsLostToo never ended for that.

Cause: a controller that looks for a call writes a query and removes it as its lookup ends. One that is lost before leaves it. The controller that has the call by then, with its caller on a connection, read it and gave the call away; nobody claimed it; after 3 s the controller claimed it from itself, without its caller, and read the query again.

A controller notes when it first sees a query, ahead of what its callers have come for, and doesn't give away a call whose caller came later. A query older than any lookup is removed, and a lookup whose query is gone writes it again.

--- a/internal/call/core.go
+++ b/internal/call/core.go
@@ -65,6 +65,7 @@
 	answer    string             // what the dispatcher gave
 	end       End                // how it ended
 	told      Caller             // who had its final answer
+	claimedAt time.Time          // when its caller came for it here; zero if it never did
 	orphan    *Timer             // when it is given up, or released, unless its caller comes
 	notBefore time.Duration      // no attempt before that, on the clock of now
 	parked    bool               // the module does not know it yet: it waits for its caller
--- /dev/null
+++ b/internal/call/queries_test.go
@@ -0,0 +1,47 @@
+package call
+
+import (
+	"testing"
+	"time"
+
+	"cherryrelay/control"
+	"cherryrelay/internal/decide/recovery"
+	"cherryrelay/internal/takeover"
+)
+
+// transfers is a Finder that counts the calls that are given to other controllers.
+type transfers struct {
+	lookups
+	given int
+}
+
+func (f *transfers) Give(*takeover.Call) error { f.given++; return nil }
+
+// TestACallIsNotGivenToAQueryThatIsOlderThanItsClaim guards against a call that is taken from the caller that has come back for it here: the query
+// of another controller, at which the caller was before and which has failed since, had the call transferred to nobody.
+func TestACallIsNotGivenToAQueryThatIsOlderThanItsClaim(t *testing.T) {
+	const id = "00000000000000ab"
+	s := newSite(t)
+	s.react = func(control.ServerID, SetUp) {}
+	finder := &transfers{}
+	s.core.Seek(finder, func() bool { return true }, func(error) {})
+	gone := &listener{site: s}
+	if err := s.core.Offer(Request{ID: id, Class: "c", Left: 9 * time.Second, Deadline: time.Now().Add(9 * time.Second), Caller: gone,
+		Token: recovery.Hash(callToken), Description: "x"}); err != nil {
+		t.Fatal(err)
+	}
+	s.core.CallerClosed(gone)
+	query := takeover.Query{Token: recovery.Hash(callToken), Seen: time.Now()}
+	if err := s.core.Claim(Claim{Caller: &listener{site: s}, ID: id, Token: callToken}); err != nil {
+		t.Fatal(err)
+	}
+	s.core.Wanted(map[string]takeover.Query{id: query})
+	if finder.given != 0 {
+		t.Error("a call is given to the query that came before its caller")
+	}
+	query.Seen = time.Now()
+	s.core.Wanted(map[string]takeover.Query{id: query})
+	if finder.given != 1 {
+		t.Error("a call is not given to the query that came after its caller")
+	}
+}
--- a/internal/call/recover.go
+++ b/internal/call/recover.go
@@ -222,6 +222,7 @@
 		return nil
 	}
 	c.recovered.Claimed++
+	k.claimedAt = time.Now()
 	switch {
 	case k.state == over:
 		if k.told != caller { // on the same connection it had its answer
--- a/internal/call/takeover.go
+++ b/internal/call/takeover.go
@@ -175,10 +175,13 @@
 
 // Wanted gives calls away whose callers have come back elsewhere, as the hash of the token shows. What is out for one is withdrawn first, so
 // that all that is known of it can be written.
-func (c *Core) Wanted(calls map[string][]byte) {
-	for id, token := range calls {
+func (c *Core) Wanted(calls map[string]takeover.Query) {
+	for id, query := range calls {
 		k := c.calls[id]
-		if k == nil || k.moving || len(k.Token) == 0 || !bytes.Equal(k.Token, token) || k.end.Reason == ReasonUnknown {
+		if k == nil || k.moving || len(k.Token) == 0 || !bytes.Equal(k.Token, query.Token) || k.end.Reason == ReasonUnknown {
+			continue
+		}
+		if k.claimedAt.After(query.Seen) { // its caller has come here since: who asked has failed, or lost it
 			continue
 		}
 		if k.out {
--- a/internal/decide/takeover/lookup.go
+++ b/internal/decide/takeover/lookup.go
@@ -47,6 +47,9 @@
 	return LookupNotFound
 }
 
+// QueryExpired reports whether a query that has been there for so long is older than any lookup: the controller that wrote it has failed.
+func QueryExpired(age, lease time.Duration) bool { return age > lease+lookupGrace+QueryAnswerWindow }
+
 // Found adjusts the recovery decision on a claimed call. A call whose owner may live is not tried again while an attempt may be in progress:
 // what the owner has sent cannot be recalled.
 func Found(d recovery.Decision, ownerMayLive bool) recovery.Decision {
--- a/internal/takeover/lookup.go
+++ b/internal/takeover/lookup.go
@@ -1,7 +1,6 @@
 package takeover
 
 import (
-	"encoding/hex"
 	"maps"
 	"path/filepath"
 	"time"
@@ -24,6 +23,7 @@
 	lookups := maps.Clone(r.lookups)
 	r.status.Waiting = len(lookups)
 	r.mu.Unlock()
+	r.observeQueries() // a caller that is looked up here has left the controllers that asked for its call before
 	if len(lookups) == 0 {
 		return
 	}
@@ -48,7 +48,7 @@
 			r.endLookup(id)
 			r.updateStatus(func(s *Shown) { s.Unknown++ })
 			r.options.Post(func() { r.core.Missing(id, outcome == decide.LookupImpossible) })
-		case queriedAt.IsZero():
+		case queriedAt.IsZero() || r.queryLost(id):
 			r.query(id, l.token)
 		}
 	}
@@ -65,15 +65,6 @@
 	}
 }
 
-// query asks the other controllers for a call: one that holds it and has lost its caller transfers it.
-func (r *Room) query(id string, token []byte) {
-	path := filepath.Join(decide.QueriesDir, id)
-	r.recordFailure(r.files.Write(path, []byte(hex.EncodeToString(token))))
-	if info, err := r.files.root.Stat(path); err == nil {
-		r.queriedAt[id] = info.ModTime()
-	}
-}
-
 // answeredAt returns the time up to which all owners of other ledgers have answered queries; zero if one of them never did or may have failed.
 func (r *Room) answeredAt(others []string) (earliest time.Time) {
 	for i, name := range others {
--- a/internal/takeover/room.go
+++ b/internal/takeover/room.go
@@ -30,8 +30,8 @@
 	Missing(id string, cut bool)
 	// Elsewhere delivers ends of calls that dispatchers reported to other controllers; it returns the ids of the calls held here.
 	Elsewhere(ends map[string]int) (mine []string)
-	// Wanted delivers the calls that callers ask other controllers for, with the hashes of their tokens.
-	Wanted(calls map[string][]byte)
+	// Wanted delivers the calls that callers ask other controllers for.
+	Wanted(calls map[string]Query)
 	// Given reports that the file of a call passed to Give is written: the call may be removed from the own ledger.
 	Given(id string)
 }
@@ -82,6 +82,7 @@
 	unpackedAt   map[decide.SealedLedger]time.Duration // of the own sealed ledgers with unclaimed calls
 	terminatedAt map[string]time.Duration              // when termination files were written
 	queriedAt    map[string]time.Time                  // modification times of the own query files
+	queries      map[string]seenQuery                  // of other controllers
 }
 
 // Open starts the room of a controller that owns its ledger. It works until Close.
--- a/internal/takeover/room_test.go
+++ b/internal/takeover/room_test.go
@@ -46,7 +46,7 @@
 	}
 	return mine
 }
-func (c *core) Wanted(calls map[string][]byte) {
+func (c *core) Wanted(calls map[string]Query) {
 	for id := range calls {
 		if c.has[id] {
 			delete(c.has, id)
--- a/internal/trial/peers.go
+++ b/internal/trial/peers.go
@@ -200,6 +200,7 @@
 	at              int                  // of the addresses
 	open            map[string]bool      // its calls that are owed something, and whether they were answered
 	until           map[string]time.Time // when each is given up, unless it stands
+	stopAt          time.Time            // when it has had patience enough with what is left; zero while more calls are placed
 }
 
 // From has the caller begin at one of its addresses.
@@ -209,7 +210,6 @@
 // what is not settled.
 func (c *Caller) Run(done <-chan struct{}) {
 	c.open, c.next, c.unheard, c.until = map[string]bool{}, c.First, map[string]bool{}, map[string]time.Time{}
-	stop := time.Time{}
 	for {
 		connection, err := peer.Call(c.Transport, c.Addresses[c.at%len(c.Addresses)])
 		if err != nil {
@@ -225,16 +225,22 @@
 			}
 		}
 		c.at++
-		select {
-		case <-done:
-			if stop.IsZero() {
-				stop = time.Now().Add(cmp.Or(c.Patience, peer.Patience))
-			}
-			if len(c.open) == 0 || time.Now().After(stop) {
-				return
-			}
-		default:
+		if c.finishing(done) && (len(c.open) == 0 || time.Now().After(c.stopAt)) {
+			return
+		}
+	}
+}
+
+// finishing reports whether no more calls are to be placed.
+func (c *Caller) finishing(done <-chan struct{}) bool {
+	select {
+	case <-done:
+		if c.stopAt.IsZero() {
+			c.stopAt = time.Now().Add(cmp.Or(c.Patience, peer.Patience))
 		}
+		return true
+	default:
+		return false
 	}
 }
 
@@ -257,11 +263,9 @@
 		}
 	}
 	for {
-		finished := false
-		select {
-		case <-done:
-			finished = true
-		default:
+		finished := c.finishing(done)
+		if finished && time.Now().After(c.stopAt) {
+			return
 		}
 		for !finished && len(c.open) < c.Window {
 			if !c.place(connection) {
--- a/internal/trial/peers_test.go
+++ b/internal/trial/peers_test.go
@@ -51,3 +51,41 @@
 		t.Errorf("an attempt inside the guard: %v; want one fault", faults)
 	}
 }
+
+// TestACallerWithPatienceEnoughStopsThoughMoreIsTold guards against a play that never ends, as a controller tells the end of a call that is over again
+// and again while another call is owed something.
+func TestACallerWithPatienceEnoughStopsThoughMoreIsTold(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	go func() {
+		for {
+			nc, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer nc.Close()
+				for err == nil { // its call is never answered
+					_, err = nc.Write([]byte(`{"type":"release","id":"00000000000000ff","fields":{},"cause":16}` + "\n"))
+					time.Sleep(time.Millisecond)
+				}
+			}()
+		}
+	}()
+	judge := NewJudge(time.Second, time.Minute)
+	caller := Caller{Transport: "tcp", Addresses: []string{ln.Addr().String()}, First: 1, Window: 1, Judge: judge, Patience: 50 * time.Millisecond}
+	done, ended := make(chan struct{}), make(chan struct{})
+	go func() { defer close(ended); caller.Run(done) }()
+	if !Until(peer.Patience, func() bool { unanswered, _ := judge.Unsettled(); return len(unanswered) == 1 }) {
+		t.Fatal("the caller places no call")
+	}
+	close(done)
+	select {
+	case <-ended:
+	case <-time.After(peer.Patience):
+		t.Error("the caller goes on")
+	}
+}
