--- a/internal/jsonl/jsonl_test.go
+++ b/internal/jsonl/jsonl_test.go
@@ -1,7 +1,6 @@
 package jsonl
 
 import (
-	"errors"
 	"strconv"
 	"strings"
 	"testing"
@@ -9,26 +8,12 @@
 	"github.com/google/go-cmp/cmp"
 
 	"cherryrelay/internal/ring"
+	"cherryrelay/internal/ring/ringtest"
 )
 
 // read feeds text in pieces and returns the messages and the error that ended them.
 func read(text string, piece int) (all []*Message, err error) {
-	in, d := ring.New(32<<10), new(Decoder)
-	for len(text) > 0 && err == nil {
-		n := in.Write([]byte(text[:min(piece, len(text))]))
-		text = text[n:]
-		for {
-			var m *Message
-			if m, err = d.Next(in); m == nil || err != nil {
-				break
-			}
-			all = append(all, m)
-		}
-		if n == 0 {
-			return all, errors.New("the ring is full and nothing is read")
-		}
-	}
-	return all, err
+	return ringtest.Feed(new(Decoder).Next, 32<<10, []byte(text), piece)
 }
 
 func ptr[T any](v T) *T { return &v }
--- a/internal/sip/sip_test.go
+++ b/internal/sip/sip_test.go
@@ -6,24 +6,12 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"cherryrelay/internal/ring"
+	"cherryrelay/internal/ring/ringtest"
 )
 
 // read feeds text in pieces and returns the messages and the error that ended them.
 func read(text string, piece int) (all []*Message, err error) {
-	in, d := ring.New(32<<10), new(Decoder)
-	for len(text) > 0 && err == nil {
-		n := in.Write([]byte(text[:min(piece, len(text))]))
-		text = text[n:]
-		for {
-			var m *Message
-			if m, err = d.Next(in); m == nil || err != nil {
-				break
-			}
-			all = append(all, m)
-		}
-	}
-	return all, err
+	return ringtest.Feed(new(Decoder).Next, 32<<10, []byte(text), piece)
 }
 
 const invite = "INVITE sip:7f@net SIP/2.0\r\nVia: SIP/2.0/TCP peer\r\nCall-ID: 9b\r\nCSeq: 1 INVITE\r\nP-Kind: voice\r\n" +
--- a/internal/websocket/websocket_test.go
+++ b/internal/websocket/websocket_test.go
@@ -9,23 +9,12 @@
 	"github.com/google/go-cmp/cmp"
 
 	"cherryrelay/internal/ring"
+	"cherryrelay/internal/ring/ringtest"
 )
 
 // read feeds frames of a client in pieces.
 func read(text []byte, piece int) (all []*Message, err error) {
-	in, d := ring.New(64<<10), &Decoder{Masked: true}
-	for len(text) > 0 && err == nil {
-		n := in.Write(text[:min(piece, len(text))])
-		text = text[n:]
-		for {
-			var m *Message
-			if m, err = d.Next(in); m == nil || err != nil {
-				break
-			}
-			all = append(all, m)
-		}
-	}
-	return all, err
+	return ringtest.Feed((&Decoder{Masked: true}).Next, 64<<10, text, piece)
 }
 
 func join(parts ...[]byte) []byte { return bytes.Join(parts, nil) }
