Tell the calls' trails where too few stand in the stories of subsets

TestSubsetFaults «they accept and say nothing, 3» failed again beside other tests: 100 more calls did not stand within 20 s. Slow or stuck was not known. The check and its bound stay as they are; a failure reports how far it has come, the subsets and the trails of open calls.

--- a/cmd/cherryrelay/subset_test.go
+++ b/cmd/cherryrelay/subset_test.go
@@ -23,6 +23,8 @@
 	subsetSize, subsetMost = 4, 32
 	// guardSlack is how much later than the controller a dispatcher on a busy machine may see that an attempt was taken back.
 	guardSlack = 100 * time.Millisecond
+	// trailsTold is how many calls without an answer are reported where too few have one.
+	trailsTold = 12
 	// subsetQuiet is a minute of quiet, compressed.
 	subsetQuiet = 400 * time.Millisecond
 )
@@ -157,10 +159,28 @@
 func (s *subsetSite) stood(more int) {
 	s.Helper()
 	_, _, before := s.judge.Verdict()
-	s.until(fmt.Sprint(more, " more calls stand"), func() bool {
+	holds := func() bool {
 		_, _, now := s.judge.Verdict()
 		return now["answer"] >= before["answer"]+more
-	})
+	}
+	if !trial.Until(peer.Patience, holds) {
+		s.Fatalf("never: %d more calls stand; %s", more, s.progress(before["answer"]))
+	}
+}
+
+// progress tells how far the callers and the subsets have come, with the trails of some calls that have no answer.
+func (s *subsetSite) progress(answersBefore int) string {
+	var text strings.Builder
+	_, _, finals := s.judge.Verdict()
+	unanswered, _ := s.judge.Unsettled()
+	fmt.Fprintf(&text, "%d of them stand, callers had %v, %d calls are open", finals["answer"]-answersBefore, finals, len(unanswered))
+	for _, p := range s.controllers {
+		fmt.Fprintf(&text, "\n%s: %d dispatchers in the subset, %d growths", p.management, figure(p, "subset_size"), figure(p, "subset_growths_total"))
+	}
+	for _, id := range unanswered[:min(len(unanswered), trailsTold)] {
+		fmt.Fprintf(&text, "\n%s: %s", id, s.judge.Trail(id))
+	}
+	return text.String()
 }
 
 // TestSubsetFaults: one or three controllers with calls, each connected to four of forty dispatchers, while what they are connected to is
