Hold the attempt of a paused owner: told once, cut, nothing from its owner

As it was written first it failed: the controller read the answer before it stood still, and the caller rightly had it. Pause of the trial ground returns now once every thread of the process stands still. The trail of a call tells whether its attempt ended with its connection.

--- a/cmd/cherryrelay/takeover_test.go
+++ b/cmd/cherryrelay/takeover_test.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"errors"
+	"os"
 	"sync"
 	"testing"
 	"time"
@@ -260,3 +262,43 @@
 	s.must(first.Release(id(1), 16))
 	s.until("its caller ends it", func() bool { return s.judge.Stands(id(1)) == "" })
 }
+
+// TestTheAttemptOfAPausedOwnerIsToldOnceAndCut guards against an attempt whose controller stands still past its lease, and whose answer it finds as it
+// goes on: its caller, who is elsewhere by then, is told once that it failed, the call that stands is cut, and the owner says nothing of it.
+func TestTheAttemptOfAPausedOwnerIsToldOnceAndCut(t *testing.T) {
+	t.Parallel()
+	s := newSurvivors(t, 2, 0, "tcp")
+	n1, n2 := s.Controllers[0], s.Controllers[1]
+	for _, d := range s.dispatchers {
+		d.Act(false, true)
+	}
+	first := s.place(n1, id(1))
+	s.until("its attempt is out", func() bool { return s.judge.Out(id(1)) != "" })
+	before := n1.Fleet().Incarnation
+	n1.Pause()
+	for _, d := range s.dispatchers {
+		d.AnswerAll() // nobody reads that
+	}
+	s.sealed("n1", n2)
+	second := s.resume(n2, id(1), trial.Token(id(1)), false)
+	if m := s.hears(second, "release"); m.CauseOr(0) != 41 {
+		t.Errorf("its caller heard %+v, want that it failed", m)
+	}
+	told := time.Now()
+	s.until("it is cut", func() bool { return s.judge.Stands(id(1)) == "" })
+	if took := time.Since(told); took > toldWithin {
+		t.Errorf("it is cut %v after its caller was told", took)
+	}
+
+	n1.Resume()
+	s.anew(n1, before)
+	if m, err := first.Next(); err == nil {
+		t.Errorf("its owner said %+v as it went on", m)
+	}
+	if m, err := second.NextWithin(time.Second); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("its caller heard more: %+v, %v", m, err)
+	}
+	if faults, setUps, _ := s.judge.Verdict(); setUps != 1 || len(faults)+len(s.judge.Left()) > 0 {
+		t.Errorf("%d set-ups, want one; faults %v, left %v", setUps, faults, s.judge.Left())
+	}
+}
--- a/internal/trial/ground.go
+++ b/internal/trial/ground.go
@@ -14,6 +14,7 @@
 	"os/exec"
 	"path/filepath"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -355,8 +356,35 @@
 	}
 }
 
-// Pause has the process do nothing until Resume, as one that is swapped out or whose machine stands still.
-func (c *Controller) Pause() { c.all(syscall.SIGSTOP) }
+// Pause has the process do nothing until Resume, as one that is swapped out or whose machine stands still. It returns once all of its threads
+// stand still.
+func (c *Controller) Pause() {
+	c.all(syscall.SIGSTOP)
+	for _, p := range append(slices.Clone(c.before), c.process) {
+		if p.cmd != nil {
+			Until(pauseWithin, func() bool { return standsStill(p.cmd.Process.Pid) })
+		}
+	}
+}
+
+// pauseWithin bounds the wait for a process that is to stand still; one that has ended never does.
+const pauseWithin = time.Second
+
+// standsStill reports whether no thread of a process runs, as it was stopped or has ended.
+func standsStill(pid int) bool {
+	threads, _ := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", pid))
+	for _, thread := range threads {
+		text, err := os.ReadFile(thread)
+		if err != nil {
+			continue // it has ended
+		}
+		_, fields, _ := strings.Cut(string(text[bytes.LastIndexByte(text, ')')+1:]), " ")
+		if !strings.HasPrefix(fields, "T") && !strings.HasPrefix(fields, "Z") {
+			return false
+		}
+	}
+	return true
+}
 
 // Resume has it go on.
 func (c *Controller) Resume() { c.all(syscall.SIGCONT) }
--- a/internal/trial/peers.go
+++ b/internal/trial/peers.go
@@ -106,6 +106,7 @@
 	case "closed": // the set-ups that are open on it are given up
 		for id, o := range d.links {
 			if o.Beside(e) {
+				d.judge.Note(id, "connection closed at", d.Name)
 				delete(d.links, id)
 				d.judge.GivenUp(id, d.Name, e.At)
 			}
