Don't repeat the release of an attempt over the next one at its dispatcher

Cause: a release is kept until its dispatcher has confirmed it, and goes out again as its connection ends before. Since a set-up whose connection is reset is released, and tried again after the guard, at the same dispatcher too. Where that attempt stood as the connection of the release ended, the release went out again and ended the call.

keepUnconfirmed asks now, as releaseUnknown does, whether another attempt of the call is at the dispatcher.

--- a/internal/dispatchers/release.go
+++ b/internal/dispatchers/release.go
@@ -127,11 +127,11 @@
 }
 
 // keepUnconfirmed has the releases of calls that are known to be at the dispatcher wait for the next connection, if they may not have come
-// through on this one.
+// through on this one. One over which another attempt has gone there since would end that one.
 func (l *link) keepUnconfirmed() {
 	l.forgetDelivered()
 	for _, r := range l.unconfirmed {
-		if r.here && l.process == l.server.process {
+		if r.here && l.process == l.server.process && !l.server.serves(r.id) {
 			l.server.releases = append(l.server.releases, r.release)
 		}
 	}
--- a/internal/dispatchers/release_test.go
+++ b/internal/dispatchers/release_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"cherryrelay/control"
 	"cherryrelay/internal/call"
 	"cherryrelay/internal/peer"
 	"cherryrelay/internal/ring"
@@ -76,3 +77,53 @@
 	confirmedBy(&SIP{fields: &fields}, sip.Append(nil, &sip.Message{Status: 200, Phrase: "OK", CallID: id, Seq: byeSeq, SeqOf: "BYE"}))
 	confirmedBy(&WebSocket{fields: &fields, open: true}, websocket.Append(nil, websocket.Text, []byte(`{"type":"released","id":"`+id+`","fields":{}}`), false))
 }
+
+// TestAReleaseIsNotRepeatedOverTheNextAttempt guards against calls that are cut as they stand, and of which nobody tells their callers: the release
+// of an earlier attempt, which its dispatcher had not confirmed as the connection ended, was sent again when the next attempt had been established there.
+func TestAReleaseIsNotRepeatedOverTheNextAttempt(t *testing.T) {
+	t.Parallel()
+	const id = "00000000000000b4"
+	b := newBudgeted(t, 0, 0)
+	d, err := peer.Dispatch("ws", "127.0.0.1:0", "x0:40") // it confirms no release
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(d.Die)
+	d.TellLinks()
+	b.dispatchers = append(b.dispatchers, d)
+	b.list.Servers = append(b.list.Servers, call.Server{ServerEntry: control.ServerEntry{ID: name(0)}, Address: d.Address()})
+	b.do(func() { b.pool.Update(b.list) })
+	b.comes(0, "opened")
+	b.setUp(0, id)
+	first := b.comes(0, "setup")
+	if err := first.Reset(); err != nil { // an answer may have gone down with it
+		t.Fatal(err)
+	}
+	released := b.comes(0, "release")
+	b.setUp(0, id)
+	second := b.comes(0, "setup")
+	if err := second.Answer("y"); err != nil {
+		t.Fatal(err)
+	}
+	waitOnLoop(b, func() bool { return len(b.core.at[name(0)]) == 1 })
+	if err := released.Reset(); err != nil {
+		t.Fatal(err)
+	}
+	b.comes(0, "opened")
+	const next = "00000000000000b5"
+	b.setUp(0, next) // releases go out ahead of it
+	for until := time.Now().Add(peer.Patience); time.Now().Before(until); {
+		b.do(b.pool.Flush)
+		select {
+		case e := <-d.Events:
+			switch {
+			case e.Kind == "release":
+				t.Fatalf("call %s, which stands, is released", e.ID)
+			case e.Kind == "setup" && e.ID == next:
+				return
+			}
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
+	t.Error("the next set-up never comes")
+}
