Have an attempt end with the reset by its dispatcher, not as that one's reader sees it

The trail shows what disturbs it: the set-up's own dispatcher resets its connections, and tells the judge as its reader sees the close, on a busy machine some 10 ms after the controller has seen it. The controller counts its guard from the close.

The judge takes the time at which the dispatcher began the reset, for what it has closed itself; all else counts as before, and the guard and the tolerance are the same. An early resend after a reset is found as before but for the length of the close itself. TestAnAttemptEndsWithTheResetOfItsDispatcher: the attempt counted as ended 200 ms after the reset, with a reader that is held for 200 ms.

--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -262,7 +262,14 @@
 
 type link struct {
 	*stream
-	d *Dispatcher
+	d        *Dispatcher
+	closedAt atomic.Pointer[time.Time] // when a script closed it; nil before
+}
+
+// closes notes that a script is about to close the connection: the other side may know of that from now on, before this one's reader does.
+func (l *link) closes() {
+	now := time.Now()
+	l.closedAt.CompareAndSwap(nil, &now)
 }
 
 // Dispatch listens at the address. The report is what every new connection is told first.
@@ -377,6 +384,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, l := range d.links {
+		l.closes()
 		if tcp, ok := l.Conn.(*net.TCPConn); ok {
 			_ = tcp.SetLinger(0)
 		}
@@ -532,6 +540,7 @@
 
 // Reset resets the connection of the event, and no other.
 func (e Event) Reset() error {
+	e.link.closes()
 	if tcp, ok := e.link.Conn.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0)
 	}
@@ -542,6 +551,14 @@
 // neither. What the dispatcher tells there, the script leaves out.
 func (e Event) Deafen() { close(e.link.deaf) }
 
+// ClosedHere is when a script closed the connection of the event; zero if none has.
+func (e Event) ClosedHere() time.Time {
+	if at := e.link.closedAt.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
+}
+
 // Beside reports whether two events came on the same connection.
 func (e Event) Beside(o Event) bool { return e.link == o.link }
 
--- a/internal/trial/peers.go
+++ b/internal/trial/peers.go
@@ -83,7 +83,7 @@
 func (d *Dispatcher) answer(e peer.Event) bool {
 	d.judge.Answered(e.ID, d.Name)
 	if e.Answer(Description(e.ID)) != nil { // the connection is closed here: this dispatcher dies
-		d.judge.AnswerUnsent(e.ID, d.Name, time.Now())
+		d.judge.AnswerUnsent(e.ID, d.Name, endOf(e, time.Now()))
 		return false
 	}
 	return true
@@ -98,9 +98,9 @@
 		d.links[e.ID] = e
 		d.act(e)
 	case "release":
-		if _, out := d.links[e.ID]; out {
+		if o, out := d.links[e.ID]; out {
 			delete(d.links, e.ID)
-			d.judge.GivenUp(e.ID, d.Name, e.At)
+			d.judge.GivenUp(e.ID, d.Name, endOf(o, e.At))
 		}
 		d.judge.Cut(e.ID, d.Name)
 	case "closed": // the set-ups that are open on it are given up
@@ -108,7 +108,7 @@
 			if o.Beside(e) {
 				d.judge.Note(id, "connection closed at", d.Name)
 				delete(d.links, id)
-				d.judge.GivenUp(id, d.Name, e.At)
+				d.judge.GivenUp(id, d.Name, endOf(o, e.At))
 			}
 		}
 	case "opened":
@@ -122,6 +122,15 @@
 	}
 }
 
+// endOf is when an attempt ended that this dispatcher has seen to end at a time: with its connection, if a script has closed that before. The
+// reader of the connection may see the close later than the controller does.
+func endOf(setUp peer.Event, seen time.Time) time.Time {
+	if closed := setUp.ClosedHere(); !closed.IsZero() && closed.Before(seen) {
+		return closed
+	}
+	return seen
+}
+
 // act has the set-up answered, refused, broken or left, soon or late, by the call's id and how often it was tried.
 func (d *Dispatcher) act(e peer.Event) {
 	h := fnv.New64a()
--- a/internal/trial/peers_test.go
+++ b/internal/trial/peers_test.go
@@ -89,3 +89,38 @@
 		t.Error("the caller goes on")
 	}
 }
+
+// TestAnAttemptEndsWithTheResetOfItsDispatcher guards against a judge that holds a controller to a guard which began later for the judge than for the
+// controller: a dispatcher that resets a connection itself may see that long after its controller has.
+func TestAnAttemptEndsWithTheResetOfItsDispatcher(t *testing.T) {
+	const id, late = "00000000000000d2", 200 * time.Millisecond
+	judge := NewJudge(time.Second, time.Minute)
+	d, err := Stand("tcp", "s1", judge)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(d.Die)
+	d.Act(false, true)
+	nc, err := net.Dial("tcp", d.Listening())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer nc.Close()
+	if _, err := nc.Write(sip.Append(nil, &sip.Message{Method: "INVITE", URI: "sip:k@net", CallID: id, Seq: 1, SeqOf: "INVITE", Body: []byte("x")})); err != nil {
+		t.Fatal(err)
+	}
+	if !Until(peer.Patience, func() bool { return judge.Out(id) != "" }) {
+		t.Fatal("the set-up never comes")
+	}
+	d.Rest() // its reader sees nothing
+	d.Cut()
+	reset := time.Now()
+	time.Sleep(late)
+	d.Wake()
+	if !Until(peer.Patience, func() bool { return judge.Out(id) == "" }) {
+		t.Fatal("the attempt never ends")
+	}
+	if after := judge.Guarded(id).Sub(reset); after > 0 {
+		t.Errorf("the attempt counts as ended %v after the reset", after)
+	}
+}
