Excuse a controller in the soak for what it waited for a core, not for being slow

It takes the kernel's account now: the time in which a thread of the process waited for a core (schedstat), and the stops that the play sends. Times that overlap count once.

--- a/cmd/cherryrelay/shutdown_judge_test.go
+++ b/cmd/cherryrelay/shutdown_judge_test.go
@@ -41,7 +41,7 @@
 // shutdownJudge collects what callers see. Its methods may be called from any goroutine.
 type shutdownJudge struct {
 	meter   *schedulerMeter
-	process *schedulerMeter // how late the process under test was; nil without one
+	process *schedulerMeter // how long the process under test waited for a core, or was stopped; nil without one
 
 	mu     sync.Mutex
 	calls  map[string]*shutdownCall
--- a/cmd/cherryrelay/shutdown_soak_test.go
+++ b/cmd/cherryrelay/shutdown_soak_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"maps"
 	"math/rand/v2"
-	"net/http"
 	"os"
 	"path/filepath"
 	"regexp"
@@ -115,6 +114,7 @@
 	callers     *shutdownCallers
 	members     []pool.Member
 	undo        sync.WaitGroup
+	stops       *schedulerMeter // takes down for how long the process was stopped
 }
 
 // arrivalsKept keeps when attempts came.
@@ -210,9 +210,12 @@
 		case s == "again" && when == "after":
 			p.signal(syscall.SIGTERM)
 		case s == "stop and go on" && when == "after":
+			begun := time.Now()
 			p.signal(syscall.SIGSTOP)
 			time.Sleep(100*time.Millisecond + time.Duration(p.rng.IntN(200))*time.Millisecond)
 			p.signal(syscall.SIGCONT)
+			now := time.Now()
+			p.stops.add(schedulerDelay{now, now.Sub(begun)})
 		}
 	}
 }
@@ -234,7 +237,8 @@
 		address = p.api
 	}
 	j := newShutdownJudge()
-	j.process = p.meter()
+	j.process = measureRunDelays(p.cmd.Process.Pid)
+	p.stops = j.process
 	c := &shutdownCallers{judge: j, transport: p.transport, address: address, over: make(chan struct{}), took: r.took}
 	p.callers = c
 	for range shutdownCallersEach {
@@ -284,26 +288,6 @@
 	return r
 }
 
-// usualTurn is what a call at the management address takes on a machine that is not busy.
-const usualTurn = 10 * time.Millisecond
-
-// meter measures how late the process is, as long as it lives: its loop answers each call at the management address. A process that was
-// stopped, or that has no core, is late by no fault of its own.
-func (p *shutdownPlay) meter() *schedulerMeter {
-	m := &schedulerMeter{}
-	management := p.management
-	go func() {
-		for status := http.StatusOK; status > 0; time.Sleep(usualTurn) {
-			begin := time.Now()
-			status, _ = ask(management, "/api/ready")
-			if end := time.Now(); end.Sub(begin) > usualTurn {
-				m.add(schedulerDelay{end, end.Sub(begin) - usualTurn})
-			}
-		}
-	}()
-	return m
-}
-
 // exitAtOnce has a process that was built with the race detector exit without the second that it sleeps by default.
 const exitAtOnce = "GORACE=atexit_sleep_ms=0"
 
--- a/cmd/cherryrelay/terms_leaving_test.go
+++ b/cmd/cherryrelay/terms_leaving_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -61,22 +62,24 @@
 	}
 }
 
-// between is the time between two instants that was lost to scheduling.
+// between is the time between two instants that was lost to scheduling: that in which any delay lasted.
 func (m *schedulerMeter) between(from, to time.Time) time.Duration {
 	time.Sleep(2 * meterPeriod) // for a delay that spans the last instant to be recorded
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	lost := time.Duration(0)
-	for _, d := range m.delays {
+	for _, d := range slices.Backward(m.delays) { // in the order of their ends, so that each counts up to where the one after it began
 		begin := d.end.Add(-d.lost)
 		if begin.Before(from) {
 			begin = from
 		}
-		end := d.end
-		if end.After(to) {
-			end = to
+		if d.end.Before(to) {
+			to = d.end
+		}
+		if part := to.Sub(begin); part > 0 {
+			lost += part
+			to = begin
 		}
-		lost += max(0, end.Sub(begin))
 	}
 	return lost
 }
