Count an attempt as ended once its dispatcher has made the reset, not before

The judge took the time before the close: a dispatcher that lost its core between the two would have hidden a resend that much too early. The close has sent the reset when it returns, so the time after it is never ahead of what the controller can have seen, and the check is as strict as the rule: the guard counts from the reset or later.

Run: the tests of internal/trial three times, and TestShutdowns, TestKilledAgainAndAgain and TestTheTakerIsLostToo with the race detector: passed.

--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -266,8 +266,9 @@
 	closedAt atomic.Pointer[time.Time] // when a script closed it; nil before
 }
 
-// closes notes that a script is about to close the connection: the other side may know of that from now on, before this one's reader does.
-func (l *link) closes() {
+// noteClosed notes that a script has closed the connection: the other side may know of that before this one's reader does, and not before the
+// close has begun.
+func (l *link) noteClosed() {
 	now := time.Now()
 	l.closedAt.CompareAndSwap(nil, &now)
 }
@@ -384,11 +385,11 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, l := range d.links {
-		l.closes()
 		if tcp, ok := l.Conn.(*net.TCPConn); ok {
 			_ = tcp.SetLinger(0)
 		}
 		_ = l.Close()
+		l.noteClosed()
 	}
 	d.links = nil
 }
@@ -540,18 +541,19 @@
 
 // Reset resets the connection of the event, and no other.
 func (e Event) Reset() error {
-	e.link.closes()
 	if tcp, ok := e.link.Conn.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0)
 	}
-	return e.link.Close()
+	err := e.link.Close()
+	e.link.noteClosed()
+	return err
 }
 
 // Deafen has the connection of the event be dead from now on, as its dispatcher does not know: nothing that comes is taken in, its end
 // neither. What the dispatcher tells there, the script leaves out.
 func (e Event) Deafen() { close(e.link.deaf) }
 
-// ClosedHere is when a script closed the connection of the event; zero if none has.
+// ClosedHere is when a script had closed the connection of the event; zero if none has.
 func (e Event) ClosedHere() time.Time {
 	if at := e.link.closedAt.Load(); at != nil {
 		return *at
