Have callers' fronts see connections and listeners through interfaces

The ends of calls on callers' connections are in no search of orders, as a front could be given no connection without a socket. Conn now holds a small interface in place of *conn.Conn, as the dispatchers' links do, and Front one in place of *conn.Listener.

--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -122,7 +122,7 @@
 	format   func() Format
 	bounds   Bounds
 	terms    *Terms
-	listener *conn.Listener
+	listener Listener
 	all      []*Conn   // in the order in which they came
 	open     []*Conn   // those that can be written to
 	pending  []release // ends for which no connection is open
@@ -132,13 +132,18 @@
 // New returns a front for a socket that listens. It accepts once its listener is started.
 func New(loop *call.Loop, core Core, log *slog.Logger, tcp *net.TCPListener, format func() Format, bounds Bounds, terms *Terms) *Front {
 	f := &Front{core: core, loop: loop, log: log, format: format, bounds: bounds, terms: terms}
-	f.listener = conn.NewListener(loop, tcp, bounds.Most(), f.accept)
-	loop.Post(f.look)
+	f.listen(conn.NewListener(loop, tcp, bounds.Most(), func(c *conn.Conn) conn.Handler { return f.accept(c) }))
 	return f
 }
 
+// listen has the front serve what a listener accepts.
+func (f *Front) listen(l Listener) {
+	f.listener = l
+	f.loop.Post(f.look)
+}
+
 // Listener is where the front's connections come from.
-func (f *Front) Listener() *conn.Listener { return f.listener }
+func (f *Front) Listener() Listener { return f.listener }
 
 // Address is where the front listens.
 func (f *Front) Address() string { return f.listener.Address() }
@@ -149,7 +154,7 @@
 // Retune has set-ups keep to other terms from now on.
 func (f *Front) Retune(terms *Terms) { f.terms = terms }
 
-func (f *Front) accept(c *conn.Conn) conn.Handler {
+func (f *Front) accept(c connection) conn.Handler {
 	now := time.Now()
 	cc := &Conn{front: f, conn: c, format: f.format(), usedAt: now, since: now}
 	f.all = append(f.all, cc)
--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -16,7 +16,7 @@
 // Conn is a connection from callers.
 type Conn struct {
 	front   *Front
-	conn    *conn.Conn
+	conn    connection
 	format  Format
 	joined  bool
 	closed  bool
--- /dev/null
+++ b/internal/callers/transport.go
@@ -0,0 +1,38 @@
+package callers
+
+import (
+	"os"
+	"time"
+
+	"cherryrelay/internal/conn"
+)
+
+// connection is one connection from callers; *conn.Conn is one, and documents the methods.
+type connection interface {
+	Write(p []byte)
+	WriteThen(p []byte, then func()) conn.Ticket
+	Flush()
+	Unsent() int
+	Quiet() bool
+	AllTaken() bool
+	Unread() bool
+	Hear()
+	Left() bool
+	EndedAt() time.Time
+	Remote() string
+	Close(reason error)
+}
+
+// Listener accepts a front's connections; *conn.Listener is one, and documents the methods.
+type Listener interface {
+	Start() error
+	Stop()
+	Share() (*os.File, error)
+	Shared(shared bool)
+	Address() string
+	Limit(most int)
+	Held() int
+	Full() bool
+	Waiting() bool
+	Shutdown() error
+}
