--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -131,11 +131,15 @@
 
 // New returns a front for a socket that listens. It accepts once its listener is started.
 func New(loop *call.Loop, core Core, log *slog.Logger, tcp *net.TCPListener, format func() Format, bounds Bounds, terms *Terms) *Front {
-	f := &Front{core: core, loop: loop, log: log, format: format, bounds: bounds, terms: terms}
+	f := newFront(loop, core, log, format, bounds, terms)
 	f.listen(conn.NewListener(loop, tcp, bounds.Most(), func(c *conn.Conn) conn.Handler { return f.accept(c) }))
 	return f
 }
 
+func newFront(loop *call.Loop, core Core, log *slog.Logger, format func() Format, bounds Bounds, terms *Terms) *Front {
+	return &Front{core: core, loop: loop, log: log, format: format, bounds: bounds, terms: terms}
+}
+
 // listen has the front serve what a listener accepts.
 func (f *Front) listen(l Listener) {
 	f.listener = l
