Pass on the end of a call that lay unread as its connection was reset

An end counted as heard once it had been with the kernel for 200 ms before its connection ended. With the kernel is not read: a caller that stands still for longer and then resets or closes the connection has not read it, and a close that crosses the end while this process is kept from its core for as long is taken for a later one.

What callers saw: the end of a call that stood told to nobody.

What left within 8 s before a reset is passed on, on another connection or the next one. Linux resets a connection that is closed with words unread or written to after its close, and ends one in good order whose words were all read; a reset may show first as the error of a write, or be there unseen as this side closes. A caller that resets after it has read the end is told it again.

--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -17,6 +17,8 @@
 const (
 	// recent is how long a release is kept for the case that it crossed the close of its connection.
 	recent = 200 * time.Millisecond
+	// unreadFor is how long a release may lie unread with a caller that stands still. A reset within as much may have had it thrown away.
+	unreadFor = 8 * time.Second
 	// keep is how long a release waits for a caller to connect; later nobody counts on it.
 	keep = 30 * time.Second
 	// lookEvery is the pace at which connections are looked at.
--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"slices"
+	"syscall"
 	"time"
 
 	"cherryrelay/internal/call"
@@ -33,6 +34,7 @@
 	since      time.Time // when it connected or, if later, the message that is not whole began
 	usedAt     time.Time
 	sent       []*told // lately, of calls that stood
+	reset      bool    // it has ended by a reset, or may have
 }
 
 // Data takes in what callers have sent.
@@ -85,6 +87,7 @@
 
 // shut closes a connection that has no set-up open. It counts as closed at once, so that no release is written to it.
 func (c *Conn) shut(reason error) {
+	c.reset = c.conn.Left() // whether by a reset is not known yet
 	c.conn.Write(c.format.Bye(nil))
 	c.conn.Close(reason)
 	c.Closed(reason)
@@ -218,6 +221,7 @@
 		return
 	}
 	c.closed = true
+	c.reset = c.reset || isReset(reason)
 	f := c.front
 	f.all = slices.DeleteFunc(f.all, func(o *Conn) bool { return o == c })
 	f.open = slices.DeleteFunc(f.open, func(o *Conn) bool { return o == c })
@@ -233,6 +237,11 @@
 	c.sent = nil
 }
 
+// isReset reports whether a connection that ended for the reason was reset by its peer, which may show as something is written to it.
+func isReset(reason error) bool {
+	return errors.Is(reason, conn.ErrReset) || errors.Is(reason, syscall.ECONNRESET) || errors.Is(reason, syscall.EPIPE)
+}
+
 // Left reports whether the caller has gone. What it has said last is taken in before.
 func (c *Conn) Left() bool {
 	if !c.closed {
--- a/internal/callers/ends.go
+++ b/internal/callers/ends.go
@@ -96,7 +96,7 @@
 	r.at = time.Now()
 	t := &told{release: r}
 	c.writeRelease(r, func() { t.leftAt = time.Now() })
-	c.sent = slices.DeleteFunc(c.sent, func(o *told) bool { return !c.unheard(o) })
+	c.sent = slices.DeleteFunc(c.sent, func(o *told) bool { return !c.unheard(o) && time.Since(o.leftAt) > unreadFor })
 	c.sent = append(c.sent, t)
 }
 
@@ -111,7 +111,7 @@
 }
 
 // unheard reports whether a release that was sent may not have been read: it has not left, it left shortly before now or the end of the
-// connection, or nobody ever spoke here.
+// connection, the connection was reset, or nobody ever spoke here. A socket that is closed with words unread sends a reset.
 func (c *Conn) unheard(t *told) bool {
 	if t.leftAt.IsZero() {
 		return true
@@ -121,5 +121,5 @@
 		until = time.Now()
 	}
 	age := until.Sub(t.leftAt)
-	return age <= recent || !c.asked && !c.tested && age <= keep
+	return age <= recent || c.reset && age <= unreadFor || !c.asked && !c.tested && age <= keep
 }
--- a/internal/callers/orders_test.go
+++ b/internal/callers/orders_test.go
@@ -274,7 +274,7 @@
 		s.do(func() { s.caller.opens() })
 		time.Sleep(2 * settle)
 	}
-	for _, e := range order {
+	for _, e := range append(spelledOrder(s.begun), order...) {
 		could := false
 		s.do(func() {
 			if !e.idle {
@@ -357,9 +357,10 @@
 // orderStart is what an order of events begins with.
 type orderStart struct {
 	name   string
-	api    bool // the caller speaks the call-control API
-	called bool // the call is established, and its caller knows
-	spare  bool // another connection is open, on which nothing was said
+	api    bool   // the caller speaks the call-control API
+	called bool   // the call is established, and its caller knows
+	spare  bool   // another connection is open, on which nothing was said
+	begun  string // events that have come by then
 }
 
 // orderResult is what came of one order.
@@ -404,7 +405,8 @@
 // connections and the controller, to a depth, over the real core and front.
 func TestEndsAndConnectionsInEveryOrder(t *testing.T) {
 	for _, start := range []orderStart{{name: "a set-up"}, {name: "an established call", called: true},
-		{name: "a spare connection", called: true, spare: true}, {name: "an established call over the API", called: true, api: true}} {
+		{name: "a spare connection", called: true, spare: true}, {name: "an established call over the API", called: true, api: true},
+		{name: "an end that lies unread", called: true, begun: "pe3"}, {name: "nothing is shown", called: true, begun: "u"}} {
 		t.Run(start.name, func(t *testing.T) {
 			t.Parallel()
 			for _, first := range orderEvents() {
@@ -437,3 +439,39 @@
 	}
 	return played
 }
+
+// TestOrdersThatHaveFailed guards against faults that the search found, by the shortest orders that showed them.
+func TestOrdersThatHaveFailed(t *testing.T) {
+	established := orderStart{called: true}
+	for name, test := range map[string]struct {
+		start orderStart
+		order string
+	}{
+		"a caller that stands still resets with the end unread":               {established, "pe3r"},
+		"a caller that stands still closes with the end unread":               {established, "pe3c"},
+		"a close crosses the end and is shown late":                           {established, "uxe3"},
+		"a close behind other words crosses the end and is shown late":        {established, "uice3"},
+		"a close crosses the end, and is on its way as nothing is shown more": {established, "xeu3"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			order := spelledOrder(test.order)
+			if result := test.start.play(t, order); !result.possible || len(result.faults) > 0 {
+				t.Errorf("order %s, possible: %v: %s", test.order, result.possible, strings.Join(result.faults, "; "))
+			}
+		})
+	}
+}
+
+// spelledOrder has the events of the letters.
+func spelledOrder(letters string) []orderEvent {
+	var order []orderEvent
+	for _, letter := range []byte(letters) {
+		for _, e := range orderEvents() {
+			if e.letter == letter {
+				order = append(order, e)
+			}
+		}
+	}
+	return order
+}
