--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -17,6 +17,8 @@
 const (
 	// recent is how long a release is kept for the case that it crossed the close of its connection.
 	recent = 200 * time.Millisecond
+	// unreadFor is how long a release may lie unread with a caller that stands still. A reset within as much may have had it thrown away.
+	unreadFor = 8 * time.Second
 	// keep is how long a release waits for a caller to connect; later nobody counts on it.
 	keep = 30 * time.Second
 	// lookEvery is the pace at which connections are looked at.
@@ -122,7 +124,7 @@
 	format   func() Format
 	bounds   Bounds
 	terms    *Terms
-	listener *conn.Listener
+	listener Listener
 	all      []*Conn   // in the order in which they came
 	open     []*Conn   // those that can be written to
 	pending  []release // ends for which no connection is open
@@ -131,14 +133,23 @@
 
 // New returns a front for a socket that listens. It accepts once its listener is started.
 func New(loop *call.Loop, core Core, log *slog.Logger, tcp *net.TCPListener, format func() Format, bounds Bounds, terms *Terms) *Front {
-	f := &Front{core: core, loop: loop, log: log, format: format, bounds: bounds, terms: terms}
-	f.listener = conn.NewListener(loop, tcp, bounds.Most(), f.accept)
-	loop.Post(f.look)
+	f := newFront(loop, core, log, format, bounds, terms)
+	f.listen(conn.NewListener(loop, tcp, bounds.Most(), func(c *conn.Conn) conn.Handler { return f.accept(c) }))
 	return f
 }
 
+func newFront(loop *call.Loop, core Core, log *slog.Logger, format func() Format, bounds Bounds, terms *Terms) *Front {
+	return &Front{core: core, loop: loop, log: log, format: format, bounds: bounds, terms: terms}
+}
+
+// listen has the front serve what a listener accepts.
+func (f *Front) listen(l Listener) {
+	f.listener = l
+	f.loop.Post(f.look)
+}
+
 // Listener is where the front's connections come from.
-func (f *Front) Listener() *conn.Listener { return f.listener }
+func (f *Front) Listener() Listener { return f.listener }
 
 // Address is where the front listens.
 func (f *Front) Address() string { return f.listener.Address() }
@@ -149,7 +160,7 @@
 // Retune has set-ups keep to other terms from now on.
 func (f *Front) Retune(terms *Terms) { f.terms = terms }
 
-func (f *Front) accept(c *conn.Conn) conn.Handler {
+func (f *Front) accept(c connection) conn.Handler {
 	now := time.Now()
 	cc := &Conn{front: f, conn: c, format: f.format(), usedAt: now, since: now}
 	f.all = append(f.all, cc)
