--- /dev/null
+++ b/internal/dispatchers/orders_events_test.go
@@ -0,0 +1,130 @@
+package dispatchers
+
+import (
+	"strings"
+	"time"
+
+	"cherryrelay/control"
+	"cherryrelay/internal/call"
+)
+
+// orderEvent is one thing that may happen. It reports whether it could.
+type orderEvent struct {
+	letter byte
+	what   string
+	occurs func(s *orderSite) bool
+	after  time.Duration // that passes after it
+	idle   bool          // nothing else happens
+}
+
+// connectionWithFlight is the oldest or newest connection on which something is on its way.
+func (p *process) connectionWithFlight(newest bool) *standInConnection {
+	var found *standInConnection
+	for _, c := range p.all {
+		if (len(c.flight) > 0 || c.peerClosed) && !c.closed && (found == nil || newest) {
+			found = c
+		}
+	}
+	return found
+}
+
+func deliverTo(newest bool) func(*orderSite) bool {
+	return func(s *orderSite) bool {
+		c := s.first.connectionWithFlight(newest)
+		if c == nil || s.first.cutOff || newest && c == s.first.connectionWithFlight(false) {
+			return false
+		}
+		c.deliver()
+		return true
+	}
+}
+
+// passes is an event in which nothing happens for a time.
+func passes(letter byte, d time.Duration) orderEvent {
+	return orderEvent{letter, "time passes: " + d.String(), func(*orderSite) bool { return true }, d, true}
+}
+
+func orderEvents() []orderEvent {
+	return []orderEvent{
+		{'a', "the first dispatcher answers", func(s *orderSite) bool { return s.first.finalAnswer(orderedID, 200) }, 0, false},
+		{'f', "it refuses", func(s *orderSite) bool { return s.first.finalAnswer(orderedID, 504) }, 0, false},
+		{'e', "it ends the call", func(s *orderSite) bool { return s.end(s.first) }, 0, false},
+		{'d', "what is on its way on the oldest connection arrives", deliverTo(false), 0, false},
+		{'D', "what is on its way on the newest connection arrives", deliverTo(true), 0, false},
+		{'r', "the oldest connection is reset", func(s *orderSite) bool { return s.onOldest((*standInConnection).reset) }, 0, false},
+		{'h', "it closes the oldest connection in good order", func(s *orderSite) bool { return s.onOldest((*standInConnection).close) }, 0, false},
+		{'n', "one more connection is opened", func(s *orderSite) bool {
+			if len(s.first.connections) >= MaxLinks {
+				return false
+			}
+			s.pool.Renew("first")
+			return true
+		}, 2 * checkEvery, false},
+		{'c', "the caller cancels", func(s *orderSite) bool {
+			if s.cancelled || s.left {
+				return false
+			}
+			s.cancelled = true
+			s.core.GiveUp(s, orderedID, call.CauseNormal)
+			return true
+		}, 0, false},
+		{'l', "the caller's connection closes", func(s *orderSite) bool {
+			if s.left {
+				return false
+			}
+			s.left = true
+			s.core.CallerClosed(s)
+			return true
+		}, 0, false},
+		{'g', "the first dispatcher drains", func(s *orderSite) bool { s.list(control.Draining, "first"); return true }, 0, false},
+		{'x', "it is taken off the list", func(s *orderSite) bool { s.list(control.Removed, "first"); return true }, 0, false},
+		{'y', "it is on the list", func(s *orderSite) bool { s.list(control.Active, "first"); return true }, 0, false},
+		{'s', "it listens no more", func(s *orderSite) bool {
+			listened := s.first.listens
+			s.first.listens = false
+			return listened
+		}, 0, false},
+		{'v', "it is cut off", func(s *orderSite) bool {
+			cutOff := s.first.cutOff
+			s.first.cutOff = true
+			return !cutOff
+		}, 0, false},
+		{'w', "it can be reached again", func(s *orderSite) bool {
+			if !s.first.cutOff {
+				return false
+			}
+			s.first.returns()
+			return true
+		}, 0, false},
+		{'k', "it dies", func(s *orderSite) bool {
+			listened := s.first.listens
+			s.first.dies()
+			return listened
+		}, 0, false},
+		{'b', "it dies and begins anew", func(s *orderSite) bool { s.beginAnew(); return true }, 2 * checkEvery, false},
+		passes('t', 700*time.Millisecond),
+		passes('T', silence+3*checkEvery),
+		passes('q', deadAfter+10*checkEvery),
+	}
+}
+
+func spellOrder(order []orderEvent) string {
+	var letters strings.Builder
+	for _, e := range order {
+		letters.WriteByte(e.letter)
+	}
+	return letters.String()
+}
+
+// spelledOrder has the events of the letters.
+func spelledOrder(letters string) []orderEvent {
+	var order []orderEvent
+	for _, letter := range []byte(letters) {
+		for _, e := range orderEvents() {
+			if e.letter == letter {
+				order = append(order, e)
+			}
+		}
+	}
+	return order
+}
