Play orders with connections that are given up while their dispatcher lives

The search had no connection on which nothing gets through while others of its dispatcher do, and no second call by whose answer a connection is found to be overtaken: what is given up as dead in that state was in none of its orders. Now nothing reaches the dispatcher on a connection, or nothing comes from it there, for a while or for good; another call comes and is answered on another connection; three connections may be open. A second table of events is played from three starts.

Checks: the end and the release of each of the calls are looked at, not of one; an end must be told within 1 s once the release by its dispatcher has come, beside the 8 s. A dispatcher tells ends into a connection whose close it has not seen; before, the stand-in knew of the close at once. An attempt that was given up on a connection on which the dispatcher can't see that counts as out no more, as where it is cut off. A call whose release may be stuck on such a connection, and one under whose id the dispatcher still has the end of an earlier attempt to tell, is not held against the controller as unknown: the first can't be released, the second can't be told from the earlier one.

--- a/internal/dispatchers/orders_events_test.go
+++ b/internal/dispatchers/orders_events_test.go
@@ -1,11 +1,11 @@
 package dispatchers
 
 import (
+	"slices"
 	"strings"
 	"time"
 
 	"cherryrelay/control"
-	"cherryrelay/internal/call"
 )
 
 // orderEvent is one thing that may happen. It reports whether it could.
@@ -48,7 +48,7 @@
 	return []orderEvent{
 		{'a', "the first dispatcher answers", func(s *orderSite) bool { return s.first.finalAnswer(orderedID, 200) }, 0, false},
 		{'f', "it refuses", func(s *orderSite) bool { return s.first.finalAnswer(orderedID, 504) }, 0, false},
-		{'e', "it ends the call", func(s *orderSite) bool { return s.end(s.first) }, 0, false},
+		{'e', "it ends the call", func(s *orderSite) bool { return s.end(s.first, orderedID) }, 0, false},
 		{'d', "what is on its way on the oldest connection arrives", deliverTo(false), 0, false},
 		{'D', "what is on its way on the newest connection arrives", deliverTo(true), 0, false},
 		{'r', "the oldest connection is reset", func(s *orderSite) bool { return s.onOldest((*standInConnection).reset) }, 0, false},
@@ -60,14 +60,7 @@
 			s.pool.Renew("first")
 			return true
 		}, 2 * checkEvery, false},
-		{'c', "the caller cancels", func(s *orderSite) bool {
-			if s.cancelled || s.left {
-				return false
-			}
-			s.cancelled = true
-			s.core.GiveUp(s, orderedID, call.CauseNormal)
-			return true
-		}, 0, false},
+		{'c', "the caller cancels", func(s *orderSite) bool { return s.cancel(orderedID) }, 0, false},
 		{'l', "the caller's connection closes", func(s *orderSite) bool {
 			if s.left {
 				return false
@@ -108,6 +101,82 @@
 	}
 }
 
+// stallEvents are of connections on which nothing gets through, though their dispatcher lives and others get on.
+func stallEvents() []orderEvent {
+	return []orderEvent{
+		{'i', "nothing reaches the dispatcher on the call's connection", func(s *orderSite) bool {
+			return s.onConnectionOf(orderedID, func(c *standInConnection) bool { return !c.deaf }, func(c *standInConnection) { c.deaf = true })
+		}, 0, false},
+		{'o', "nothing comes from it there", func(s *orderSite) bool {
+			return s.onConnectionOf(orderedID, func(c *standInConnection) bool { return !c.mute }, func(c *standInConnection) { c.mute = true })
+		}, 0, false},
+		{'u', "all gets through again", (*orderSite).flows, 0, false},
+		{'m', "another call comes, and is answered", (*orderSite).otherCall, otherComes + checkEvery - promptly/2, false},
+		{'I', "nothing reaches the dispatcher on its newest connection", func(s *orderSite) bool {
+			return s.onNewest(func(c *standInConnection) { c.deaf, s.stalled = true, true })
+		}, 0, false},
+		{'N', "it tells its state there", func(s *orderSite) bool {
+			return s.onNewest(func(c *standInConnection) {
+				c.tell(stateReport())
+				c.deliver()
+			})
+		}, 0, false},
+		{'p', "the first dispatcher answers by itself from now on", func(s *orderSite) bool {
+			before := s.first.promptly[orderedID]
+			s.first.promptly[orderedID] = true
+			return !before
+		}, 0, false},
+		{'E', "the other call ends", func(s *orderSite) bool { return s.end(s.first, otherID) }, 0, false},
+	}
+}
+
+// onConnectionOf does something to the connection of a call at the first dispatcher, if it may.
+func (s *orderSite) onConnectionOf(id string, may func(*standInConnection) bool, f func(*standInConnection)) bool {
+	c := s.first.pending(id)
+	if c == nil {
+		c = s.first.established[id]
+	}
+	if c == nil || !may(c) {
+		return false
+	}
+	f(c)
+	s.stalled = true
+	return true
+}
+
+// onNewest does something to the newest open connection of the first dispatcher.
+func (s *orderSite) onNewest(f func(*standInConnection)) bool {
+	open := s.first.open()
+	if s.first.cutOff || len(open) == 0 {
+		return false
+	}
+	f(open[len(open)-1])
+	return true
+}
+
+// flows has all get through again on connections to the first dispatcher on which it did not.
+func (s *orderSite) flows() bool {
+	stalled := false
+	for _, c := range s.first.all {
+		if c.deaf || c.mute {
+			stalled = true
+			c.flows()
+		}
+	}
+	return stalled
+}
+
+// otherCall has the caller set up another call, which the first dispatcher answers at once if it comes there.
+func (s *orderSite) otherCall() bool {
+	if s.calls[otherID] != nil || s.left {
+		return false
+	}
+	s.calls[otherID] = &orderedCall{}
+	s.first.promptly[otherID] = true
+	s.core.Loop().After(otherComes, func() { s.offer(otherID) })
+	return true
+}
+
 func spellOrder(order []orderEvent) string {
 	var letters strings.Builder
 	for _, e := range order {
@@ -120,7 +189,7 @@
 func spelledOrder(letters string) []orderEvent {
 	var order []orderEvent
 	for _, letter := range []byte(letters) {
-		for _, e := range orderEvents() {
+		for _, e := range slices.Concat(orderEvents(), stallEvents()) {
 			if e.letter == letter {
 				order = append(order, e)
 			}
--- a/internal/dispatchers/orders_site_test.go
+++ b/internal/dispatchers/orders_site_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"log/slog"
+	"maps"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -16,6 +18,9 @@
 
 const (
 	orderedID = "00000000000000c1"
+	// otherID is that of a call beside it, which comes otherComes later and is answered at once.
+	otherID    = "00000000000000c2"
+	otherComes = overtakenBy + 50*time.Millisecond
 	// orderSettings have one class, whose callers wait for 9 s, and a guard of 60 ms.
 	orderSettings = `{"caps":{"maxRetryAfterUs":2000000,"mayCancel":true,"retryAfter":true,"sendCap":5},
 "familyInfo":{"guardUs":60000,"layout":"skills","thisNode":-1},"membershipMode":"pushed","peersTotal":2,"report":{"fields":["idle"]},
@@ -26,9 +31,19 @@
 	onItsWay, arrivalStep = time.Second, 50 * time.Millisecond
 	// endUntold is how soon the end of a call must reach its caller though its dispatcher could not tell it at first.
 	endUntold = 8 * time.Second
+	// releaseUntold is how soon it must once the release by its dispatcher has come.
+	releaseUntold = time.Second
 )
 
-// orderSite is a core and a pool over stand-in dispatchers, with one call.
+// orderedCall is what its caller and its dispatcher know of a call.
+type orderedCall struct {
+	answers, finals, overs int
+	cancelled              bool
+	endedAt, overAt        time.Time // at its dispatcher, and as its caller was told
+	releaseCame            time.Time // of a call that stood, to the pool's side; zero if it has not
+}
+
+// orderSite is a core and a pool over stand-in dispatchers, with one call and, as an event, another.
 type orderSite struct {
 	orderStart
 	core      *call.Core
@@ -40,9 +55,9 @@
 
 	disturbedAt time.Time // when the last event was that is more than time that passes
 
-	answers, finals, overs int
-	cancelled, left        bool
-	endedAt, overAt        time.Time // at its dispatcher, and as its caller was told
+	calls   map[string]*orderedCall
+	left    bool // the caller's connection has closed
+	stalled bool // nothing got through on a connection for a while
 }
 
 func (s *orderSite) fault(format string, args ...any) {
@@ -50,23 +65,25 @@
 }
 
 // Answer tells the caller that the call is established.
-func (s *orderSite) Answer(string, string) error { s.answers++; return nil }
+func (s *orderSite) Answer(id, _ string) error { s.calls[id].answers++; return nil }
 
 // End is the final answer.
-func (s *orderSite) End(string, call.End) { s.finals++ }
+func (s *orderSite) End(id string, _ call.End) { s.calls[id].finals++ }
 
 // Left reports whether the caller has gone.
 func (s *orderSite) Left() bool { return s.left }
 
 // Over tells the caller the end of the call.
-func (s *orderSite) Over(string, call.End) {
-	_, holds := s.first.established[orderedID]
+func (s *orderSite) Over(id string, _ call.End) {
+	c := s.calls[id]
+	_, holds := s.first.established[id]
+	holds = holds && !s.first.ambiguous[id]        // nobody can tell whose end it is
 	canRepeat := s.first.listens || !s.first.reset // ends that may have been lost
-	if holds && canRepeat && !s.first.cutOff && len(s.first.open()) > 0 && !s.cancelled {
-		s.fault("its end is told while it goes on, at a dispatcher that can be reached")
+	if holds && canRepeat && s.first.reachable() && !c.cancelled {
+		s.fault("the end of %s is told while it goes on, at a dispatcher that can be reached", id)
 	}
-	s.overs++
-	s.overAt = time.Now()
+	c.overs++
+	c.overAt = time.Now()
 }
 
 // orderFront passes on the ends of calls whose connection has closed.
@@ -81,15 +98,15 @@
 // Quiet reports that nothing waits.
 func (f orderFront) Quiet() bool { return true }
 
-// attempted takes in the arrival of an attempt at a dispatcher. One that is cut off can't be told that an earlier attempt is given up.
+// attempted takes in the arrival of an attempt at a dispatcher. One that nothing reaches can't be told that an earlier attempt is given up.
 func (s *orderSite) attempted(id string) {
 	for _, p := range s.network.processes {
-		if p.pending(id) != nil && !p.cutOff {
-			s.fault("an attempt while another one is out")
+		if pending := p.pending(id); pending != nil && !p.cutOff && !pending.givenUpUnread(id) {
+			s.fault("an attempt of %s while another one is out", id)
 		}
 	}
-	if s.answers+s.finals > 0 {
-		s.fault("an attempt after the final answer")
+	if c := s.calls[id]; c.answers+c.finals > 0 {
+		s.fault("an attempt of %s after the final answer", id)
 	}
 }
 
@@ -105,7 +122,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &orderSite{orderStart: start, core: core, network: &standInNetwork{loop: loop, processes: map[string]*process{}}}
+	s := &orderSite{orderStart: start, core: core, network: &standInNetwork{loop: loop, processes: map[string]*process{}}, calls: map[string]*orderedCall{}}
 	s.pool = New(loop, core, Options{ConnectTimeout: 500 * time.Millisecond, Fields: []string{"idle"}, Log: log})
 	s.pool.dial = s.network.dial
 	if start.most > 0 {
@@ -115,6 +132,7 @@
 	core.AddFront(orderFront{s})
 	core.OnFlush(s.pool.Flush)
 	s.first = newProcess(s)
+	s.first.again = start.again
 	s.network.processes["first"] = s.first
 	if start.second {
 		s.network.processes["second"] = newProcess(s)
@@ -160,11 +178,30 @@
 }
 
 // end has a dispatcher end the call.
-func (s *orderSite) end(at *process) bool {
-	if !at.ends(orderedID) {
+func (s *orderSite) end(at *process, id string) bool {
+	if !at.ends(id) {
+		return false
+	}
+	s.calls[id].endedAt = time.Now()
+	return true
+}
+
+// offer has the caller set a call up.
+func (s *orderSite) offer(id string) {
+	if s.calls[id] == nil {
+		s.calls[id] = &orderedCall{}
+	}
+	_ = s.core.Offer(call.Request{ID: id, Class: "c", Deadline: time.Now().Add(orderDeadline), Caller: s, Description: "x"})
+}
+
+// cancel has the caller give a call up, or end it.
+func (s *orderSite) cancel(id string) bool {
+	c := s.calls[id]
+	if c == nil || c.cancelled || s.left {
 		return false
 	}
-	s.endedAt = time.Now()
+	c.cancelled = true
+	s.core.GiveUp(s, id, call.CauseNormal)
 	return true
 }
 
@@ -183,13 +220,11 @@
 		}
 	})
 	time.Sleep(time.Second)
-	if s.two {
+	for range s.links - 1 {
 		s.do(func() { s.pool.Renew("first") })
-		time.Sleep(time.Second)
+		time.Sleep(3 * checkEvery)
 	}
-	s.do(func() {
-		_ = s.core.Offer(call.Request{ID: orderedID, Class: "c", Deadline: time.Now().Add(orderDeadline), Caller: s, Description: "x"})
-	})
+	s.do(func() { s.offer(orderedID) })
 	time.Sleep(10 * time.Millisecond)
 	if s.called {
 		s.do(func() {
@@ -225,10 +260,16 @@
 // settle has what is on its way arrive, until the call's time is over; then what is established ends.
 func (s *orderSite) settle() {
 	s.pass(onItsWay + orderDeadline + time.Second)
+	s.do(s.checkAnswered)
+	if s.stalled {
+		s.pass(halfClosedFor) // until a connection is given up for good
+	}
 	s.do(s.checkEstablished)
 	s.do(func() {
 		for _, p := range s.network.processes {
-			s.end(p)
+			for _, id := range slices.Sorted(maps.Keys(s.calls)) {
+				s.end(p, id)
+			}
 		}
 	})
 	s.pass(onItsWay + endUntold + time.Second)
@@ -244,35 +285,40 @@
 	}
 }
 
-// checkEstablished checks that a call that a dispatcher holds is known here.
-func (s *orderSite) checkEstablished() {
-	if want := 1; !s.cancelled && !s.left && s.answers+s.finals != want {
-		s.fault("%d answers and %d refusals", s.answers, s.finals)
-	}
-	for name, p := range s.network.processes {
-		if _, ok := p.established[orderedID]; !ok || p.cutOff {
-			continue
+// checkAnswered checks that each call has its one final answer.
+func (s *orderSite) checkAnswered() {
+	for id, c := range s.calls {
+		if want := 1; !c.cancelled && !s.left && c.answers+c.finals != want {
+			s.fault("%s has %d answers and %d refusals", id, c.answers, c.finals)
 		}
-		known := false
-		for id := range s.core.StandAt(control.ServerID(name)) {
-			known = known || id == orderedID
+	}
+}
+
+// checkEstablished checks that each call that a dispatcher holds is known here.
+func (s *orderSite) checkEstablished() {
+	for id := range s.calls {
+		for name, p := range s.network.processes {
+			if _, ok := p.established[id]; ok && !p.ambiguous[id] && !p.unreached() && !s.knows(id, name) && (p.listens || len(p.open()) > 0) {
+				s.fault("%s holds %s, which is not known here, and nobody releases it", name, id)
+			}
 		}
-		if !known && (p.listens || len(p.open()) > 0) {
-			s.fault("%s holds a call that is not known here, and nobody releases it", name)
+	}
+}
+
+// knows reports whether a call is known to be established at a dispatcher.
+func (s *orderSite) knows(id, dispatcher string) bool {
+	for known := range s.core.StandAt(control.ServerID(dispatcher)) {
+		if known == id {
+			return true
 		}
 	}
+	return false
 }
 
 // checkEnd checks that the end of what was established was told, and that nothing is left.
 func (s *orderSite) checkEnd() {
-	if s.answers+s.finals > 1 || s.overs > 1 {
-		s.fault("%d answers, %d refusals, %d ends", s.answers, s.finals, s.overs)
-	}
-	if s.answers == 1 && s.overs == 0 && !s.cancelled {
-		s.fault("its end is not told")
-	}
-	if s.answers == 1 && s.overs == 1 && !s.endedAt.IsZero() && s.overAt.Sub(s.endedAt) > endUntold {
-		s.fault("its end is told %v late", s.overAt.Sub(s.endedAt))
+	for id, c := range s.calls {
+		c.check(func(format string, args ...any) { s.fault(id+": "+format, args...) })
 	}
 	for name, server := range s.pool.servers {
 		if len(server.standing) > 0 {
@@ -280,3 +326,22 @@
 		}
 	}
 }
+
+// check checks that the end of the call was told once, and in time.
+func (c *orderedCall) check(fault func(string, ...any)) {
+	if c.answers+c.finals > 1 || c.overs > 1 {
+		fault("%d answers, %d refusals, %d ends", c.answers, c.finals, c.overs)
+	}
+	if c.answers == 1 && c.overs == 0 && !c.cancelled {
+		fault("its end is not told")
+	}
+	if c.answers != 1 || c.overs != 1 {
+		return
+	}
+	if late := c.overAt.Sub(c.endedAt); !c.endedAt.IsZero() && late > endUntold {
+		fault("its end is told %v late", late)
+	}
+	if late := c.overAt.Sub(c.releaseCame); !c.releaseCame.IsZero() && late > releaseUntold {
+		fault("its end is told %v after its release has come", late)
+	}
+}
--- a/internal/dispatchers/orders_test.go
+++ b/internal/dispatchers/orders_test.go
@@ -12,10 +12,12 @@
 // orderStart is what an order of events begins with.
 type orderStart struct {
 	name   string
-	second bool // there is another dispatcher, which answers by itself
-	two    bool // two connections to the first one are open
-	called bool // the call is established, and its caller knows
-	most   int  // connections to one dispatcher; 0 for MaxLinks
+	second bool   // there is another dispatcher, which answers by itself
+	links  int    // connections to the first one that are open, where it is more than one
+	called bool   // the call is established, and its caller knows
+	most   int    // connections to one dispatcher; 0 for MaxLinks
+	again  bool   // the first dispatcher answers each attempt of a call after the first one by itself
+	before string // the events that have happened
 }
 
 // orderResult is what came of one order.
@@ -28,7 +30,7 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		s := newOrderSite(t, start)
-		result.possible = s.play(order)
+		result.possible = s.play(slices.Concat(spelledOrder(start.before), order))
 		result.faults = s.faults
 	})
 	return result
@@ -51,37 +53,51 @@
 // TestCallsAndConnectionsInEveryOrder guards against calls that nobody releases, untold ends, and second attempts beside a first: all orders of
 // what may happen to a call, its dispatcher, their connections and the list, to a depth, over the real core and pool.
 func TestCallsAndConnectionsInEveryOrder(t *testing.T) {
-	for _, start := range []orderStart{{name: "one dispatcher"}, {name: "two dispatchers", second: true}, {name: "two connections", two: true},
+	for _, start := range []orderStart{{name: "one dispatcher"}, {name: "two dispatchers", second: true}, {name: "two connections", links: 2},
 		{name: "an established call", called: true}, {name: "one connection at most", called: true, most: 1}} {
-		t.Run(start.name, func(t *testing.T) {
-			t.Parallel()
-			for _, first := range orderEvents() {
-				t.Run(first.what, func(t *testing.T) {
-					t.Parallel()
-					count := start.extend(t, []orderEvent{first}, orderDepth(t))
-					t.Logf("%d orders played", count)
-				})
-			}
-		})
+		start.search(t, orderEvents())
+	}
+}
+
+// TestStalledConnectionsInEveryOrder guards against ends that are told on connections that are given up as dead while their dispatcher lives.
+func TestStalledConnectionsInEveryOrder(t *testing.T) {
+	for _, start := range []orderStart{{name: "an open set-up", links: 2, again: true}, {name: "two dispatchers", links: 2, second: true, again: true},
+		{name: "an established call", links: 2, called: true}} {
+		start.search(t, spelledOrder("iouamEedcrhntT"))
 	}
 }
 
+// search plays all orders of the events to a depth.
+func (start orderStart) search(t *testing.T, events []orderEvent) {
+	t.Helper()
+	t.Run(start.name, func(t *testing.T) {
+		t.Parallel()
+		for _, first := range events {
+			t.Run(first.what, func(t *testing.T) {
+				t.Parallel()
+				count := start.extend(t, events, []orderEvent{first}, orderDepth(t))
+				t.Logf("%d orders played", count)
+			})
+		}
+	})
+}
+
 // extend plays an order and all that go on from it, to a depth, and returns how many could be played.
-func (start orderStart) extend(t *testing.T, order []orderEvent, depth int) (played int) {
+func (start orderStart) extend(t *testing.T, events, order []orderEvent, depth int) (played int) {
 	t.Helper()
 	result := start.play(t, order)
 	if !result.possible {
 		return 0
 	}
 	if len(result.faults) > 0 {
-		t.Errorf("order %s: %s", spellOrder(order), strings.Join(result.faults, "; "))
+		t.Errorf("order %s: %s", start.before+spellOrder(order), strings.Join(result.faults, "; "))
 	}
 	played = 1
 	if depth == 1 {
 		return played
 	}
-	for _, next := range orderEvents() {
-		played += start.extend(t, append(slices.Clone(order), next), depth-1)
+	for _, next := range events {
+		played += start.extend(t, events, append(slices.Clone(order), next), depth-1)
 	}
 	return played
 }
@@ -103,11 +119,11 @@
 		"a dispatcher returns whose calls were told as cut":                    {orderStart{called: true, most: 1}, "vqw"},
 		"an answer goes down with its connection":                              {orderStart{}, "ar"},
 		"a late answer goes down with its connection":                          {orderStart{}, "acr"},
-		"an answer that comes too late leaves no entry":                        {orderStart{two: true}, "qrta"},
+		"an answer that comes too late leaves no entry":                        {orderStart{links: 2}, "qrta"},
 		"ends are lost with a connection to a dispatcher off the list":         {established, "qerx"},
 		"ends are lost with a connection to a dispatcher that listens no more": {established, "qers"},
 		"a dispatcher off the list for long loses its connection":              {established, "xqqr"},
-		"a probe goes out on a connection that is closing":                     {orderStart{two: true}, "saTh"},
+		"a probe goes out on a connection that is closing":                     {orderStart{links: 2}, "saTh"},
 		"a dispatcher with as many connections as there may be is cut off":     {established, "qTv"},
 		"a dispatcher with the one connection that there may be is cut off":    {orderStart{called: true, most: 1}, "v"},
 	} {
--- a/internal/dispatchers/standin_connection_test.go
+++ b/internal/dispatchers/standin_connection_test.go
@@ -16,20 +16,29 @@
 	loop       *call.Loop
 	process    *process
 	handler    conn.Handler
-	in         *ring.Buffer   // what the pool's side has received
-	read       *ring.Buffer   // what the process has received
-	dec        sip.Decoder    // of the process
-	setUps     map[string]int // at the process, by call: the attempt
-	flight     [][]byte       // on its way to the pool's side
-	out        []standInWrite // queued at the pool's side
+	in         *ring.Buffer     // what the pool's side has received
+	read       *ring.Buffer     // what the process has received
+	dec        sip.Decoder      // of the process
+	setUps     map[string]int   // at the process, by call: the attempt
+	flight     []standInMessage // on its way to the pool's side
+	out        []standInWrite   // queued at the pool's side
 	tickets    conn.Ticket
-	finished   bool // the pool's side has ended its part
-	peerClosed bool // the process has closed; that is on its way, behind flight
-	closed     bool // the pool's side takes nothing any more
+	deaf       bool            // nothing of the pool's side reaches the process
+	mute       bool            // nothing of the process reaches the pool's side
+	cancelled  map[string]bool // set-ups that the pool's side has cancelled, by call
+	finished   bool            // the pool's side has ended its part
+	peerClosed bool            // the process has closed; that is on its way, behind flight
+	closed     bool            // the pool's side takes nothing any more
 	told       bool
 	endedAt    time.Time
 }
 
+// standInMessage is a message of a process.
+type standInMessage struct {
+	text []byte
+	ends string // the call whose end it is; empty if it is none
+}
+
 type standInWrite struct {
 	text   []byte
 	then   func()
@@ -37,20 +46,44 @@
 }
 
 // tell queues a message of the process.
-func (s *standInConnection) tell(text []byte) {
+func (s *standInConnection) tell(text []byte) { s.queue(standInMessage{text: text}) }
+
+// tellEnd queues the release of a call.
+func (s *standInConnection) tellEnd(id string) { s.queue(standInMessage{byeOf(id), id}) }
+
+func (s *standInConnection) queue(m standInMessage) {
 	if !s.peerClosed {
-		s.flight = append(s.flight, text)
+		s.flight = append(s.flight, m)
 	}
 }
 
+// unseen reports whether the process does not see what the pool's side has done: it takes the connection for open.
+func (s *standInConnection) unseen() bool { return s.deaf || s.process.cutOff }
+
+// givenUpUnread reports whether the set-up of a call has been given up here, and the process does not see it.
+func (s *standInConnection) givenUpUnread(id string) bool {
+	return s.unseen() && (s.finished || s.cancelled[id])
+}
+
+// flows has all get through again, in both directions.
+func (s *standInConnection) flows() {
+	s.deaf, s.mute = false, false
+	s.reaches()
+	s.deliver()
+}
+
 // deliver has all that is on its way reach the pool.
 func (s *standInConnection) deliver() {
-	if s.process.cutOff {
+	if s.process.cutOff || s.mute {
 		return
 	}
 	for _, m := range s.flight {
-		if !s.closed {
-			s.in.Write(m)
+		if s.closed {
+			continue
+		}
+		s.in.Write(m.text)
+		if c := s.process.site.calls[m.ends]; c != nil && c.releaseCame.IsZero() {
+			c.releaseCame = time.Now()
 		}
 	}
 	s.flight = nil
@@ -100,7 +133,7 @@
 
 // reaches has what the pool wrote reach the process, and its end behind it.
 func (s *standInConnection) reaches() {
-	if s.process.cutOff || s.peerClosed {
+	if s.unseen() || s.peerClosed {
 		return
 	}
 	var messages []*sip.Message
@@ -156,11 +189,22 @@
 	s.out = nil
 	for _, w := range out {
 		s.read.Write(w.text)
+		s.noteCancel(w.text)
 		w.then()
 	}
 	s.reaches()
 }
 
+// noteCancel keeps which set-ups the pool's side has cancelled.
+func (s *standInConnection) noteCancel(text []byte) {
+	copied := ring.New(len(text) + 1)
+	copied.Write(text)
+	var dec sip.Decoder
+	if m, err := dec.Next(copied); err == nil && m != nil && m.Method == "CANCEL" {
+		s.cancelled[m.CallID] = true
+	}
+}
+
 // Unsent is always 0: the process reads at once.
 func (s *standInConnection) Unsent() int { return 0 }
 
--- a/internal/dispatchers/standin_test.go
+++ b/internal/dispatchers/standin_test.go
@@ -35,7 +35,7 @@
 			done(conn.ErrRefused)
 			return
 		}
-		s := &standInConnection{loop: n.loop, process: p, setUps: map[string]int{}, in: ring.New(32 << 10), read: ring.New(64 << 10)}
+		s := &standInConnection{loop: n.loop, process: p, setUps: map[string]int{}, cancelled: map[string]bool{}, in: ring.New(32 << 10), read: ring.New(64 << 10)}
 		s.handler = opened(s)
 		done(nil)
 		p.accepts(s)
@@ -48,29 +48,37 @@
 	listens     bool
 	cutOff      bool                          // nothing gets through, in either direction
 	prompt      bool                          // it answers each set-up by itself
+	again       bool                          // or each after the first one of a call
+	promptly    map[string]bool               // or those of these calls
 	connections []*standInConnection          // that it has open
 	all         []*standInConnection          // and those that have ended, on which something may be on its way
 	established map[string]*standInConnection // calls, with the connection of their set-up
+	ambiguous   map[string]bool               // of them, those under whose id the end of an earlier attempt is still to be told
 	repeats     []string                      // calls whose ends are told again on the next connection
 	reset       bool                          // a connection was reset, and none has come up since
 }
 
 func newProcess(site *orderSite) *process {
-	return &process{site: site, listens: true, established: map[string]*standInConnection{}}
+	return &process{site: site, listens: true, established: map[string]*standInConnection{}, promptly: map[string]bool{}, ambiguous: map[string]bool{}}
 }
 
 func (p *process) accepts(s *standInConnection) {
 	p.connections = append(p.connections, s)
 	p.all = append(p.all, s)
-	s.tell(sip.Append(nil, &sip.Message{Method: "NOTIFY", URI: "sip:state@net", CallID: "state", Seq: 1, SeqOf: "NOTIFY",
-		Headers: []sip.Header{{Name: "P-Report", Value: "idle:8"}}}))
+	s.tell(stateReport())
 	for _, id := range p.repeats {
-		s.tell(byeOf(id))
+		s.tellEnd(id)
 	}
 	p.repeats, p.reset = nil, false
 	s.deliver()
 }
 
+// stateReport is the state of a dispatcher, as it tells it unasked.
+func stateReport() []byte {
+	return sip.Append(nil, &sip.Message{Method: "NOTIFY", URI: "sip:state@net", CallID: "state", Seq: 1, SeqOf: "NOTIFY",
+		Headers: []sip.Header{{Name: "P-Report", Value: "idle:8"}}})
+}
+
 func byeOf(id string) []byte {
 	return sip.Append(nil, &sip.Message{Method: "BYE", URI: "sip:call@net", CallID: id, Seq: 1, SeqOf: "BYE",
 		Headers: []sip.Header{{Name: "Reason", Value: "Q.850;cause=16"}}})
@@ -78,7 +86,17 @@
 
 // open are the connections on which the process can tell something.
 func (p *process) open() []*standInConnection {
-	return slices.DeleteFunc(slices.Clone(p.connections), func(s *standInConnection) bool { return s.peerClosed || s.finished })
+	return slices.DeleteFunc(slices.Clone(p.connections), func(s *standInConnection) bool { return s.peerClosed || s.finished && !s.unseen() })
+}
+
+// unreached reports whether there is a connection on which a release would not get through, though the pool's side takes it for open.
+func (p *process) unreached() bool {
+	return p.cutOff || slices.ContainsFunc(p.all, func(s *standInConnection) bool { return !s.closed && (s.deaf || s.mute && s.peerClosed) })
+}
+
+// reachable reports whether there is a connection on which messages get through in both directions.
+func (p *process) reachable() bool {
+	return !p.cutOff && slices.ContainsFunc(p.open(), func(s *standInConnection) bool { return !s.deaf && !s.mute })
 }
 
 // pending is the first connection with the set-up of a call open; nil if there is none.
@@ -94,7 +112,12 @@
 // finalAnswer tells the final answer to a set-up; 200 establishes the call.
 func (p *process) finalAnswer(id string, status int) bool {
 	s := p.pending(id)
-	if s == nil {
+	return s != nil && p.finalAnswerOn(s, id, status)
+}
+
+// finalAnswerOn tells it on a connection, if the set-up is open there.
+func (p *process) finalAnswerOn(s *standInConnection, id string, status int) bool {
+	if _, ok := s.setUps[id]; !ok {
 		return false
 	}
 	m := &sip.Message{Status: status, Phrase: "x", CallID: id, Seq: uint32(s.setUps[id]) + 1, SeqOf: "INVITE"}
@@ -102,6 +125,7 @@
 	if status == 200 {
 		m.Body = []byte("description")
 		p.established[id] = s
+		p.ambiguous[id] = p.ambiguous[id] || p.tellsEnd(id)
 	}
 	s.tell(sip.Append(nil, m))
 	return true
@@ -122,18 +146,25 @@
 		}
 		s = open[0]
 	}
-	s.tell(byeOf(id))
+	s.tellEnd(id)
 	return true
 }
 
+// tellsEnd reports whether the end of a call is on its way, or is to be told on the next connection.
+func (p *process) tellsEnd(id string) bool {
+	return slices.Contains(p.repeats, id) || slices.ContainsFunc(p.all, func(s *standInConnection) bool {
+		return slices.ContainsFunc(s.flight, func(m standInMessage) bool { return m.ends == id })
+	})
+}
+
 // takes acts on a message of the controller.
 func (p *process) takes(s *standInConnection, m *sip.Message) {
 	switch m.Method {
 	case "INVITE":
 		s.setUps[m.CallID] = int(m.Seq) - 1
-		if p.prompt {
+		if p.prompt || p.promptly[m.CallID] || p.again && m.Seq > 1 {
 			s.loop.After(promptly, func() {
-				p.finalAnswer(m.CallID, 200)
+				p.finalAnswerOn(s, m.CallID, 200)
 				s.deliver()
 			})
 		}
