Send an attempt behind a release of its call that its dispatcher may not have heard

Cause: the answer of an attempt comes just after its connection was given up, in the guard, and is released on the connection that was heard from last. As the guard ends, the next attempt goes to the same dispatcher on the connection with the fewest set-ups (server.least), which may be another one. Nothing orders the two. If the dispatcher takes the attempt first and answers, the release comes after it under the same id and cuts the call that is established by then. A dispatcher that is told a release does not send one itself, so nobody tells the caller: an untold end. The two are sent in the same millisecond where the late answer comes as the guard ends; a connection that is slow for a moment widens that.

Change: Pool.SetUp, and server.serve for an attempt that waited, take the connection on which a release of the call is not confirmed, if it may take set-ups and is not silent. On one connection the release is read first. Where that connection has been given up meanwhile, or is silent, the attempt goes out as before: that hole is left.

Callers saw a call that is answered and whose end never came.

--- a/internal/dispatchers/dispatchers.go
+++ b/internal/dispatchers/dispatchers.go
@@ -131,6 +131,10 @@
 		return
 	}
 	s.demand.Note(time.Now(), s.openSetUps()+len(s.waiting)+1)
+	if l := s.releasing(a.ID); l != nil && len(s.releases) == 0 {
+		l.setUp(a)
+		return
+	}
 	now := time.Now()
 	l := s.least(a.ID)
 	if l != nil && len(s.releases) == 0 && (l.sound(now) || !s.room(now)) {
--- a/internal/dispatchers/release.go
+++ b/internal/dispatchers/release.go
@@ -69,6 +69,32 @@
 	})
 }
 
+// releasing is the connection with a release of a call that its dispatcher may not have heard; nil if there is none. The next attempt of the
+// call at the dispatcher follows it there: on another connection it could be established first, and the release would cut it.
+func (s *server) releasing(id string) *link {
+	now := time.Now()
+	for _, l := range s.links {
+		if l.ready() && l.sound(now) && l.invites[id] == nil && l.releases(id) {
+			return l
+		}
+	}
+	return nil
+}
+
+// behindRelease is the connection for an attempt that waited: the one with a release of its call, or else the one that is ready now.
+func (s *server) behindRelease(id string, ready *link) *link {
+	if l := s.releasing(id); l != nil {
+		return l
+	}
+	return ready
+}
+
+// releases reports whether a release of a call has been sent that the dispatcher may not have heard.
+func (l *link) releases(id string) bool {
+	l.forgetDelivered()
+	return slices.ContainsFunc(l.unconfirmed, func(r *sentRelease) bool { return r.id == id })
+}
+
 // takeReleases takes the releases of calls that are known to be at the dispatcher: those that wait for a connection, and those of calls that stand,
 // which are about to count as cut.
 func (s *server) takeReleases() []release {
--- a/internal/dispatchers/server.go
+++ b/internal/dispatchers/server.go
@@ -134,7 +134,7 @@
 	s.waiting = nil
 	for _, w := range waited {
 		if a, ok := w.due(time.Now()); ok {
-			l.setUp(a)
+			s.behindRelease(a.ID, l).setUp(a)
 		} else {
 			s.pool.core.Ended(s.ID, w.ID, w.Attempt, control.Unreachable, false, nil)
 		}
