Release a late answer that was passed over, once the later attempt there comes to nothing

Cause: an answer that comes when the next attempt of its call is out at the same dispatcher is passed over, as a release would cut the call that this one is about to be established as (Core.Answered). If that one then comes to nothing, the dispatcher holds the call of the first, its caller has a refusal, and nobody releases it: its line is taken until the call ends by itself.

Change: the call keeps that it was passed over, and is released at the dispatcher as the later attempt there ends without an answer. The next attempt there goes out behind that release.

Test: TestOrdersThatHaveFailed, order am with two connections: the answer crosses the give-up of its connection. It is no untold end: the caller never had an answer.

--- a/internal/call/core.go
+++ b/internal/call/core.go
@@ -73,6 +73,7 @@
 	ranSince  time.Time          // of the first attempt that may have run, with a selection; zero for none
 	tried     []control.ServerID // where its attempts went, by this process
 	overtaken *overtaking        // its end, if that came before the answer to the attempt that is out
+	heldThere bool               // the dispatcher of the attempt that is out may hold the call by an earlier attempt there
 	place     *recovery.Call
 }
 
--- a/internal/call/outcomes.go
+++ b/internal/call/outcomes.go
@@ -20,7 +20,8 @@
 	}
 	if k != nil && k.out && k.server == server && attempt >= 0 && attempt < k.attempts-1 {
 		// An earlier attempt's, late. A release would go out under the id that both have, and cut the call that the later
-		// one is about to stand as.
+		// one is about to stand as. It goes out if that one comes to nothing.
+		k.heldThere = true
 		return false
 	}
 	if k != nil && k.state == open && k.Caller.Left() && k.state == open {
@@ -44,7 +45,7 @@
 	c.figures.Class(k.Class).Served++
 	c.stopTimers(k)
 	c.settle(k)
-	k.out, k.state = false, stands
+	k.out, k.state, k.heldThere = false, stands, false
 	c.standing[k.Caller]++
 	k.Description, k.told = "", k.Caller
 	if k.Token != nil {
@@ -73,6 +74,7 @@
 		return
 	}
 	k.out = false
+	c.releaseEarlier(k)
 	if noLine {
 		c.countAsk(server, true)
 	}
@@ -81,6 +83,14 @@
 		Elapsed: time.Since(k.sentAt), NoLine: noLine, Report: report})
 }
 
+// releaseEarlier releases the call that the dispatcher holds by an earlier attempt, as a later one there has come to nothing.
+func (c *Core) releaseEarlier(k *record) {
+	if k.heldThere {
+		k.heldThere = false
+		c.dispatchers.Release(k.server, k.ID, CauseNormal)
+	}
+}
+
 // Released tells that a dispatcher has released a call that stood. The attempt is the one that was made on the connection
 // that it came on; -1 for none.
 func (c *Core) Released(server control.ServerID, id string, attempt, cause int, report []float64) {
--- a/internal/call/turn.go
+++ b/internal/call/turn.go
@@ -143,6 +143,7 @@
 	c.loop.Stop(k.timer)
 	k.out = false
 	c.dispatchers.Withdraw(k.server, k.ID, k.attempts-1)
+	c.releaseEarlier(k)
 	c.noteBack(k, o)
 	c.tell(control.AttemptEnded{ID: control.CallID(k.ID), Server: k.server, Attempt: k.attempts - 1, Outcome: o,
 		Elapsed: time.Since(k.sentAt), CallOver: callOver})
--- a/internal/dispatchers/orders_test.go
+++ b/internal/dispatchers/orders_test.go
@@ -126,6 +126,7 @@
 		"a probe goes out on a connection that is closing":                     {orderStart{links: 2}, "saTh"},
 		"a dispatcher with as many connections as there may be is cut off":     {established, "qTv"},
 		"a dispatcher with the one connection that there may be is cut off":    {orderStart{called: true, most: 1}, "v"},
+		"an attempt comes to nothing whose predecessor is answered late":       {orderStart{links: 2}, "am"},
 		"the next attempt overtakes a release of the one before":               {orderStart{links: 3}, "amNIdptu"},
 	} {
 		t.Run(name, func(t *testing.T) {
