Dial again for ends that a broken connection took along, if the first dial is refused

An end of a call that goes down with a connection is told again on the next one that opens. As a connection broke, link.end asked for that next one (Renew), unless server.connect had dialled one just before, as more connections were wanted. If that dial was refused or timed out, renewalFailed passed it over, as it was no renewal. By the time the dispatcher's backoff allowed another one, it might be wanted no more, and the dispatcher spoke on the ones that lived: the end of the call was told to nobody.

Such a dial counts as the renewal now, so a failed one is tried again while calls stand. Without another connection nothing changes: one is dialled until it comes up.

TestEndsThatGoDownWithAConnection forces it with the stand-ins: a connection is reset with the end on its way as two are wanted for the last time, the dial is refused, and the dispatcher goes on to speak on the other one. Before, the end was told as late as the dispatcher fell silent (23.1 s, where 8 s are allowed); now it passes. Its other orders (reset, dead, dead and given up) passed before as well; they are there as no test of the package noticed when Renew, doubt or settleDoubts was taken out. All tests of internal/dispatchers passed.

--- /dev/null
+++ b/internal/dispatchers/ends_lost_test.go
@@ -0,0 +1,101 @@
+package dispatchers
+
+import (
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"cherryrelay/internal/decide/links"
+	"cherryrelay/internal/sip"
+)
+
+// Orders in which the end of a call goes down with a connection, while the dispatcher speaks on another one: only a further connection brings it.
+
+// reportEvery is how often the dispatcher speaks on a connection that lives.
+const reportEvery = 500 * time.Millisecond
+
+// wantedFor is how long a second connection is wanted after two set-ups were open at once, but for a moment.
+const wantedFor = 4100 * time.Millisecond
+
+// event is one that always can be, and that is followed by nothing else for a time.
+func event(what string, after time.Duration, f func(s *orderSite)) orderEvent {
+	return orderEvent{'-', what, func(s *orderSite) bool { f(s); return true }, after, false}
+}
+
+// deaden has nothing get through any more on a connection, which both sides hold for open.
+func (s *standInConnection) deaden() {
+	s.process = &process{site: s.process.site, cutOff: true}
+}
+
+// speaks has the first dispatcher report on all its connections that live for a time, which arrives at once.
+func speaks(d time.Duration) []orderEvent {
+	var events []orderEvent
+	for range d / reportEvery {
+		events = append(events, event("it reports", reportEvery, func(s *orderSite) {
+			for _, c := range s.first.open() {
+				if c.process == s.first {
+					c.tell(sip.Append(nil, &sip.Message{Method: "NOTIFY", URI: "sip:state@net", CallID: "state", Seq: 1, SeqOf: "NOTIFY",
+						Headers: []sip.Header{{Name: "P-Report", Value: "idle:8"}}}))
+					c.deliver()
+				}
+			}
+		}))
+	}
+	return events
+}
+
+// tellsOn has the first dispatcher end the call and tell it on a connection, where it does not arrive yet, and on the next one that opens.
+func (s *orderSite) tellsOn(c *standInConnection) {
+	delete(s.first.established, orderedID)
+	s.first.repeats = append(s.first.repeats, orderedID)
+	c.tell(byeOf(orderedID))
+	s.endedAt = time.Now()
+}
+
+// endLost is an order in which the end of a call goes down with a connection.
+type endLost struct {
+	start orderStart
+	order []orderEvent
+}
+
+// endsLost are the orders. A set-up goes out on the first connection.
+func endsLost() map[string]endLost {
+	called := orderStart{two: true, called: true}
+	tells := event("the end is told on the first connection", 0, func(s *orderSite) { s.tellsOn(s.first.all[0]) })
+	resets := event("the first connection is reset", 0, func(s *orderSite) { s.first.all[0].reset() })
+	dies := event("the first connection is dead", 0, func(s *orderSite) { s.first.all[0].deaden() })
+	resetsUndialled := event("the first connection is reset as two are wanted for the last time, and a dial is refused", 0, func(s *orderSite) {
+		server := s.pool.servers["first"]
+		server.demand = links.Demand{}
+		server.demand.Note(time.Now().Add(-wantedFor), 2)
+		s.first.listens = false
+		s.first.all[0].reset()
+	})
+	listens := event("it listens again", 0, func(s *orderSite) { s.first.listens = true })
+	long := speaks(20 * time.Second)
+	return map[string]endLost{
+		"it is reset":                          {called, slices.Concat([]orderEvent{tells, resets}, long)},
+		"it is reset, and a dial is refused":   {called, slices.Concat([]orderEvent{tells, resetsUndialled}, speaks(time.Second), []orderEvent{listens}, long)},
+		"it is dead":                           {called, slices.Concat([]orderEvent{dies, tells}, long)},
+		"it is dead and was given up":          {called, slices.Concat([]orderEvent{dies}, speaks(8*time.Second), []orderEvent{tells}, long)},
+		"it is dead and was given up for long": {called, slices.Concat([]orderEvent{dies}, speaks(25*time.Second), []orderEvent{tells}, long)},
+	}
+}
+
+// TestEndsThatGoDownWithAConnection guards against the end of a call that is told on a connection that never brings it, while others live.
+func TestEndsThatGoDownWithAConnection(t *testing.T) {
+	t.Parallel()
+	for name, test := range endsLost() {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				s := newOrderSite(t, test.start)
+				if !s.play(test.order) || len(s.faults) > 0 || s.overs != 1 {
+					t.Errorf("%d answers, %d ends: %s", s.answers, s.overs, strings.Join(s.faults, "; "))
+				}
+			})
+		})
+	}
+}
--- a/internal/dispatchers/link_end.go
+++ b/internal/dispatchers/link_end.go
@@ -105,11 +105,21 @@
 	if len(s.links) == 0 || len(s.links) < s.wanted(time.Now()) {
 		s.connect()
 	}
-	if !errors.Is(reason, conn.ErrClosedHere) && !inOrder(reason) && (before || !s.dialing) {
-		// It may have taken ends of calls along: behind what was spoilt, unread as it was reset, or swallowed while it was dead. Its
-		// dispatcher tells them once more, on the next connection that opens; the others that are open bring nothing of them.
-		s.pool.Renew(s.ID)
+	if !mayLoseEnds(reason) {
+		return
 	}
+	if s.dialing && !before {
+		s.renewing = len(s.links) > 0 // without another one, it is dialled until one comes up
+		return
+	}
+	s.pool.Renew(s.ID)
+}
+
+// mayLoseEnds reports whether a connection that ended for the reason may have taken ends of calls along: behind what was spoilt, unread as it was
+// reset, or swallowed while it was dead. Its dispatcher tells them once more, on the next connection that opens; the others that are open bring
+// nothing of them.
+func mayLoseEnds(reason error) bool {
+	return !errors.Is(reason, conn.ErrClosedHere) && !inOrder(reason)
 }
 
 // endSetUps tells the core that the set-ups on the connection have broken, in the order of their ids.
