Renew a connection to a dispatcher that was given up and ends by a reset

A connection that is given up is half-closed and read on, as an end of a call may be on its way there. If it was reset instead of closed, an end that was told on it after the next connection had opened went down with it, and nothing asked for a further one: link.ended did not renew, and server.settleDoubts forgot its calls, as if the dispatcher had closed in good order. The end was told to nobody for as long as the dispatcher spoke on other connections.

Two causes. link.ended renews now, as link.end does, if calls stand. And conn.hup never told a reset from a close once this side had ended its part, as the socket has no peer in either case: the kernel counts the peer's close as one more byte received (TCP_INFO), which a reset does not have. Where the kernel does not count, it is a close as before.

--- a/internal/conn/read.go
+++ b/internal/conn/read.go
@@ -140,10 +140,8 @@
 	c.mu.Lock()
 	if c.reason == nil {
 		c.reason = io.EOF
-		if fd, ok := c.nc.(netpoll.Conn); ok && !c.finished { // where both sides have ended their part, there is no peer any more
-			if _, err := syscall.Getpeername(fd.Fd()); errors.Is(err, syscall.ENOTCONN) {
-				c.reason = ErrReset // a socket whose peer has only closed its side still has one
-			}
+		if fd, ok := c.nc.(netpoll.Conn); ok && c.wasReset(fd.Fd()) {
+			c.reason = ErrReset
 		}
 	}
 	if !c.ended {
@@ -153,6 +151,19 @@
 	c.loop.Post(c.tell)
 }
 
+// wasReset reports whether the peer of a socket that has ended reset it. A socket whose peer has only closed its side still has a peer; where both
+// sides have closed there is none in either case, and the kernel has counted the peer's close as one more byte.
+func (c *Conn) wasReset(fd int) bool {
+	if _, err := syscall.Getpeername(fd); !errors.Is(err, syscall.ENOTCONN) {
+		return false
+	}
+	if !c.finished {
+		return true
+	}
+	info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+	return err == nil && info.Bytes_received <= c.taken
+}
+
 func (c *Conn) tell() {
 	if c.told {
 		return
--- a/internal/dispatchers/ends_lost_test.go
+++ b/internal/dispatchers/ends_lost_test.go
@@ -81,6 +81,7 @@
 		"it is dead":                           {called, slices.Concat([]orderEvent{dies, tells}, long)},
 		"it is dead and was given up":          {called, slices.Concat([]orderEvent{dies}, speaks(8*time.Second), []orderEvent{tells}, long)},
 		"it is dead and was given up for long": {called, slices.Concat([]orderEvent{dies}, speaks(25*time.Second), []orderEvent{tells}, long)},
+		"it was given up and is reset":         {called, slices.Concat([]orderEvent{dies}, speaks(6*time.Second), []orderEvent{tells, resets}, long)},
 	}
 }
 
--- a/internal/dispatchers/link_end.go
+++ b/internal/dispatchers/link_end.go
@@ -80,6 +80,9 @@
 	l.keepUnconfirmed()
 	s.givenUp = slices.DeleteFunc(s.givenUp, func(o *link) bool { return o == l })
 	s.track()
+	if mayLoseEnds(reason) && s.pool.core.Standing(s.ID) > 0 {
+		s.pool.Renew(s.ID)
+	}
 }
 
 // end ends the set-ups that were open on the connection.
