Keep in doubt the calls whose connection ends while a dead one was never closed

A dispatcher sends the end of a call on the connection of its set-up, else on any that is open. One that was given up as dead here may be open there for as long as the dispatcher runs, and what it tells on it never comes. server.doubt noted the calls that stood as the connection was given up. One that came to stand after that, and whose own connection was then closed in good order, was not among them, and no further connection was opened for its end. server.settleDoubts, too, forgot that there was such a connection as the last call in doubt was over. The end was told to nobody for as long as the dispatcher spoke on other connections.

The calls of a connection that ends are in doubt now (link.doubtCalls) while one that was given up has not been closed by its dispatcher, and that is remembered until the dispatcher is dropped. The price is one more connection each 5 s while such a call stands.

TestEndsThatGoDownWithAConnection (the call came to stand after it was given up): told 22.0 s after the end before, where 8 s are allowed. TestAConnectionThatIsNeverClosedKeepsItsDoubts: the end of the second call was not told in 20 s before. Both pass now, as do all tests of internal/dispatchers with the race detector, and the stories of ends and connections in cmd/cherryrelay.

--- a/internal/dispatchers/doubt.go
+++ b/internal/dispatchers/doubt.go
@@ -19,6 +19,22 @@
 	}
 }
 
+// doubtCalls notes the calls of a connection that has ended, if their ends may be told on one that was given up and that the dispatcher has not
+// closed: it tells them on any that it holds for open.
+func (l *link) doubtCalls() {
+	s := l.server
+	if len(s.givenUp) == 0 && !s.unclosed {
+		return
+	}
+	s.doubt(func(yield func(string) bool) {
+		for id, answered := range s.standing {
+			if answered == l.lifetime && !yield(id) {
+				return
+			}
+		}
+	})
+}
+
 // settleDoubts opens new connections, one at a time, for the ends of calls in doubt, for as long as one of them stands. Once the
 // dispatcher has closed all that was given up, it tells them elsewhere by itself.
 func (s *server) settleDoubts(now time.Time) {
@@ -35,7 +51,6 @@
 	}
 	maps.DeleteFunc(s.doubtful, func(id string, _ bool) bool { return !standing[id] })
 	if len(s.doubtful) == 0 {
-		s.unclosed = false
 		return
 	}
 	s.pool.Renew(s.ID)
--- a/internal/dispatchers/ends_lost_test.go
+++ b/internal/dispatchers/ends_lost_test.go
@@ -7,6 +7,8 @@
 	"testing/synctest"
 	"time"
 
+	"cherryrelay/control"
+	"cherryrelay/internal/call"
 	"cherryrelay/internal/decide/links"
 	"cherryrelay/internal/sip"
 )
@@ -74,6 +76,17 @@
 		s.first.all[0].reset()
 	})
 	listens := event("it listens again", 0, func(s *orderSite) { s.first.listens = true })
+	more := event("a third connection is opened", time.Second, func(s *orderSite) { s.pool.Renew("first") })
+	otherDies := event("the second connection is dead", 0, func(s *orderSite) { s.first.all[1].deaden() })
+	answers := event("it answers", 0, func(s *orderSite) {
+		s.first.finalAnswer(orderedID, 200)
+		s.arrive()
+	})
+	closes := event("the first connection is closed in good order", 50*time.Millisecond, func(s *orderSite) {
+		s.first.all[0].close()
+		s.first.all[0].deliver()
+	})
+	tellsOnOther := event("the end is told on the second connection", 0, func(s *orderSite) { s.tellsOn(s.first.all[1]) })
 	long := speaks(20 * time.Second)
 	return map[string]endLost{
 		"it is reset":                          {called, slices.Concat([]orderEvent{tells, resets}, long)},
@@ -82,6 +95,8 @@
 		"it is dead and was given up":          {called, slices.Concat([]orderEvent{dies}, speaks(8*time.Second), []orderEvent{tells}, long)},
 		"it is dead and was given up for long": {called, slices.Concat([]orderEvent{dies}, speaks(25*time.Second), []orderEvent{tells}, long)},
 		"it was given up and is reset":         {called, slices.Concat([]orderEvent{dies}, speaks(6*time.Second), []orderEvent{tells, resets}, long)},
+		"the call came to stand after it was given up": {orderStart{two: true}, slices.Concat([]orderEvent{more, otherDies}, speaks(7*time.Second),
+			[]orderEvent{answers, closes, tellsOnOther}, long)},
 	}
 }
 
@@ -100,3 +115,56 @@
 		})
 	}
 }
+
+// TestAConnectionThatIsNeverClosedKeepsItsDoubts guards against ends on a dead connection of calls that came to stand after all that were in doubt.
+func TestAConnectionThatIsNeverClosedKeepsItsDoubts(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		const nextID = "00000000000000c2"
+		s := newOrderSite(t, orderStart{two: true})
+		go s.core.Loop().Run()
+		defer func() {
+			s.core.Loop().Quit()
+			synctest.Wait()
+		}()
+		goesOn := func(d time.Duration) {
+			for _, e := range speaks(d) {
+				s.do(func() { e.occurs(s) })
+				time.Sleep(e.after)
+			}
+		}
+		establish := func(id string) {
+			s.do(func() {
+				_ = s.core.Offer(call.Request{ID: id, Class: "c", Deadline: time.Now().Add(orderDeadline), Caller: s, Description: "x"})
+			})
+			time.Sleep(10 * time.Millisecond)
+			s.do(func() { s.first.finalAnswer(id, 200); s.arrive() })
+		}
+		s.do(func() { s.list(control.Active, "first") })
+		time.Sleep(time.Second)
+		s.do(func() { s.pool.Renew("first") })
+		time.Sleep(time.Second)
+		establish(orderedID)
+		dead := s.first.all[1]
+		s.do(dead.deaden)
+		goesOn(12 * time.Second)
+		s.do(func() { s.first.ends(orderedID); s.arrive() })
+		goesOn(6 * time.Second)
+		establish(nextID)
+		s.do(func() {
+			c := s.first.established[nextID]
+			c.close()
+			c.deliver()
+		})
+		s.do(func() {
+			delete(s.first.established, nextID)
+			s.first.repeats = append(s.first.repeats, nextID)
+			dead.tell(byeOf(nextID))
+		})
+		endedAt := time.Now()
+		goesOn(20 * time.Second)
+		if took := s.overAt.Sub(endedAt); s.answers != 2 || s.overs != 2 || took > endUntold {
+			t.Errorf("%d answers, %d ends, the last one after %v; want 2, 2, within %v", s.answers, s.overs, took, endUntold)
+		}
+	})
+}
--- a/internal/dispatchers/link_end.go
+++ b/internal/dispatchers/link_end.go
@@ -98,6 +98,7 @@
 	s.track()
 	l.endSetUps()
 	l.keepUnconfirmed()
+	l.doubtCalls()
 	if len(s.links) == 0 {
 		s.withoutSince = time.Now()
 	}
