Keep an end that comes ahead of its answer where an earlier attempt was refused

An end that comes on another connection ahead of the answer is kept for the answer, but not if the call was tried at that dispatcher before: the end may be the earlier attempt's. That held for every earlier attempt, also for one that the dispatcher had refused, or that had never got there, and of which there is no end. Under load a call is refused and tried again at the same dispatcher often. The end was dropped then, the answer was read after it, and the call stood for ever: its end was told to nobody.

Refused attempts (full, error), those with no connection and those that were never sent don't count any more. One that was reset or given up does, as before: its answer may have been lost. So does one whose answer could not be passed on to its caller.

--- a/internal/call/core.go
+++ b/internal/call/core.go
@@ -71,7 +71,7 @@
 	parked    bool               // the module does not know it yet: it waits for its caller
 	moving    bool               // it is being given to another controller
 	ranSince  time.Time          // of the first attempt that may have run, with a selection; zero for none
-	tried     []control.ServerID // where its attempts went, by this process
+	tried     []control.ServerID // where its attempts went that may have established it, by this process; the last is the one that is out
 	overtaken *overtaking        // its end, if that came before the answer to the attempt that is out
 	place     *recovery.Call
 }
--- a/internal/call/outcomes.go
+++ b/internal/call/outcomes.go
@@ -34,6 +34,7 @@
 		c.log.Warn("answer that cannot be passed on", "id", id, "server", server, "err", err)
 		c.dispatchers.Release(server, id, CauseNormal)
 		c.Ended(server, id, attempt, control.Failed, false, nil)
+		k.tried = append(k.tried, server) // it was established there
 		return false
 	}
 	c.note(k, recovery.Stood, func(e *recovery.Event) {
@@ -76,6 +77,7 @@
 	if noLine {
 		c.countAsk(server, true)
 	}
+	k.forgetRefused(o)
 	c.noteBack(k, o)
 	c.tell(control.AttemptEnded{ID: control.CallID(id), Server: server, Attempt: k.attempts - 1, Outcome: o,
 		Elapsed: time.Since(k.sentAt), NoLine: noLine, Report: report})
--- a/internal/call/overtaken.go
+++ b/internal/call/overtaken.go
@@ -19,8 +19,8 @@
 }
 
 // overtakes takes in the end of a call that is still open, from the dispatcher at which its attempt is out, on another connection than that of
-// the attempt. The answer may lie unread on that one; if it does not come, it was lost. If the call was tried there before, the end may be of
-// an earlier attempt, and says nothing of this one.
+// the attempt. The answer may lie unread on that one; if it does not come, it was lost. If an earlier attempt may have established the call there,
+// the end may be of that one, and says nothing of this one.
 func (c *Core) overtakes(k *record, cause int, report []float64) {
 	if k.overtaken != nil || slices.Contains(k.tried[:len(k.tried)-1], k.server) {
 		return
@@ -55,6 +55,14 @@
 	c.dropOvertaken(k)
 }
 
+// forgetRefused drops the attempt that has just ended from those that may have established the call, if its dispatcher refused it or it never ran.
+func (k *record) forgetRefused(o control.Outcome) {
+	switch o {
+	case control.Failed, control.Full, control.Unreachable, control.NotSent:
+		k.tried = k.tried[:len(k.tried)-1]
+	}
+}
+
 func (c *Core) dropOvertaken(k *record) {
 	if k.overtaken != nil {
 		c.loop.Stop(k.overtaken.timer)
