Count a dispatcher that is just being dialled as one that waits, in a test

By reading, its look came between a dispatcher's turn in the queue and the refusal of its dial: dialAhead takes it off the queue as it is dialled, and the next check puts it back.

--- a/internal/dispatchers/check_test.go
+++ b/internal/dispatchers/check_test.go
@@ -46,8 +46,14 @@
 	b.do(func() { b.pool.Update(b.list) })
 	b.settles("at rest")
 	b.do(func() {
-		if queued := len(b.pool.ahead); queued != refuse || len(b.pool.linked) != n-refuse {
-			t.Errorf("%d wait to be dialled, %d have connections", queued, len(b.pool.linked))
+		waits := 0
+		for _, s := range b.pool.order {
+			if s.queued || s.dialing || s.active { // it may be its turn at this moment
+				waits++
+			}
+		}
+		if waits != refuse || len(b.pool.linked) != n-refuse {
+			t.Errorf("%d wait to be dialled, %d have connections", waits, len(b.pool.linked))
 		}
 	})
 	b.setUp(n-1, "a")
