--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test test-busy soak bench lint run fuzz
+.PHONY: build test test-busy soak mutants bench lint run fuzz
 
 # How the controller is built stands in deploy/balancer.toml, for here and the platform alike.
 build:
@@ -20,6 +20,10 @@
 test-busy:
 	.ci/beside-load $(or $(BUSY),6) $(MAKE) test RED='$(RED)'
 
+# Takes mechanisms out of the sources one by one (internal/mutants): tests must fail for each. MUTANT is one, or the beginning of several names.
+mutants:
+	go run ./internal/mutants/cmd -name '$(MUTANT)' -parallel $(or $(PARALLEL),2)
+
 bench:
 	go test -run '^$$' -bench . -benchmem ./control ./internal/...
 
--- /dev/null
+++ b/internal/mutants/mutants_test.go
@@ -0,0 +1,113 @@
+package mutants
+
+import (
+	"context"
+	"errors"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+)
+
+// tinyModule is a module with one function and one test.
+func tinyModule(t *testing.T) (root string) {
+	t.Helper()
+	root = t.TempDir()
+	for name, text := range map[string]string{
+		"go.mod":    "module tiny\n\ngo 1.26.0\n",
+		"add.go":    "package tiny\n\nfunc add(a, b int) int { return a + b }\n\nfunc unused() int { return 0 }\n",
+		"spin.go":   "package tiny\n\nfunc spins() bool { return false }\n",
+		"a_test.go": "package tiny\n\nimport \"testing\"\n\nfunc TestAdd(t *testing.T) {\n\tt.Run(\"ones\", func(t *testing.T) {\n\t\tif add(1, 1) != 2 {\n\t\t\tt.Error(\"wrong\")\n\t\t}\n\t})\n}\n\nfunc TestRed(t *testing.T) { t.Error(\"red\") }\n\nfunc TestSpins(t *testing.T) {\n\tfor spins() {\n\t}\n}\n",
+	} {
+		if err := os.WriteFile(filepath.Join(root, name), []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return root
+}
+
+var addTests = Tests{".", "TestAdd"}
+
+// TestTheListApplies guards against a list that has fallen behind the sources.
+func TestTheListApplies(t *testing.T) {
+	root, err := filepath.Abs("../..")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := Check(root, List()); err != nil {
+		t.Error(err)
+	}
+	for _, m := range List() {
+		if m.Tests.Packages == "" || m.Row == "" {
+			t.Errorf("%s names no packages or no row", m.Name)
+		}
+	}
+}
+
+// TestAListWithFaultsIsRefused guards against mutants that are not what their line says.
+func TestAListWithFaultsIsRefused(t *testing.T) {
+	t.Parallel()
+	root := tinyModule(t)
+	for name, test := range map[string]struct {
+		list []Mutant
+		want error
+	}{
+		"a text that is not there":   {[]Mutant{{Name: "m", File: "add.go", Text: "a - b", Replacement: "0"}}, ErrNoText},
+		"no text":                    {[]Mutant{{Name: "m", File: "add.go", Replacement: "0"}}, ErrNoText},
+		"a text that is there twice": {[]Mutant{{Name: "m", File: "add.go", Text: "return", Replacement: "panic"}}, ErrAmbiguous},
+		"a replacement that is none": {[]Mutant{{Name: "m", File: "add.go", Text: "a + b", Replacement: "a + b"}}, ErrUnchanged},
+		"no such file":               {[]Mutant{{Name: "m", File: "sub.go", Text: "a + b", Replacement: "0"}}, os.ErrNotExist},
+		"a name twice": {[]Mutant{{Name: "m", File: "add.go", Text: "a + b", Replacement: "0"},
+			{Name: "m", File: "add.go", Text: "return 0", Replacement: "return 1"}}, ErrNameTwice},
+		"nothing wrong": {[]Mutant{{Name: "m", File: "add.go", Text: "a + b", Replacement: "0"}}, nil},
+	} {
+		if err := Check(root, test.list); !errors.Is(err, test.want) {
+			t.Errorf("%s: %v, want %v", name, err, test.want)
+		}
+	}
+}
+
+// TestVerdicts guards against a mutant that counts as found for anything but a test that fails for it.
+func TestVerdicts(t *testing.T) {
+	t.Parallel()
+	root := tinyModule(t)
+	minus := Mutant{File: "add.go", Text: "a + b", Replacement: "a - b", Tests: addTests}
+	survivor := Mutant{File: "add.go", Text: "return 0", Replacement: "return 1", Tests: addTests}
+	with := func(m Mutant, change func(*Mutant)) Mutant { change(&m); return m }
+	for name, test := range map[string]struct {
+		mutant  Mutant
+		verdict Verdict
+		test    string
+		err     error
+	}{
+		"a test fails":                                {minus, Found, "TestAdd/ones", nil},
+		"no test fails":                               {survivor, NotFound, "", nil},
+		"it does not compile":                         {with(minus, func(m *Mutant) { m.Replacement = "a +" }), Faulty, "", ErrDoesNotCompile},
+		"its tests do not compile with it":            {with(minus, func(m *Mutant) { m.Text, m.Replacement = "func add", "func plus" }), Faulty, "", ErrNoVerdict},
+		"it does not apply":                           {with(minus, func(m *Mutant) { m.Text = "a * b" }), Faulty, "", ErrNoText},
+		"its tests fail without it":                   {with(minus, func(m *Mutant) { m.Tests.Run = "TestAdd|TestRed" }), Faulty, "", ErrFailsAnyway},
+		"no test matches":                             {with(minus, func(m *Mutant) { m.Tests.Run = "TestNothing" }), Faulty, "", ErrNoTests},
+		"it panics":                                   {with(minus, func(m *Mutant) { m.Replacement = "a / (b - 1)" }), Found, "TestAdd/ones", nil},
+		"its tests do not end":                        {Mutant{File: "spin.go", Text: "false", Replacement: "true", Tests: Tests{".", "TestSpins"}}, TimedOut, "", nil},
+		"no test fails, as the list has it":           {with(survivor, func(m *Mutant) { m.Equivalent = "nothing calls it" }), Equivalent, "", nil},
+		"a test fails that can't, as the list has it": {with(minus, func(m *Mutant) { m.Equivalent = "nothing calls it" }), Faulty, "", ErrNotEquivalent},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := Player{Root: root, Limit: time.Minute, Parallel: 1}
+			if test.verdict == TimedOut {
+				p.Limit = 2 * time.Second
+			}
+			test.mutant.Name = "m"
+			results := 0
+			p.Play(context.Background(), []Mutant{test.mutant}, func(r Result) {
+				results++
+				if r.Verdict != test.verdict || r.Test != test.test || !errors.Is(r.Err, test.err) {
+					t.Errorf("%s by %q, %v; want %s by %q, %v", r.Verdict, r.Test, r.Err, test.verdict, test.test, test.err)
+				}
+			})
+			if results != 1 {
+				t.Errorf("%d results, want 1", results)
+			}
+		})
+	}
+}
