Play orders of a dispatcher that stands still, and of connections that do not come up

What the search lacked: a dispatcher that stands still, does not see what was closed meanwhile and goes on, with or without reading first; one that never closes its side; an output queue that the socket takes nothing of; as many connections as there may be; a connection that is closed for its descriptor; a dial for a renewal that is refused while another connection is open, or does not come up; one that confirms no release, and answers a second attempt of a call. Two more tables of events have them.

The stand-in: what a message of this instant is answered with comes later than this instant, so that a probe's answer is not taken for older than the probe; a process writes once to a side that is gone, and sees it then; Unsent counts what is queued. A release that comes while the call goes on is that of an earlier attempt, and is not held against the time of the end. A dispatcher that has just refused a connection counts as one that listens no more, as there is no other way to ask it, until one comes up.

--- a/internal/dispatchers/orders_events_test.go
+++ b/internal/dispatchers/orders_events_test.go
@@ -144,6 +144,44 @@
 	return true
 }
 
+// standstillEvents are of a dispatcher that stands still and goes on, and of what waits in queues meanwhile.
+func standstillEvents() []orderEvent {
+	return []orderEvent{
+		{'z', "the first dispatcher stands still", func(s *orderSite) bool {
+			before := s.first.still
+			s.first.still, s.stalled = true, true
+			return !before && !s.first.cutOff
+		}, 0, false},
+		{'Z', "it goes on", func(s *orderSite) bool { return s.goesOn(true) }, 0, false},
+		{'A', "it goes on, and reads later", func(s *orderSite) bool { return s.goesOn(false) }, 0, false},
+		{'j', "the pool's side can write nothing on the call's connection", func(s *orderSite) bool {
+			return s.onConnectionOf(orderedID, func(c *standInConnection) bool { return !c.full }, func(c *standInConnection) { c.full = true })
+		}, 0, false},
+		{'H', "the dispatcher closes the call's connection in good order", func(s *orderSite) bool {
+			may := func(c *standInConnection) bool { return !c.peerClosed && !s.first.still }
+			return s.onConnectionOf(orderedID, may, (*standInConnection).close)
+		}, 0, false},
+		{'V', "a connection is closed for its descriptor", func(s *orderSite) bool {
+			before := s.pool.sockets.evicted
+			s.pool.Budget(s.pool.Held() - 1)
+			s.pool.Budget(0)
+			s.first.reset = s.first.reset || s.pool.sockets.evicted > before
+			return s.pool.sockets.evicted > before
+		}, 0, false},
+		{'R', "the next connection will be refused", func(s *orderSite) bool { s.first.refuses++; return true }, 0, false},
+		{'B', "the next connection will not come up", func(s *orderSite) bool { s.first.loses++; return true }, 0, false},
+	}
+}
+
+// goesOn ends a standstill of the first dispatcher.
+func (s *orderSite) goesOn(reads bool) bool {
+	if !s.first.still {
+		return false
+	}
+	s.first.goesOn(reads)
+	return true
+}
+
 // onNewest does something to the newest open connection of the first dispatcher.
 func (s *orderSite) onNewest(f func(*standInConnection)) bool {
 	open := s.first.open()
@@ -158,7 +196,7 @@
 func (s *orderSite) flows() bool {
 	stalled := false
 	for _, c := range s.first.all {
-		if c.deaf || c.mute {
+		if c.deaf || c.mute || c.full {
 			stalled = true
 			c.flows()
 		}
@@ -189,7 +227,7 @@
 func spelledOrder(letters string) []orderEvent {
 	var order []orderEvent
 	for _, letter := range []byte(letters) {
-		for _, e := range slices.Concat(orderEvents(), stallEvents()) {
+		for _, e := range slices.Concat(orderEvents(), stallEvents(), standstillEvents()) {
 			if e.letter == letter {
 				order = append(order, e)
 			}
--- a/internal/dispatchers/orders_site_test.go
+++ b/internal/dispatchers/orders_site_test.go
@@ -77,8 +77,8 @@
 func (s *orderSite) Over(id string, _ call.End) {
 	c := s.calls[id]
 	_, holds := s.first.established[id]
-	holds = holds && !s.first.ambiguous[id]        // nobody can tell whose end it is
-	canRepeat := s.first.listens || !s.first.reset // ends that may have been lost
+	holds = holds && !s.first.ambiguous[id]                            // nobody can tell whose end it is
+	canRepeat := s.first.listens && !s.first.refused || !s.first.reset // ends that may have been lost
 	if holds && canRepeat && s.first.reachable() && !c.cancelled {
 		s.fault("the end of %s is told while it goes on, at a dispatcher that can be reached", id)
 	}
@@ -110,6 +110,17 @@
 	}
 }
 
+// established takes in that a dispatcher holds a call.
+func (s *orderSite) established(id string) { s.calls[id].releaseCame = time.Time{} }
+
+// released takes in that a release by a dispatcher has come. One that comes while the call goes on there is that of an earlier attempt.
+func (s *orderSite) released(by *process, id string) {
+	c := s.calls[id]
+	if _, goesOn := by.established[id]; c != nil && !goesOn && c.releaseCame.IsZero() {
+		c.releaseCame = time.Now()
+	}
+}
+
 // newOrderSite must be called on the loop's goroutine or before it runs.
 func newOrderSite(t *testing.T, start orderStart) *orderSite {
 	t.Helper()
@@ -132,7 +143,7 @@
 	core.AddFront(orderFront{s})
 	core.OnFlush(s.pool.Flush)
 	s.first = newProcess(s)
-	s.first.again = start.again
+	s.first.again, s.first.keeps, s.first.unconfirmed = start.again, start.keeps, start.unconfirmed
 	s.network.processes["first"] = s.first
 	if start.second {
 		s.network.processes["second"] = newProcess(s)
@@ -170,7 +181,7 @@
 }
 
 func (s *orderSite) onOldest(f func(*standInConnection)) bool {
-	if s.first.cutOff || len(s.first.connections) == 0 {
+	if s.first.cutOff || s.first.still || len(s.first.connections) == 0 {
 		return false
 	}
 	f(s.first.connections[0])
@@ -227,10 +238,9 @@
 	s.do(func() { s.offer(orderedID) })
 	time.Sleep(10 * time.Millisecond)
 	if s.called {
-		s.do(func() {
-			s.first.finalAnswer(orderedID, 200)
-			s.arrive()
-		})
+		s.do(func() { s.first.finalAnswer(orderedID, 200) })
+		time.Sleep(time.Millisecond)
+		s.do(s.arrive)
 	}
 	for _, e := range order {
 		could := false
@@ -261,6 +271,7 @@
 func (s *orderSite) settle() {
 	s.pass(onItsWay + orderDeadline + time.Second)
 	s.do(s.checkAnswered)
+	s.do(func() { s.goesOn(true) })
 	if s.stalled {
 		s.pass(halfClosedFor) // until a connection is given up for good
 	}
@@ -276,11 +287,13 @@
 	s.do(s.checkEnd)
 }
 
-// arrive has all that is on its way arrive.
+// arrive has all arrive that is on its way. What was sent in this instant is not yet there.
 func (s *orderSite) arrive() {
 	for _, p := range s.network.processes {
 		for _, c := range p.all {
-			c.deliver()
+			if c.sentAt.Before(time.Now()) {
+				c.deliver()
+			}
 		}
 	}
 }
@@ -298,7 +311,7 @@
 func (s *orderSite) checkEstablished() {
 	for id := range s.calls {
 		for name, p := range s.network.processes {
-			if _, ok := p.established[id]; ok && !p.ambiguous[id] && !p.unreached() && !s.knows(id, name) && (p.listens || len(p.open()) > 0) {
+			if _, ok := p.established[id]; ok && !p.ambiguous[id] && !p.unreached() && !s.knows(id, name) && (p.listens && !p.refused || len(p.open()) > 0) {
 				s.fault("%s holds %s, which is not known here, and nobody releases it", name, id)
 			}
 		}
--- a/internal/dispatchers/orders_test.go
+++ b/internal/dispatchers/orders_test.go
@@ -11,13 +11,15 @@
 
 // orderStart is what an order of events begins with.
 type orderStart struct {
-	name   string
-	second bool   // there is another dispatcher, which answers by itself
-	links  int    // connections to the first one that are open, where it is more than one
-	called bool   // the call is established, and its caller knows
-	most   int    // connections to one dispatcher; 0 for MaxLinks
-	again  bool   // the first dispatcher answers each attempt of a call after the first one by itself
-	before string // the events that have happened
+	name        string
+	second      bool   // there is another dispatcher, which answers by itself
+	links       int    // connections to the first one that are open, where it is more than one
+	called      bool   // the call is established, and its caller knows
+	most        int    // connections to one dispatcher; 0 for MaxLinks
+	again       bool   // the first dispatcher answers each attempt of a call after the first one by itself
+	keeps       bool   // it never closes its side of a connection that was closed here
+	unconfirmed bool   // it confirms no release
+	before      string // the events that have happened
 }
 
 // orderResult is what came of one order.
@@ -67,6 +69,24 @@
 	}
 }
 
+// TestStandstillsInEveryOrder guards against ends that a dispatcher tells as it goes on after a standstill, on connections that were given up, and
+// against ends that are told into connections that it never closes.
+func TestStandstillsInEveryOrder(t *testing.T) {
+	for _, start := range []orderStart{{name: "an open set-up", links: 2, again: true}, {name: "an established call", links: 2, called: true},
+		{name: "no connection is closed there", links: 2, called: true, keeps: true}, {name: "as many connections as there may be", links: MaxLinks, called: true}} {
+		start.search(t, spelledOrder("zZAjaedDucmtTqnH"))
+	}
+}
+
+// TestRenewalsAndReleasesInEveryOrder guards against ends that wait for a connection that does not come up, or went with one that was closed for its
+// descriptor, and against releases that cut a later attempt.
+func TestRenewalsAndReleasesInEveryOrder(t *testing.T) {
+	for _, start := range []orderStart{{name: "an established call", links: 2, called: true}, {name: "one connection", called: true},
+		{name: "no release is confirmed", links: 3, again: true, unconfirmed: true}} {
+		start.search(t, spelledOrder("VRBnraefdDmINuctT"))
+	}
+}
+
 // search plays all orders of the events to a depth.
 func (start orderStart) search(t *testing.T, events []orderEvent) {
 	t.Helper()
--- a/internal/dispatchers/standin_connection_test.go
+++ b/internal/dispatchers/standin_connection_test.go
@@ -1,6 +1,7 @@
 package dispatchers
 
 import (
+	"errors"
 	"io"
 	"slices"
 	"time"
@@ -20,10 +21,12 @@
 	read       *ring.Buffer     // what the process has received
 	dec        sip.Decoder      // of the process
 	setUps     map[string]int   // at the process, by call: the attempt
+	sentAt     time.Time        // the last of it
 	flight     []standInMessage // on its way to the pool's side
 	out        []standInWrite   // queued at the pool's side
 	tickets    conn.Ticket
 	deaf       bool            // nothing of the pool's side reaches the process
+	full       bool            // the socket of the pool's side takes nothing more
 	mute       bool            // nothing of the process reaches the pool's side
 	cancelled  map[string]bool // set-ups that the pool's side has cancelled, by call
 	finished   bool            // the pool's side has ended its part
@@ -39,6 +42,11 @@
 	ends string // the call whose end it is; empty if it is none
 }
 
+// retried is how soon a full socket is tried again.
+const retried = 5 * time.Millisecond
+
+var errWriting = errors.New("writing: broken pipe")
+
 type standInWrite struct {
 	text   []byte
 	then   func()
@@ -51,14 +59,19 @@
 // tellEnd queues the release of a call.
 func (s *standInConnection) tellEnd(id string) { s.queue(standInMessage{byeOf(id), id}) }
 
+// queue has a message on its way. One to a pool's side that is gone is lost, and has the process see that.
 func (s *standInConnection) queue(m standInMessage) {
-	if !s.peerClosed {
-		s.flight = append(s.flight, m)
+	switch {
+	case s.peerClosed:
+	case s.closed && !s.unseen():
+		s.close()
+	default:
+		s.flight, s.sentAt = append(s.flight, m), time.Now()
 	}
 }
 
 // unseen reports whether the process does not see what the pool's side has done: it takes the connection for open.
-func (s *standInConnection) unseen() bool { return s.deaf || s.process.cutOff }
+func (s *standInConnection) unseen() bool { return s.deaf || s.process.cutOff || s.process.still }
 
 // givenUpUnread reports whether the set-up of a call has been given up here, and the process does not see it.
 func (s *standInConnection) givenUpUnread(id string) bool {
@@ -67,7 +80,8 @@
 
 // flows has all get through again, in both directions.
 func (s *standInConnection) flows() {
-	s.deaf, s.mute = false, false
+	s.deaf, s.mute, s.full = false, false, false
+	s.Flush()
 	s.reaches()
 	s.deliver()
 }
@@ -82,9 +96,7 @@
 			continue
 		}
 		s.in.Write(m.text)
-		if c := s.process.site.calls[m.ends]; c != nil && c.releaseCame.IsZero() {
-			c.releaseCame = time.Now()
-		}
+		s.process.site.released(s.process, m.ends)
 	}
 	s.flight = nil
 	if s.closed {
@@ -150,7 +162,10 @@
 		}
 		s.process.takes(s, m)
 	}
-	if s.finished {
+	switch {
+	case s.finished && s.process.keeps:
+		clear(s.setUps)
+	case s.finished:
 		s.close()
 	}
 }
@@ -185,6 +200,9 @@
 
 // Flush sends what is queued.
 func (s *standInConnection) Flush() {
+	if s.full {
+		return
+	}
 	out := s.out
 	s.out = nil
 	for _, w := range out {
@@ -205,8 +223,8 @@
 	}
 }
 
-// Unsent is always 0: the process reads at once.
-func (s *standInConnection) Unsent() int { return 0 }
+// Unsent is what waits for the socket.
+func (s *standInConnection) Unsent() int { return len(s.out) }
 
 // Unread reports that nothing waits.
 func (s *standInConnection) Unread() bool { return false }
@@ -219,6 +237,9 @@
 	s.Flush()
 	s.finished = true
 	s.reaches()
+	if len(s.out) > 0 { // as it is tried again, this side can't be written to
+		s.loop.After(retried, func() { s.Close(errWriting) })
+	}
 	s.loop.After(within, func() { s.Abort(conn.ErrClosedHere) })
 }
 
--- a/internal/dispatchers/standin_test.go
+++ b/internal/dispatchers/standin_test.go
@@ -30,8 +30,13 @@
 		n.loop.After(timeout, func() { done(io.ErrNoProgress) })
 		return
 	}
+	if p != nil && p.loses > 0 {
+		p.loses--
+		n.loop.After(timeout, func() { done(io.ErrNoProgress) })
+		return
+	}
 	n.loop.After(dialTime, func() {
-		if p == nil || !p.listens {
+		if p == nil || !p.listens || p.refusesNext() {
 			done(conn.ErrRefused)
 			return
 		}
@@ -47,6 +52,13 @@
 	site        *orderSite
 	listens     bool
 	cutOff      bool                          // nothing gets through, in either direction
+	still       bool                          // it takes nothing in and sends nothing; its kernel accepts connections
+	waiting     []*standInConnection          // that its kernel has accepted meanwhile
+	keeps       bool                          // it never closes its side of a connection that the pool's side has ended
+	unconfirmed bool                          // it confirms no release
+	refuses     int                           // so many of the next connections, as others are open
+	refused     bool                          // the last connection was
+	loses       int                           // so many of the next connections do not come up
 	prompt      bool                          // it answers each set-up by itself
 	again       bool                          // or each after the first one of a call
 	promptly    map[string]bool               // or those of these calls
@@ -63,8 +75,27 @@
 }
 
 func (p *process) accepts(s *standInConnection) {
-	p.connections = append(p.connections, s)
 	p.all = append(p.all, s)
+	if p.still {
+		p.waiting = append(p.waiting, s)
+		return
+	}
+	p.opens(s)
+}
+
+// refusesNext reports whether a connection is refused though the process lives. Where no other one is open, a refusal would prove that it doesn't.
+func (p *process) refusesNext() bool {
+	if p.refuses == 0 || len(p.open()) == 0 {
+		return false
+	}
+	p.refuses--
+	p.refused = true
+	return true
+}
+
+// opens has the process use a connection.
+func (p *process) opens(s *standInConnection) {
+	p.connections, p.refused = append(p.connections, s), false
 	s.tell(stateReport())
 	for _, id := range p.repeats {
 		s.tellEnd(id)
@@ -91,12 +122,12 @@
 
 // unreached reports whether there is a connection on which a release would not get through, though the pool's side takes it for open.
 func (p *process) unreached() bool {
-	return p.cutOff || slices.ContainsFunc(p.all, func(s *standInConnection) bool { return !s.closed && (s.deaf || s.mute && s.peerClosed) })
+	return p.cutOff || p.still || slices.ContainsFunc(p.all, func(s *standInConnection) bool { return !s.closed && (s.deaf || s.full || s.mute && s.peerClosed) })
 }
 
 // reachable reports whether there is a connection on which messages get through in both directions.
 func (p *process) reachable() bool {
-	return !p.cutOff && slices.ContainsFunc(p.open(), func(s *standInConnection) bool { return !s.deaf && !s.mute })
+	return !p.cutOff && !p.still && slices.ContainsFunc(p.open(), func(s *standInConnection) bool { return !s.deaf && !s.mute })
 }
 
 // pending is the first connection with the set-up of a call open; nil if there is none.
@@ -112,7 +143,7 @@
 // finalAnswer tells the final answer to a set-up; 200 establishes the call.
 func (p *process) finalAnswer(id string, status int) bool {
 	s := p.pending(id)
-	return s != nil && p.finalAnswerOn(s, id, status)
+	return s != nil && !p.still && p.finalAnswerOn(s, id, status)
 }
 
 // finalAnswerOn tells it on a connection, if the set-up is open there.
@@ -125,6 +156,7 @@
 	if status == 200 {
 		m.Body = []byte("description")
 		p.established[id] = s
+		p.site.established(id)
 		p.ambiguous[id] = p.ambiguous[id] || p.tellsEnd(id)
 	}
 	s.tell(sip.Append(nil, m))
@@ -134,7 +166,7 @@
 // ends ends an established call, and tells it where the protocol has it.
 func (p *process) ends(id string) bool {
 	s, ok := p.established[id]
-	if !ok {
+	if !ok || p.still {
 		return false
 	}
 	delete(p.established, id)
@@ -163,10 +195,7 @@
 	case "INVITE":
 		s.setUps[m.CallID] = int(m.Seq) - 1
 		if p.prompt || p.promptly[m.CallID] || p.again && m.Seq > 1 {
-			s.loop.After(promptly, func() {
-				p.finalAnswerOn(s, m.CallID, 200)
-				s.deliver()
-			})
+			p.answersSoon(s, m.CallID)
 		}
 	case "CANCEL":
 		delete(s.setUps, m.CallID)
@@ -175,11 +204,37 @@
 	case "ACK", "":
 		return
 	}
-	if m.Method != "INVITE" {
+	if m.Method != "INVITE" && !(m.Method == "BYE" && p.unconfirmed) {
 		s.tell(sip.Append(nil, &sip.Message{Status: 200, Phrase: "OK", CallID: m.CallID, Seq: m.Seq, SeqOf: m.Method}))
 	}
 }
 
+// answersSoon has a set-up answered promptly, or as the process goes on.
+func (p *process) answersSoon(s *standInConnection, id string) {
+	s.loop.After(promptly, func() {
+		if p.still {
+			p.answersSoon(s, id)
+			return
+		}
+		p.finalAnswerOn(s, id, 200)
+		s.deliver()
+	})
+}
+
+// goesOn ends a standstill. What has been written meanwhile is read now, unless that is yet to come.
+func (p *process) goesOn(reads bool) {
+	p.still = false
+	before := slices.Clone(p.all)
+	for _, s := range p.waiting {
+		p.opens(s)
+	}
+	p.waiting = nil
+	for _, s := range before {
+		s.deaf = s.deaf || !reads && !s.peerClosed
+		s.reaches()
+	}
+}
+
 // returns ends the time in which nothing got through. What was written meanwhile gets through now.
 func (p *process) returns() {
 	p.cutOff = false
