Have ends told once more after a given-up connection that its dispatcher closed late

Cause: a connection is given up and half-closed, and the next one comes up. Its dispatcher sees the close late, tells an end there before that, and resets the connection as it sees it, with bytes unread. The end goes with it. Where both sides have ended, the kernel does not tell a reset from a close (Conn.hup), so the end counts as one in good order, the doubts about the calls are forgotten (server.settleDoubts) and no further connection opens, on which it would be told again: an untold end.

Change: a half-closed connection that ends later than 0.1 s after it was given up, while calls are in doubt, leaves the doubt for one more renewal, at the pace of those: within 5 s. One that is closed at once, as live ones are, costs nothing more.

Test: TestOrdersThatHaveFailed, order ioqeu, where the dispatcher tells its state each second: else the silence has a new connection tried after 2.5 s, and hides it. The stand-in now tells the end of such a connection as the kernel does.

--- a/internal/dispatchers/doubt.go
+++ b/internal/dispatchers/doubt.go
@@ -20,15 +20,17 @@
 }
 
 // settleDoubts opens new connections, one at a time, for the ends of calls in doubt, for as long as one of them stands. Once the
-// dispatcher has closed all that was given up, it tells them elsewhere by itself.
+// dispatcher has closed all that was given up, it tells them elsewhere by itself. Those that it told on one that it closed late, after the next
+// one had come up, may have gone with it: it tells them once more.
 func (s *server) settleDoubts(now time.Time) {
 	if len(s.doubtful) == 0 || now.Before(s.doubtAt) {
 		return
 	}
-	if len(s.givenUp) == 0 && !s.unclosed {
+	if len(s.givenUp) == 0 && !s.unclosed && !s.closedLate {
 		s.doubtful = nil
 		return
 	}
+	s.closedLate = false
 	standing := map[string]bool{}
 	for id := range s.pool.core.StandAt(s.ID) {
 		standing[id] = s.doubtful[id]
--- a/internal/dispatchers/link_end.go
+++ b/internal/dispatchers/link_end.go
@@ -76,6 +76,9 @@
 	if errors.Is(reason, conn.ErrClosedHere) && (l.givenUp() || !l.evicted) {
 		s.unclosed = true // its dispatcher may hold it for open still
 	}
+	if l.state == linkHalfClosed && len(s.doubtful) > 0 && time.Since(l.since) > checkEvery {
+		s.closedLate = true // by a reset, it may be: where both sides have ended, that can't be told from a close
+	}
 	l.state, l.invites = linkClosed, nil
 	l.keepUnconfirmed()
 	s.givenUp = slices.DeleteFunc(s.givenUp, func(o *link) bool { return o == l })
--- a/internal/dispatchers/orders_site_test.go
+++ b/internal/dispatchers/orders_site_test.go
@@ -143,7 +143,10 @@
 	core.AddFront(orderFront{s})
 	core.OnFlush(s.pool.Flush)
 	s.first = newProcess(s)
-	s.first.again, s.first.keeps, s.first.unconfirmed = start.again, start.keeps, start.unconfirmed
+	s.first.again, s.first.keeps, s.first.unconfirmed, s.first.resets = start.again, start.keeps, start.unconfirmed, start.resets
+	if start.chats {
+		s.first.chat(loop)
+	}
 	s.network.processes["first"] = s.first
 	if start.second {
 		s.network.processes["second"] = newProcess(s)
--- a/internal/dispatchers/orders_test.go
+++ b/internal/dispatchers/orders_test.go
@@ -18,6 +18,8 @@
 	most        int    // connections to one dispatcher; 0 for MaxLinks
 	again       bool   // the first dispatcher answers each attempt of a call after the first one by itself
 	keeps       bool   // it never closes its side of a connection that was closed here
+	resets      bool   // it resets a connection as it sees that it was closed here
+	chats       bool   // it tells its state on each connection, every second
 	unconfirmed bool   // it confirms no release
 	before      string // the events that have happened
 }
@@ -146,6 +148,7 @@
 		"a probe goes out on a connection that is closing":                     {orderStart{links: 2}, "saTh"},
 		"a dispatcher with as many connections as there may be is cut off":     {established, "qTv"},
 		"a dispatcher with the one connection that there may be is cut off":    {orderStart{called: true, most: 1}, "v"},
+		"a connection is reset that was given up, as its dispatcher sees that": {orderStart{called: true, links: 2, chats: true, resets: true}, "ioqeu"},
 		"an attempt comes to nothing whose predecessor is answered late":       {orderStart{links: 2}, "am"},
 		"the next attempt overtakes a release of the one before":               {orderStart{links: 3}, "amNIdptu"},
 	} {
--- a/internal/dispatchers/standin_connection_test.go
+++ b/internal/dispatchers/standin_connection_test.go
@@ -125,6 +125,10 @@
 	s.flight = nil
 	s.process.reset = true
 	s.close()
+	if s.finished { // where both sides have ended their part, the kernel does not tell how
+		s.ended(io.EOF)
+		return
+	}
 	s.ended(conn.ErrReset)
 }
 
@@ -165,6 +169,8 @@
 	switch {
 	case s.finished && s.process.keeps:
 		clear(s.setUps)
+	case s.finished && s.process.resets:
+		s.reset()
 	case s.finished:
 		s.close()
 	}
--- a/internal/dispatchers/standin_test.go
+++ b/internal/dispatchers/standin_test.go
@@ -55,6 +55,7 @@
 	still       bool                          // it takes nothing in and sends nothing; its kernel accepts connections
 	waiting     []*standInConnection          // that its kernel has accepted meanwhile
 	keeps       bool                          // it never closes its side of a connection that the pool's side has ended
+	resets      bool                          // or resets it as it sees that
 	unconfirmed bool                          // it confirms no release
 	refuses     int                           // so many of the next connections, as others are open
 	refused     bool                          // the last connection was
@@ -182,6 +183,19 @@
 	return true
 }
 
+// chat has the process tell its state on each connection, every second.
+func (p *process) chat(loop *call.Loop) {
+	loop.After(time.Second, func() {
+		for _, s := range p.open() {
+			if !p.still {
+				s.tell(stateReport())
+				s.deliver()
+			}
+		}
+		p.chat(loop)
+	})
+}
+
 // tellsEnd reports whether the end of a call is on its way, or is to be told on the next connection.
 func (p *process) tellsEnd(id string) bool {
 	return slices.Contains(p.repeats, id) || slices.ContainsFunc(p.all, func(s *standInConnection) bool {
