Play rolling replacements of dispatchers under overload, and judge every end of a call

Offenders for each bound show that it looks. - trial.Replaced is a dispatcher that has few lines, answers slowly, leaves set-ups unanswered, closes connections, drains while it refuses new ones, and ends. CHERRYRELAY_PROGRAM has it play another build's program.

--- a/Makefile
+++ b/Makefile
@@ -8,10 +8,10 @@
 test:
 	go test -race -count=1 -timeout 900s $(if $(RED),-skip '$(RED)') ./...
 
-# With SEEDS, so many plays of the soak of shutdowns from the seed FIRST on, and nothing else.
+# With SEEDS, so many plays of the soak of shutdowns, or of the one that SOAK names, from the seed FIRST on, and nothing else.
 soak:
 ifdef SEEDS
-	CHERRYRELAY_SOAK=1 CHERRYRELAY_SEEDS=$(SEEDS) CHERRYRELAY_FIRST=$(FIRST) go test -race -count=1 -timeout 60m -run SoakShutdowns -v ./cmd/cherryrelay
+	CHERRYRELAY_SOAK=1 CHERRYRELAY_SEEDS=$(SEEDS) CHERRYRELAY_FIRST=$(FIRST) go test -race -count=1 -timeout 60m -run $(or $(SOAK),SoakShutdowns) -v ./cmd/cherryrelay
 else
 	CHERRYRELAY_SOAK=1 go test -count=1 -timeout 60m -run Soak -v ./...
 endif
--- /dev/null
+++ b/cmd/cherryrelay/replacement_soak_test.go
@@ -0,0 +1,408 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"cherryrelay/internal/fault"
+	"cherryrelay/internal/trial"
+)
+
+// A soak of rolling replacements: the program's own process on a platform's configuration, under more calls than there are lines, while each of
+// its dispatchers drains, refuses connections, and ends. Every end of a call that stood is held against the bounds of the protocol page.
+
+const (
+	// replacementSeeds are played by make test, and replacementsAtOnce of them side by side.
+	replacementSeeds, replacementsAtOnce = 6, 6
+	// replacedMost is how many dispatchers there are at most before, and after.
+	replacedMost = 3
+	// linkDelay and linkJitter are how late what passes between the controller and a dispatcher is.
+	linkDelay, linkJitter = 3 * time.Millisecond, 22 * time.Millisecond
+	// tellLinesEvery is the pace at which dispatchers tell of their free lines.
+	tellLinesEvery = 200 * time.Millisecond
+)
+
+// replacementScenario is what a seed draws.
+type replacementScenario struct {
+	seed       uint64
+	each       int // dispatchers, before and after
+	work       trial.Work
+	aim        time.Duration // of the calls' class: an attempt that takes longer may be withdrawn
+	slowest    time.Duration // the longest that an answer takes in the overload
+	load       float64       // set-ups, as a part of what the lines can take
+	callerIdle time.Duration // after which callers close a connection
+	bound      bool          // callers keep a connection open while calls of it stand
+	closes     bool          // dispatchers close connections in order
+	reports    bool          // they tell of their lines unasked
+	deaf       bool          // they refuse connections as they drain
+	atOnce     bool          // all are replaced at the same time
+	drainFor   time.Duration
+}
+
+func drawReplacement(seed uint64) replacementScenario {
+	rng := rand.New(rand.NewPCG(seed, 0x64726169))
+	ms := func(least, most int) time.Duration {
+		return time.Duration(least+rng.IntN(most-least)) * time.Millisecond
+	}
+	s := replacementScenario{seed: seed, each: 1 + rng.IntN(replacedMost), load: 0.9 + 0.5*rng.Float64(), aim: ms(150, 1500), slowest: ms(300, 1500), callerIdle: ms(300, 4000),
+		bound: rng.IntN(2) == 0, closes: rng.IntN(2) == 0, reports: rng.IntN(2) == 0, deaf: rng.IntN(4) > 0, atOnce: rng.IntN(3) == 0, drainFor: ms(1500, 4600)}
+	s.work = trial.Work{Lines: 8 + rng.IntN(16), Answers: 60 * time.Millisecond, Holds: ms(300, 2500), Broken: 0.1 * rng.Float64(),
+		Unanswered: 0.3 * rng.Float64(), Seed: seed}
+	if s.closes {
+		s.work.Closes = 0.5
+	}
+	return s
+}
+
+func (s *replacementScenario) String() string {
+	return fmt.Sprintf("%d dispatchers of %d lines, %.2f of set-ups unanswered, load %.2f, aim %v, answers in %v, calls of %v, drains of %v, callers' connections closed after %v, kept for calls that stand %v; dispatchers close %v, report %v, refuse as they drain %v, all at once %v",
+		s.each, s.work.Lines, s.work.Unanswered, s.load, s.aim, s.slowest, s.work.Holds, s.drainFor, s.callerIdle, s.bound, s.closes, s.reports, s.deaf, s.atOnce)
+}
+
+// replacementResult is what a play came to.
+type replacementResult struct {
+	faults  []string
+	log     string
+	ends    int // calls that stood, of which the end was judged
+	again   int // of these, calls that were tried more than once at one dispatcher
+	crossed int // answers that came after their callers had given up
+	counts  map[string]int
+}
+
+// eventList is a coordinator that tells all its events in order, from any on.
+type eventList struct {
+	address string
+	mu      sync.Mutex
+	events  []string
+	more    chan struct{} // closed when there is another event
+}
+
+func newEventList(t *testing.T) *eventList {
+	t.Helper()
+	l := &eventList{more: make(chan struct{})}
+	server := httptest.NewServer(http.HandlerFunc(l.serve))
+	t.Cleanup(server.Close)
+	t.Cleanup(server.CloseClientConnections)
+	l.address = strings.TrimPrefix(server.URL, "http://")
+	return l
+}
+
+func (l *eventList) serve(w http.ResponseWriter, r *http.Request) {
+	told := 0
+	for {
+		l.mu.Lock()
+		events, more := l.events[told:], l.more
+		l.mu.Unlock()
+		for _, e := range events {
+			fmt.Fprint(w, e)
+		}
+		told += len(events)
+		if http.NewResponseController(w).Flush() != nil {
+			return
+		}
+		select {
+		case <-more:
+		case <-time.After(time.Second):
+			fmt.Fprint(w, ": here\n\n")
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+// tell adds an event; the list of the start is number 1.
+func (l *eventList) tell(t *testing.T, changes ...map[string]any) {
+	t.Helper()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	index := len(l.events) + 2
+	event, err := json.Marshal(listEvent(index, false, changes...))
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	l.events = append(l.events, fmt.Sprintf("id: %d\ndata: %s\n\n", index, event))
+	close(l.more)
+	l.more = make(chan struct{})
+}
+
+// replaceable is a dispatcher behind a link, as the list has it.
+type replaceable struct {
+	*trial.Replaced
+	entry map[string]any
+	link  string
+}
+
+func (d *replaceable) is(status string) map[string]any {
+	entry := map[string]any{}
+	for k, v := range d.entry {
+		entry[k] = v
+	}
+	entry["status"] = status
+	return entry
+}
+
+// replacementPlay is one play under way.
+type replacementPlay struct {
+	*testing.T
+	replacementScenario
+	*process
+	net   *fault.Net
+	list  *eventList
+	judge *trial.Judge
+	rng   *rand.Rand
+	over  chan struct{} // closed when no more calls come
+	ended chan struct{} // closed when the play ends
+	busy  sync.WaitGroup
+
+	mu    sync.Mutex
+	stand []*replaceable
+}
+
+// stands opens a dispatcher behind a link of its own.
+func (p *replacementPlay) stands(n int, since time.Time) *replaceable {
+	p.Helper()
+	name := fmt.Sprint("s", n)
+	work := p.work
+	work.Seed = p.seed<<8 + uint64(n)
+	r, err := trial.StandToBeReplaced("tcp", name, report(work.Lines, work.Lines), p.judge, work)
+	if err != nil {
+		p.Fatal(err)
+	}
+	p.Cleanup(r.Die)
+	address, err := p.net.Between("c", name, r.Address())
+	if err != nil {
+		p.Fatal(err)
+	}
+	d := &replaceable{Replaced: r, link: "c>" + name, entry: endpoint(name, n%p.each, address, since)}
+	p.net.Set(d.link, fault.Rule{Forth: fault.Way{Delay: linkDelay, Jitter: linkJitter}, Back: fault.Way{Delay: linkDelay, Jitter: linkJitter}})
+	p.mu.Lock()
+	p.stand = append(p.stand, d)
+	p.mu.Unlock()
+	p.busy.Go(func() { p.lives(d, rand.New(rand.NewPCG(work.Seed, 2))) })
+	return d
+}
+
+func report(free, lines int) string { return fmt.Sprintf("x0:%d;x1:%d", free, lines) }
+
+// lives has a dispatcher report and close connections, as the seed has it, until the play ends.
+func (p *replacementPlay) lives(d *replaceable, rng *rand.Rand) {
+	for {
+		select {
+		case <-p.ended:
+			return
+		case <-time.After(tellLinesEvery):
+		}
+		if p.reports {
+			_ = d.Report(report(d.Free(), p.work.Lines))
+		}
+		if p.closes {
+			d.CloseOne()
+		}
+	}
+}
+
+// replacementProgram is the variable that names another build's program to be played, in place of this one.
+const replacementProgram = "CHERRYRELAY_PROGRAM"
+
+func (p *replacementPlay) launchProgram() {
+	p.Helper()
+	program := os.Getenv(replacementProgram)
+	if program == "" {
+		p.launchWith("LB_OPERATOR=", "LB_CONFIG="+filepath.Join(p.directory, platformConfig), "LB_LISTEN="+p.lines, "LB_MANAGEMENT="+p.management, exitAtOnce)
+		return
+	}
+	p.log, p.process.ended = new(diary), make(chan error, 1)
+	p.cmd = exec.Command(program)
+	p.cmd.Env = append(os.Environ(), "LB_OPERATOR=", "LB_CONFIG="+filepath.Join(p.directory, platformConfig), "LB_LISTEN="+p.lines,
+		"LB_MANAGEMENT="+p.management, "TMPDIR="+p.directory)
+	p.cmd.Stderr = p.log
+	if err := p.cmd.Start(); err != nil {
+		p.Fatal(err)
+	}
+	cmd, ended := p.cmd, p.process.ended
+	go func() { ended <- cmd.Wait() }()
+}
+
+// begin opens the dispatchers and starts the process.
+func (p *replacementPlay) begin() (old []*replaceable) {
+	p.Helper()
+	var known []map[string]any
+	for n := range p.each {
+		d := p.stands(n, time.Time{})
+		old, known = append(old, d), append(known, d.entry)
+	}
+	var c map[string]any
+	if err := json.Unmarshal(platformFile(p.T, 1, 2*time.Second, p.list.address, known), &c); err != nil {
+		p.Fatal(err)
+	}
+	settings := c["settings"].(map[string]any)
+	settings["tenants"] = []any{map[string]any{"name": "acme"}}
+	settings["requestClasses"].([]any)[0].(map[string]any)["aimUs"] = p.aim.Microseconds()
+	text, err := json.Marshal(c)
+	if err != nil {
+		p.Fatal(err)
+	}
+	p.process = onPlatform(p.T, text)
+	p.launchProgram()
+	p.waitReady()
+	return old
+}
+
+// replace has one dispatcher take the place of another, which drains and ends.
+func (p *replacementPlay) replace(d *replaceable, n int, rng *rand.Rand) {
+	time.Sleep(time.Duration(rng.IntN(300)) * time.Millisecond)
+	next := p.stands(n, time.Now())
+	p.list.tell(p.T, next.entry)
+	next.Answer(p.slowest)
+	time.Sleep(time.Duration(rng.IntN(600)) * time.Millisecond)
+	p.list.tell(p.T, d.is("leaving"))
+	if p.deaf {
+		time.Sleep(time.Duration(rng.IntN(300)) * time.Millisecond)
+		p.net.Refuse(d.link)
+		d.Stop()
+	}
+	time.Sleep(time.Duration(rng.Int64N(int64(p.drainFor))))
+	if rng.IntN(2) == 0 {
+		p.list.tell(p.T, d.is("left"))
+		time.Sleep(time.Duration(rng.IntN(300)) * time.Millisecond)
+		d.Die()
+	} else {
+		d.Die()
+		time.Sleep(time.Duration(rng.IntN(300)) * time.Millisecond)
+		p.list.tell(p.T, d.is("left"))
+	}
+	p.net.Refuse(d.link)
+}
+
+// playReplacement plays a seed. The guard between attempts is not judged: on a busy machine dispatchers see the end of an attempt late, which the
+// soak of shutdowns measures.
+func playReplacement(t *testing.T, seed uint64) replacementResult {
+	t.Helper()
+	p := &replacementPlay{T: t, replacementScenario: drawReplacement(seed), net: fault.New(seed), list: newEventList(t),
+		judge: trial.NewJudge(0, 9*time.Second), rng: rand.New(rand.NewPCG(seed, 1)), over: make(chan struct{}), ended: make(chan struct{})}
+	t.Cleanup(p.net.Close)
+	old := p.begin()
+	late := measureRunDelays(p.cmd.Process.Pid)
+	c := newReplacementCallers(p)
+	c.running.Go(func() { c.run(rand.New(rand.NewPCG(seed, 3))) })
+	time.Sleep(time.Second)
+	for _, d := range old {
+		d.Answer(p.slowest)
+	}
+	var replacing sync.WaitGroup
+	for i, d := range old {
+		rng := rand.New(rand.NewPCG(seed, uint64(10+i)))
+		replacing.Go(func() { p.replace(d, p.each+i, rng) })
+		if !p.atOnce {
+			time.Sleep(time.Duration(p.rng.IntN(1500)) * time.Millisecond)
+		}
+	}
+	replacing.Wait()
+	time.Sleep(500 * time.Millisecond)
+	close(p.over)
+	c.running.Wait()
+	r := p.verdict(c, late)
+	close(p.ended)
+	p.busy.Wait()
+	c.closeAll()
+	r.log = p.log.String()
+	return r
+}
+
+// verdict ends what stands, waits for what callers are owed, and holds all against the rules.
+func (p *replacementPlay) verdict(c *replacementCallers, late *schedulerMeter) replacementResult {
+	p.Helper()
+	trial.Until(mostLeft+time.Second, func() bool { return c.owed() == 0 }) // callers give up what has no answer
+	p.mu.Lock()
+	for _, d := range p.stand {
+		d.EndAll()
+	}
+	p.mu.Unlock()
+	trial.Until(trial.ToldAfterEnd+time.Second, func() bool {
+		_, untold := p.judge.Unsettled()
+		return len(untold) == 0
+	})
+	faults, _, counts := p.judge.Verdict()
+	now := time.Now()
+	r := replacementResult{faults: faults, crossed: c.crossings(), counts: counts}
+	for _, e := range p.judge.Ends() {
+		r.ends++
+		if triedAgain(e.Trail) {
+			r.again++
+		}
+		until := e.ToldAt
+		if until.IsZero() {
+			until = now
+		}
+		by := e.Late(now)
+		switch {
+		case e.ToldAt.IsZero():
+			r.faults = append(r.faults, fmt.Sprintf("the end of %s is never told; %s", e.ID, e.Trail))
+		case by > 0 && by > late.between(e.OverAt, until) && by > c.meter.between(e.OverAt, until):
+			r.faults = append(r.faults, fmt.Sprintf("the end of %s is told %v too late; %s", e.ID, by, e.Trail))
+		}
+	}
+	return r
+}
+
+// triedAgain reports whether a trail has two set-ups at one dispatcher.
+func triedAgain(trail string) bool {
+	at := map[string]bool{}
+	for part := range strings.SplitSeq(trail, ", ") {
+		if _, where, ok := strings.Cut(part, " set up at "); ok {
+			if at[where] {
+				return true
+			}
+			at[where] = true
+		}
+	}
+	return false
+}
+
+// TestReplacements guards against ends of calls that are told to nobody while dispatchers are replaced under overload.
+func TestReplacements(t *testing.T) {
+	t.Parallel()
+	replacements(t, 1, replacementSeeds)
+}
+
+// TestSoakReplacements plays the long run: CHERRYRELAY_SEEDS plays from the seed CHERRYRELAY_FIRST on.
+func TestSoakReplacements(t *testing.T) {
+	soaks(t)
+	replacements(t, environment(t, "CHERRYRELAY_FIRST", 1), environment(t, "CHERRYRELAY_SEEDS", 50))
+}
+
+func replacements(t *testing.T, first, seeds uint64) {
+	t.Helper()
+	turns := make(chan struct{}, replacementsAtOnce)
+	for seed := first; seed < first+seeds; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			turns <- struct{}{}
+			defer func() { <-turns }()
+			s := drawReplacement(seed)
+			begun := time.Now()
+			r := playReplacement(t, seed)
+			t.Logf("seed %d: %d ends judged, %d of calls tried again at their dispatcher, %d answers crossed a give-up, %d connections given up as dead, %v in all; %v; %v", seed, r.ends, r.again, r.crossed,
+				strings.Count(r.log, "open but dead"), time.Since(begun).Round(time.Millisecond), r.counts, &s)
+			if r.ends == 0 {
+				t.Error("no call stood to its end")
+			}
+			if len(r.faults) > 0 {
+				t.Logf("the log of the process:\n%s", r.log)
+				t.Errorf("%d faults; again with `make soak SOAK=SoakReplacements SEEDS=1 FIRST=%d`\n%s", len(r.faults), seed,
+					strings.Join(r.faults[:min(len(r.faults), 12)], "\n"))
+			}
+		})
+	}
+}
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -189,6 +189,16 @@
 	}
 }
 
+// Refuse has new connections of a pattern refused from now on, as where nobody listens; open ones stay.
+func (n *Net) Refuse(pattern string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, l := range n.match(pattern) {
+		n.note(l.Name, "refuses")
+		_ = l.ln.Close()
+	}
+}
+
 // Half closes one direction of the connections of a pattern and leaves the other open.
 func (n *Net) Half(pattern string, d Direction) {
 	n.mu.Lock()
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -549,6 +549,13 @@
 	return err
 }
 
+// CloseHere ends the connection of the event in order.
+func (e Event) CloseHere() error {
+	err := e.link.Close()
+	e.link.noteClosed()
+	return err
+}
+
 // Deafen has the connection of the event be dead from now on, as its dispatcher does not know: nothing that comes is taken in, its end
 // neither. What the dispatcher tells there, the script leaves out.
 func (e Event) Deafen() { close(e.link.deaf) }
--- a/internal/trial/judge.go
+++ b/internal/trial/judge.go
@@ -27,7 +27,10 @@
 	out, stands string    // the dispatcher at which an attempt is out, and at which the call stands
 	guarded     time.Time // when its last attempt ended that may have left a trace
 	released    int       // the cause with which its dispatcher has ended it
-	overAt      time.Time // when it did
+	overAt      time.Time // when it did, or it was cut
+	cutAt       time.Time // when its controller has released it, since its last attempt
+	releasedAt  time.Time // when its end was first written towards its controller; zero if it could not be
+	toldAt      time.Time // when its caller, who had its answer, was told that it is over
 	answeredAt  time.Time // when its dispatcher said that it stands
 
 	placed   time.Time
@@ -87,7 +90,7 @@
 	if since := when.Sub(c.guarded); since < j.guard-tolerance {
 		j.fault(c, "%s: sent again after %v", id, since)
 	}
-	c.out = at
+	c.out, c.cutAt = at, time.Time{}
 }
 
 // GivenUp is an attempt that was withdrawn, or whose connection closed, or that broke: it may have left a trace.
@@ -147,8 +150,8 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if c := j.call(id); c.stands == at {
-		c.stands = ""
-		c.trail.add(time.Now(), "cut at", at)
+		c.stands, c.cutAt = "", time.Now()
+		c.trail.add(c.cutAt, "cut at", at)
 	}
 }
 
@@ -160,7 +163,7 @@
 	if c.stands != at {
 		return false
 	}
-	c.stands, c.released, c.overAt = "", cause, time.Now()
+	c.stands, c.released, c.overAt, c.releasedAt = "", cause, time.Now(), time.Time{}
 	c.trail.add(c.overAt, "ended at", at)
 	return true
 }
@@ -237,6 +240,7 @@
 	case "release":
 		what := fmt.Sprint("release ", cause, " ", text)
 		if c.answered {
+			c.toldAt = when
 			what = "after the answer: " + what
 		} else if took := when.Sub(c.placed); took > j.deadline {
 			j.fault(c, "%s has its final answer after %v", id, took)
--- a/internal/trial/judge_test.go
+++ b/internal/trial/judge_test.go
@@ -97,6 +97,93 @@
 	}
 }
 
+// TestEndsThatAreToldTooLateAreFound plays an offender for each bound on the end of a call that stood, beside what is right.
+func TestEndsThatAreToldTooLateAreFound(t *testing.T) {
+	begun := time.Now()
+	stands := func(j *Judge) {
+		j.Placed("a", begun)
+		j.SetUp("a", "s1", begun)
+		j.Answered("a", "s1")
+		j.Heard("a", "answer", Description("a"), 0, begun)
+	}
+	over := func(j *Judge) time.Time { j.Over("a", "s1", 16); return j.OverAt("a") }
+	const released, ended = ToldAfterRelease + SocketSlack, ToldAfterEnd + SocketSlack
+	for _, c := range []struct {
+		what string
+		play func(j *Judge) (now time.Time)
+		late time.Duration
+		none bool // no end is to be judged
+	}{
+		{"told in time after its release", func(j *Judge) time.Time {
+			at := over(j)
+			j.ReleaseSent("a", "s1", at)
+			j.Heard("a", "release", "", 16, at.Add(released))
+			return at.Add(time.Hour)
+		}, 0, false},
+		{"told late after its release", func(j *Judge) time.Time {
+			at := over(j)
+			j.ReleaseSent("a", "s1", at)
+			j.Heard("a", "release", "", 16, at.Add(released+time.Millisecond))
+			return at.Add(time.Hour)
+		}, time.Millisecond, false},
+		{"released twice, and told late after the first", func(j *Judge) time.Time {
+			at := over(j)
+			j.ReleaseSent("a", "s1", at)
+			j.ReleaseSent("a", "s1", at.Add(time.Second))
+			j.Heard("a", "release", "", 16, at.Add(2*time.Second))
+			return at.Add(time.Hour)
+		}, 2*time.Second - released, false},
+		{"never told", func(j *Judge) time.Time {
+			at := over(j)
+			j.ReleaseSent("a", "s1", at)
+			return at.Add(released + time.Minute)
+		}, time.Minute, false},
+		{"no release could be sent, and told in time", func(j *Judge) time.Time {
+			at := over(j)
+			j.Heard("a", "release", "", 41, at.Add(ended))
+			return at.Add(time.Hour)
+		}, 0, false},
+		{"no release could be sent, and told late", func(j *Judge) time.Time {
+			at := over(j)
+			j.Heard("a", "release", "", 41, at.Add(ended+time.Millisecond))
+			return at.Add(time.Hour)
+		}, time.Millisecond, false},
+		{"released long after its end, and told within a second of that", func(j *Judge) time.Time {
+			at := over(j)
+			j.ReleaseSent("a", "s1", at.Add(7500*time.Millisecond))
+			j.Heard("a", "release", "", 16, at.Add(ended+time.Millisecond))
+			return at.Add(time.Hour)
+		}, time.Millisecond, false},
+		{"cut by its controller, which never tells", func(j *Judge) time.Time {
+			j.Cut("a", "s1")
+			return time.Now().Add(time.Hour)
+		}, time.Hour - released, false},
+		{"ended by its caller", func(j *Judge) time.Time {
+			j.CallerLeft("a", begun)
+			j.Cut("a", "s1")
+			return begun.Add(time.Hour)
+		}, 0, true},
+	} {
+		j := NewJudge(500*time.Millisecond, 9*time.Second)
+		stands(j)
+		now := c.play(j)
+		ends := j.Ends()
+		if c.none {
+			if len(ends) != 0 {
+				t.Errorf("%s: judged %+v", c.what, ends)
+			}
+			continue
+		}
+		if len(ends) != 1 {
+			t.Errorf("%s: %d ends, want one", c.what, len(ends))
+			continue
+		}
+		if late := max(ends[0].Late(now), 0); late < c.late-time.Second/100 || late > c.late+time.Second/100 || (late > 0) != (c.late > 0) {
+			t.Errorf("%s: late by %v, want %v", c.what, late, c.late)
+		}
+	}
+}
+
 func TestBeliefsAgainstOneAnother(t *testing.T) {
 	begun := time.Now()
 	at := func(ms int) time.Time { return begun.Add(time.Duration(ms) * time.Millisecond) }
