Decide in one place when a connection is renewed for ends that may have been lost

Within an hour four orders were forced in which the end of a call went down with a connection and nothing asked for the next one, on which its dispatcher repeats it: a dial that was in progress and is refused, a reset after the giving up, a call that came to stand later, a late close. The decision lay in six fields of the server (renewAt, renewing, doubtful, doubtAt, unclosed, endsLost), each kept by another event.

Change. links.Renewal holds what is known (ends may be missing; only a connection dialled from then on is of use; some may be told where nobody reads) and answers when to dial. It is satisfied by an opened connection alone, so a dial that fails or began too early needs no case of its own. Which ends are at risk on a connection that nobody reads is derived: those of calls whose own connection is over. A connection with calls standing that makes room while others are open is half-closed and read until its dispatcher closes too, no longer aborted with what was on its way.

--- a/internal/dispatchers/budget.go
+++ b/internal/dispatchers/budget.go
@@ -84,7 +84,7 @@
 	switch {
 	case len(s.waiting) > 0:
 		return links.SetUp
-	case (len(s.links) == 0 || !s.renewAt.IsZero() || now.Sub(s.heardAt) > silence) && s.pool.standingAt(s.ID, now) > 0:
+	case (len(s.links) == 0 || s.renewal.Pending() || now.Sub(s.heardAt) > silence) && s.pool.standingAt(s.ID, now) > 0:
 		return links.Standing
 	case links.Doubtful(s.oldestUnheard(now)), len(s.links) == 0 && s.hasRelease():
 		return links.Standing
@@ -145,9 +145,15 @@
 	}
 }
 
-// evict closes the connection to make room. Where calls stand, their ends come on the next one.
+// evict closes the connection to make room. Where calls stand and other connections are open, an end may be on its way here that comes on
+// none of those: what its dispatcher has sent is read until that closes too.
 func (l *link) evict() {
 	l.evicted = true
+	if l.state == linkOpen && len(l.server.links) > 1 && l.server.pool.core.Standing(l.server.ID) > 0 {
+		l.giveUp(conn.ErrClosedHere, linkHalfClosed)
+		l.conn.Finish(closesWithin)
+		return
+	}
 	l.conn.Abort(conn.ErrClosedHere) // nothing is open on it, and its descriptor is wanted
 	if l.state == linkOpen {
 		l.Closed(conn.ErrClosedHere)
--- a/internal/dispatchers/check.go
+++ b/internal/dispatchers/check.go
@@ -68,7 +68,7 @@
 	if !s.mayRelease(now) {
 		s.releases = nil
 	}
-	if len(s.links) == 0 || s.endsLost {
+	if len(s.links) == 0 || s.renewal.Missing() {
 		s.connect()
 	}
 }
@@ -113,7 +113,7 @@
 		}
 	}
 	s.trim()
-	s.settleDoubts(now)
+	s.repeatEnds(now)
 	s.renew(now)
 	if l := s.best(); l != nil && len(s.releases) > 0 {
 		s.serve(l)
@@ -124,7 +124,7 @@
 // quietForGood reports whether a silent dispatcher counts as no more: it leaves a probe unanswered, or ends of its calls may have been lost and it
 // can't be connected to for what it would tell again.
 func (s *server) quietForGood(now time.Time) bool {
-	return s.endsLost && (s.refuses || s.dialTimedOut || s.replaced) || s.probeUnanswered(now)
+	return s.renewal.Missing() && (s.refuses || s.dialTimedOut || s.replaced) || s.probeUnanswered(now)
 }
 
 // probeUnanswered reports whether the dispatcher leaves a probe unanswered for probeWithin on the connection that was heard from last. It sends
@@ -159,7 +159,7 @@
 // busy reports whether there is anything to look at again with the next check.
 func (s *server) busy(now time.Time) bool {
 	switch {
-	case s.Status == control.Removed, s.dialing, len(s.waiting) > 0, len(s.doubtful) > 0, len(s.givenUp) > 0, !s.renewAt.IsZero():
+	case s.Status == control.Removed, s.dialing, len(s.waiting) > 0, len(s.givenUp) > 0, s.renewal.Pending():
 		return true
 	case len(s.links) == 0:
 		return !s.gone() && (s.pool.sockets.standing[s.ID] > 0 || s.hasRelease())
--- a/internal/dispatchers/dial.go
+++ b/internal/dispatchers/dial.go
@@ -38,13 +38,13 @@
 			l.conn.Close(conn.ErrClosedHere)
 			return
 		}
-		s.opened(l)
+		s.opened(l, now)
 	})
 }
 
 // reachable reports whether connections to the dispatcher are of use.
 func (s *server) reachable(now time.Time) bool {
-	return !s.gone() || s.mayRelease(now) || s.endsLost && !s.replaced && s.pool.core.Standing(s.ID) > 0
+	return !s.gone() || s.mayRelease(now) || s.renewal.Missing() && !s.replaced && s.pool.core.Standing(s.ID) > 0
 }
 
 func (s *server) refused(err error) {
@@ -88,9 +88,10 @@
 	}
 }
 
-func (s *server) opened(l *link) {
+func (s *server) opened(l *link, dialedAt time.Time) {
 	s.backoff.Reset()
-	s.dialTimedOut, s.refuses, s.renewing, s.endsLost = false, false, false, false
+	s.dialTimedOut, s.refuses = false, false
+	s.renewal.Opened(dialedAt)
 	s.links = append(s.links, l)
 	s.track()
 	l.send(l.wire.Hello())
--- a/internal/dispatchers/dispatchers.go
+++ b/internal/dispatchers/dispatchers.go
@@ -41,9 +41,6 @@
 	// set-up back. One that lives does so at once. After that, ends may be told there in vain: each must come within 8 s all the same, the
 	// deadAfter included in which a connection with nothing to do is found out.
 	closesWithin = time.Second
-	// tellAgain is the pace of new connections, on each of which a dispatcher tells once more what it has told since the last, while it may
-	// still tell ends on one that is dead. It must be well below 8 s.
-	tellAgain = 5 * time.Second
 	// unresponsiveFor is how long after the end of a set-up nothing may have come on a connection before it is given up.
 	unresponsiveFor = 100 * time.Millisecond
 	// unansweredWeight is how many open set-ups one counts for that was given up without an answer.
@@ -163,8 +160,8 @@
 // Renew opens one more connection to a dispatcher, soon: others that ask meanwhile are served by the same. Where there are as many as there
 // may be, one that has nothing to do makes room.
 func (p *Pool) Renew(id control.ServerID) {
-	if s := p.servers[id]; s != nil && s.renewAt.IsZero() {
-		s.renewAt = time.Now().Add(checkEvery)
+	if s := p.servers[id]; s != nil {
+		s.renewal.Want(time.Now())
 		p.touch(s)
 	}
 }
--- a/internal/dispatchers/link.go
+++ b/internal/dispatchers/link.go
@@ -99,6 +99,7 @@
 	wire    Wire
 	state   linkState
 	evicted bool // closed to make room
+	suspect bool // given up as dead, or with a dispatcher that counts as gone
 	dirty   bool // written to since the last Flush
 	openedAt,
 	heardAt time.Time
--- a/internal/dispatchers/link_end.go
+++ b/internal/dispatchers/link_end.go
@@ -19,8 +19,6 @@
 	l.conn.Flush() // what the socket takes has left
 	l.giveUp(reason, linkHalfClosed)
 	l.conn.Finish(halfClosedFor)
-	s := l.server
-	s.doubt(s.pool.core.StandAt(s.ID))
 }
 
 // drain gives the connection up whose dispatcher may live, though it counts as gone. Its set-ups end at once and are cancelled. A call that the
@@ -38,6 +36,10 @@
 // giveUp ends the set-ups on an open connection, which is read on in the given state.
 func (l *link) giveUp(reason error, state linkState) {
 	s, invites := l.server, l.invites
+	l.suspect = !errors.Is(reason, conn.ErrClosedHere)
+	if l.suspect {
+		s.renewal.Want(time.Now())
+	}
 	l.end(reason)
 	l.state, l.invites, l.since = state, invites, time.Now()
 	s.pool.touch(s)
@@ -51,13 +53,16 @@
 // Closed takes in that the connection has ended.
 func (l *link) Closed(reason error) {
 	s, invites := l.server, l.invites
+	if l.losesEnds(reason) {
+		s.renewal.Lost(time.Now())
+		s.pool.touch(s)
+	}
 	if l.state == linkOpen {
 		l.end(reason)
 	} else {
 		l.ended(reason)
 	}
 	if !inOrder(reason) {
-		s.endsLost = true
 		l.releaseUnknown(invites)
 	}
 	if best := s.best(); best != nil {
@@ -74,18 +79,15 @@
 func (l *link) ended(reason error) {
 	s := l.server
 	if errors.Is(reason, conn.ErrClosedHere) && (l.givenUp() || !l.evicted) {
-		s.unclosed = true // its dispatcher may hold it for open still
+		s.renewal.SetUnread(true) // its dispatcher may hold it for open still
 	}
-	if l.state == linkHalfClosed && len(s.doubtful) > 0 && time.Since(l.since) > checkEvery {
-		s.closedLate = true // by a reset, it may be: where both sides have ended, that can't be told from a close
+	if l.suspect && s.hasEndsAtRisk() {
+		s.renewal.Want(time.Now()) // its dispatcher may have told ends here until now, and reset it as it saw the close
 	}
 	l.state, l.invites = linkClosed, nil
 	l.keepUnconfirmed()
 	s.givenUp = slices.DeleteFunc(s.givenUp, func(o *link) bool { return o == l })
 	s.track()
-	if mayLoseEnds(reason) && s.pool.core.Standing(s.ID) > 0 {
-		s.pool.Renew(s.ID)
-	}
 }
 
 // end ends the set-ups that were open on the connection.
@@ -101,32 +103,15 @@
 	s.track()
 	l.endSetUps()
 	l.keepUnconfirmed()
-	l.doubtCalls()
 	if len(s.links) == 0 {
 		s.withoutSince = time.Now()
 	}
 	if now := time.Now(); now.Sub(l.openedAt) < endsAtOnce {
 		s.backoff.Fail(now, rand.Float64())
 	}
-	before := s.dialing
 	if len(s.links) == 0 || len(s.links) < s.wanted(time.Now()) {
 		s.connect()
 	}
-	if !mayLoseEnds(reason) {
-		return
-	}
-	if s.dialing && !before {
-		s.renewing = len(s.links) > 0 // without another one, it is dialled until one comes up
-		return
-	}
-	s.pool.Renew(s.ID)
-}
-
-// mayLoseEnds reports whether a connection that ended for the reason may have taken ends of calls along: behind what was spoilt, unread as it was
-// reset, or swallowed while it was dead. Its dispatcher tells them once more, on the next connection that opens; the others that are open bring
-// nothing of them.
-func mayLoseEnds(reason error) bool {
-	return !errors.Is(reason, conn.ErrClosedHere) && !inOrder(reason)
 }
 
 // endSetUps tells the core that the set-ups on the connection have broken, in the order of their ids.
--- /dev/null
+++ b/internal/dispatchers/renewal.go
@@ -0,0 +1,68 @@
+package dispatchers
+
+import (
+	"errors"
+	"slices"
+	"time"
+
+	"cherryrelay/internal/conn"
+)
+
+// Connections that are opened for the ends of calls that may have been lost with another one.
+
+// losesEnds reports whether ends of calls may be lost with the connection as it ends for the reason, whether it was open until now or given
+// up before.
+func (l *link) losesEnds(reason error) bool {
+	switch {
+	case l.state == linkClosed, inOrder(reason):
+		return false
+	case errors.Is(reason, conn.ErrClosedHere):
+		return l.givenUp() // unless its dispatcher has ended it in good order
+	}
+	return true
+}
+
+// repeatEnds has ends repeated on new connections, one after the other, for as long as the dispatcher may tell them on one that is not read
+// any more.
+func (s *server) repeatEnds(now time.Time) {
+	if s.holdsUnread(now) && s.hasEndsAtRisk() {
+		s.renewal.Repeat(now)
+	}
+}
+
+// holdsUnread reports whether the dispatcher may hold a connection for open that was given up: one that lives closes it soon.
+func (s *server) holdsUnread(now time.Time) bool {
+	return s.renewal.Unread() || slices.ContainsFunc(s.givenUp, func(l *link) bool { return now.Sub(l.since) > closesWithin })
+}
+
+// hasEndsAtRisk reports whether a call stands whose own connection is open no more: its end may come on any other.
+func (s *server) hasEndsAtRisk() bool {
+	for id := range s.pool.core.StandAt(s.ID) {
+		if answered := s.standing[id]; answered == nil || answered.over {
+			return true
+		}
+	}
+	return false
+}
+
+// renew opens the connection that is due. Where there are as many as there may be, one that has nothing to do makes room.
+func (s *server) renew(now time.Time) {
+	if !s.renewal.Due(now) || s.dialing {
+		return
+	}
+	if len(s.links) >= s.pool.links {
+		idle := slices.IndexFunc(s.links, func(l *link) bool { return l.open() == 0 })
+		if idle < 0 {
+			return // later
+		}
+		s.links[idle].retire(conn.ErrClosedHere)
+	}
+	s.connect()
+}
+
+// renewalFailed takes in that a dial has failed. While calls stand it is dialled again, at the pace of the dispatcher's backoff.
+func (s *server) renewalFailed() {
+	if s.pool.core.Standing(s.ID) == 0 {
+		s.renewal.Cancel()
+	}
+}
--- a/internal/dispatchers/server.go
+++ b/internal/dispatchers/server.go
@@ -37,13 +37,8 @@
 	call.Server
 	pool         *Pool
 	links        []*link
-	renewAt      time.Time       // when one more connection is due, however many there are; zero if none is
-	renewing     bool            // the connection that is being dialled is that one
-	givenUp      []*link         // that are still read; MaxLinks at most
-	doubtful     map[string]bool // calls that stood as a connection was given up: their ends may be told there, in vain
-	doubtAt      time.Time       // when their ends are to be told on a new connection
-	unclosed     bool            // there was one that the dispatcher never closed
-	closedLate   bool            // there was one that it closed when the next one may have been open
+	renewal      links.Renewal // of connections, for ends that may have been lost
+	givenUp      []*link       // that are still read; MaxLinks at most
 	dialing      bool
 	backoff      links.Backoff
 	waiting      []waiting
@@ -54,7 +49,6 @@
 	refuses      bool      // the last connection tried was refused
 	probedAt     time.Time // when a probe was sent to see whether it lives; zero for never
 	replaced     bool      // another dispatcher has its address now
-	endsLost     bool      // a connection may have taken ends of calls along, which are told again on the next one alone
 	releases     []release
 	process      int                  // counts the processes that have run under its name
 	standing     map[string]*lifetime // of the connection on which the set-up was answered, for each call that stands
@@ -163,7 +157,7 @@
 		s.releases = append(s.releases, pending...)
 	}
 	s.expire(time.Time{})
-	s.doubtful, s.unclosed, s.closedLate = nil, false, false
+	s.renewal.SetUnread(false)
 	clear(s.standing)
 }
 
