Tell an end that is read on an earlier attempt's connection before the close of its own

A call was tried at a dispatcher, withdrawn, and stands there by a later attempt on another connection. The dispatcher closes that one in order, as one that is idle, and tells the end on the one that is open, where the withdrawn attempt is still known. The two connections are read in any order: an end that was read first was taken for that of the withdrawn attempt, and dropped. As the close was in order no new connection followed on which it would have been told again, and its caller was never told.

Such a release is kept for a second, and ends the call if its own connection closes meanwhile. While that one stays open it belongs to the earlier attempt, as before.

TestAnEndThatIsReadBeforeTheCloseOfItsConnection failed before ("the release is that of attempt 0"), and passes 30 times in a row. It was found by reading, and is forced; no soak came on it.

--- a/internal/dispatchers/earlier_test.go
+++ b/internal/dispatchers/earlier_test.go
@@ -77,6 +77,46 @@
 	})
 }
 
+// TestAnEndThatIsReadBeforeTheCloseOfItsConnection guards against an end that is taken for that of a withdrawn attempt: the dispatcher closes the
+// connection of the attempt that stands, in order, and tells the end on the earlier one, which is read first.
+func TestAnEndThatIsReadBeforeTheCloseOfItsConnection(t *testing.T) {
+	t.Parallel()
+	const id = "00000000000000a2"
+	b := newBudgeted(t, 0, 1)
+	core := &releaseLog{standings: *b.core}
+	b.do(func() {
+		b.pool.core = core
+		b.pool.Update(b.list)
+	})
+	b.comes(0, "opened")
+	b.setUp(0, id)
+	first := b.comes(0, "setup")
+	b.do(func() {
+		b.pool.Withdraw(name(0), id, 0)
+		b.pool.SetUp(name(0), call.SetUp{ID: id, Attempt: 1, Class: "c", Called: "k", Description: "x", Limit: time.Minute})
+	})
+	b.comes(0, "opened")
+	second := b.comes(0, "setup")
+	if err := second.Answer("yes"); err != nil {
+		t.Fatal(err)
+	}
+	waitOnLoop(b, func() bool { return len(core.at[name(0)]) == 1 })
+	b.dispatchers[0].Stop() // no further connection comes up, on which it would be told again
+	if err := first.ReleaseHere(id, call.CauseNormal); err != nil {
+		t.Fatal(err)
+	}
+	waitOnLoop(b, func() bool { return len(core.attempts) > 0 })
+	if err := second.CloseHere(); err != nil {
+		t.Fatal(err)
+	}
+	waitOnLoop(b, func() bool { return len(b.pool.servers[name(0)].links) == 1 })
+	b.do(func() {
+		if last := core.attempts[len(core.attempts)-1]; last != noAttempt {
+			t.Errorf("the release is that of attempt %d, want it to end the call that stands", last)
+		}
+	})
+}
+
 // waitOnLoop waits until a condition holds on the loop.
 func waitOnLoop(b *budgeted, condition func() bool) {
 	b.Helper()
--- /dev/null
+++ b/internal/dispatchers/early.go
@@ -0,0 +1,40 @@
+package dispatchers
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// earlyRelease is a release that came on the connection of an earlier attempt while that of the attempt that stands was open here. Its dispatcher
+// may have closed the latter, and the close not have been read yet: then it is the end of the call that stands.
+type earlyRelease struct {
+	cause  int
+	report []float64
+	at     time.Time
+}
+
+// keepEarly keeps a release for closesWithin.
+func (s *server) keepEarly(id string, r earlyRelease) {
+	if s.early == nil {
+		s.early = map[string]earlyRelease{}
+	}
+	maps.DeleteFunc(s.early, func(_ string, o earlyRelease) bool { return r.at.Sub(o.at) > closesWithin })
+	s.early[id] = r
+}
+
+// tellEarly ends the calls that stood on a connection that its dispatcher has closed, and whose releases were read before the close.
+func (s *server) tellEarly(closed *lifetime) {
+	for _, id := range slices.Sorted(maps.Keys(s.early)) {
+		r := s.early[id]
+		if s.standing[id] != closed {
+			continue
+		}
+		delete(s.early, id)
+		if time.Since(r.at) > closesWithin {
+			continue
+		}
+		delete(s.standing, id)
+		s.pool.core.Released(s.ID, id, noAttempt, r.cause, r.report)
+	}
+}
--- a/internal/dispatchers/link.go
+++ b/internal/dispatchers/link.go
@@ -320,8 +320,13 @@
 		if !call.ValidID(m.id) {
 			return nil
 		}
-		core.Released(s.ID, m.id, s.attemptReleased(m.id, attempt), m.cause, m.report)
-		delete(s.standing, m.id)
+		attempt = s.attemptReleased(m.id, attempt)
+		core.Released(s.ID, m.id, attempt, m.cause, m.report)
+		if answered := s.standing[m.id]; attempt != noAttempt && answered != nil && answered != l.lifetime {
+			s.keepEarly(m.id, earlyRelease{cause: m.cause, report: m.report, at: time.Now()})
+		} else {
+			delete(s.standing, m.id)
+		}
 		if i != nil && i.withdrawn.IsZero() {
 			i.withdrawn = time.Now() // its answer may still come, late
 		}
--- a/internal/dispatchers/link_end.go
+++ b/internal/dispatchers/link_end.go
@@ -56,6 +56,7 @@
 	} else {
 		l.ended(reason)
 	}
+	s.tellEarly(l.lifetime)
 	if !inOrder(reason) {
 		s.endsLost = true
 		l.releaseUnknown(invites)
--- a/internal/dispatchers/server.go
+++ b/internal/dispatchers/server.go
@@ -57,6 +57,7 @@
 	releases     []release
 	process      int                  // counts the processes that have run under its name
 	standing     map[string]*lifetime // of the connection on which the set-up was answered, for each call that stands
+	early        map[string]earlyRelease
 	demand       links.Demand
 
 	active       bool      // it is looked at with the next check
