--- a/internal/dispatchers/link_end.go
+++ b/internal/dispatchers/link_end.go
@@ -62,6 +62,7 @@
 	} else {
 		l.ended(reason)
 	}
+	s.tellEarly(l.lifetime)
 	if !inOrder(reason) {
 		l.releaseUnknown(invites)
 	}
