--- a/internal/callers/standin_test.go
+++ b/internal/callers/standin_test.go
@@ -270,6 +270,7 @@
 	callerClosed bool
 	halfClosed   bool
 	left         bool // the caller has ended its side, and not as the controller did
+	cutShort     bool // the controller has closed it with words waiting for a kernel that took nothing
 
 	// The controller's side.
 	unread   bytes.Buffer // in the kernel
@@ -503,6 +504,7 @@
 	if !s.caller.full && !s.rst {
 		s.leaves()
 	}
+	s.cutShort = len(s.out) > 0
 	s.closed = true
 	s.end(reason)
 	s.caller.reads()
