--- a/internal/call/released_test.go
+++ b/internal/call/released_test.go
@@ -79,3 +79,29 @@
 		t.Errorf("%d set-ups, %d answers, %d ends, %d releases; want 2, 1, 0, 1", s.setUps, s.answers[overtakenID], s.overs[overtakenID], s.releases)
 	}
 }
+
+// TestTheDecisionsHearOfACallThatEndedUnanswered guards against a line that counts as taken for ever, as the end of a call came in place of its answer.
+func TestTheDecisionsHearOfACallThatEndedUnanswered(t *testing.T) {
+	t.Parallel()
+	s := newSite(t)
+	told := 0
+	s.react = func(server control.ServerID, a SetUp) {
+		s.core.Loop().After(time.Millisecond, func() {
+			s.core.Released(server, a.ID, a.Attempt, CauseNormal, nil)
+			for _, e := range s.core.events {
+				if end, ok := e.(control.AttemptEnded); ok && end.CallOver && end.Server == server {
+					told++
+				}
+			}
+			s.core.Loop().Quit()
+		})
+	}
+	s.core.Loop().Post(func() {
+		s.list(control.Active, "a")
+		_ = s.core.Offer(Request{ID: overtakenID, Class: "c", Deadline: time.Now().Add(time.Minute), Caller: s, Description: "x"})
+	})
+	s.core.Loop().Run()
+	if told != 1 {
+		t.Errorf("told %d times that the attempt and the call are over, want once", told)
+	}
+}
--- /dev/null
+++ b/internal/dispatchers/releases_lost_test.go
@@ -0,0 +1,270 @@
+package dispatchers
+
+import (
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"cherryrelay/control"
+	"cherryrelay/internal/call"
+	"cherryrelay/internal/peer"
+	"cherryrelay/internal/sip"
+)
+
+// TestAReleaseOnADrainedConnectionThatIsDead guards against a call that its dispatcher holds on, as its release went out on a connection that was
+// drained and never brought it.
+func TestAReleaseOnADrainedConnectionThatIsDead(t *testing.T) {
+	t.Parallel()
+	order := slices.Concat(spelledOrder("vq"), []orderEvent{event("the connection is dead", 0, func(s *orderSite) { s.first.all[0].deaden() })}, spelledOrder("w"))
+	synctest.Test(t, func(t *testing.T) {
+		s := newOrderSite(t, orderStart{called: true})
+		if !s.play(order) || len(s.faults) > 0 {
+			t.Error(strings.Join(s.faults, "; "))
+		}
+	})
+}
+
+// TestAnEarlierConnectionTakesNoLaterAttemptAlong guards against a release of what may have come of a withdrawn attempt that ends the next attempt
+// at the same dispatcher, whether that is answered already or not.
+func TestAnEarlierConnectionTakesNoLaterAttemptAlong(t *testing.T) {
+	t.Parallel()
+	for state, answered := range map[string]bool{"the next attempt is answered": true, "the next attempt is open": false} {
+		t.Run(state, func(t *testing.T) {
+			t.Parallel()
+			const id, next = "00000000000000d1", "00000000000000d2"
+			b := newBudgeted(t, 0, 1)
+			b.do(func() { b.pool.Update(b.list) })
+			b.comes(0, "opened")
+			b.setUp(0, id)
+			first := b.comes(0, "setup")
+			var earlier *lifetime
+			b.do(func() { earlier = b.pool.servers[name(0)].links[0].lifetime })
+			b.do(func() { b.pool.Withdraw(name(0), id, 0) })
+			b.comes(0, "release") // the set-up is cancelled
+			b.do(func() {
+				b.pool.SetUp(name(0), call.SetUp{ID: id, Attempt: 1, Class: "c", Called: "k", Description: "x", Limit: time.Minute})
+			})
+			b.comes(0, "opened")
+			second := b.comes(0, "setup")
+			if answered {
+				if err := second.Answer("y"); err != nil {
+					t.Fatal(err)
+				}
+				waitOnLoop(b, func() bool { return len(b.core.at[name(0)]) == 1 })
+			}
+			if err := first.Reset(); err != nil {
+				t.Fatal(err)
+			}
+			waitOnLoop(b, func() bool {
+				return !slices.ContainsFunc(b.pool.servers[name(0)].links, func(l *link) bool { return l.lifetime == earlier })
+			})
+			b.setUp(0, next) // releases go out ahead of it
+			for until := time.Now().Add(peer.Patience); time.Now().Before(until); {
+				b.do(b.pool.Flush)
+				select {
+				case e := <-b.dispatchers[0].Events:
+					switch {
+					case e.Kind == "release":
+						t.Fatalf("call %s is released", e.ID)
+					case e.Kind == "setup" && e.ID == next:
+						return
+					}
+				case <-time.After(10 * time.Millisecond):
+				}
+			}
+			t.Error("the next set-up never comes")
+		})
+	}
+}
+
+// TestReleasesAreNotKeptForEver guards against releases that are kept once their dispatcher has confirmed them, or must have heard them.
+func TestReleasesAreNotKeptForEver(t *testing.T) {
+	t.Parallel()
+	for name, confirms := range map[string]bool{"confirmed": true, "heard from since": false} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				s := newOrderSite(t, orderStart{})
+				go s.core.Loop().Run()
+				defer func() {
+					s.core.Loop().Quit()
+					synctest.Wait()
+				}()
+				s.do(func() { s.list(control.Active, "first") })
+				time.Sleep(time.Second)
+				for range 5 {
+					s.do(func() { s.pool.Release("first", orderedID, call.CauseNormal) })
+					s.do(func() {
+						c := s.first.connections[0]
+						if !confirms {
+							c.flight = nil
+						}
+						c.deliver()
+					})
+					time.Sleep(2 * closesWithin)
+					s.do(func() {
+						c := s.first.connections[0]
+						c.tell(sip.Append(nil, &sip.Message{Method: "NOTIFY", URI: "sip:state@net", CallID: "state", Seq: 1, SeqOf: "NOTIFY",
+							Headers: []sip.Header{{Name: "P-Report", Value: "idle:8"}}}))
+						c.deliver()
+					})
+				}
+				s.do(func() {
+					most := 1
+					if confirms {
+						most = 0
+					}
+					if kept := len(s.pool.servers["first"].links[0].unconfirmed); kept > most {
+						t.Errorf("%d releases are kept, want %d at most", kept, most)
+					}
+				})
+			})
+		})
+	}
+}
+
+// TestAReleaseInPlaceOfARefusal guards against the end of a call that stands which is taken for the refusal of an earlier attempt: over the API one
+// message means either.
+func TestAReleaseInPlaceOfARefusal(t *testing.T) {
+	t.Parallel()
+	const id = "00000000000000d3"
+	core := &releaseLog{standings: standings{ends: ends{told: map[string]control.Outcome{}}}}
+	s := &server{pool: &Pool{core: core}, standing: map[string]*lifetime{id: {over: true}}}
+	l := &link{server: s, lifetime: new(lifetime), invites: map[string]*invite{id: {attempt: 0, withdrawn: time.Now()}}}
+	if err := l.take(&Message{kind: ended, id: id, final: true, cause: call.CauseNormal}); err != nil {
+		t.Fatal(err)
+	}
+	if !slices.Equal(core.attempts, []int{noAttempt}) {
+		t.Errorf("the end is told of the attempts %v, want of the call that stands (%d)", core.attempts, noAttempt)
+	}
+}
+
+// TestReleasesInOrdersThatNeedThem guards against calls that a dispatcher holds on, calls told as cut that go on, and entries of calls that are over,
+// in the orders that show one mechanism each to be needed.
+func TestReleasesInOrdersThatNeedThem(t *testing.T) {
+	t.Parallel()
+	established := orderStart{called: true}
+	for what, test := range map[string]struct {
+		start orderStart
+		order string
+	}{
+		"an answer is read after its dispatcher is off the list, and listens no more":    {orderStart{}, "sax"},
+		"a call goes on at a dispatcher that is off the list, and listens no more":       {established, "sxT"},
+		"a release waits as its dispatcher is off the list, and can't be reached":        {orderStart{called: true, most: 1}, "vTttcxTw"},
+		"an end is read ahead of its answer, and leaves no entry":                        {orderStart{two: true}, "aheDd"},
+		"a dispatcher returns whose calls were told as cut":                              {established, "vqw"},
+		"an answer is on its way as its dispatcher is cut off":                           {orderStart{}, "avqw"},
+		"a dispatcher that is connected to anew listens no more":                         {established, "rtsT"},
+		"a set-up is given up at a dispatcher that is off the list, and listens no more": {orderStart{}, "sx"},
+	} {
+		t.Run(what, func(t *testing.T) {
+			t.Parallel()
+			order := spelledOrder(test.order)
+			if result := test.start.play(t, order); !result.possible || len(result.faults) > 0 {
+				t.Errorf("order %s, possible: %v: %s", test.order, result.possible, strings.Join(result.faults, "; "))
+			}
+		})
+	}
+}
+
+// TestADispatcherOffTheListIsForgotten guards against a dispatcher that is dialled for ever for a release that it never takes.
+func TestADispatcherOffTheListIsForgotten(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		s := newOrderSite(t, orderStart{called: true})
+		s.play(spelledOrder("vxqqqq"))
+		if len(s.pool.servers) > 0 {
+			t.Error("it is still known")
+		}
+	})
+}
+
+// TestAReleaseDoesNotGoToWhoHasTheAddress guards against the release of a call that cuts one under the same id at another dispatcher.
+func TestAReleaseDoesNotGoToWhoHasTheAddress(t *testing.T) {
+	t.Parallel()
+	var other *process
+	takes := event("another dispatcher has its address", 0, func(s *orderSite) {
+		other = newProcess(s)
+		other.established["00000000000000c9"] = nil
+		s.network.processes["first"] = other
+		s.core.Update(call.Update{Servers: []call.Server{{ServerEntry: control.ServerEntry{ID: "other", Status: control.Active}, Address: "first"}}})
+	})
+	order := slices.Concat(spelledOrder("vq"), []orderEvent{event("the call is released", 0, func(s *orderSite) {
+		s.pool.Release("first", "00000000000000c9", call.CauseNormal)
+	}), takes}, spelledOrder("qq"))
+	synctest.Test(t, func(t *testing.T) {
+		s := newOrderSite(t, orderStart{called: true})
+		s.play(order)
+		if _, holds := other.established["00000000000000c9"]; !holds {
+			t.Error("the call at the other dispatcher was cut")
+		}
+	})
+}
+
+// TestAnEndWithoutAnAnswerLeavesNoSetUp guards against a connection that counts as busy for ever, as the end of a call came and its answer never did.
+func TestAnEndWithoutAnAnswerLeavesNoSetUp(t *testing.T) {
+	t.Parallel()
+	order := slices.Concat([]orderEvent{event("the end of the call comes, and its answer does not", 0, func(s *orderSite) {
+		c := s.first.pending(orderedID)
+		delete(c.setUps, orderedID)
+		c.tell(byeOf(orderedID))
+		c.deliver()
+	})}, spelledOrder("qq"))
+	synctest.Test(t, func(t *testing.T) {
+		s := newOrderSite(t, orderStart{})
+		s.play(order)
+		if server := s.pool.servers["first"]; s.finals != 1 || server.openSetUps() > 0 {
+			t.Errorf("%d final answers, %d set-ups open; want 1, 0", s.finals, server.openSetUps())
+		}
+	})
+}
+
+// TestAnAttemptAtADroppedDispatcherIsCancelled guards against an attempt elsewhere beside the first one, whose dispatcher returns in the moment in
+// which it counts as gone.
+func TestAnAttemptAtADroppedDispatcherIsCancelled(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		s := newOrderSite(t, orderStart{second: true})
+		go s.core.Loop().Run()
+		defer func() {
+			s.core.Loop().Quit()
+			synctest.Wait()
+		}()
+		s.do(func() { s.list(control.Active, "first", "second") })
+		time.Sleep(time.Second)
+		s.do(func() {
+			_ = s.core.Offer(call.Request{ID: orderedID, Class: "c", Deadline: time.Now().Add(orderDeadline), Caller: s, Description: "x"})
+		})
+		time.Sleep(10 * time.Millisecond)
+		s.do(func() { s.first.cutOff = true })
+		for dropped := false; !dropped; time.Sleep(time.Millisecond) {
+			s.do(func() { dropped = len(s.pool.servers["first"].links) == 0 })
+		}
+		s.do(s.first.returns)
+		time.Sleep(time.Second)
+		s.do(s.arrive)
+		if s.answers != 1 || len(s.faults) > 0 {
+			t.Errorf("%d answers: %s", s.answers, strings.Join(s.faults, "; "))
+		}
+	})
+}
+
+// TestManyReleasesGoOutInPortions guards against releases that close their connection, as more are written at once than its dispatcher reads.
+func TestManyReleasesGoOutInPortions(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		s := newOrderSite(t, orderStart{})
+		l := &link{server: &server{pool: s.pool}, conn: &standInConnection{}, wire: &SIP{}}
+		for range releasesAtOnce + 1 {
+			l.server.releases = append(l.server.releases, release{orderedID, call.CauseNormal, true})
+		}
+		if l.server.serveReleases(l) || len(l.server.releases) != 1 {
+			t.Errorf("%d releases wait still, want 1", len(l.server.releases))
+		}
+		if !l.server.serveReleases(l) || len(l.server.releases) != 0 {
+			t.Errorf("%d releases wait still, want none", len(l.server.releases))
+		}
+	})
+}
