End a call whose end came ahead of its answer as its attempt times out

An end that comes ahead of its answer, on another connection, is kept for 0.5 s. If the attempt's own time was up within that, or the decisions withdrew it, Core.withdraw knew nothing of the end: the call was tried again, and its caller was told neither the end of what had stood nor a final answer within the second that it is owed. And as the 0.5 s were up, nothing was withdrawn at the dispatcher: the set-up counted as open on its connection for as long as that lived.

Core.withdraw ends such a call now, and the end of the 0.5 s goes that way too, so that the set-up is withdrawn in either case.

TestAnEndAheadOfItsAnswerAsItsAttemptTimesOut: 3 set-ups and no final answer before, 1 and 1 now. TestAnEndAheadOfAnAnswerThatNeverComesLeavesNoSetUp: 1 set-up open after 12 s before, none now. The tests of internal/call that concern attempts, answers and ends, and all of internal/dispatchers passed.

--- a/internal/call/overtaken.go
+++ b/internal/call/overtaken.go
@@ -28,7 +28,7 @@
 	attempt := k.attempts
 	k.overtaken = &overtaking{cause: cause, report: report, timer: c.loop.After(answerWithin, func() {
 		if k.out && k.attempts == attempt {
-			c.endUnanswered(k, report)
+			c.withdraw(k, control.TimedOut, false)
 		}
 	})}
 }
--- a/internal/call/released_test.go
+++ b/internal/call/released_test.go
@@ -105,3 +105,24 @@
 		t.Errorf("told %d times that the attempt and the call are over, want once", told)
 	}
 }
+
+// TestAnEndAheadOfItsAnswerAsItsAttemptTimesOut guards against another attempt of a call that has stood and is over: its caller is owed the end.
+func TestAnEndAheadOfItsAnswerAsItsAttemptTimesOut(t *testing.T) {
+	t.Parallel()
+	s := newSite(t)
+	s.react = func(server control.ServerID, a SetUp) {
+		s.core.Loop().After(time.Millisecond, func() {
+			s.core.Released(server, a.ID, -1, CauseNormal, nil)
+			s.core.withdraw(s.core.calls[a.ID], control.TimedOut, false)
+		})
+	}
+	s.core.Loop().Post(func() {
+		s.list(control.Active, "a", "b")
+		_ = s.core.Offer(Request{ID: overtakenID, Class: "c", Deadline: time.Now().Add(time.Minute), Caller: s, Description: "x"})
+	})
+	s.core.Loop().After(time.Second, s.core.Loop().Quit)
+	s.core.Loop().Run()
+	if s.setUps != 1 || s.finals[overtakenID] != 1 {
+		t.Errorf("%d set-ups, %d final answers; want 1, 1", s.setUps, s.finals[overtakenID])
+	}
+}
--- a/internal/call/turn.go
+++ b/internal/call/turn.go
@@ -138,11 +138,15 @@
 }
 
 // withdraw gives up the attempt that is out. Its outcome is told at once; what the dispatcher still says of it is
-// late.
+// late. If its end has come ahead of its answer, it stood, and its call is over.
 func (c *Core) withdraw(k *record, o control.Outcome, callOver bool) {
 	c.loop.Stop(k.timer)
 	k.out = false
 	c.dispatchers.Withdraw(k.server, k.ID, k.attempts-1)
+	if k.overtaken != nil && !callOver {
+		c.endUnanswered(k, k.overtaken.report)
+		return
+	}
 	c.noteBack(k, o)
 	c.tell(control.AttemptEnded{ID: control.CallID(k.ID), Server: k.server, Attempt: k.attempts - 1, Outcome: o,
 		Elapsed: time.Since(k.sentAt), CallOver: callOver})
--- a/internal/dispatchers/releases_lost_test.go
+++ b/internal/dispatchers/releases_lost_test.go
@@ -268,3 +268,22 @@
 		}
 	})
 }
+
+// TestAnEndAheadOfAnAnswerThatNeverComesLeavesNoSetUp guards against a connection that counts as busy for ever, as the end of a call came on another
+// one and its answer never did.
+func TestAnEndAheadOfAnAnswerThatNeverComesLeavesNoSetUp(t *testing.T) {
+	t.Parallel()
+	order := slices.Concat([]orderEvent{event("the end of the call comes on another connection, and its answer does not", 0, func(s *orderSite) {
+		delete(s.first.pending(orderedID).setUps, orderedID)
+		c := s.first.connections[1]
+		c.tell(byeOf(orderedID))
+		c.deliver()
+	})}, spelledOrder("qq"))
+	synctest.Test(t, func(t *testing.T) {
+		s := newOrderSite(t, orderStart{two: true})
+		s.play(order)
+		if server := s.pool.servers["first"]; s.finals != 1 || server.openSetUps() > 0 {
+			t.Errorf("%d final answers, %d set-ups open; want 1, 0", s.finals, server.openSetUps())
+		}
+	})
+}
