--- a/internal/mutants/list.go
+++ b/internal/mutants/list.go
@@ -5,8 +5,10 @@
 // List is all mutants.
 func List() []Mutant { return slices.Concat(ofDispatchers(), ofCalls(), ofCallers()) }
 
-// callTests are those of calls, and of calls over connections; connTests those of connections.
+// The tests of connections to dispatchers, of calls, of a call in all orders of what may be said of it, and of connections.
 var (
-	callTests = Tests{"./internal/call ./internal/dispatchers", "Overtaken|InEveryOrder|OfUnknown|EveryCallIs|ALateAnswer|TheEndOfACall|AnEnd|HaveFailed|Leave|LedgerHas|TakingUp|NobodyComes"}
-	connTests = Tests{"./internal/conn ./internal/callers ./internal/dispatchers", ""}
+	dispatchersTests = Tests{"./internal/dispatchers", ""}
+	callTests        = Tests{"./internal/call ./internal/dispatchers", "EachEnd|AfterARefusal|CouldNotBe|TheDecisions|AsItsAttempt|ALateAnswer|TheEndOfACall|AnEnd|OfUnknown|ReleasesIn"}
+	callOrderTests   = Tests{"./internal/call ./internal/dispatchers", "WhatIsSaid|AfterARefusal|CouldNotBe|TheDecisions|AsItsAttempt|TheEndOfACall|AnEnd|ReleasesIn"}
+	connTests        = Tests{"./internal/conn ./internal/callers ./internal/dispatchers", ""}
 )
