Read a connection on that makes room while calls stand, for what is on its way there

Cause: a connection that is closed for its descriptor was aborted (link.evict), whatever was on its way. An end that its dispatcher has just told there is told again on the next connection that opens; but where the dispatcher has another one open, none does: an untold end. It asks for no doubt and no renewal, as a renewal for each would make the next one go.

Change: an open connection whose dispatcher has calls is half-closed instead and read for 50 ms. A dispatcher that lives closes it by then, behind what it had to say. One that does not leaves its calls in doubt, as any that is given up, and they are asked for on a new connection.

Test: TestOrdersThatHaveFailed, order neV. On the build before: 'its end is not told'. Passed with the change, as do the package, the stories of more dispatchers than descriptors and of idle clients, and those of ends on dead and breaking connections.

--- a/internal/dispatchers/budget.go
+++ b/internal/dispatchers/budget.go
@@ -145,9 +145,14 @@
 	}
 }
 
-// evict closes the connection to make room. Where calls stand, their ends come on the next one.
+// evict closes the connection to make room. Where calls stand, an end may be on its way here, and be told again only on the next connection that
+// opens: an open one is read for a moment more, in which its dispatcher closes it too.
 func (l *link) evict() {
 	l.evicted = true
+	if s := l.server; l.state == linkOpen && s.pool.core.Standing(s.ID) > 0 {
+		l.retireWithin(conn.ErrClosedHere, evictedFor)
+		return
+	}
 	l.conn.Abort(conn.ErrClosedHere) // nothing is open on it, and its descriptor is wanted
 	if l.state == linkOpen {
 		l.Closed(conn.ErrClosedHere)
--- a/internal/dispatchers/dispatchers.go
+++ b/internal/dispatchers/dispatchers.go
@@ -37,6 +37,8 @@
 	// a while has not seen the end yet: as it goes on, it may tell the end of a call there before it does, and tells it again only on the
 	// next connection that opens after that. What stands still for longer is no more (deadAfter).
 	halfClosedFor = deadAfter
+	// evictedFor is as much where its descriptor is wanted: a dispatcher that lives has closed it by then.
+	evictedFor = 50 * time.Millisecond
 	// closesWithin is how long a dispatcher is given to close its side of a connection that is given up here, or to answer what takes a
 	// set-up back. One that lives does so at once. After that, ends may be told there in vain: each must come within 8 s all the same, the
 	// deadAfter included in which a connection with nothing to do is found out.
--- a/internal/dispatchers/link_end.go
+++ b/internal/dispatchers/link_end.go
@@ -15,10 +15,13 @@
 
 // retire gives the connection up. Its set-ups end at once, but an end of a call may be on its way here: a dispatcher that
 // has sent it does not send it again. So this side is closed alone, and the rest is read until the dispatcher closes too.
-func (l *link) retire(reason error) {
+func (l *link) retire(reason error) { l.retireWithin(reason, halfClosedFor) }
+
+// retireWithin is retire with a bound on how long the connection is still read.
+func (l *link) retireWithin(reason error, within time.Duration) {
 	l.conn.Flush() // what the socket takes has left
 	l.giveUp(reason, linkHalfClosed)
-	l.conn.Finish(halfClosedFor)
+	l.conn.Finish(within)
 	s := l.server
 	s.doubt(s.pool.core.StandAt(s.ID))
 }
--- a/internal/dispatchers/orders_test.go
+++ b/internal/dispatchers/orders_test.go
@@ -149,6 +149,7 @@
 		"a dispatcher with as many connections as there may be is cut off":     {established, "qTv"},
 		"a dispatcher with the one connection that there may be is cut off":    {orderStart{called: true, most: 1}, "v"},
 		"a connection is reset that was given up, as its dispatcher sees that": {orderStart{called: true, links: 2, chats: true, resets: true}, "ioqeu"},
+		"a connection makes room as the end of a call is on its way there":     {orderStart{called: true, chats: true}, "neV"},
 		"an attempt comes to nothing whose predecessor is answered late":       {orderStart{links: 2}, "am"},
 		"the next attempt overtakes a release of the one before":               {orderStart{links: 3}, "amNIdptu"},
 	} {
