Read on a connection that was given up with its socket full

Cause: Conn.Finish ends this side with bytes queued that the socket does not take. As the socket is tried again, 5 ms later, the write fails, and Conn.Flush closes the connection: what the dispatcher sends from then on is discarded, an end among it. It counts as neither unclosed nor in doubt (link.ended, server.settleDoubts), so it is told again only on a connection that happens to open.

Change: Finish drops what the socket has not taken. It could not be written any more. Releases among it wait for the next connection, as before.

Test: TestFinishWithAFullSocket, over a real socket.

--- a/internal/conn/conn.go
+++ b/internal/conn/conn.go
@@ -119,7 +119,8 @@
 }
 
 // Finish ends this side of the connection and goes on reading: what the peer has sent, or sends before it closes too, still
-// comes. One that does not close is closed after the time.
+// comes. What its socket has not taken by now is dropped: it can't be written any more, and the fault would end the reading too. One that does
+// not close is closed after the time.
 func (c *Conn) Finish(within time.Duration) {
 	c.Flush()
 	c.mu.Lock()
@@ -130,6 +131,8 @@
 		}
 	}
 	c.mu.Unlock()
+	c.out.Discard(c.out.Len())
+	c.marks = nil
 	time.AfterFunc(within, func() { c.loop.Post(func() { c.Abort(ErrClosedHere) }) })
 }
 
--- a/internal/conn/conn_test.go
+++ b/internal/conn/conn_test.go
@@ -177,6 +177,52 @@
 	}
 }
 
+// TestFinishWithAFullSocket guards against what a peer still sends being discarded, as what was queued for it can't be written after this side's end.
+func TestFinishWithAFullSocket(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	finished := make(chan struct{})
+	go func() {
+		nc, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		defer nc.Close()
+		<-finished
+		_, _ = nc.Write([]byte("late"))
+		_, _ = io.Copy(io.Discard, nc)
+	}()
+	posts, heard := make(loop, 1024), make(hearing, 16)
+	go func() {
+		for f := range posts {
+			f()
+		}
+	}()
+	Dial(posts, ln.Addr().String(), patience, func(c *Conn) Handler {
+		posts.Post(func() {
+			for c.Unsent() == 0 {
+				c.Write(make([]byte, outSize/2))
+				c.Flush()
+			}
+			c.Finish(patience)
+			c.Flush() // as the full socket is tried again
+			close(finished)
+		})
+		return heard
+	}, func(error) {})
+	select {
+	case text := <-heard:
+		if text != "late" {
+			t.Errorf("%q came, want what was sent last", text)
+		}
+	case <-time.After(patience):
+		t.Error("nothing came")
+	}
+}
+
 // TestWhatCameBeforeTheCloseOfANewConnection: what a peer had sent was lost if it closed before netpoll knew whom to tell.
 func TestWhatCameBeforeTheCloseOfANewConnection(t *testing.T) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/dispatchers/standin_connection_test.go
+++ b/internal/dispatchers/standin_connection_test.go
@@ -1,7 +1,6 @@
 package dispatchers
 
 import (
-	"errors"
 	"io"
 	"slices"
 	"time"
@@ -42,11 +41,6 @@
 	ends string // the call whose end it is; empty if it is none
 }
 
-// retried is how soon a full socket is tried again.
-const retried = 5 * time.Millisecond
-
-var errWriting = errors.New("writing: broken pipe")
-
 type standInWrite struct {
 	text   []byte
 	then   func()
@@ -243,9 +237,7 @@
 	s.Flush()
 	s.finished = true
 	s.reaches()
-	if len(s.out) > 0 { // as it is tried again, this side can't be written to
-		s.loop.After(retried, func() { s.Close(errWriting) })
-	}
+	s.out = nil
 	s.loop.After(within, func() { s.Abort(conn.ErrClosedHere) })
 }
 
