Ask for ends on a new connection while a set-up waits on one that brings nothing

Cause: a connection on which nothing has come for 5 s, while others of its dispatcher brought something, is given up only if no set-up is open on it (server.check). A set-up that was sent there waits until its caller's time is over; an end that was told there meanwhile is told again only after that: 9.4 s after the end with a caller who waits for 9 s, where 8 s are allowed.

Change: while a set-up is open there, the calls of the dispatcher are in doubt, and a new connection brings their ends, at the pace of doubts. The set-up keeps its place in the dispatcher's line.

Test: TestOrdersThatHaveFailed, order ioem, of a dispatcher that tells its state each second; the tables of events are played from such starts too, as the silence hid what waits for a connection. Before: 'its end is told 9.39s late'. Passed with the change, with the package. Callers with less than 7 s are not touched by it.

--- a/internal/dispatchers/check.go
+++ b/internal/dispatchers/check.go
@@ -108,8 +108,13 @@
 			l.retire(errDead)
 			continue
 		}
-		if l.open() == 0 && s.heardAt.Sub(l.heardAt) > deadAfter {
+		switch {
+		case s.heardAt.Sub(l.heardAt) <= deadAfter:
+		case l.open() == 0:
 			s.letGo(l) // the others are alive, and this one has nothing to do
+		default: // its set-ups may have their answers yet, but ends may be told here in vain
+			s.doubt(s.pool.core.StandAt(s.ID))
+			s.renewOnce = len(s.doubtful) > 0
 		}
 	}
 	s.trim()
--- a/internal/dispatchers/doubt.go
+++ b/internal/dispatchers/doubt.go
@@ -26,11 +26,11 @@
 	if len(s.doubtful) == 0 || now.Before(s.doubtAt) {
 		return
 	}
-	if len(s.givenUp) == 0 && !s.unclosed && !s.closedLate {
+	if len(s.givenUp) == 0 && !s.unclosed && !s.renewOnce {
 		s.doubtful = nil
 		return
 	}
-	s.closedLate = false
+	s.renewOnce = false
 	standing := map[string]bool{}
 	for id := range s.pool.core.StandAt(s.ID) {
 		standing[id] = s.doubtful[id]
--- a/internal/dispatchers/link_end.go
+++ b/internal/dispatchers/link_end.go
@@ -80,7 +80,7 @@
 		s.unclosed = true // its dispatcher may hold it for open still
 	}
 	if l.state == linkHalfClosed && len(s.doubtful) > 0 && time.Since(l.since) > checkEvery {
-		s.closedLate = true // by a reset, it may be: where both sides have ended, that can't be told from a close
+		s.renewOnce = true // by a reset, it may be: where both sides have ended, that can't be told from a close
 	}
 	l.state, l.invites = linkClosed, nil
 	l.keepUnconfirmed()
--- a/internal/dispatchers/orders_test.go
+++ b/internal/dispatchers/orders_test.go
@@ -66,7 +66,7 @@
 // TestStalledConnectionsInEveryOrder guards against ends that are told on connections that are given up as dead while their dispatcher lives.
 func TestStalledConnectionsInEveryOrder(t *testing.T) {
 	for _, start := range []orderStart{{name: "an open set-up", links: 2, again: true}, {name: "two dispatchers", links: 2, second: true, again: true},
-		{name: "an established call", links: 2, called: true}} {
+		{name: "an established call", links: 2, called: true}, {name: "a dead connection", links: 2, called: true, chats: true, before: "io"}} {
 		start.search(t, spelledOrder("iouamEedcrhntT"))
 	}
 }
@@ -74,8 +74,10 @@
 // TestStandstillsInEveryOrder guards against ends that a dispatcher tells as it goes on after a standstill, on connections that were given up, and
 // against ends that are told into connections that it never closes.
 func TestStandstillsInEveryOrder(t *testing.T) {
-	for _, start := range []orderStart{{name: "an open set-up", links: 2, again: true}, {name: "an established call", links: 2, called: true},
-		{name: "no connection is closed there", links: 2, called: true, keeps: true}, {name: "as many connections as there may be", links: MaxLinks, called: true}} {
+	for _, start := range []orderStart{{name: "an open set-up", links: 2, again: true}, {name: "an established call", links: 2, called: true, chats: true},
+		{name: "no connection is closed there", links: 2, called: true, keeps: true, chats: true},
+		{name: "connections are reset there", links: 2, called: true, resets: true, chats: true},
+		{name: "as many connections as there may be", links: MaxLinks, called: true, chats: true}} {
 		start.search(t, spelledOrder("zZAjaedDucmtTqnH"))
 	}
 }
@@ -83,7 +85,7 @@
 // TestRenewalsAndReleasesInEveryOrder guards against ends that wait for a connection that does not come up, or went with one that was closed for its
 // descriptor, and against releases that cut a later attempt.
 func TestRenewalsAndReleasesInEveryOrder(t *testing.T) {
-	for _, start := range []orderStart{{name: "an established call", links: 2, called: true}, {name: "one connection", called: true},
+	for _, start := range []orderStart{{name: "an established call", links: 2, called: true, chats: true}, {name: "one connection", called: true, chats: true},
 		{name: "no release is confirmed", links: 3, again: true, unconfirmed: true}} {
 		start.search(t, spelledOrder("VRBnraefdDmINuctT"))
 	}
@@ -150,6 +152,7 @@
 		"a dispatcher with the one connection that there may be is cut off":    {orderStart{called: true, most: 1}, "v"},
 		"a connection is reset that was given up, as its dispatcher sees that": {orderStart{called: true, links: 2, chats: true, resets: true}, "ioqeu"},
 		"a connection makes room as the end of a call is on its way there":     {orderStart{called: true, chats: true}, "neV"},
+		"a set-up waits on a dead connection on which an end has been told":    {orderStart{called: true, links: 2, chats: true, before: "io"}, "em"},
 		"an attempt comes to nothing whose predecessor is answered late":       {orderStart{links: 2}, "am"},
 		"the next attempt overtakes a release of the one before":               {orderStart{links: 3}, "amNIdptu"},
 	} {
--- a/internal/dispatchers/server.go
+++ b/internal/dispatchers/server.go
@@ -43,7 +43,7 @@
 	doubtful     map[string]bool // calls that stood as a connection was given up: their ends may be told there, in vain
 	doubtAt      time.Time       // when their ends are to be told on a new connection
 	unclosed     bool            // there was one that the dispatcher never closed
-	closedLate   bool            // there was one that it closed when the next one may have been open
+	renewOnce    bool            // one more connection is due for them, though all that was given up has been closed
 	dialing      bool
 	backoff      links.Backoff
 	waiting      []waiting
@@ -163,7 +163,7 @@
 		s.releases = append(s.releases, pending...)
 	}
 	s.expire(time.Time{})
-	s.doubtful, s.unclosed, s.closedLate = nil, false, false
+	s.doubtful, s.unclosed, s.renewOnce = nil, false, false
 	clear(s.standing)
 }
 
