--- a/internal/dispatchers/budget.go
+++ b/internal/dispatchers/budget.go
@@ -145,13 +145,12 @@
 	}
 }
 
-// evict closes the connection to make room. Where calls stand and other connections are open, an end may be on its way here that comes on
-// none of those: what its dispatcher has sent is read until that closes too.
+// evict closes the connection to make room. Where calls stand, an end may be on its way here, and be told again only on the next connection that
+// opens: an open one is read for a moment more, in which its dispatcher closes it too.
 func (l *link) evict() {
 	l.evicted = true
-	if l.state == linkOpen && len(l.server.links) > 1 && l.server.pool.core.Standing(l.server.ID) > 0 {
-		l.giveUp(conn.ErrClosedHere, linkHalfClosed)
-		l.conn.Finish(closesWithin)
+	if s := l.server; l.state == linkOpen && s.pool.core.Standing(s.ID) > 0 {
+		l.retireWithin(conn.ErrClosedHere, evictedFor)
 		return
 	}
 	l.conn.Abort(conn.ErrClosedHere) // nothing is open on it, and its descriptor is wanted
--- a/internal/dispatchers/check.go
+++ b/internal/dispatchers/check.go
@@ -108,8 +108,12 @@
 			l.retire(errDead)
 			continue
 		}
-		if l.open() == 0 && s.heardAt.Sub(l.heardAt) > deadAfter {
+		switch {
+		case s.heardAt.Sub(l.heardAt) <= deadAfter:
+		case l.open() == 0:
 			s.letGo(l) // the others are alive, and this one has nothing to do
+		case s.pool.core.Standing(s.ID) > 0: // its set-ups may have their answers yet, but ends may be told here in vain
+			s.renewal.Repeat(now)
 		}
 	}
 	s.trim()
--- a/internal/mutants/list_dispatchers.go
+++ b/internal/mutants/list_dispatchers.go
@@ -11,7 +11,7 @@
 			Text:        "\tif l.suspect {\n\t\ts.renewal.Want(time.Now())\n\t}\n\tl.end(reason)",
 			Replacement: "\tl.end(reason)"},
 		{Name: "retire-reads-on", File: "internal/dispatchers/link_end.go", Row: "crossings.md, a connection to a dispatcher ends: given up as dead", Tests: dispatchersTests,
-			Text:        "\tl.conn.Finish(halfClosedFor)",
+			Text:        "\tl.conn.Finish(within)",
 			Replacement: "\tl.conn.Close(reason)"},
 		{Name: "holdsUnread-after-the-abort", File: "internal/dispatchers/renewal.go", Row: "crossings.md, a connection to a dispatcher ends: dead, and its dispatcher goes on", Tests: dispatchersTests,
 			Text:        `return s.renewal.Unread() || slices`,
