Count what becomes of the ends of calls, received and told

The telemetry has, always: edge_lb_ends_received_total{result}, by what the core made of an end from a dispatcher, each case in which it changes nothing among them; edge_lb_ends_told_total, _waited_total, _repeated_total and _dropped_total of callers' connections. Existing figures keep their names and texts. Ends that wait for a connection are given up as their time is over, with the next look at connections, and no longer only as another one comes to wait or a connection to be told on.

TestTelemetry names the new figures too, at zero and after a call that has ended; all that it compared is compared still.

--- a/cmd/cherryrelay/node.go
+++ b/cmd/cherryrelay/node.go
@@ -9,6 +9,8 @@
 	"slices"
 	"sync"
 
+	dto "github.com/prometheus/client_model/go"
+
 	"cherryrelay/internal/call"
 	"cherryrelay/internal/callers"
 	"cherryrelay/internal/config"
@@ -131,6 +133,7 @@
 			return nil, err
 		}
 	}
+	core.AddFigures(func() []*dto.MetricFamily { return callers.Figures(n.fronts()...) })
 	if c.Management != "" {
 		if n.manage, err = management.Listen(loop, core, log, c.Management); err != nil {
 			return nil, err
--- a/cmd/cherryrelay/operators_test.go
+++ b/cmd/cherryrelay/operators_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"fmt"
 	"io"
 	"log/slog"
 	"net"
@@ -12,6 +13,7 @@
 	"time"
 
 	"cherryrelay/control"
+	"cherryrelay/internal/call"
 	"cherryrelay/internal/callers"
 	"cherryrelay/internal/config"
 	"cherryrelay/internal/jsonl"
@@ -194,23 +196,44 @@
 	}
 }
 
+// endFigures are the figures of ends of calls, where one has ended, or none.
+func endFigures(ended int) []string {
+	var lines []string
+	for _, result := range []string{"already_over", "ambiguous", "awaits_answer", "earlier_attempt", "ended", "not_established",
+		"other_controller", "other_dispatcher", "repeated", "unknown_call", "without_answer"} {
+		count := 0
+		if result == "ended" {
+			count = ended
+		}
+		lines = append(lines, fmt.Sprintf("ends_received_total{result=%q} %d", result, count))
+	}
+	return append(lines, fmt.Sprint("ends_told_total ", ended), "ends_waited_total 0", "ends_repeated_total 0", "ends_dropped_total 0")
+}
+
 // TestTelemetry: the figures say what callers and dispatchers saw.
 func TestTelemetry(t *testing.T) {
-	story(t, []string{
+	story(t, slices.Concat([]string{
 		`requests_total{class="send-setup",outcome="served"} 0`, `requests_total{class="send-setup",outcome="refused"} 0`,
 		`requests_total{class="send-setup",outcome="failed"} 0`, "attempts_total 0", "in_flight 0", "dispatchers_known 2",
 		"dispatchers_excluded 0", "reloads_ok_total 0", "reloads_failed_total 0",
-		"d0: setup 1 x", "caller: answer 1 y", "d0: setup 2 x", "d1: setup 2 x", "caller: release 3 100", "caller: release 4 100",
+	}, endFigures(0), []string{
+		"d0: setup 1 x", "caller: answer 1 y", "d0: setup 6 x", "caller: answer 6 y", "caller: release 6 16", "d0: setup 2 x", "d1: setup 2 x", "caller: release 3 100", "caller: release 4 100",
 		"caller: release 5 41",
-		`requests_total{class="send-setup",outcome="served"} 1`, `requests_total{class="send-setup",outcome="refused"} 0`,
-		`requests_total{class="send-setup",outcome="failed"} 2`, "attempts_total 3", "in_flight 2", "dispatchers_known 2",
+		`requests_total{class="send-setup",outcome="served"} 2`, `requests_total{class="send-setup",outcome="refused"} 0`,
+		`requests_total{class="send-setup",outcome="failed"} 2`, "attempts_total 4", "in_flight 2", "dispatchers_known 2",
 		"dispatchers_excluded 1", "reloads_ok_total 0", "reloads_failed_total 0",
-	}, func(w *world) {
+	}, endFigures(1)), func(w *world) {
 		c := w.caller()
 		w.reads()
 		w.must(c.SetUp(id(1), long, 0, "x"))
 		w.must(w.gets(0).Answer("y"))
 		w.hears(c)
+		w.must(c.SetUp(id(6), long, 0, "x"))
+		ending := w.gets(0)
+		w.must(ending.Answer("y"))
+		w.hears(c)
+		w.must(ending.ReleaseHere(id(6), call.CauseNormal))
+		w.hears(c)
 		w.must(c.SetUp(id(2), long, 0, "x"))
 		w.must(w.gets(0).Refuse(peer.NoLine))
 		w.gets(1)                                                                             // and there it stays open
--- a/internal/call/core.go
+++ b/internal/call/core.go
@@ -104,6 +104,7 @@
 	relay        func(id string, end End) bool
 	heir         *heir
 	figures      telemetry.Figures
+	received     map[receivedEnd]uint64
 	asked        map[control.ServerID]asks
 	durable      *durable // nil without a ledger
 	lost         *lost
@@ -134,10 +135,11 @@
 	c := &Core{
 		loop: loop, log: log, decisions: decisions, module: module, calls: map[string]*record{},
 		owing: map[Caller]map[string]*record{}, standing: map[Caller]int{}, maxHeld: math.MaxInt, status: map[control.ServerID]control.ServerStatus{}, epoch: time.Now(),
-		asked: map[control.ServerID]asks{},
+		asked: map[control.ServerID]asks{}, received: map[receivedEnd]uint64{},
 	}
 	c.heir, c.lost, c.places = &heir{c}, &lost{heir{c}}, map[control.ServerID]Server{}
 	c.showClasses()
+	c.AddFigures(c.endFigures)
 	loop.turn = c.turn
 	return c, nil
 }
--- a/internal/call/outcomes.go
+++ b/internal/call/outcomes.go
@@ -84,24 +84,36 @@
 // Released tells that a dispatcher has released a call that stood. The attempt is the one that was made on the connection
 // that it came on; -1 for none.
 func (c *Core) Released(server control.ServerID, id string, attempt, cause int, report []float64) {
+	c.received[c.takeEnd(server, id, attempt, cause, report)]++
+}
+
+// takeEnd acts on the end of a call from a dispatcher, and returns what became of it.
+func (c *Core) takeEnd(server control.ServerID, id string, attempt, cause int, report []float64) receivedEnd {
 	k := c.calls[id]
 	switch {
 	case k != nil && k.moving:
 		c.passing.finder.Ended(id, cause)
+		return endElsewhere
 	case k == nil && c.passing != nil: // another controller may have it
 		c.passing.finder.Ended(id, cause)
+		return endElsewhere
 	case k == nil:
 		// A call from before a restart: its caller still has to hear of it.
 		c.knowOver(id)
 		c.tellOver(c.heir, id, endOf(cause))
+		return endOfUnknownCall
 	case attempt >= 0 && attempt < k.attempts-1: // what an earlier attempt led to; a later one has taken its place
+		return endOfEarlier
 	case k.state == stands && k.server == server:
 		c.finish(k, cause, report)
+		return endOfCall
 	case k.out && k.server == server && attempt >= 0:
 		c.endUnanswered(k, report) // were it another attempt's, it would not have come here
+		return endWithoutAnswer
 	case k.out && k.server == server:
-		c.overtakes(k, cause, report)
+		return c.overtakes(k, cause, report)
 	}
+	return k.unmatched()
 }
 
 // finish ends a call that stood.
--- a/internal/call/overtaken.go
+++ b/internal/call/overtaken.go
@@ -20,10 +20,13 @@
 
 // overtakes takes in the end of a call that is still open, from the dispatcher at which its attempt is out, on another connection than that of
 // the attempt. The answer may lie unread on that one; if it does not come, it was lost. If the call was tried there before, the end may be of
-// an earlier attempt, and says nothing of this one.
-func (c *Core) overtakes(k *record, cause int, report []float64) {
-	if k.overtaken != nil || slices.Contains(k.tried[:len(k.tried)-1], k.server) {
-		return
+// an earlier attempt, and says nothing of this one. It returns what became of the end.
+func (c *Core) overtakes(k *record, cause int, report []float64) receivedEnd {
+	if k.overtaken != nil {
+		return endRepeated
+	}
+	if slices.Contains(k.tried[:len(k.tried)-1], k.server) {
+		return endAmbiguous
 	}
 	attempt := k.attempts
 	k.overtaken = &overtaking{cause: cause, report: report, timer: c.loop.After(answerWithin, func() {
@@ -31,6 +34,7 @@
 			c.endUnanswered(k, report)
 		}
 	})}
+	return endBeforeAnswer
 }
 
 // endUnanswered ends a call that stood and is over at its dispatcher, and whose answer was lost or is late. Its caller is owed the end of what
--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -126,7 +126,8 @@
 	all      []*Conn   // in the order in which they came
 	open     []*Conn   // those that can be written to
 	pending  []release // ends for which no connection is open
-	scarce   bool      // descriptors run short: who comes now is turned away, unless another makes room
+	ends     EndCounts
+	scarce   bool // descriptors run short: who comes now is turned away, unless another makes room
 }
 
 // New returns a front for a socket that listens. It accepts once its listener is started.
--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -227,7 +227,7 @@
 	f.core.CallerClosed(c)
 	for _, t := range c.sent {
 		if c.unheard(t) {
-			f.release(t.release)
+			c.repeat(t)
 		}
 	}
 	c.sent = nil
--- a/internal/callers/ends.go
+++ b/internal/callers/ends.go
@@ -26,24 +26,46 @@
 
 // deliver passes on the ends that have waited for a connection.
 func (f *Front) deliver() {
+	f.dropExpired()
 	if len(f.pending) == 0 || !slices.ContainsFunc(f.open, (*Conn).hears) {
 		return
 	}
 	pending := f.pending
 	f.pending = nil
 	for _, r := range pending {
-		if time.Since(r.at) < keep {
-			f.release(r)
+		if !f.send(r) {
+			f.pending = append(f.pending, r)
 		}
 	}
 }
 
+// dropExpired gives up the ends that have waited for too long.
+func (f *Front) dropExpired() {
+	f.pending = slices.DeleteFunc(f.pending, func(r release) bool {
+		if time.Since(r.at) < keep {
+			return false
+		}
+		f.ends.Dropped++
+		return true
+	})
+}
+
 // Release passes on the end of a call that no connection is known for.
 func (f *Front) Release(id string, end call.End) { f.release(release{id, end, time.Now()}) }
 
-// release sends the end of a call that stood on another connection, as no connection owns the call: one on which a call
-// stood rather than one that only asked, since that may be anybody's, and of these the one that was used last.
+// release passes on the end of a call that stood, now or once there is a connection for it.
 func (f *Front) release(r release) {
+	if f.send(r) {
+		return
+	}
+	f.dropExpired()
+	f.ends.Waited++
+	f.pending = append(f.pending, r)
+}
+
+// send sends the end of a call that stood on another connection, as no connection owns the call: one on which a call
+// stood rather than one that only asked, since that may be anybody's, and of these the one that was used last. It reports whether there is one.
+func (f *Front) send(r release) bool {
 	hears := slices.DeleteFunc(slices.Clone(f.open), func(c *Conn) bool { return !c.hears() })
 	slices.SortStableFunc(hears, func(a, b *Conn) int {
 		return cmp.Or(cmp.Compare(b.rank(), a.rank()), b.usedAt.Compare(a.usedAt))
@@ -51,11 +73,10 @@
 	for _, c := range hears {
 		if !c.gone() {
 			c.release(r)
-			return
+			return true
 		}
 	}
-	f.pending = slices.DeleteFunc(f.pending, func(o release) bool { return time.Since(o.at) > keep })
-	f.pending = append(f.pending, r)
+	return false
 }
 
 // rank says how much a connection is to be counted on.
@@ -95,18 +116,30 @@
 func (c *Conn) release(r release) {
 	r.at = time.Now()
 	t := &told{release: r}
-	c.writeRelease(r, func() { t.leftAt = time.Now() })
+	c.writeRelease(r, func() { c.reachedKernel(t) })
 	c.sent = slices.DeleteFunc(c.sent, func(o *told) bool { return !c.unheard(o) })
 	c.sent = append(c.sent, t)
 }
 
+// reachedKernel notes that all of a release has gone to the kernel.
+func (c *Conn) reachedKernel(t *told) {
+	t.leftAt = time.Now()
+	c.front.ends.Told++
+}
+
+// repeat tells the end of a call on another connection, as it may not have been read on this one.
+func (c *Conn) repeat(t *told) {
+	c.front.ends.Repeated++
+	c.front.release(t.release)
+}
+
 // passOn has others told what this connection was while it said nothing: it is for tests, and who made it has taken an end for the
 // result of one.
 func (c *Conn) passOn() {
 	sent := c.sent
 	c.sent, c.tested = nil, true
 	for _, t := range sent {
-		c.front.release(t.release)
+		c.repeat(t)
 	}
 }
 
--- /dev/null
+++ b/internal/callers/ends_test.go
@@ -0,0 +1,74 @@
+package callers
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"cherryrelay/internal/call"
+	"cherryrelay/internal/peer"
+)
+
+// ended is the end of a call in order.
+var ended = call.End{Cause: call.CauseNormal, Reason: call.ReasonEnded}
+
+// settled makes the only connection one that may be told the ends of any calls.
+func settled(f *Front, c *Conn) { onLoop(f.loop, func() { c.asked = true }) }
+
+// closes has a caller close its connection, and waits until the front has taken that in.
+func closes(t *testing.T, f *Front, caller *peer.Caller, c *Conn) {
+	t.Helper()
+	if err := caller.Close(); err != nil {
+		t.Fatal(err)
+	}
+	for until, over := time.Now().Add(peer.Patience), false; !over; time.Sleep(time.Millisecond) {
+		onLoop(f.loop, func() { over = c.closed })
+		if time.Now().After(until) {
+			t.Fatal("the close is never taken in")
+		}
+	}
+}
+
+// hearsEnd has a caller read the end of a call.
+func hearsEnd(t *testing.T, caller *peer.Caller, id string) {
+	t.Helper()
+	if m, err := caller.Next(); err != nil || m.Type != "release" || m.ID != id {
+		t.Errorf("%+v, %v: want the end of %s", m, err, id)
+	}
+}
+
+// TestEndsAreCounted guards against ends of calls that are told twice, late or not at all without a trace in the figures.
+func TestEndsAreCounted(t *testing.T) {
+	const first, second, third = "00000000000000e1", "00000000000000e2", "00000000000000e3"
+	f := oneConnection(t, &openCore{owes: map[call.Caller]int{}})
+	var got []EndCounts
+	counted := func() { onLoop(f.loop, func() { got = append(got, f.ends) }) }
+	caller, c := connects(t, f, 1)
+	settled(f, c)
+	onLoop(f.loop, func() { c.Over(first, ended); f.Flush() })
+	hearsEnd(t, caller, first)
+	counted()
+	closes(t, f, caller, c) // right behind it
+	counted()
+	onLoop(f.loop, func() { f.Release(second, ended) })
+	counted()
+	caller, c = connects(t, f, 1)
+	settled(f, c)
+	onLoop(f.loop, func() { f.deliver(); f.Flush() })
+	hearsEnd(t, caller, first)
+	hearsEnd(t, caller, second)
+	counted()
+	onLoop(f.loop, func() {
+		f.pending = append(f.pending, release{id: third, end: ended, at: time.Now().Add(-keep)})
+		f.look()
+	})
+	counted()
+	want := []EndCounts{
+		{Told: 1}, {Told: 1, Repeated: 1, Waited: 1}, {Told: 1, Repeated: 1, Waited: 2},
+		{Told: 3, Repeated: 1, Waited: 2}, {Told: 3, Repeated: 1, Waited: 2, Dropped: 1},
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("counts after each step (-want +got):\n%s", diff)
+	}
+}
