Warn of the end of a call that is given up with no caller told

Ends that waited for a caller to connect were dropped after 30 s, and as the process ended, without a word. Now each is a warning, "end of a call given up", with the call's id, its cause, the reason and how long it waited, and counts as dropped.

Two fronts are each given the end of a call that is not known; one of them may give it up though the other has told it. docs/operations.md says so.

Evidence: TestAnEndThatIsGivenUpIsAWarning fails without the warning (nothing is logged) and passes with it; the tests of internal/callers three times with the race detector: passed.

--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -145,7 +145,10 @@
 func (f *Front) Address() string { return f.listener.Address() }
 
 // Close ends the front and its connections.
-func (f *Front) Close() error { return f.listener.Shutdown() }
+func (f *Front) Close() error {
+	f.dropPending()
+	return f.listener.Shutdown()
+}
 
 // Retune has set-ups keep to other terms from now on.
 func (f *Front) Retune(terms *Terms) { f.terms = terms }
--- a/internal/callers/ends.go
+++ b/internal/callers/ends.go
@@ -45,11 +45,25 @@
 		if time.Since(r.at) < keep {
 			return false
 		}
-		f.ends.Dropped++
+		f.drop(r, "no caller has connected in time")
 		return true
 	})
 }
 
+// dropPending gives up the ends that wait as the front closes.
+func (f *Front) dropPending() {
+	for _, r := range f.pending {
+		f.drop(r, "this process ends")
+	}
+	f.pending = nil
+}
+
+// drop gives up the end of a call, which its caller is not told from here.
+func (f *Front) drop(r release, reason string) {
+	f.ends.Dropped++
+	f.log.Warn("end of a call given up", "id", r.id, "cause", r.end.Cause, "reason", reason, "waited", time.Since(r.at))
+}
+
 // Release passes on the end of a call that no connection is known for.
 func (f *Front) Release(id string, end call.End) { f.release(release{id, end, time.Now()}) }
 
--- a/internal/callers/ends_test.go
+++ b/internal/callers/ends_test.go
@@ -1,6 +1,9 @@
 package callers
 
 import (
+	"bytes"
+	"log/slog"
+	"strings"
 	"testing"
 	"time"
 
@@ -72,3 +75,34 @@
 		t.Errorf("counts after each step (-want +got):\n%s", diff)
 	}
 }
+
+// TestAnEndThatIsGivenUpIsAWarning guards against ends of calls that are dropped in silence, as no caller connects.
+func TestAnEndThatIsGivenUpIsAWarning(t *testing.T) {
+	const id = "00000000000000e4"
+	for reason, happens := range map[string]func(f *Front){
+		"no caller has connected in time": func(f *Front) {
+			f.pending[0].at = time.Now().Add(-keep)
+			f.look()
+		},
+		"this process ends": (*Front).dropPending,
+	} {
+		t.Run(reason, func(t *testing.T) {
+			f := oneConnection(t, &openCore{owes: map[call.Caller]int{}})
+			var log bytes.Buffer
+			onLoop(f.loop, func() {
+				f.log = slog.New(slog.NewTextHandler(&log, nil))
+				f.Release(id, ended)
+				if log.Len() > 0 {
+					t.Errorf("logged before it is given up: %s", &log)
+				}
+				happens(f)
+			})
+			text := log.String()
+			for _, want := range []string{"level=WARN", "id=" + id, "cause=16", "reason=\"" + reason + "\""} {
+				if !strings.Contains(text, want) {
+					t.Errorf("logged %q, want %s in it", text, want)
+				}
+			}
+		})
+	}
+}
--- a/internal/callers/figures.go
+++ b/internal/callers/figures.go
@@ -11,7 +11,7 @@
 	Told     uint64 // gone to the kernel, on whichever connection
 	Waited   uint64 // for a connection, as there was none
 	Repeated uint64 // on another connection, as the first one ended before they may have been read
-	Dropped  uint64 // as no caller connected in time
+	Dropped  uint64 // as no caller connected in time, or before this process ended
 }
 
 // Figures are the counts of several fronts together.
@@ -27,6 +27,6 @@
 		telemetry.Counter("ends_told_total", "Ends of calls that were written whole to callers' connections.", sum.Told),
 		telemetry.Counter("ends_waited_total", "Ends of calls that had to wait for a caller to connect.", sum.Waited),
 		telemetry.Counter("ends_repeated_total", "Ends of calls told again, as their connection ended before they may have been read.", sum.Repeated),
-		telemetry.Counter("ends_dropped_total", "Ends of calls given up, as no caller connected in time.", sum.Dropped),
+		telemetry.Counter("ends_dropped_total", "Ends of calls given up, as no caller connected in time or before the process ended.", sum.Dropped),
 	}
 }
