Bound debug messages by name, and name the steps of ends of calls

The steps by which an end of a call comes to its caller are to be logged at the debug level, where nothing has been limited. A handler can now be told messages that are limited at that level too: 4,000 at once and 1,000 a second of each, and the next line says how many were not logged. Others at that level are not limited, as before, and the limit of what is above it is the same.

internal/endlog has the steps, their messages and attributes. While the level is off a step costs no allocation.

--- a/cmd/cherryrelay/main.go
+++ b/cmd/cherryrelay/main.go
@@ -13,6 +13,7 @@
 
 	"cherryrelay/internal/commands"
 	"cherryrelay/internal/config"
+	"cherryrelay/internal/endlog"
 	"cherryrelay/internal/logs"
 )
 
@@ -36,7 +37,7 @@
 	if err != nil {
 		return err //nolint:wrapcheck // it says what it is
 	}
-	log := slog.New(logs.Bound(handler)).With("name", c.Name)
+	log := slog.New(logs.Bound(handler, endlog.Messages()...)).With("name", c.Name)
 	slog.SetDefault(log)
 	n, err := start(c, log)
 	if err != nil {
--- /dev/null
+++ b/internal/endlog/endlog.go
@@ -0,0 +1,134 @@
+// Package endlog writes the steps by which the ends of calls come to their callers to a log, at the debug level. Nothing is computed or
+// allocated while that level is off.
+package endlog
+
+import (
+	"context"
+	"log/slog"
+)
+
+// The messages of the log, one for each kind of thing that a step belongs to.
+const (
+	CallMessage       = "step of a call"                    // attributes: step, id
+	DispatcherMessage = "step of a dispatcher"              // step, server
+	CallersMessage    = "step of a connection from callers" // step, connection
+)
+
+// Messages are all of them, for a handler that limits their rate.
+func Messages() []string { return []string{CallMessage, DispatcherMessage, CallersMessage} }
+
+// Names of attributes.
+const (
+	StepKey       = "step"
+	IDKey         = "id"
+	ServerKey     = "server"
+	ConnectionKey = "connection" // the number of a connection, counted from 1 separately for dispatchers and for callers
+	StateKey      = "state"
+	AttemptKey    = "attempt"
+	ReasonKey     = "reason"
+	ResultKey     = "result"
+)
+
+// Step names what has happened.
+type Step string
+
+// Steps of a call, in the order in which they come about.
+const (
+	AnswerAgain      Step = "answer ignored: the call is established there"
+	AnswerOfEarlier  Step = "answer ignored: it is an earlier attempt's"
+	AnswerUnwanted   Step = "answer that nobody waits for: released at the dispatcher"
+	AnswerUnfit      Step = "answer that cannot be passed on: released at the dispatcher"
+	AnswerOnDraining Step = "answer on a connection that was given up: released at the dispatcher"
+	AnswerQueued     Step = "answer queued to the caller"
+	Established      Step = "established"
+
+	SentRelease    Step = "release sent to the dispatcher"
+	WaitingRelease Step = "release to the dispatcher waits for a connection"
+	LostAnswer     Step = "released at the dispatcher: its connection ended without an answer"
+
+	ReleaseRead   Step = "release read from the dispatcher"
+	EndReceived   Step = "end received" // with the result, as the figures name it
+	Over          Step = "over"
+	WithoutAnswer Step = "over without its answer"
+	EndedByCaller Step = "ended by its caller"
+	Arrived       Step = "taken over from another controller"
+	Given         Step = "given to another controller"
+	ToSuccessor   Step = "end handed to the successor"
+	EndQueued     Step = "end queued to the caller"
+	EndWithKernel Step = "end with the kernel"
+	EndWaits      Step = "end waits for a connection"
+	EndCountsRead Step = "end counts as read: its connection ended later"
+	EndUnread     Step = "end may be unread as its connection ended: told again"
+	EndForTest    Step = "end told on a connection for tests: told again"
+	EndDropped    Step = "end given up"
+	InDoubt       Step = "end in doubt: a connection to the dispatcher was given up"
+)
+
+// Steps of a dispatcher.
+const (
+	LinkOpened    Step = "connection opened"
+	LinkGivenUp   Step = "connection given up"
+	LinkPushedOut Step = "given-up connection closed to make room"
+	LinkEnded     Step = "connection ended"
+	LinkDiscards  Step = "bytes on a closed connection discarded"
+	Dropped       Step = "all connections given up"
+	Stopped       Step = "nothing listens: it counts as stopped"
+	RenewalAsked  Step = "new connection asked for"
+	RenewalBegun  Step = "new connection begun"
+	RenewalFailed Step = "new connection failed"
+	DoubtsInOrder Step = "doubts settled: its connections were closed in order"
+	DoubtsOver    Step = "doubts settled: none of the calls stands"
+	DoubtsGoOn    Step = "doubts go on"
+	CountsAsGone  Step = "counts as gone: its calls are over"
+)
+
+// CallersEnded is the step of a connection from callers.
+const CallersEnded Step = "connection ended"
+
+// Enabled reports whether steps are logged.
+func Enabled(log *slog.Logger) bool {
+	return log != nil && log.Enabled(context.Background(), slog.LevelDebug)
+}
+
+// Call logs a step of a call.
+func Call(log *slog.Logger, step Step, id string, more ...slog.Attr) {
+	if Enabled(log) {
+		write(log, CallMessage, step, slog.String(IDKey, id), more)
+	}
+}
+
+// Dispatcher logs a step of a dispatcher, by its name.
+func Dispatcher(log *slog.Logger, step Step, server string, more ...slog.Attr) {
+	if Enabled(log) {
+		write(log, DispatcherMessage, step, slog.String(ServerKey, server), more)
+	}
+}
+
+// Callers logs a step of a connection from callers, by its number.
+func Callers(log *slog.Logger, step Step, connection uint64, more ...slog.Attr) {
+	if Enabled(log) {
+		write(log, CallersMessage, step, Connection(connection), more)
+	}
+}
+
+func write(log *slog.Logger, message string, step Step, of slog.Attr, more []slog.Attr) {
+	attributes := append([]slog.Attr{slog.String(StepKey, string(step)), of}, more...)
+	log.LogAttrs(context.Background(), slog.LevelDebug, message, attributes...)
+}
+
+// Server is the attribute of a dispatcher.
+func Server[T ~string](id T) slog.Attr { return slog.String(ServerKey, string(id)) }
+
+// Connection is the attribute of a connection.
+func Connection(number uint64) slog.Attr { return slog.Uint64(ConnectionKey, number) }
+
+// Attempt is the attribute of an attempt; -1 for none.
+func Attempt(number int) slog.Attr { return slog.Int(AttemptKey, number) }
+
+// Reason is the attribute of an error that ended something; an empty one, which is not logged, without an error.
+func Reason(err error) slog.Attr {
+	if err == nil {
+		return slog.Attr{}
+	}
+	return slog.Any(ReasonKey, err)
+}
--- /dev/null
+++ b/internal/endlog/endlog_test.go
@@ -0,0 +1,44 @@
+package endlog
+
+import (
+	"bytes"
+	"io"
+	"log/slog"
+	"strings"
+	"testing"
+)
+
+// TestNothingIsAllocatedWhileOff guards against calls that cost more for steps that nobody reads.
+func TestNothingIsAllocatedWhileOff(t *testing.T) {
+	log := slog.New(slog.NewTextHandler(io.Discard, nil)) // from info on
+	id, server, number := strings.Repeat("a", 16), strings.Repeat("b", 16), uint64(1)<<40
+	allocated := testing.AllocsPerRun(100, func() {
+		Call(log, ReleaseRead, id, Server(server), Connection(number), Attempt(1<<20))
+		Dispatcher(log, LinkEnded, server, Connection(number), Reason(io.EOF))
+		Callers(log, CallersEnded, number, Reason(io.EOF))
+		Call(nil, EndQueued, id)
+	})
+	if allocated > 0 {
+		t.Errorf("%v allocations", allocated)
+	}
+}
+
+// TestStepsNameWhatTheyBelongTo guards against steps that can't be found by their call, dispatcher or connection.
+func TestStepsNameWhatTheyBelongTo(t *testing.T) {
+	var out bytes.Buffer
+	log := slog.New(slog.NewTextHandler(&out, &slog.HandlerOptions{Level: slog.LevelDebug}))
+	Call(log, EndQueued, "c1", Connection(7))
+	Dispatcher(log, LinkGivenUp, "d1", Connection(8), Reason(io.EOF))
+	Callers(log, CallersEnded, 9, Reason(io.EOF))
+	Dispatcher(log, RenewalBegun, "d1", Reason(nil))
+	for i, want := range []string{
+		`level=DEBUG msg="step of a call" step="end queued to the caller" id=c1 connection=7`,
+		`level=DEBUG msg="step of a dispatcher" step="connection given up" server=d1 connection=8 reason=EOF`,
+		`level=DEBUG msg="step of a connection from callers" step="connection ended" connection=9 reason=EOF`,
+		`level=DEBUG msg="step of a dispatcher" step="new connection begun" server=d1`,
+	} {
+		if line := strings.Split(out.String(), "\n")[i]; !strings.HasSuffix(line, want) {
+			t.Errorf("logged %s, want %s", line, want)
+		}
+	}
+}
--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -10,9 +10,16 @@
 	"time"
 )
 
+// limit is the size of a token bucket, and its refill per second.
+type limit struct{ burst, refillRate float64 }
+
+// Limits of messages above the debug level, and of those at it that are limited.
+var (
+	ordinary = limit{burst: 30, refillRate: 2}
+	frequent = limit{burst: 4000, refillRate: 1000}
+)
+
 const (
-	// burst and refillRate (per second) are those of each message's token bucket.
-	burst, refillRate = 30, 2
 	// maxMessages bounds the distinct messages with a bucket. The program has fewer.
 	maxMessages = 256
 )
@@ -37,10 +44,11 @@
 }
 
 // Bounded limits the rate of each message with a token bucket before another handler. The first record after dropped ones has their number
-// as not_logged. Debug records are not limited.
+// as not_logged. Debug records are not limited but for some messages, which may come more often than others.
 type Bounded struct {
 	slog.Handler
-	limiter *limiter
+	limiter  *limiter
+	frequent map[string]bool // the debug messages that are limited
 }
 
 // limiter holds a token bucket for each message.
@@ -55,15 +63,23 @@
 	dropped    int
 }
 
-// Bound returns a handler that limits what it passes to another one.
-func Bound(h slog.Handler) *Bounded {
-	return &Bounded{Handler: h, limiter: &limiter{buckets: map[string]*bucket{}}}
+// Bound returns a handler that limits what it passes to another one, some messages at the debug level among it.
+func Bound(h slog.Handler, debugMessages ...string) *Bounded {
+	b := &Bounded{Handler: h, limiter: &limiter{buckets: map[string]*bucket{}}, frequent: map[string]bool{}}
+	for _, message := range debugMessages {
+		b.frequent[message] = true
+	}
+	return b
 }
 
 // Handle passes a record on if its bucket has a token.
 func (b *Bounded) Handle(ctx context.Context, r slog.Record) error {
-	if r.Level > slog.LevelDebug {
-		dropped, ok := b.limiter.allow(r.Message, r.Time)
+	if debug := r.Level <= slog.LevelDebug; !debug || b.frequent[r.Message] {
+		limit := ordinary
+		if debug {
+			limit = frequent
+		}
+		dropped, ok := b.limiter.allow(r.Message, r.Time, limit)
 		if !ok {
 			return nil
 		}
@@ -75,7 +91,7 @@
 }
 
 // allow takes a token of a message. It returns false if there is none, and else the number of records dropped since the last one.
-func (l *limiter) allow(message string, now time.Time) (dropped int, ok bool) {
+func (l *limiter) allow(message string, now time.Time, limit limit) (dropped int, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	b := l.buckets[message]
@@ -83,10 +99,10 @@
 		if len(l.buckets) >= maxMessages {
 			clear(l.buckets)
 		}
-		b = &bucket{tokens: burst, refilledAt: now}
+		b = &bucket{tokens: limit.burst, refilledAt: now}
 		l.buckets[message] = b
 	}
-	b.tokens = min(burst, b.tokens+refillRate*now.Sub(b.refilledAt).Seconds())
+	b.tokens = min(limit.burst, b.tokens+limit.refillRate*now.Sub(b.refilledAt).Seconds())
 	b.refilledAt = now
 	if b.tokens < 1 {
 		b.dropped++
@@ -99,10 +115,10 @@
 
 // WithAttrs shares the limit.
 func (b *Bounded) WithAttrs(attrs []slog.Attr) slog.Handler {
-	return &Bounded{Handler: b.Handler.WithAttrs(attrs), limiter: b.limiter}
+	return &Bounded{Handler: b.Handler.WithAttrs(attrs), limiter: b.limiter, frequent: b.frequent}
 }
 
 // WithGroup shares the limit.
 func (b *Bounded) WithGroup(name string) slog.Handler {
-	return &Bounded{Handler: b.Handler.WithGroup(name), limiter: b.limiter}
+	return &Bounded{Handler: b.Handler.WithGroup(name), limiter: b.limiter, frequent: b.frequent}
 }
--- a/internal/logs/logs_test.go
+++ b/internal/logs/logs_test.go
@@ -28,7 +28,30 @@
 	log("bad", begin.Add(time.Second))
 	got := []int{strings.Count(out.String(), "msg=bad"), strings.Count(out.String(), "msg=other"),
 		strings.Count(out.String(), "not_logged=970"), strings.Count(out.String(), "name=n1")}
-	if diff := cmp.Diff([]int{burst + 1, 1, 1, burst + 2}, got); diff != "" {
+	if diff := cmp.Diff([]int{int(ordinary.burst) + 1, 1, 1, int(ordinary.burst) + 2}, got); diff != "" {
+		t.Errorf("lines (-want +got):\n%s", diff)
+	}
+}
+
+// TestSomeDebugMessagesAreLimited guards against steps of calls that fill the disk, and against ones that are dropped without a word.
+func TestSomeDebugMessagesAreLimited(t *testing.T) {
+	var out bytes.Buffer
+	debug := &slog.HandlerOptions{Level: slog.LevelDebug}
+	h := Bound(slog.NewTextHandler(&out, debug), "step").WithGroup("g").WithAttrs([]slog.Attr{slog.Int("n", 1)})
+	begin := time.Unix(1000, 0)
+	log := func(text string, at time.Time) {
+		if err := h.Handle(context.Background(), slog.NewRecord(at, slog.LevelDebug, text, 0)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	const records = 5000
+	for range records {
+		log("step", begin)
+		log("other", begin)
+	}
+	log("step", begin.Add(time.Second))
+	got := []int{strings.Count(out.String(), "msg=step"), strings.Count(out.String(), "msg=other"), strings.Count(out.String(), "not_logged=1000")}
+	if diff := cmp.Diff([]int{int(frequent.burst) + 1, records, 1}, got); diff != "" {
 		t.Errorf("lines (-want +got):\n%s", diff)
 	}
 }
