Log the steps by which the end of a call comes to its caller

With the log level debug each step is a line with the call's id: what the core made of the answer; the release as read from its dispatcher, with the connection's number and state; what was known of the call and what the end was taken for; queued, with the kernel, waiting for a connection, unread as its connection ended, given up. Nothing else changes: Core.Released decides what an end is the end of first, and then does as before.

Not tested: the lines of renewals, doubts settled, releases towards dispatchers, and of other processes.

--- /dev/null
+++ b/cmd/cherryrelay/end_steps_test.go
@@ -0,0 +1,129 @@
+package main
+
+import (
+	"log/slog"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"cherryrelay/internal/call"
+	"cherryrelay/internal/callers"
+	"cherryrelay/internal/endlog"
+	"cherryrelay/internal/logs"
+	"cherryrelay/internal/peer"
+)
+
+// attribute is one of a log line.
+var attribute = regexp.MustCompile(`(\w+)=("[^"]*"|\S+)`)
+
+// steps are the logged steps with the message and the attribute, each as the attributes of its line.
+func (d *diary) steps(message, key, value string) []map[string]string {
+	var steps []map[string]string
+	for line := range strings.Lines(d.String()) {
+		found := map[string]string{}
+		for _, pair := range attribute.FindAllStringSubmatch(line, -1) {
+			found[pair[1]] = strings.Trim(pair[2], `"`)
+		}
+		if found["msg"] == message && found[key] == value {
+			steps = append(steps, found)
+		}
+	}
+	return steps
+}
+
+// TestTheStepsOfAnEndAreLogged guards against ends of calls of which a controller's log does not say how far they came.
+func TestTheStepsOfAnEndAreLogged(t *testing.T) {
+	for _, mix := range transports {
+		t.Run(mix[0]+" to "+mix[1], func(t *testing.T) {
+			t.Parallel()
+			log := new(diary)
+			handler := logs.Bound(slog.NewTextHandler(log, &slog.HandlerOptions{Level: slog.LevelDebug}), endlog.Messages()...)
+			w := newLoggedWorldOf(t, mix, slog.New(handler))
+			caller := w.caller()
+			w.must(caller.SetUp(id(1), long, 0, "x"))
+			attempt := w.gets(0)
+			w.must(attempt.Answer("y"))
+			w.hears(caller)
+			w.must(caller.Close())
+			w.logs(log, 1, endlog.CallersMessage, endlog.StepKey, string(endlog.CallersEnded))
+			w.must(attempt.ReleaseHere(id(1), call.CauseNormal))
+			w.logs(log, 1, endlog.CallMessage, endlog.StepKey, string(endlog.EndWaits))
+			silent := w.connect() // it says nothing, so that nobody may have read what is told there
+			w.hears(silent)
+			w.logs(log, 1, endlog.CallMessage, endlog.StepKey, string(endlog.EndWithKernel))
+			w.must(silent.Close())
+			w.logs(log, 2, endlog.CallMessage, endlog.StepKey, string(endlog.EndWaits))
+			other := w.caller()
+			w.must(other.SetUp(id(2), long, 1, "x"))
+			w.hears(other)
+			w.logs(log, 2, endlog.CallMessage, endlog.StepKey, string(endlog.EndWithKernel))
+
+			var got []endlog.Step
+			connections := map[endlog.Step][]string{}
+			for _, s := range log.steps(endlog.CallMessage, endlog.IDKey, id(1)) {
+				step := endlog.Step(s[endlog.StepKey])
+				got = append(got, step)
+				connections[step] = append(connections[step], s[endlog.ConnectionKey])
+			}
+			want := []endlog.Step{
+				endlog.AnswerQueued, endlog.Established, endlog.ReleaseRead, endlog.EndReceived, endlog.Over, endlog.EndWaits,
+				endlog.EndQueued, endlog.EndWithKernel, endlog.EndUnread, endlog.EndWaits, endlog.EndQueued, endlog.EndWithKernel,
+			}
+			if diff := cmp.Diff(want, got); diff != "" {
+				t.Errorf("steps of the call (-want +got):\n%s", diff)
+			}
+			queued := connections[endlog.EndQueued]
+			if diff := cmp.Diff(queued, connections[endlog.EndWithKernel]); diff != "" {
+				t.Errorf("connections on which the end was queued, and left (-want +got):\n%s", diff)
+			}
+			if len(queued) != 2 || queued[0] == queued[1] || queued[0] != connections[endlog.EndUnread][0] {
+				t.Errorf("queued on connections %v, unread on %v", queued, connections[endlog.EndUnread])
+			}
+			read := log.steps(endlog.CallMessage, endlog.StepKey, string(endlog.ReleaseRead))[0]
+			opened := log.steps(endlog.DispatcherMessage, endlog.StepKey, string(endlog.LinkOpened))
+			if !opens(opened, read) || read[endlog.StateKey] != "open" {
+				t.Errorf("the release was read as %v; the connections opened are %v", read, opened)
+			}
+			if r := log.steps(endlog.CallMessage, endlog.StepKey, string(endlog.EndReceived))[0]; r[endlog.ResultKey] != "ended" {
+				t.Errorf("the end was received as %v", r)
+			}
+		})
+	}
+}
+
+// opens reports whether one of the connections to dispatchers that were opened is that of a step.
+func opens(opened []map[string]string, step map[string]string) bool {
+	for _, o := range opened {
+		if o[endlog.ServerKey] == step[endlog.ServerKey] && o[endlog.ConnectionKey] == step[endlog.ConnectionKey] {
+			return true
+		}
+	}
+	return false
+}
+
+// newLoggedWorldOf is a world over a pair of transports that logs.
+func newLoggedWorldOf(t *testing.T, transports [2]string, log *slog.Logger) *world {
+	t.Helper()
+	var d [2]*peer.Dispatcher
+	for i := range d {
+		var err error
+		if d[i], err = peer.Dispatch(transports[1], "127.0.0.1:0", "x0:40;x1:40"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	bounds := callers.Bounds{Silent: long, Idle: long}
+	return newLoggedWorld(t, "127.0.0.1:0", "127.0.0.1:0", transports[0], d, bounds, testSettings(t), log)
+}
+
+// logs waits until so many steps are logged.
+func (w *world) logs(log *diary, number int, message, key, value string) {
+	w.Helper()
+	for until := time.Now().Add(peer.Patience); len(log.steps(message, key, value)) < number; time.Sleep(time.Millisecond) {
+		if time.Now().After(until) {
+			w.Fatalf("%q is never logged as often as %d times:\n%s", value, number, log)
+		}
+	}
+}
--- a/cmd/cherryrelay/stories_test.go
+++ b/cmd/cherryrelay/stories_test.go
@@ -74,11 +74,15 @@
 }
 
 func newWorldOf(t *testing.T, lines, api, transport string, dispatchers [2]*peer.Dispatcher, bounds callers.Bounds, s *settings.Settings) *world {
+	return newLoggedWorld(t, lines, api, transport, dispatchers, bounds, s, slog.New(slog.DiscardHandler))
+}
+
+func newLoggedWorld(t *testing.T, lines, api, transport string, dispatchers [2]*peer.Dispatcher, bounds callers.Bounds, s *settings.Settings, log *slog.Logger) *world {
 	c := new(config.Config)
 	c.Listen, c.Management, c.Seed = lines, "127.0.0.1:0", "1"
 	c.WebSocket = &config.WebSocket{Listen: api, Path: peer.Path}
 	c.Settings = s
-	n, err := startWithin(c, slog.New(slog.DiscardHandler), bounds)
+	n, err := startWithin(c, log, bounds)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/call/offers.go
+++ b/internal/call/offers.go
@@ -2,12 +2,14 @@
 
 import (
 	"errors"
+	"log/slog"
 	"maps"
 	"slices"
 	"time"
 
 	"cherryrelay/control"
 	"cherryrelay/internal/decide/recovery"
+	"cherryrelay/internal/endlog"
 )
 
 // What callers ask for: set-ups, and that they are given up.
@@ -145,6 +147,7 @@
 		c.note(k, recovery.Left, nil)
 		c.close(k)
 	case k.state == stands:
+		endlog.Call(c.log, endlog.EndedByCaller, id, endlog.Server(k.server), slog.Int("cause", cause))
 		c.dispatchers.Release(k.server, id, cause)
 		c.tell(control.AttemptEnded{ID: control.CallID(id), Server: k.server, Attempt: k.attempts - 1,
 			Outcome: control.Cancelled, CallOver: true})
--- a/internal/call/outcomes.go
+++ b/internal/call/outcomes.go
@@ -2,11 +2,13 @@
 
 import (
 	"iter"
+	"log/slog"
 	"slices"
 	"time"
 
 	"cherryrelay/control"
 	"cherryrelay/internal/decide/recovery"
+	"cherryrelay/internal/endlog"
 )
 
 // What dispatchers say of attempts, and of calls that stand.
@@ -16,22 +18,26 @@
 func (c *Core) Answered(server control.ServerID, id string, attempt int, description string) bool {
 	k := c.calls[id]
 	if k != nil && k.state == stands && k.server == server {
+		endlog.Call(c.log, endlog.AnswerAgain, id, endlog.Server(server), endlog.Attempt(attempt))
 		return false // said twice, or late, of an earlier attempt
 	}
 	if k != nil && k.out && k.server == server && attempt >= 0 && attempt < k.attempts-1 {
 		// An earlier attempt's, late. A release would go out under the id that both have, and cut the call that the later
 		// one is about to stand as.
+		endlog.Call(c.log, endlog.AnswerOfEarlier, id, endlog.Server(server), endlog.Attempt(attempt))
 		return false
 	}
 	if k != nil && k.state == open && k.Caller.Left() && k.state == open {
 		c.callerLeft(k) // before the answer came: whoever leaves later has had it, and its call stands
 	}
 	if k == nil || !k.out || k.server != server || attempt >= 0 && attempt != k.attempts-1 {
+		endlog.Call(c.log, endlog.AnswerUnwanted, id, endlog.Server(server), endlog.Attempt(attempt))
 		c.dispatchers.Release(server, id, CauseNormal)
 		return false
 	}
 	if err := k.Caller.Answer(id, description); err != nil {
 		c.log.Warn("answer that cannot be passed on", "id", id, "server", server, "err", err)
+		endlog.Call(c.log, endlog.AnswerUnfit, id, endlog.Server(server), endlog.Attempt(attempt))
 		c.dispatchers.Release(server, id, CauseNormal)
 		c.Ended(server, id, attempt, control.Failed, false, nil)
 		return false
@@ -41,6 +47,7 @@
 			e.Description = description
 		}
 	})
+	endlog.Call(c.log, endlog.Established, id, endlog.Server(server), endlog.Attempt(k.attempts-1))
 	c.figures.Class(k.Class).Served++
 	c.stopTimers(k)
 	c.settle(k)
@@ -84,36 +91,24 @@
 // Released tells that a dispatcher has released a call that stood. The attempt is the one that was made on the connection
 // that it came on; -1 for none.
 func (c *Core) Released(server control.ServerID, id string, attempt, cause int, report []float64) {
-	c.received[c.takeEnd(server, id, attempt, cause, report)]++
-}
-
-// takeEnd acts on the end of a call from a dispatcher, and returns what became of it.
-func (c *Core) takeEnd(server control.ServerID, id string, attempt, cause int, report []float64) receivedEnd {
 	k := c.calls[id]
-	switch {
-	case k != nil && k.moving:
+	result := c.matchEnd(k, server, attempt)
+	c.logEnd(server, id, attempt, k, result)
+	c.received[result]++
+	switch result {
+	case endElsewhere:
 		c.passing.finder.Ended(id, cause)
-		return endElsewhere
-	case k == nil && c.passing != nil: // another controller may have it
-		c.passing.finder.Ended(id, cause)
-		return endElsewhere
-	case k == nil:
-		// A call from before a restart: its caller still has to hear of it.
+	case endOfUnknownCall: // from before a restart: its caller still has to hear of it
 		c.knowOver(id)
 		c.tellOver(c.heir, id, endOf(cause))
-		return endOfUnknownCall
-	case attempt >= 0 && attempt < k.attempts-1: // what an earlier attempt led to; a later one has taken its place
-		return endOfEarlier
-	case k.state == stands && k.server == server:
+	case endOfCall:
 		c.finish(k, cause, report)
-		return endOfCall
-	case k.out && k.server == server && attempt >= 0:
-		c.endUnanswered(k, report) // were it another attempt's, it would not have come here
-		return endWithoutAnswer
-	case k.out && k.server == server:
-		return c.overtakes(k, cause, report)
-	}
-	return k.unmatched()
+	case endWithoutAnswer:
+		c.endUnanswered(k, report)
+	case endBeforeAnswer:
+		c.overtakes(k, cause, report)
+	case endOfEarlier, endAgain, endOtherDispatcher, endNotEstablished, endRepeated, endAmbiguous:
+	}
 }
 
 // finish ends a call that stood.
@@ -125,6 +120,7 @@
 	c.tell(control.AttemptEnded{ID: control.CallID(k.ID), Server: k.server, Attempt: k.attempts - 1, Outcome: outcome,
 		Elapsed: time.Since(k.sentAt), CallOver: true, Report: report})
 	caller := k.Caller
+	endlog.Call(c.log, endlog.Over, k.ID, endlog.Server(k.server), slog.Int("cause", cause))
 	c.noteOver(k, endOf(cause))
 	c.close(k)
 	k.end = endOf(cause)
@@ -155,6 +151,9 @@
 // Died tells that a dispatcher is no more. Its calls were cut, and it can't say so itself.
 func (c *Core) Died(server control.ServerID) {
 	cut := slices.Sorted(c.StandAt(server))
+	if len(cut) > 0 {
+		endlog.Dispatcher(c.log, endlog.CountsAsGone, string(server), slog.Int("calls", len(cut)))
+	}
 	for _, id := range cut {
 		c.finish(c.calls[id], CauseTemporary, nil)
 	}
--- a/internal/call/overtaken.go
+++ b/internal/call/overtaken.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cherryrelay/control"
+	"cherryrelay/internal/endlog"
 )
 
 // answerWithin is how long the answer to a set-up is waited for after the end of its call has come on another connection. What has stood is
@@ -18,29 +19,33 @@
 	timer  *Timer // when the answer is waited for no longer
 }
 
-// overtakes takes in the end of a call that is still open, from the dispatcher at which its attempt is out, on another connection than that of
-// the attempt. The answer may lie unread on that one; if it does not come, it was lost. If the call was tried there before, the end may be of
-// an earlier attempt, and says nothing of this one. It returns what became of the end.
-func (c *Core) overtakes(k *record, cause int, report []float64) receivedEnd {
-	if k.overtaken != nil {
+// matchOvertaking says what the end of a call is taken for that is still open, from the dispatcher at which its attempt is out, on another
+// connection than that of the attempt. If the call was tried there before, the end may be of an earlier attempt, and says nothing of this one.
+func (k *record) matchOvertaking() receivedEnd {
+	switch {
+	case k.overtaken != nil:
 		return endRepeated
-	}
-	if slices.Contains(k.tried[:len(k.tried)-1], k.server) {
+	case slices.Contains(k.tried[:len(k.tried)-1], k.server):
 		return endAmbiguous
 	}
+	return endBeforeAnswer
+}
+
+// overtakes takes in such an end. The answer may lie unread on the connection of the attempt; if it does not come, it was lost.
+func (c *Core) overtakes(k *record, cause int, report []float64) {
 	attempt := k.attempts
 	k.overtaken = &overtaking{cause: cause, report: report, timer: c.loop.After(answerWithin, func() {
 		if k.out && k.attempts == attempt {
 			c.endUnanswered(k, report)
 		}
 	})}
-	return endBeforeAnswer
 }
 
 // endUnanswered ends a call that stood and is over at its dispatcher, and whose answer was lost or is late. Its caller is owed the end of what
 // has stood, within a second: another attempt would keep it from that.
 func (c *Core) endUnanswered(k *record, report []float64) {
 	k.out = false
+	endlog.Call(c.log, endlog.WithoutAnswer, k.ID, endlog.Server(k.server))
 	c.tell(control.AttemptEnded{ID: control.CallID(k.ID), Server: k.server, Attempt: k.attempts - 1, Outcome: control.Reset,
 		Elapsed: time.Since(k.sentAt), CallOver: true, Report: report})
 	c.final(k, End{Cause: CauseTemporary, Reason: ReasonFailed})
--- a/internal/call/received.go
+++ b/internal/call/received.go
@@ -1,8 +1,13 @@
 package call
 
 import (
+	"fmt"
+	"log/slog"
+
 	dto "github.com/prometheus/client_model/go"
 
+	"cherryrelay/control"
+	"cherryrelay/internal/endlog"
 	"cherryrelay/internal/telemetry"
 )
 
@@ -29,9 +34,22 @@
 	endOfEarlier, endAgain, endOtherDispatcher, endNotEstablished, endRepeated, endAmbiguous,
 }
 
-// unmatched says why an end matches neither the call nor an attempt at the dispatcher that has sent it.
-func (k *record) unmatched() receivedEnd {
+// matchEnd says what the end of a call from a dispatcher is the end of. The attempt is the one that was made on the connection that it came
+// on; -1 for none.
+func (c *Core) matchEnd(k *record, server control.ServerID, attempt int) receivedEnd {
 	switch {
+	case k == nil && c.passing == nil:
+		return endOfUnknownCall
+	case k == nil || k.moving: // another controller may have it
+		return endElsewhere
+	case attempt >= 0 && attempt < k.attempts-1: // what an earlier attempt led to; a later one has taken its place
+		return endOfEarlier
+	case k.state == stands && k.server == server:
+		return endOfCall
+	case k.out && k.server == server && attempt >= 0: // were it another attempt's, it would not have come there
+		return endWithoutAnswer
+	case k.out && k.server == server:
+		return k.matchOvertaking()
 	case k.state == over:
 		return endAgain
 	case k.out || k.state == stands:
@@ -40,6 +58,22 @@
 	return endNotEstablished
 }
 
+// String names the state in the log.
+func (s state) String() string { return [...]string{"open", "established", "over"}[s] }
+
+// logEnd logs the end of a call from a dispatcher, with what is known of the call, and what the end is taken for.
+func (c *Core) logEnd(server control.ServerID, id string, attempt int, k *record, result receivedEnd) {
+	if !endlog.Enabled(c.log) {
+		return
+	}
+	known := "nothing"
+	if k != nil {
+		known = fmt.Sprintf("%v at %s, attempt %d, out: %v", k.state, k.server, k.attempts-1, k.out)
+	}
+	endlog.Call(c.log, endlog.EndReceived, id, endlog.Server(server), endlog.Attempt(attempt), slog.String("known", known),
+		slog.String(endlog.ResultKey, string(result)))
+}
+
 // endFigures are the counts of ends that were received, by what became of them.
 func (c *Core) endFigures() []*dto.MetricFamily {
 	counts := map[string]uint64{}
--- a/internal/call/succession.go
+++ b/internal/call/succession.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cherryrelay/control"
+	"cherryrelay/internal/endlog"
 )
 
 const (
@@ -65,9 +66,11 @@
 
 // tellOver tells a caller that a call that stood has ended; with a successor, that one does, as callers are there.
 func (c *Core) tellOver(caller Caller, id string, end End) {
-	if c.relay == nil || !c.relay(id, end) {
-		caller.Over(id, end)
+	if c.relay != nil && c.relay(id, end) {
+		endlog.Call(c.log, endlog.ToSuccessor, id)
+		return
 	}
+	caller.Over(id, end)
 }
 
 // Standings calls f for each call that stands, in the order of their ids.
--- a/internal/call/takeover.go
+++ b/internal/call/takeover.go
@@ -9,6 +9,7 @@
 	"cherryrelay/control"
 	"cherryrelay/internal/decide/recovery"
 	decide "cherryrelay/internal/decide/takeover"
+	"cherryrelay/internal/endlog"
 	"cherryrelay/internal/ledger"
 	"cherryrelay/internal/takeover"
 )
@@ -122,6 +123,7 @@
 		c.Missing(id, false)
 		return
 	}
+	endlog.Call(c.log, endlog.Arrived, id, endlog.Server(k.server))
 	c.noteAll(k)
 	p.kept = append(p.kept, id)
 	c.checkRecovered()
@@ -205,6 +207,7 @@
 	if k == nil || !k.moving {
 		return
 	}
+	endlog.Call(c.log, endlog.Given, id, endlog.Server(k.server))
 	c.note(k, recovery.Left, nil)
 	switch {
 	case k.state == open:
--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -156,6 +156,7 @@
 func (f *Front) accept(c *conn.Conn) conn.Handler {
 	now := time.Now()
 	cc := &Conn{front: f, conn: c, format: f.format(), usedAt: now, since: now}
+	cc.number = accepted.Add(1)
 	f.all = append(f.all, cc)
 	cc.join()
 	if f.crowded() {
--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -9,6 +9,7 @@
 
 	"cherryrelay/internal/call"
 	"cherryrelay/internal/conn"
+	"cherryrelay/internal/endlog"
 	"cherryrelay/internal/jsonl"
 	"cherryrelay/internal/ring"
 )
@@ -16,6 +17,7 @@
 // Conn is a connection from callers.
 type Conn struct {
 	front   *Front
+	number  uint64
 	conn    *conn.Conn
 	format  Format
 	joined  bool
@@ -206,6 +208,7 @@
 		return err
 	}
 	c.stood = true
+	c.logCall(endlog.AnswerQueued, id)
 	return nil
 }
 
@@ -224,10 +227,14 @@
 	if !errors.Is(reason, io.EOF) && !errors.Is(reason, conn.ErrClosedHere) {
 		f.log.Warn("connection from callers closed", "peer", c.conn.Remote(), "reason", reason)
 	}
+	c.logEnded(reason)
 	f.core.CallerClosed(c)
 	for _, t := range c.sent {
 		if c.unheard(t) {
+			c.logCall(endlog.EndUnread, t.id)
 			c.repeat(t)
+		} else {
+			c.logCall(endlog.EndCountsRead, t.id)
 		}
 	}
 	c.sent = nil
--- a/internal/callers/ends.go
+++ b/internal/callers/ends.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"cherryrelay/internal/call"
+	"cherryrelay/internal/endlog"
 	"cherryrelay/internal/jsonl"
 )
 
@@ -61,6 +62,7 @@
 // drop gives up the end of a call, which its caller is not told from here.
 func (f *Front) drop(r release, reason string) {
 	f.ends.Dropped++
+	endlog.Call(f.log, endlog.EndDropped, r.id)
 	f.log.Warn("end of a call given up", "id", r.id, "cause", r.end.Cause, "reason", reason, "waited", time.Since(r.at))
 }
 
@@ -73,6 +75,7 @@
 		return
 	}
 	f.dropExpired()
+	endlog.Call(f.log, endlog.EndWaits, r.id)
 	f.ends.Waited++
 	f.pending = append(f.pending, r)
 }
@@ -128,6 +131,7 @@
 // release sends the end of a call that stood and keeps it for a moment: callers close connections without calls, and
 // one that crosses such a close is lost.
 func (c *Conn) release(r release) {
+	c.logCall(endlog.EndQueued, r.id)
 	r.at = time.Now()
 	t := &told{release: r}
 	c.writeRelease(r, func() { c.reachedKernel(t) })
@@ -137,6 +141,7 @@
 
 // reachedKernel notes that all of a release has gone to the kernel.
 func (c *Conn) reachedKernel(t *told) {
+	c.logCall(endlog.EndWithKernel, t.id)
 	t.leftAt = time.Now()
 	c.front.ends.Told++
 }
@@ -153,6 +158,7 @@
 	sent := c.sent
 	c.sent, c.tested = nil, true
 	for _, t := range sent {
+		c.logCall(endlog.EndForTest, t.id)
 		c.repeat(t)
 	}
 }
--- a/internal/dispatchers/dial.go
+++ b/internal/dispatchers/dial.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"cherryrelay/internal/conn"
+	"cherryrelay/internal/endlog"
 )
 
 // connect opens one more connection if that is allowed now.
@@ -22,7 +23,8 @@
 	var l *link
 	handler := func(c connection) conn.Handler {
 		now := time.Now()
-		l = &link{server: s, process: s.process, lifetime: new(lifetime), conn: c, wire: wire, invites: map[string]*invite{}, openedAt: now, heardAt: now, since: now, usedAt: now}
+		s.pool.opened++
+		l = &link{server: s, number: s.pool.opened, process: s.process, lifetime: new(lifetime), conn: c, wire: wire, invites: map[string]*invite{}, openedAt: now, heardAt: now, since: now, usedAt: now}
 		return socket{l}
 	}
 	s.pool.dial(dial, s.pool.ConnectTimeout, handler, func(err error) {
@@ -74,6 +76,7 @@
 // stopped takes in that nothing listens, and that every connection is gone or has long been silent: a process that stops at the end of its
 // drain may leave its connections open. It is no more, and its calls with it.
 func (s *server) stopped() {
+	s.log(endlog.Stopped, nil)
 	s.drop(errors.New("dispatcher has stopped"))
 	s.releases = nil // there is no way to send them
 	s.pool.core.Died(s.ID)
@@ -93,6 +96,7 @@
 	s.dialTimedOut, s.refuses, s.renewing, s.endsLost = false, false, false, false
 	s.links = append(s.links, l)
 	s.track()
+	l.log(endlog.LinkOpened, nil)
 	l.send(l.wire.Hello())
 	l.conn.Flush()
 	if l.ready() {
--- a/internal/dispatchers/dispatchers.go
+++ b/internal/dispatchers/dispatchers.go
@@ -9,6 +9,7 @@
 
 	"cherryrelay/control"
 	"cherryrelay/internal/call"
+	"cherryrelay/internal/endlog"
 )
 
 const (
@@ -93,7 +94,8 @@
 	dial      dialer
 	servers   map[control.ServerID]*server
 	order     []*server
-	links     int // that each may be given
+	links     int    // that each may be given
+	opened    uint64 // connections so far: the number of the last one
 	sockets   sockets
 	linked    map[*server]struct{} // those with connections, half-closed ones among them
 	touchedAt time.Time            // when those were touched at which calls stand
@@ -160,6 +162,7 @@
 // may be, one that has nothing to do makes room.
 func (p *Pool) Renew(id control.ServerID) {
 	if s := p.servers[id]; s != nil && s.renewAt.IsZero() {
+		s.log(endlog.RenewalAsked, nil)
 		s.renewAt = time.Now().Add(checkEvery)
 		p.touch(s)
 	}
--- a/internal/dispatchers/doubt.go
+++ b/internal/dispatchers/doubt.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"cherryrelay/internal/conn"
+	"cherryrelay/internal/endlog"
 )
 
 // doubt notes calls whose ends may be told on a connection that was given up, unless the dispatcher closes that soon.
@@ -15,6 +16,7 @@
 		s.doubtful, s.doubtAt = map[string]bool{}, time.Now().Add(closesWithin)
 	}
 	for id := range calls {
+		endlog.Call(s.pool.Log, endlog.InDoubt, id, endlog.Server(s.ID))
 		s.doubtful[id] = true
 	}
 }
@@ -26,6 +28,7 @@
 		return
 	}
 	if len(s.givenUp) == 0 && !s.unclosed {
+		s.log(endlog.DoubtsInOrder, nil)
 		s.doubtful = nil
 		return
 	}
@@ -35,9 +38,11 @@
 	}
 	maps.DeleteFunc(s.doubtful, func(id string, _ bool) bool { return !standing[id] })
 	if len(s.doubtful) == 0 {
+		s.log(endlog.DoubtsOver, nil)
 		s.unclosed = false
 		return
 	}
+	s.log(endlog.DoubtsGoOn, nil)
 	s.pool.Renew(s.ID)
 	s.doubtAt = now.Add(tellAgain)
 }
@@ -55,6 +60,7 @@
 		s.links[idle].retire(conn.ErrClosedHere)
 	}
 	if s.connect(); s.dialing {
+		s.log(endlog.RenewalBegun, nil)
 		s.renewAt, s.renewing = time.Time{}, true
 	}
 }
@@ -66,6 +72,7 @@
 		return
 	}
 	s.renewing = false
+	s.log(endlog.RenewalFailed, nil)
 	if s.pool.core.Standing(s.ID) > 0 {
 		s.pool.Renew(s.ID)
 	}
--- a/internal/dispatchers/link.go
+++ b/internal/dispatchers/link.go
@@ -8,6 +8,7 @@
 	"cherryrelay/control"
 	"cherryrelay/internal/call"
 	"cherryrelay/internal/conn"
+	"cherryrelay/internal/endlog"
 	"cherryrelay/internal/ring"
 	"cherryrelay/internal/websocket"
 )
@@ -93,6 +94,7 @@
 // link is one connection to a dispatcher.
 type link struct {
 	server  *server
+	number  uint64
 	process int // of those that have run under the server's name
 	*lifetime
 	conn    connection
@@ -157,6 +159,7 @@
 // Data takes in what a dispatcher has sent.
 func (l *link) Data(in *ring.Buffer, at time.Time) error {
 	if l.state == linkClosed {
+		l.log(endlog.LinkDiscards, nil)
 		in.Discard(in.Len())
 		return nil
 	}
@@ -307,6 +310,7 @@
 		s.ready(l)
 	case answer:
 		if l.state == linkDraining { // the attempt has ended here
+			l.logCall(endlog.AnswerOnDraining, m.id, attempt)
 			l.release(release{m.id, call.CauseNormal, true})
 			return nil
 		}
@@ -320,7 +324,9 @@
 		if !call.ValidID(m.id) {
 			return nil
 		}
-		core.Released(s.ID, m.id, s.attemptReleased(m.id, attempt), m.cause, m.report)
+		attempt = s.attemptReleased(m.id, attempt)
+		l.logCall(endlog.ReleaseRead, m.id, attempt)
+		core.Released(s.ID, m.id, attempt, m.cause, m.report)
 		delete(s.standing, m.id)
 		if i != nil && i.withdrawn.IsZero() {
 			i.withdrawn = time.Now() // its answer may still come, late
--- a/internal/dispatchers/link_end.go
+++ b/internal/dispatchers/link_end.go
@@ -9,6 +9,7 @@
 
 	"cherryrelay/control"
 	"cherryrelay/internal/conn"
+	"cherryrelay/internal/endlog"
 )
 
 // How connections to dispatchers end.
@@ -40,8 +41,10 @@
 	s, invites := l.server, l.invites
 	l.end(reason)
 	l.state, l.invites, l.since = state, invites, time.Now()
+	l.log(endlog.LinkGivenUp, reason)
 	s.pool.touch(s)
 	if s.givenUp = append(s.givenUp, l); len(s.givenUp) > MaxLinks { // of one dispatcher, so many are held at most
+		s.givenUp[0].log(endlog.LinkPushedOut, reason)
 		s.givenUp[0].conn.Abort(conn.ErrClosedHere)
 		s.givenUp = s.givenUp[1:]
 	}
@@ -51,6 +54,7 @@
 // Closed takes in that the connection has ended.
 func (l *link) Closed(reason error) {
 	s, invites := l.server, l.invites
+	l.log(endlog.LinkEnded, reason)
 	if l.state == linkOpen {
 		l.end(reason)
 	} else {
--- a/internal/dispatchers/release.go
+++ b/internal/dispatchers/release.go
@@ -7,6 +7,7 @@
 
 	"cherryrelay/control"
 	"cherryrelay/internal/call"
+	"cherryrelay/internal/endlog"
 )
 
 // Releases of calls, from here to the dispatchers that hold them.
@@ -37,7 +38,9 @@
 		if l := s.best(); l != nil && len(s.releases) == 0 {
 			l.release(release{callID, cause, id != ""})
 		} else if id != "" || len(s.releases) < maxReleases {
-			s.releases = append(s.releases, release{callID, cause, id != ""})
+			r := release{callID, cause, id != ""}
+			s.logRelease(endlog.WaitingRelease, r, 0)
+			s.releases = append(s.releases, r)
 			p.touch(s)
 		}
 	}
@@ -52,7 +55,9 @@
 	}
 	for _, id := range slices.Sorted(maps.Keys(invites)) {
 		if !s.serves(id) && len(s.releases) < maxReleases {
-			s.releases = append(s.releases, release{id, call.CauseNormal, true})
+			r := release{id, call.CauseNormal, true}
+			s.logRelease(endlog.LostAnswer, r, l.number)
+			s.releases = append(s.releases, r)
 			s.pool.touch(s)
 		}
 	}
@@ -107,6 +112,7 @@
 	if !l.writable() {
 		return
 	}
+	l.server.logRelease(endlog.SentRelease, r, l.number)
 	sent := &sentRelease{release: r}
 	l.forgetDelivered()
 	l.unconfirmed = append(l.unconfirmed, sent)
--- a/internal/dispatchers/server.go
+++ b/internal/dispatchers/server.go
@@ -8,6 +8,7 @@
 	"cherryrelay/internal/call"
 	"cherryrelay/internal/conn"
 	"cherryrelay/internal/decide/links"
+	"cherryrelay/internal/endlog"
 )
 
 // trim closes connections beyond the limit, as far as no set-up is open on them. A call that stands needs none of its own.
@@ -146,6 +147,9 @@
 func (s *server) drop(reason error) {
 	heard := s.best()
 	pending := s.takeReleases()
+	if len(s.links)+len(pending) > 0 {
+		s.log(endlog.Dropped, reason)
+	}
 	for _, l := range slices.Clone(s.links) {
 		if len(l.invites) > 0 || l == heard && len(pending) > 0 {
 			l.drain(reason)
