Test the steps of answers, releases and renewals in the log

The steps of answers that establish nothing, of calls that end in another way than by a release, of releases towards dispatchers, and of a dispatcher's connections were logged and not tested. Each is forced by stand-ins. Not forced yet: doubts that are settled or go on, a given-up connection that makes room, bytes discarded after the close, and calls that pass between controllers.

The story of an end fails with a message, and no longer with a panic, where a step is missing.

--- a/cmd/cherryrelay/end_steps_test.go
+++ b/cmd/cherryrelay/end_steps_test.go
@@ -3,6 +3,7 @@
 import (
 	"log/slog"
 	"regexp"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -79,15 +80,15 @@
 			if diff := cmp.Diff(queued, connections[endlog.EndWithKernel]); diff != "" {
 				t.Errorf("connections on which the end was queued, and left (-want +got):\n%s", diff)
 			}
-			if len(queued) != 2 || queued[0] == queued[1] || queued[0] != connections[endlog.EndUnread][0] {
+			if len(queued) != 2 || queued[0] == queued[1] || !slices.Equal(queued[:1], connections[endlog.EndUnread]) {
 				t.Errorf("queued on connections %v, unread on %v", queued, connections[endlog.EndUnread])
 			}
-			read := log.steps(endlog.CallMessage, endlog.StepKey, string(endlog.ReleaseRead))[0]
+			read := w.firstOf(log, endlog.ReleaseRead)
 			opened := log.steps(endlog.DispatcherMessage, endlog.StepKey, string(endlog.LinkOpened))
 			if !opens(opened, read) || read[endlog.StateKey] != "open" {
 				t.Errorf("the release was read as %v; the connections opened are %v", read, opened)
 			}
-			if r := log.steps(endlog.CallMessage, endlog.StepKey, string(endlog.EndReceived))[0]; r[endlog.ResultKey] != "ended" {
+			if r := w.firstOf(log, endlog.EndReceived); r[endlog.ResultKey] != "ended" {
 				t.Errorf("the end was received as %v", r)
 			}
 		})
@@ -118,6 +119,16 @@
 	return newLoggedWorld(t, "127.0.0.1:0", "127.0.0.1:0", transports[0], d, bounds, testSettings(t), log)
 }
 
+// firstOf is the first step of a call of that name.
+func (w *world) firstOf(log *diary, step endlog.Step) map[string]string {
+	w.Helper()
+	steps := log.steps(endlog.CallMessage, endlog.StepKey, string(step))
+	if len(steps) == 0 {
+		w.Fatalf("%q is never logged", step)
+	}
+	return steps[0]
+}
+
 // logs waits until so many steps are logged.
 func (w *world) logs(log *diary, number int, message, key, value string) {
 	w.Helper()
--- a/internal/call/received_test.go
+++ b/internal/call/received_test.go
@@ -1,12 +1,18 @@
 package call
 
 import (
+	"bytes"
+	"errors"
+	"fmt"
+	"log/slog"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
 
 	"cherryrelay/control"
+	"cherryrelay/internal/endlog"
 )
 
 // TestWhatBecameOfReceivedEnds guards against ends of calls from dispatchers that are dropped without a trace.
@@ -60,3 +66,54 @@
 		})
 	}
 }
+
+// TestTheStepsOfAnswersAndEndsAreLogged guards against answers that establish nothing, and calls that end, without the log saying why.
+func TestTheStepsOfAnswersAndEndsAreLogged(t *testing.T) {
+	const id = "00000000000000c2"
+	answered := func(server control.ServerID, attempt int) func(*site) {
+		return func(s *site) { s.core.Answered(server, id, attempt, "y") }
+	}
+	established := answered("a", 0)
+	for step, steps := range map[endlog.Step][]func(*site){
+		endlog.AnswerAgain:     {established, established},
+		endlog.AnswerOfEarlier: {func(s *site) { s.core.calls[id].attempts = 2 }, established},
+		endlog.AnswerUnwanted:  {answered("b", -1)},
+		endlog.AnswerUnfit:     {func(s *site) { s.core.calls[id].Caller = unfit{s} }, established},
+		endlog.Established:     {established},
+		endlog.WithoutAnswer:   {func(s *site) { s.core.Released("a", id, 0, CauseNormal, nil) }},
+		endlog.Over:            {established, func(s *site) { s.core.Died("a") }},
+		endlog.CountsAsGone:    {established, func(s *site) { s.core.Died("a") }},
+		endlog.EndedByCaller:   {established, func(s *site) { s.core.GiveUp(s, id, CauseNormal) }},
+		endlog.ToSuccessor: {established, func(s *site) { s.core.Supersede(func(string, End) bool { return true }) },
+			func(s *site) { s.core.Released("a", id, 0, CauseNormal, nil) }},
+	} {
+		t.Run(string(step), func(t *testing.T) {
+			var log bytes.Buffer
+			s := newSite(t)
+			s.core.log = slog.New(slog.NewTextHandler(&log, &slog.HandlerOptions{Level: slog.LevelDebug}))
+			s.react = func(_ control.ServerID, a SetUp) {
+				delete(s.out, a.ID)
+				s.core.Loop().Post(func() {
+					for _, step := range steps {
+						step(s)
+					}
+					s.core.Loop().Quit()
+				})
+			}
+			s.core.Loop().Post(func() {
+				s.list(control.Active, "a")
+				_ = s.core.Offer(Request{ID: id, Class: "c", Deadline: time.Now().Add(time.Minute), Caller: s, Description: "x"})
+			})
+			s.core.Loop().Run()
+			if !strings.Contains(strings.ReplaceAll(log.String(), `"`, ""), fmt.Sprintf("step=%s ", step)) {
+				t.Errorf("not logged:\n%s", &log)
+			}
+		})
+	}
+}
+
+// unfit is a caller that no answer can be told to.
+type unfit struct{ *site }
+
+// Answer refuses the description.
+func (unfit) Answer(string, string) error { return errors.New("too long") }
--- a/internal/callers/ends_test.go
+++ b/internal/callers/ends_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"log/slog"
 	"strings"
 	"testing"
@@ -10,6 +11,8 @@
 	"github.com/google/go-cmp/cmp"
 
 	"cherryrelay/internal/call"
+	"cherryrelay/internal/conn"
+	"cherryrelay/internal/endlog"
 	"cherryrelay/internal/peer"
 )
 
@@ -76,6 +79,39 @@
 	}
 }
 
+// TestTheStepsOfEndsAreLogged guards against ends that a connection took for read, or for a test's, without the log saying so.
+func TestTheStepsOfEndsAreLogged(t *testing.T) {
+	const id = "00000000000000e5"
+	for step, happens := range map[endlog.Step]func(f *Front, c *Conn){
+		endlog.EndCountsRead: func(_ *Front, c *Conn) {
+			c.asked = true
+			c.sent[0].leftAt = time.Now().Add(-2 * recent)
+			c.shut(conn.ErrClosedHere)
+		},
+		endlog.EndForTest: func(_ *Front, c *Conn) { c.passOn() },
+		endlog.EndDropped: func(f *Front, c *Conn) {
+			c.passOn()
+			f.dropPending()
+		},
+	} {
+		t.Run(string(step), func(t *testing.T) {
+			f := oneConnection(t, &openCore{owes: map[call.Caller]int{}})
+			var log bytes.Buffer
+			_, c := connects(t, f, 1)
+			onLoop(f.loop, func() {
+				f.log = slog.New(slog.NewTextHandler(&log, &slog.HandlerOptions{Level: slog.LevelDebug}))
+				c.Over(id, ended)
+				f.Flush()
+				happens(f, c)
+				f.log = slog.New(slog.DiscardHandler)
+			})
+			if !strings.Contains(log.String(), fmt.Sprintf("step=%q id=%s", step, id)) {
+				t.Errorf("not logged:\n%s", &log)
+			}
+		})
+	}
+}
+
 // TestAnEndThatIsGivenUpIsAWarning guards against ends of calls that are dropped in silence, as no caller connects.
 func TestAnEndThatIsGivenUpIsAWarning(t *testing.T) {
 	const id = "00000000000000e4"
--- a/internal/dispatchers/steps_test.go
+++ b/internal/dispatchers/steps_test.go
@@ -41,3 +41,44 @@
 		t.Log(log.String())
 	}
 }
+
+// TestTheStepsOfADispatcherAreLogged guards against connections that are asked for, and calls that are released, without the log saying so.
+func TestTheStepsOfADispatcherAreLogged(t *testing.T) {
+	events := map[byte]orderEvent{}
+	for _, e := range orderEvents() {
+		events[e.letter] = e
+	}
+	events['!'] = orderEvent{occurs: func(s *orderSite) bool {
+		s.pool.servers["first"].drop(errors.New("for the test"))
+		return true
+	}}
+	for step, order := range map[endlog.Step]string{
+		endlog.RenewalAsked:     "rT",
+		endlog.RenewalBegun:     "n",
+		endlog.RenewalFailed:    "sn",
+		endlog.LinkEnded:        "h",
+		endlog.Stopped:          "k",
+		endlog.Dropped:          "k",
+		endlog.SentRelease:      "adc",
+		endlog.WaitingRelease:   "adrrc",
+		endlog.LostAnswer:       "ar",
+		endlog.AnswerOnDraining: "a!d",
+	} {
+		t.Run(string(step), func(t *testing.T) {
+			var log bytes.Buffer
+			all := []orderEvent{{occurs: func(s *orderSite) bool {
+				s.pool.Log = slog.New(slog.NewTextHandler(&log, &slog.HandlerOptions{Level: slog.LevelDebug}))
+				return true
+			}}}
+			for _, letter := range []byte(order) {
+				all = append(all, events[letter])
+			}
+			if result := (orderStart{name: "set up", two: true}).play(t, all); !result.possible {
+				t.Fatal("the order did not come about")
+			}
+			if !strings.Contains(log.String(), "step=\""+string(step)+"\"") {
+				t.Errorf("not logged:\n%s", &log)
+			}
+		})
+	}
+}
