Name the last steps of a call whose end is missing in the tests of lost controllers

A test that finds the end of a call untold said the call's id and no more. The judge's verdicts are the same.

So that those steps say how a call came to a controller, what an earlier process left and a caller that came back are steps too.

Evidence: TestLastSteps three times; TestALostControllersCallsGoOn and TestKilledAgainAndAgain once with the race detector, the first also with LB_LOG=debug; the tests of internal/call and internal/trial once: passed.

--- a/cmd/cherryrelay/takeover_test.go
+++ b/cmd/cherryrelay/takeover_test.go
@@ -68,7 +68,7 @@
 	faults, _, finals := s.judge.Verdict()
 	unanswered, untold := s.judge.Unsettled()
 	if len(faults)+len(unanswered)+len(untold) > 0 {
-		s.Errorf("faults %v, without an answer %v, without an end %v", faults, unanswered, untold)
+		s.Errorf("faults %v, without an answer %v, without an end %v, with the last steps %q", faults, unanswered, untold, s.LastSteps(untold))
 	}
 	s.until("nothing is left at the dispatchers", func() bool { return len(s.judge.Left()) == 0 })
 	s.Log(finals)
--- a/internal/call/recover.go
+++ b/internal/call/recover.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"log/slog"
 	"maps"
 	"slices"
 	"time"
@@ -11,6 +12,7 @@
 
 	"cherryrelay/control"
 	"cherryrelay/internal/decide/recovery"
+	"cherryrelay/internal/endlog"
 	"cherryrelay/internal/telemetry"
 )
 
@@ -70,6 +72,7 @@
 	}
 	c.recovered.Acts[act.String()]++
 	c.recovered.Why[d.Why]++
+	endlog.Call(c.log, endlog.Recovered, d.ID, endlog.Server(d.Server), slog.String("act", act.String()))
 	c.calls[d.ID] = k
 	if d.Release {
 		c.releases = append(c.releases, k)
@@ -223,6 +226,7 @@
 	}
 	c.recovered.Claimed++
 	k.claimedAt = time.Now()
+	endlog.Call(c.log, endlog.CameBack, id, endlog.Server(k.server), slog.String(endlog.StateKey, k.state.String()))
 	switch {
 	case k.state == over:
 		if k.told != caller { // on the same connection it had its answer
--- a/internal/endlog/endlog.go
+++ b/internal/endlog/endlog.go
@@ -53,6 +53,8 @@
 	EndedByCaller Step = "ended by its caller"
 	Arrived       Step = "taken over from another controller"
 	Given         Step = "given to another controller"
+	Recovered     Step = "taken up from an earlier process" // with what is done with it
+	CameBack      Step = "its caller came back"             // with the state of the call
 	ToSuccessor   Step = "end handed to the successor"
 	EndQueued     Step = "end queued to the caller"
 	EndWithKernel Step = "end with the kernel"
