--- /dev/null
+++ b/internal/call/received.go
@@ -0,0 +1,86 @@
+package call
+
+import (
+	"fmt"
+	"log/slog"
+
+	dto "github.com/prometheus/client_model/go"
+
+	"cherryrelay/control"
+	"cherryrelay/internal/endlog"
+	"cherryrelay/internal/telemetry"
+)
+
+// receivedEnd is what became of the end of a call that a dispatcher has sent.
+type receivedEnd string
+
+// The results of ends that reach a caller, or may, and of those that change nothing.
+const (
+	endOfCall          receivedEnd = "ended"            // the call was established here
+	endBeforeAnswer    receivedEnd = "awaits_answer"    // its answer may lie unread on another connection
+	endWithoutAnswer   receivedEnd = "without_answer"   // its answer was lost; the set-up has failed
+	endOfUnknownCall   receivedEnd = "unknown_call"     // told on any connection
+	endElsewhere       receivedEnd = "other_controller" // passed on to the controllers that may hold the call
+	endOfEarlier       receivedEnd = "earlier_attempt"
+	endAgain           receivedEnd = "already_over"
+	endOtherDispatcher receivedEnd = "other_dispatcher" // the call, or its attempt, is at another one
+	endNotEstablished  receivedEnd = "not_established"  // no attempt is out
+	endRepeated        receivedEnd = "repeated"         // the first one awaits the answer
+	endAmbiguous       receivedEnd = "ambiguous"        // it may be that of an earlier attempt at the same dispatcher
+)
+
+var receivedEnds = []receivedEnd{
+	endOfCall, endBeforeAnswer, endWithoutAnswer, endOfUnknownCall, endElsewhere,
+	endOfEarlier, endAgain, endOtherDispatcher, endNotEstablished, endRepeated, endAmbiguous,
+}
+
+// matchEnd says what the end of a call from a dispatcher is the end of. The attempt is the one that was made on the connection that it came
+// on; -1 for none.
+func (c *Core) matchEnd(k *record, server control.ServerID, attempt int) receivedEnd {
+	switch {
+	case k == nil && c.passing == nil:
+		return endOfUnknownCall
+	case k == nil || k.moving: // another controller may have it
+		return endElsewhere
+	case attempt >= 0 && attempt < k.attempts-1: // what an earlier attempt led to; a later one has taken its place
+		return endOfEarlier
+	case k.state == stands && k.server == server:
+		return endOfCall
+	case k.out && k.server == server && attempt >= 0: // were it another attempt's, it would not have come there
+		return endWithoutAnswer
+	case k.out && k.server == server:
+		return k.matchOvertaking()
+	case k.state == over:
+		return endAgain
+	case k.out || k.state == stands:
+		return endOtherDispatcher
+	}
+	return endNotEstablished
+}
+
+// String names the state in the log.
+func (s state) String() string { return [...]string{"open", "established", "over"}[s] }
+
+// logEnd logs the end of a call from a dispatcher, with what is known of the call, and what the end is taken for.
+func (c *Core) logEnd(server control.ServerID, id string, attempt int, k *record, result receivedEnd) {
+	if !endlog.Enabled(c.log) {
+		return
+	}
+	known := "nothing"
+	if k != nil {
+		known = fmt.Sprintf("%v at %s, attempt %d, out: %v", k.state, k.server, k.attempts-1, k.out)
+	}
+	endlog.Call(c.log, endlog.EndReceived, id, endlog.Server(server), endlog.Attempt(attempt), slog.String("known", known),
+		slog.String(endlog.ResultKey, string(result)))
+}
+
+// endFigures are the counts of ends that were received, by what became of them.
+func (c *Core) endFigures() []*dto.MetricFamily {
+	counts := map[string]uint64{}
+	for _, result := range receivedEnds {
+		counts[string(result)] = c.received[result]
+	}
+	return []*dto.MetricFamily{
+		telemetry.Counters("ends_received_total", "Ends of calls that dispatchers have sent, by what became of them.", "result", counts),
+	}
+}
--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -128,7 +128,8 @@
 	all      []*Conn   // in the order in which they came
 	open     []*Conn   // those that can be written to
 	pending  []release // ends for which no connection is open
-	scarce   bool      // descriptors run short: who comes now is turned away, unless another makes room
+	ends     EndCounts
+	scarce   bool // descriptors run short: who comes now is turned away, unless another makes room
 }
 
 // New returns a front for a socket that listens. It accepts once its listener is started.
@@ -155,7 +156,10 @@
 func (f *Front) Address() string { return f.listener.Address() }
 
 // Close ends the front and its connections.
-func (f *Front) Close() error { return f.listener.Shutdown() }
+func (f *Front) Close() error {
+	f.dropPending()
+	return f.listener.Shutdown()
+}
 
 // Retune has set-ups keep to other terms from now on.
 func (f *Front) Retune(terms *Terms) { f.terms = terms }
@@ -163,6 +167,7 @@
 func (f *Front) accept(c connection) conn.Handler {
 	now := time.Now()
 	cc := &Conn{front: f, conn: c, format: f.format(), usedAt: now, since: now}
+	cc.number = accepted.Add(1)
 	f.all = append(f.all, cc)
 	cc.join()
 	if f.crowded() {
--- a/internal/dispatchers/link.go
+++ b/internal/dispatchers/link.go
@@ -8,6 +8,7 @@
 	"cherryrelay/control"
 	"cherryrelay/internal/call"
 	"cherryrelay/internal/conn"
+	"cherryrelay/internal/endlog"
 	"cherryrelay/internal/ring"
 	"cherryrelay/internal/websocket"
 )
@@ -93,6 +94,7 @@
 // link is one connection to a dispatcher.
 type link struct {
 	server  *server
+	number  uint64
 	process int // of those that have run under the server's name
 	*lifetime
 	conn    connection
@@ -158,6 +160,7 @@
 // Data takes in what a dispatcher has sent.
 func (l *link) Data(in *ring.Buffer, at time.Time) error {
 	if l.state == linkClosed {
+		l.log(endlog.LinkDiscards, nil)
 		in.Discard(in.Len())
 		return nil
 	}
@@ -308,6 +311,7 @@
 		s.ready(l)
 	case answer:
 		if l.state == linkDraining { // the attempt has ended here
+			l.logCall(endlog.AnswerOnDraining, m.id, attempt)
 			l.release(release{m.id, call.CauseNormal, true})
 			return nil
 		}
@@ -322,6 +326,7 @@
 			return nil
 		}
 		attempt = s.attemptReleased(m.id, attempt)
+		l.logCall(endlog.ReleaseRead, m.id, attempt)
 		core.Released(s.ID, m.id, attempt, m.cause, m.report)
 		if answered := s.standing[m.id]; attempt != noAttempt && answered != nil && answered != l.lifetime {
 			s.keepEarly(m.id, earlyRelease{cause: m.cause, report: m.report, at: time.Now()})
--- a/internal/dispatchers/link_end.go
+++ b/internal/dispatchers/link_end.go
@@ -9,6 +9,7 @@
 
 	"cherryrelay/control"
 	"cherryrelay/internal/conn"
+	"cherryrelay/internal/endlog"
 )
 
 // How connections to dispatchers end.
@@ -41,12 +42,15 @@
 	s, invites := l.server, l.invites
 	l.suspect = !errors.Is(reason, conn.ErrClosedHere)
 	if l.suspect {
-		s.renewal.Want(time.Now())
+		s.logEndsInDoubt()
+		s.wantRenewal()
 	}
 	l.end(reason)
 	l.state, l.invites, l.since = state, invites, time.Now()
+	l.log(endlog.LinkGivenUp, reason)
 	s.pool.touch(s)
 	if s.givenUp = append(s.givenUp, l); len(s.givenUp) > MaxLinks { // of one dispatcher, so many are held at most
+		s.givenUp[0].log(endlog.LinkPushedOut, reason)
 		s.givenUp[0].conn.Abort(conn.ErrClosedHere)
 		s.givenUp = s.givenUp[1:]
 	}
@@ -56,9 +60,9 @@
 // Closed takes in that the connection has ended.
 func (l *link) Closed(reason error) {
 	s, invites := l.server, l.invites
+	l.log(endlog.LinkEnded, reason)
 	if l.losesEnds(reason) {
-		s.renewal.Lost(time.Now())
-		s.pool.touch(s)
+		s.noteLostEnds()
 	}
 	if l.state == linkOpen {
 		l.end(reason)
@@ -86,7 +90,7 @@
 		s.renewal.SetUnread(true) // its dispatcher may hold it for open still
 	}
 	if l.suspect && s.hasEndsAtRisk() {
-		s.renewal.Want(time.Now()) // its dispatcher may have told ends here until now, and reset it as it saw the close
+		s.wantRenewal() // its dispatcher may have told ends here until now, and reset it as it saw the close
 	}
 	l.state, l.invites = linkClosed, nil
 	l.keepUnconfirmed()
--- a/internal/dispatchers/renewal.go
+++ b/internal/dispatchers/renewal.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"cherryrelay/internal/conn"
+	"cherryrelay/internal/endlog"
 )
 
 // Connections that are opened for the ends of calls that may have been lost with another one.
@@ -22,6 +23,30 @@
 	return true
 }
 
+// wantRenewal asks for a connection on which the ends are repeated that were told until now.
+func (s *server) wantRenewal() {
+	s.log(endlog.RenewalAsked, nil)
+	s.renewal.Want(time.Now())
+	s.pool.touch(s)
+}
+
+// noteLostEnds takes in that ends which were told until now may have been lost.
+func (s *server) noteLostEnds() {
+	s.log(endlog.RenewalAsked, nil)
+	s.renewal.Lost(time.Now())
+	s.pool.touch(s)
+}
+
+// logEndsInDoubt logs the calls whose ends may be told on a connection that is being given up.
+func (s *server) logEndsInDoubt() {
+	if !endlog.Enabled(s.pool.Log) {
+		return
+	}
+	for id := range s.pool.core.StandAt(s.ID) {
+		endlog.Call(s.pool.Log, endlog.InDoubt, id, endlog.Server(s.ID))
+	}
+}
+
 // repeatEnds has ends repeated on new connections, one after the other, for as long as the dispatcher may tell them on one that is not read
 // any more.
 func (s *server) repeatEnds(now time.Time) {
@@ -57,11 +82,16 @@
 		}
 		s.links[idle].retire(conn.ErrClosedHere)
 	}
-	s.connect()
+	if s.connect(); s.dialing {
+		s.log(endlog.RenewalBegun, nil)
+	}
 }
 
 // renewalFailed takes in that a dial has failed. While calls stand it is dialled again, at the pace of the dispatcher's backoff.
 func (s *server) renewalFailed() {
+	if s.renewal.Pending() {
+		s.log(endlog.RenewalFailed, nil)
+	}
 	if s.pool.core.Standing(s.ID) == 0 {
 		s.renewal.Cancel()
 	}
--- /dev/null
+++ b/internal/dispatchers/steps_test.go
@@ -0,0 +1,84 @@
+package dispatchers
+
+import (
+	"bytes"
+	"errors"
+	"log/slog"
+	"strings"
+	"testing"
+
+	"cherryrelay/internal/endlog"
+)
+
+// TestTheStepsOfAGivenUpConnectionAreLogged guards against ends that are read on a connection that was given up without the log saying so.
+func TestTheStepsOfAGivenUpConnectionAreLogged(t *testing.T) {
+	start := orderStart{name: "established", called: true}
+	var log bytes.Buffer
+	occurs := func(f func(s *orderSite)) orderEvent {
+		return orderEvent{occurs: func(s *orderSite) bool { f(s); return true }}
+	}
+	order := []orderEvent{
+		occurs(func(s *orderSite) { s.end(s.first, orderedID) }), // it is on its way
+		occurs(func(s *orderSite) {
+			s.pool.Log = slog.New(slog.NewTextHandler(&log, &slog.HandlerOptions{Level: slog.LevelDebug}))
+			s.pool.servers["first"].links[0].retire(errors.New("for the test"))
+		}),
+	}
+	if result := start.play(t, order); !result.possible || len(result.faults) > 0 {
+		t.Fatalf("possible: %v, faults: %v", result.possible, result.faults)
+	}
+	for _, want := range []string{
+		`step="` + string(endlog.LinkGivenUp) + `" server=first connection=1 state=half-closed`,
+		`step="` + string(endlog.InDoubt) + `" id=` + orderedID + ` server=first`,
+		`step="` + string(endlog.ReleaseRead) + `" id=` + orderedID + ` server=first connection=1 state=half-closed`,
+		`step="` + string(endlog.LinkEnded) + `" server=first connection=1`,
+	} {
+		if !strings.Contains(log.String(), want) {
+			t.Errorf("not logged: %s", want)
+		}
+	}
+	if t.Failed() {
+		t.Log(log.String())
+	}
+}
+
+// TestTheStepsOfADispatcherAreLogged guards against connections that are asked for, and calls that are released, without the log saying so.
+func TestTheStepsOfADispatcherAreLogged(t *testing.T) {
+	events := map[byte]orderEvent{}
+	for _, e := range orderEvents() {
+		events[e.letter] = e
+	}
+	events['!'] = orderEvent{occurs: func(s *orderSite) bool {
+		s.pool.servers["first"].drop(errors.New("for the test"))
+		return true
+	}}
+	for step, order := range map[endlog.Step]string{
+		endlog.RenewalAsked:     "rT",
+		endlog.RenewalBegun:     "n",
+		endlog.RenewalFailed:    "sn",
+		endlog.LinkEnded:        "h",
+		endlog.Stopped:          "k",
+		endlog.Dropped:          "k",
+		endlog.SentRelease:      "adc",
+		endlog.WaitingRelease:   "adrrc",
+		endlog.LostAnswer:       "ar",
+		endlog.AnswerOnDraining: "a!d",
+	} {
+		t.Run(string(step), func(t *testing.T) {
+			var log bytes.Buffer
+			all := []orderEvent{{occurs: func(s *orderSite) bool {
+				s.pool.Log = slog.New(slog.NewTextHandler(&log, &slog.HandlerOptions{Level: slog.LevelDebug}))
+				return true
+			}}}
+			for _, letter := range []byte(order) {
+				all = append(all, events[letter])
+			}
+			if result := (orderStart{name: "set up", links: 2}).play(t, all); !result.possible {
+				t.Fatal("the order did not come about")
+			}
+			if !strings.Contains(log.String(), "step=\""+string(step)+"\"") {
+				t.Errorf("not logged:\n%s", &log)
+			}
+		})
+	}
+}
