--- a/internal/mutants/cmd/main.go
+++ b/internal/mutants/cmd/main.go
@@ -59,7 +59,7 @@
 		if r.Passed() {
 			passed++
 		}
-		fmt.Printf("%-9s  %-44s  %5.1f s  %s\n", r.Verdict, r.Mutant.Name, r.Took.Seconds(), remark(r))
+		fmt.Printf("%-10s  %-44s  %5.1f s  %s\n", r.Verdict, r.Mutant.Name, r.Took.Seconds(), remark(r))
 	})
 	fmt.Printf("%d of %d mutants passed\n", passed, len(list))
 	return passed == len(list)
