Play replacements with callers behind slow links, few calls a connection, brief calls

- callers connect through a link of 3 to 25 ms as well;
- the load is drawn from 0.1 to 1.4 of the lines, the aim of the class from 0.15 to 1.5 s;
- a tenth of the calls ends while its answer is on its way, and where dispatchers close connections, half of the calls have that of their set-up closed first.

TestReplacements with the race detector: passed, 8.7 s.

--- a/cmd/cherryrelay/replacement_callers_soak_test.go
+++ b/cmd/cherryrelay/replacement_callers_soak_test.go
@@ -77,7 +77,7 @@
 		return c.all[rng.IntN(n)]
 	}
 	c.mu.Unlock()
-	connection, err := peer.Call("tcp", c.play.lines)
+	connection, err := peer.Call("tcp", c.play.front)
 	if err != nil {
 		c.play.Error(err)
 		return nil
--- a/cmd/cherryrelay/replacement_soak_test.go
+++ b/cmd/cherryrelay/replacement_soak_test.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -22,16 +23,19 @@
 // its dispatchers drains, refuses connections, and ends. Every end of a call that stood is held against the bounds of the protocol page.
 
 const (
-	// replacementSeeds are played by make test, and replacementsAtOnce of them side by side.
-	replacementSeeds, replacementsAtOnce = 6, 6
+	// replacementSeeds are played by make test, and replacementsAtOnce of the long run side by side.
+	replacementSeeds, replacementsAtOnce = 6, 12
 	// replacedMost is how many dispatchers there are at most before, and after.
 	replacedMost = 3
-	// linkDelay and linkJitter are how late what passes between the controller and a dispatcher is.
+	// linkDelay and linkJitter are how late what passes between the controller and a dispatcher or a caller is.
 	linkDelay, linkJitter = 3 * time.Millisecond, 22 * time.Millisecond
 	// tellLinesEvery is the pace at which dispatchers tell of their free lines.
 	tellLinesEvery = 200 * time.Millisecond
 )
 
+// latency is the rule of all links.
+var latency = fault.Rule{Forth: fault.Way{Delay: linkDelay, Jitter: linkJitter}, Back: fault.Way{Delay: linkDelay, Jitter: linkJitter}}
+
 // replacementScenario is what a seed draws.
 type replacementScenario struct {
 	seed       uint64
@@ -39,7 +43,7 @@
 	work       trial.Work
 	aim        time.Duration // of the calls' class: an attempt that takes longer may be withdrawn
 	slowest    time.Duration // the longest that an answer takes in the overload
-	load       float64       // set-ups, as a part of what the lines can take
+	load       float64       // set-ups, as a part of what the lines can take: with few, connections have little to do, and more of them are overtaken
 	callerIdle time.Duration // after which callers close a connection
 	bound      bool          // callers keep a connection open while calls of it stand
 	closes     bool          // dispatchers close connections in order
@@ -54,10 +58,10 @@
 	ms := func(least, most int) time.Duration {
 		return time.Duration(least+rng.IntN(most-least)) * time.Millisecond
 	}
-	s := replacementScenario{seed: seed, each: 1 + rng.IntN(replacedMost), load: 0.9 + 0.5*rng.Float64(), aim: ms(150, 1500), slowest: ms(300, 1500), callerIdle: ms(300, 4000),
+	s := replacementScenario{seed: seed, each: 1 + rng.IntN(replacedMost), load: 0.1 + 1.3*rng.Float64(), aim: ms(150, 1500), slowest: ms(300, 1500), callerIdle: ms(300, 4000),
 		bound: rng.IntN(2) == 0, closes: rng.IntN(2) == 0, reports: rng.IntN(2) == 0, deaf: rng.IntN(4) > 0, atOnce: rng.IntN(3) == 0, drainFor: ms(1500, 4600)}
 	s.work = trial.Work{Lines: 8 + rng.IntN(16), Answers: 60 * time.Millisecond, Holds: ms(300, 2500), Broken: 0.1 * rng.Float64(),
-		Unanswered: 0.3 * rng.Float64(), Seed: seed}
+		Unanswered: 0.3 * rng.Float64(), Brief: 0.1, Seed: seed}
 	if s.closes {
 		s.work.Closes = 0.5
 	}
@@ -158,6 +162,7 @@
 	replacementScenario
 	*process
 	net   *fault.Net
+	front string // where callers connect
 	list  *eventList
 	judge *trial.Judge
 	rng   *rand.Rand
@@ -185,7 +190,7 @@
 		p.Fatal(err)
 	}
 	d := &replaceable{Replaced: r, link: "c>" + name, entry: endpoint(name, n%p.each, address, since)}
-	p.net.Set(d.link, fault.Rule{Forth: fault.Way{Delay: linkDelay, Jitter: linkJitter}, Back: fault.Way{Delay: linkDelay, Jitter: linkJitter}})
+	p.net.Set(d.link, latency)
 	p.mu.Lock()
 	p.stand = append(p.stand, d)
 	p.mu.Unlock()
@@ -254,6 +259,10 @@
 		p.Fatal(err)
 	}
 	p.process = onPlatform(p.T, text)
+	if p.front, err = p.net.Between("callers", "c", p.lines); err != nil {
+		p.Fatal(err)
+	}
+	p.net.Set("callers>c", latency)
 	p.launchProgram()
 	p.waitReady()
 	return old
@@ -373,36 +382,45 @@
 // TestReplacements guards against ends of calls that are told to nobody while dispatchers are replaced under overload.
 func TestReplacements(t *testing.T) {
 	t.Parallel()
-	replacements(t, 1, replacementSeeds)
+	replacements(t, 1, replacementSeeds, replacementSeeds)
 }
 
 // TestSoakReplacements plays the long run: CHERRYRELAY_SEEDS plays from the seed CHERRYRELAY_FIRST on.
 func TestSoakReplacements(t *testing.T) {
 	soaks(t)
-	replacements(t, environment(t, "CHERRYRELAY_FIRST", 1), environment(t, "CHERRYRELAY_SEEDS", 50))
+	replacements(t, environment(t, "CHERRYRELAY_FIRST", 1), environment(t, "CHERRYRELAY_SEEDS", 50), replacementsAtOnce)
 }
 
-func replacements(t *testing.T, first, seeds uint64) {
+func replacements(t *testing.T, first, seeds, atOnce uint64) {
 	t.Helper()
-	turns := make(chan struct{}, replacementsAtOnce)
-	for seed := first; seed < first+seeds; seed++ {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			t.Parallel()
-			turns <- struct{}{}
-			defer func() { <-turns }()
-			s := drawReplacement(seed)
-			begun := time.Now()
-			r := playReplacement(t, seed)
-			t.Logf("seed %d: %d ends judged, %d of calls tried again at their dispatcher, %d answers crossed a give-up, %d connections given up as dead, %v in all; %v; %v", seed, r.ends, r.again, r.crossed,
-				strings.Count(r.log, "open but dead"), time.Since(begun).Round(time.Millisecond), r.counts, &s)
-			if r.ends == 0 {
-				t.Error("no call stood to its end")
-			}
-			if len(r.faults) > 0 {
-				t.Logf("the log of the process:\n%s", r.log)
-				t.Errorf("%d faults; again with `make soak SOAK=SoakReplacements SEEDS=1 FIRST=%d`\n%s", len(r.faults), seed,
-					strings.Join(r.faults[:min(len(r.faults), 12)], "\n"))
-			}
-		})
+	turns := make(chan struct{}, atOnce)
+	var ends atomic.Int64
+	t.Run("plays", func(t *testing.T) {
+		for seed := first; seed < first+seeds; seed++ {
+			t.Run(fmt.Sprint(seed), func(t *testing.T) {
+				t.Parallel()
+				turns <- struct{}{}
+				defer func() { <-turns }()
+				ends.Add(int64(playAndReport(t, seed)))
+			})
+		}
+	})
+	if ends.Load() == 0 {
+		t.Error("no call stood to its end")
+	}
+}
+
+// playAndReport plays a seed, reports what it came to, and tells how many ends were judged.
+func playAndReport(t *testing.T, seed uint64) (ends int) {
+	t.Helper()
+	begun, s := time.Now(), drawReplacement(seed)
+	r := playReplacement(t, seed)
+	t.Logf("seed %d: %d ends judged, %d of calls tried again at their dispatcher, %d answers crossed a give-up, %d connections given up as dead, %v in all; %v; %v",
+		seed, r.ends, r.again, r.crossed, strings.Count(r.log, "open but dead"), time.Since(begun).Round(time.Millisecond), r.counts, &s)
+	if len(r.faults) > 0 {
+		t.Logf("the log of the process:\n%s", r.log)
+		t.Errorf("%d faults; again with `make soak SOAK=SoakReplacements SEEDS=1 FIRST=%d`\n%s", len(r.faults), seed,
+			strings.Join(r.faults[:min(len(r.faults), 12)], "\n"))
 	}
+	return r.ends
 }
--- a/internal/trial/replaced.go
+++ b/internal/trial/replaced.go
@@ -15,6 +15,7 @@
 	Holds      time.Duration // the longest that a call stands
 	Broken     float64       // the part of set-ups that break on their way
 	Unanswered float64       // the part of set-ups that are never answered
+	Brief      float64       // the part of calls that end at once, within what their answers are on their way
 	Closes     float64       // the part of calls at whose end the connection of their set-up is closed first, if no set-up is open on it
 	Seed       uint64
 }
@@ -36,6 +37,9 @@
 	dead     bool
 }
 
+// brief is the longest that a call stands which ends at once.
+const brief = 30 * time.Millisecond
+
 // answerOnItsWay is how long before a reset an answer may have been written that is lost with it.
 const answerOnItsWay = 100 * time.Millisecond
 
@@ -132,6 +136,9 @@
 	breaks := draw < r.work.Unanswered+r.work.Broken
 	takes := time.Duration(r.rng.Int64N(int64(r.work.Answers)))
 	holds := time.Duration(r.rng.Int64N(int64(r.work.Holds)))
+	if r.rng.Float64() < r.work.Brief {
+		holds %= brief
+	}
 	time.AfterFunc(takes, func() {
 		r.mu.Lock()
 		defer r.mu.Unlock()
