Tell an end that was read on an earlier attempt's connection, ahead of a close

Cause: a call stands by its second attempt at a dispatcher, whose first one was withdrawn on another connection that is open. The dispatcher closes the connection of the answer in good order, and tells the end of the call on any open one, as the protocol has it: on that of the first attempt. The two are read in any order. If the end is read first, it counts as the first attempt's and is dropped (server.attemptReleased, Core.Released); the entry of the call is deleted as well. The close that follows is one in good order, so nothing is renewed: an untold end, until another connection happens to open.

Change: the end is kept with the connection of the answer. What comes while the connection stays open is the earlier attempt's, as before, and no longer takes the entry along.

Test: TestOrdersThatHaveFailed, order TadHedd, from a start in which the dispatcher is doubted, so that the first attempt times out. On the build before: 'its end is not told' (TadHed). Passed with the change, as do the package's tests, without the race detector.

--- a/internal/dispatchers/link.go
+++ b/internal/dispatchers/link.go
@@ -78,7 +78,11 @@
 }
 
 // lifetime tells whether a connection has closed. What refers to it keeps none of the connection's buffers.
-type lifetime struct{ over bool }
+type lifetime struct {
+	over bool
+	// ends are those that came meanwhile, for calls that were answered here, on the connections of earlier attempts of theirs.
+	ends map[string]*earlierEnd
+}
 
 // linkState is how far a connection is used.
 type linkState int
@@ -320,8 +324,13 @@
 		if !call.ValidID(m.id) {
 			return nil
 		}
-		core.Released(s.ID, m.id, s.attemptReleased(m.id, attempt), m.cause, m.report)
-		delete(s.standing, m.id)
+		attempt = s.attemptReleased(m.id, attempt)
+		if attempt != noAttempt && l.answeredElsewhere(m.id) {
+			s.standing[m.id].keepEnd(m)
+		} else {
+			delete(s.standing, m.id)
+		}
+		core.Released(s.ID, m.id, attempt, m.cause, m.report)
 		if i != nil && i.withdrawn.IsZero() {
 			i.withdrawn = time.Now() // its answer may still come, late
 		}
--- a/internal/dispatchers/link_end.go
+++ b/internal/dispatchers/link_end.go
@@ -100,6 +100,7 @@
 	s.links = slices.DeleteFunc(s.links, func(o *link) bool { return o == l })
 	s.track()
 	l.endSetUps()
+	l.tellEarlierEnds()
 	l.keepUnconfirmed()
 	if len(s.links) == 0 {
 		s.withoutSince = time.Now()
--- a/internal/dispatchers/orders_events_test.go
+++ b/internal/dispatchers/orders_events_test.go
@@ -211,7 +211,7 @@
 	}
 	s.calls[otherID] = &orderedCall{}
 	s.first.promptly[otherID] = true
-	s.core.Loop().After(otherComes, func() { s.offer(otherID) })
+	s.core.Loop().After(otherComes, func() { s.offer(otherID, orderDeadline) })
 	return true
 }
 
--- a/internal/dispatchers/orders_site_test.go
+++ b/internal/dispatchers/orders_site_test.go
@@ -27,6 +27,8 @@
 "requestClasses":[{"aimUs":900000,"deadlineUs":9000000,"name":"c","semantics":"read_like","worth":1}],"resolutionUs":5000,
 "rules":{"coldUs":1000000,"startCapacity":0.3,"tipMultiple":2}}`
 	orderDeadline = 9 * time.Second
+	// doubtedFor is how long the caller of a call waits by which its dispatcher comes to be doubted.
+	doubtedFor = 2 * time.Second
 	// onItsWay is the longest that anything is on its way, and arrivalStep the pace at which it arrives after that.
 	onItsWay, arrivalStep = time.Second, 50 * time.Millisecond
 	// endUntold is how soon the end of a call must reach its caller though its dispatcher could not tell it at first.
@@ -144,6 +146,7 @@
 	core.OnFlush(s.pool.Flush)
 	s.first = newProcess(s)
 	s.first.again, s.first.keeps, s.first.unconfirmed, s.first.resets = start.again, start.keeps, start.unconfirmed, start.resets
+	s.first.newest = start.newest
 	if start.chats {
 		s.first.chat(loop)
 	}
@@ -201,11 +204,11 @@
 }
 
 // offer has the caller set a call up.
-func (s *orderSite) offer(id string) {
+func (s *orderSite) offer(id string, within time.Duration) {
 	if s.calls[id] == nil {
 		s.calls[id] = &orderedCall{}
 	}
-	_ = s.core.Offer(call.Request{ID: id, Class: "c", Deadline: time.Now().Add(orderDeadline), Caller: s, Description: "x"})
+	_ = s.core.Offer(call.Request{ID: id, Class: "c", Deadline: time.Now().Add(within), Caller: s, Description: "x"})
 }
 
 // cancel has the caller give a call up, or end it.
@@ -238,7 +241,11 @@
 		s.do(func() { s.pool.Renew("first") })
 		time.Sleep(3 * checkEvery)
 	}
-	s.do(func() { s.offer(orderedID) })
+	if s.doubted {
+		s.do(func() { s.offer(otherID, doubtedFor) })
+		time.Sleep(time.Second)
+	}
+	s.do(func() { s.offer(orderedID, orderDeadline) })
 	time.Sleep(10 * time.Millisecond)
 	if s.called {
 		s.do(func() { s.first.finalAnswer(orderedID, 200) })
--- a/internal/dispatchers/orders_test.go
+++ b/internal/dispatchers/orders_test.go
@@ -21,6 +21,8 @@
 	resets      bool   // it resets a connection as it sees that it was closed here
 	chats       bool   // it tells its state on each connection, every second
 	unconfirmed bool   // it confirms no release
+	doubted     bool   // the first one has left another call without an answer for a while, so that an attempt there is withdrawn sooner
+	newest      bool   // it tells the end of a call whose connection has closed on its newest one, not on its oldest
 	before      string // the events that have happened
 }
 
@@ -153,6 +155,7 @@
 		"a connection is reset that was given up, as its dispatcher sees that": {orderStart{called: true, links: 2, chats: true, resets: true}, "ioqeu"},
 		"a connection makes room as the end of a call is on its way there":     {orderStart{called: true, chats: true}, "neV"},
 		"a set-up waits on a dead connection on which an end has been told":    {orderStart{called: true, links: 2, chats: true, before: "io"}, "em"},
+		"an end on the connection of an earlier attempt, before a close":       {orderStart{links: 2, doubted: true, newest: true, chats: true}, "TadHedd"},
 		"an attempt comes to nothing whose predecessor is answered late":       {orderStart{links: 2}, "am"},
 		"the next attempt overtakes a release of the one before":               {orderStart{links: 3}, "amNIdptu"},
 	} {
--- a/internal/dispatchers/standin_test.go
+++ b/internal/dispatchers/standin_test.go
@@ -56,6 +56,7 @@
 	waiting     []*standInConnection          // that its kernel has accepted meanwhile
 	keeps       bool                          // it never closes its side of a connection that the pool's side has ended
 	resets      bool                          // or resets it as it sees that
+	newest      bool                          // it tells the end of a call whose connection has closed on the newest one
 	unconfirmed bool                          // it confirms no release
 	refuses     int                           // so many of the next connections, as others are open
 	refused     bool                          // the last connection was
@@ -178,6 +179,9 @@
 			return true
 		}
 		s = open[0]
+		if p.newest {
+			s = open[len(open)-1]
+		}
 	}
 	s.tellEnd(id)
 	return true
