Hold each mechanism for ends that may be lost by an order of its own

Need: taken out one by one, the doubt in link.retire and server.settleDoubts, the renewal in link.end, the mark of connections that are never closed in link.ended, the guard of link.keepUnconfirmed, the mark of lost ends in link.Closed, the renewal of server.letGo and that of server.renewalFailed were noticed by no order to depth 3, or by one other test alone. The silence of the stand-in hid most: a new connection is tried after 2.5 s, and brings the ends.

TestOrdersThatHoldAMechanism has one order for each. The flush ahead of the half-close in link.retire is noticed by none: Conn.Finish flushes too, and nothing is queued between the two.

A start with an end told after a silence is added to the tables.

--- a/internal/dispatchers/orders_test.go
+++ b/internal/dispatchers/orders_test.go
@@ -91,6 +91,7 @@
 		{name: "no release is confirmed", links: 3, again: true, unconfirmed: true}} {
 		start.search(t, spelledOrder("VRBnraefdDmINuctT"))
 	}
+	orderStart{name: "an end after a silence", called: true, before: "qe"}.search(t, spelledOrder("rsxhntT"))
 }
 
 // search plays all orders of the events to a depth.
@@ -128,13 +129,25 @@
 	return played
 }
 
+// TestOrdersThatHoldAMechanism guards against ends that nobody is told of, where one mechanism alone asks for them.
+func TestOrdersThatHoldAMechanism(t *testing.T) {
+	chatting := orderStart{called: true, links: 2, chats: true}
+	resetting := orderStart{called: true, links: 2, chats: true, resets: true}
+	playNamed(t, map[string]namedOrder{
+		"link.retire doubts the calls, server.settleDoubts keeps the doubts":     {chatting, "ioqe"},
+		"link.ended notes that a dispatcher did not close its side":              {chatting, "ioqqe"},
+		"link.end has the ends told again that went with a reset":                {chatting, "er"},
+		"server.letGo has the ends told again that went with a reset":            {resetting, "oeq"},
+		"server.renewalFailed dials again after a refusal":                       {chatting, "eRr"},
+		"link.keepUnconfirmed does not repeat a release over the next attempt":   {orderStart{links: 3, again: true, unconfirmed: true}, "r"},
+		"link.Closed has a dispatcher dialled that refuses, as ends may be lost": {orderStart{called: true}, "qers"},
+	})
+}
+
 // TestOrdersThatHaveFailed guards against faults that the search found, by the shortest orders that showed them.
 func TestOrdersThatHaveFailed(t *testing.T) {
 	established := orderStart{called: true}
-	for name, test := range map[string]struct {
-		start orderStart
-		order string
-	}{
+	playNamed(t, map[string]namedOrder{
 		"an answer is read after its dispatcher is off the list":               {orderStart{}, "ax"},
 		"a dispatcher that listens no more is silent":                          {established, "sT"},
 		"a dispatcher that is off the list is silent":                          {established, "xT"},
@@ -158,7 +171,19 @@
 		"an end on the connection of an earlier attempt, before a close":       {orderStart{links: 2, doubted: true, newest: true, chats: true}, "TadHedd"},
 		"an attempt comes to nothing whose predecessor is answered late":       {orderStart{links: 2}, "am"},
 		"the next attempt overtakes a release of the one before":               {orderStart{links: 3}, "amNIdptu"},
-	} {
+	})
+}
+
+// namedOrder is an order of events, by their letters, and what it begins with.
+type namedOrder struct {
+	start orderStart
+	order string
+}
+
+// playNamed plays orders, and wants them to be possible and without a fault.
+func playNamed(t *testing.T, orders map[string]namedOrder) {
+	t.Helper()
+	for name, test := range orders {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			order := spelledOrder(test.order)
