Keep the only connection to a dispatcher until the next one is up

What callers saw: nothing yet; found by reading. A dispatcher held a call that nobody released, and told its end to nobody.

Cause: a slow dispatcher that drains takes no new connections. The only one to it was half-closed as dead 0.1 s after a set-up was given up there without a word. An answer that was on its way was read, and its release had no way: this side had ended its part, and the dial for the next connection was refused.

Change: server.replaceStalled keeps the only connection until another one is up, where more than one is allowed. On it the release goes out.

--- a/internal/dispatchers/check.go
+++ b/internal/dispatchers/check.go
@@ -104,8 +104,7 @@
 			}
 		}
 		if l.overtaken() || l.open() == 0 && l.unresponsive(now) {
-			s.pool.Log.Warn("connection to dispatcher is open but dead", "server", s.ID, "open", l.open())
-			l.retire(errDead)
+			s.replaceStalled(l)
 			continue
 		}
 		switch {
@@ -125,6 +124,17 @@
 	s.expire(now)
 }
 
+// replaceStalled gives up a connection that is open but dead. The only one is kept until the next one is up: it may be that its dispatcher is
+// slow and takes no new ones, and there would be no way to it for the releases of calls that it holds.
+func (s *server) replaceStalled(l *link) {
+	if len(s.links) == 1 && s.pool.links > 1 {
+		s.connect()
+		return
+	}
+	s.pool.Log.Warn("connection to dispatcher is open but dead", "server", s.ID, "open", l.open())
+	l.retire(errDead)
+}
+
 // quietForGood reports whether a silent dispatcher counts as no more: it leaves a probe unanswered, or ends of its calls may have been lost and it
 // can't be connected to for what it would tell again.
 func (s *server) quietForGood(now time.Time) bool {
--- a/internal/dispatchers/ends_lost_test.go
+++ b/internal/dispatchers/ends_lost_test.go
@@ -133,7 +133,7 @@
 			}
 		}
 		establish := func(id string) {
-			s.do(func() { s.offer(id) })
+			s.do(func() { s.offer(id, orderDeadline) })
 			time.Sleep(10 * time.Millisecond)
 			s.do(func() { s.first.finalAnswer(id, 200); s.arrive() })
 		}
--- a/internal/dispatchers/releases_lost_test.go
+++ b/internal/dispatchers/releases_lost_test.go
@@ -234,7 +234,7 @@
 		}()
 		s.do(func() { s.list(control.Active, "first", "second") })
 		time.Sleep(time.Second)
-		s.do(func() { s.offer(orderedID) })
+		s.do(func() { s.offer(orderedID, orderDeadline) })
 		time.Sleep(10 * time.Millisecond)
 		s.do(func() { s.first.cutOff = true })
 		for dropped := false; !dropped; time.Sleep(time.Millisecond) {
