Cut no call whose own connection is open, for ends that another one may have lost

A dispatcher that drains, listens no more and is silent for 2.5 s counted as gone if any connection to it had been reset since the last one that came up. Its calls were cut, and told to their callers as over, while it held them: also those whose own connection was open, and those that were answered after the reset. The end of such a call comes on its own connection, so the reset of another one says nothing of it.

Callers saw a call cut (cause 41) that went on at its dispatcher.

The reset now counts only while a call stands whose own connection is open no more; otherwise the probe decides, as without a reset. The new test failed before in both orders (1 answer, 1 end; want 1, 0) and passes now; so do the tests of internal/dispatchers.

--- a/internal/dispatchers/check.go
+++ b/internal/dispatchers/check.go
@@ -126,9 +126,9 @@
 }
 
 // quietForGood reports whether a silent dispatcher counts as no more: it leaves a probe unanswered, or ends of its calls may have been lost and it
-// can't be connected to for what it would tell again.
+// can't be connected to for what it would tell again. The end of a call whose own connection is open comes there.
 func (s *server) quietForGood(now time.Time) bool {
-	return s.renewal.Missing() && (s.refuses || s.dialTimedOut || s.replaced) || s.probeUnanswered(now)
+	return s.renewal.Missing() && s.hasEndsAtRisk() && (s.refuses || s.dialTimedOut || s.replaced) || s.probeUnanswered(now)
 }
 
 // probeUnanswered reports whether the dispatcher leaves a probe unanswered for probeWithin on the connection that was heard from last. It sends
--- /dev/null
+++ b/internal/dispatchers/quiet_test.go
@@ -0,0 +1,81 @@
+package dispatchers
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"cherryrelay/control"
+)
+
+// establish has a call set up at the first dispatcher, and answered there.
+func (s *orderSite) establish(id string) {
+	s.do(func() { s.offer(id) })
+	time.Sleep(10 * time.Millisecond)
+	s.do(func() { s.first.finalAnswer(id, 200) })
+	time.Sleep(time.Millisecond)
+	s.do(s.arrive)
+}
+
+// withSite runs a test over a site whose first dispatcher is connected to as the start says.
+func withSite(t *testing.T, start orderStart, test func(s *orderSite)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		s := newOrderSite(t, start)
+		go s.core.Loop().Run()
+		defer func() {
+			s.core.Loop().Quit()
+			synctest.Wait()
+		}()
+		s.do(func() { s.list(control.Active, "first") })
+		time.Sleep(time.Second)
+		for range start.links - 1 {
+			s.do(func() { s.pool.Renew("first") })
+			time.Sleep(time.Second)
+		}
+		test(s)
+	})
+}
+
+// TestLossOfAnotherConnectionCutsNoCall guards against a call that is cut, as its dispatcher listens no more, for ends that another connection
+// may have lost: its own is open.
+func TestLossOfAnotherConnectionCutsNoCall(t *testing.T) {
+	t.Parallel()
+	for name, before := range map[string]bool{"the call stands": true, "its set-up is open": false} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			withSite(t, orderStart{links: 2}, func(s *orderSite) {
+				if before {
+					s.establish(orderedID)
+				} else {
+					s.do(func() { s.offer(orderedID) })
+				}
+				time.Sleep(10 * time.Millisecond)
+				own := s.first.established[orderedID]
+				if own == nil {
+					own = s.first.pending(orderedID)
+				}
+				s.do(func() {
+					s.list(control.Draining, "first")
+					s.first.listens = false
+					for _, c := range s.first.open() {
+						if c != own {
+							c.reset()
+						}
+					}
+				})
+				time.Sleep(500 * time.Millisecond)
+				s.do(func() { s.first.finalAnswer(orderedID, 200) })
+				s.pass(2 * deadAfter)
+				if c := s.calls[orderedID]; c.answers != 1 || c.overs != 0 {
+					t.Errorf("%d answers, %d ends; want 1, 0", c.answers, c.overs)
+				}
+				s.do(func() { s.end(s.first, orderedID) })
+				s.pass(onItsWay)
+				if c := s.calls[orderedID]; c.overs != 1 {
+					t.Errorf("%d ends as its dispatcher has told one", c.overs)
+				}
+			})
+		})
+	}
+}
