Keep the last connection to a dispatcher that drains until another has come up

A set-up that was given up without a word since it was sent has its connection given up 100 ms later, as dead. Where that was the last one to a dispatcher that drains and listens no more, the next dial was refused, the dispatcher counted as stopped, and this side of the connection was closed: an answer that was on its way had its call released nowhere, and calls that stood there were told as cut and left at their dispatcher.

Callers saw a call cut (cause 41) that went on at its dispatcher; a call whose answer came late was left standing there for good.

Such a connection is now kept while a further one is dialled, and is given up once that is open. If the dial is refused, the dispatcher counts as stopped as before: once it has long been silent and leaves a probe unanswered, and then releases go out on the connection that there is.

A connection with an open set-up that others have overtaken is given up as before.

--- a/internal/dispatchers/check.go
+++ b/internal/dispatchers/check.go
@@ -104,8 +104,7 @@
 			}
 		}
 		if l.overtaken() || l.open() == 0 && l.unresponsive(now) {
-			s.pool.Log.Warn("connection to dispatcher is open but dead", "server", s.ID, "open", l.open())
-			l.retire(errDead)
+			s.giveUpDead(l)
 			continue
 		}
 		switch {
@@ -125,6 +124,17 @@
 	s.expire(now)
 }
 
+// giveUpDead gives up a connection that brings nothing. The only one to a dispatcher that drains stays until another has come up: where none
+// listens any more, releases of its calls have no other way there.
+func (s *server) giveUpDead(l *link) {
+	if len(s.links) == 1 && l.open() == 0 && s.Status != control.Active {
+		s.connect()
+		return
+	}
+	s.pool.Log.Warn("connection to dispatcher is open but dead", "server", s.ID, "open", l.open())
+	l.retire(errDead)
+}
+
 // quietForGood reports whether a silent dispatcher counts as no more: it leaves a probe unanswered, or ends of its calls may have been lost and it
 // can't be connected to for what it would tell again. The end of a call whose own connection is open comes there.
 func (s *server) quietForGood(now time.Time) bool {
