Tell an end for 30 s at most, where a caller ends each of its connections by a reset

An end is told again if its connection was reset within 8 s. Where a caller ends all its connections so, each telling was followed by a further one, without end: the ends of all its calls piled up and were all told on each of its connections.

An end counts as read once it was first with a kernel 30 s ago, which is how long one waits for a caller to connect. One that no kernel has taken is told again as before, and so is one that a test's connection took.

--- a/internal/callers/ends.go
+++ b/internal/callers/ends.go
@@ -17,6 +17,8 @@
 	id  string
 	end call.End
 	at  time.Time
+	// firstLeftAt is when all of it was first with the kernel, on whatever connection; zero until then.
+	firstLeftAt time.Time
 }
 
 // told is a release that was written to a connection.
@@ -67,7 +69,9 @@
 }
 
 // Release passes on the end of a call that no connection is known for.
-func (f *Front) Release(id string, end call.End) { f.release(release{id, end, time.Now()}) }
+func (f *Front) Release(id string, end call.End) {
+	f.release(release{id: id, end: end, at: time.Now()})
+}
 
 // release passes on the end of a call that stood, now or once there is a connection for it.
 func (f *Front) release(r release) {
@@ -109,7 +113,7 @@
 
 // Over sends the end of a call that stood, on another connection if this one has closed since.
 func (c *Conn) Over(id string, end call.End) {
-	r := release{id, end, time.Now()}
+	r := release{id: id, end: end, at: time.Now()}
 	if c.gone() {
 		c.front.release(r)
 		return
@@ -143,6 +147,9 @@
 func (c *Conn) reachedKernel(t *told) {
 	c.logCall(endlog.EndWithKernel, t.id)
 	t.leftAt = time.Now()
+	if t.firstLeftAt.IsZero() {
+		t.firstLeftAt = t.leftAt
+	}
 	c.front.ends.Told++
 }
 
@@ -164,11 +171,15 @@
 }
 
 // unheard reports whether a release that was sent may not have been read: it has not left, it left shortly before now or the end of the
-// connection, the connection was reset, or nobody ever spoke here. A socket that is closed with words unread sends a reset.
+// connection, the connection was reset, or nobody ever spoke here. A socket that is closed with words unread sends a reset. One that was told for
+// as long as any waits for a caller counts as read: a caller may end all its connections by a reset.
 func (c *Conn) unheard(t *told) bool {
 	if t.leftAt.IsZero() {
 		return true
 	}
+	if time.Since(t.firstLeftAt) >= keep {
+		return false
+	}
 	until := c.conn.EndedAt()
 	if until.IsZero() {
 		until = time.Now()
