--- a/internal/conn/finish_test.go
+++ b/internal/conn/finish_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"github.com/cloudwego/netpoll"
+
 	"cherryrelay/internal/ring"
 )
 
@@ -73,3 +75,43 @@
 		})
 	}
 }
+
+// closing is a connection of netpoll's that keeps the callback for its close.
+type closing struct {
+	unread
+	closes netpoll.CloseCallback
+}
+
+func (c *closing) IsActive() bool                       { return true }
+func (c *closing) SetOnRequest(netpoll.OnRequest) error { return nil }
+func (c *closing) AddCloseCallback(closes netpoll.CloseCallback) error {
+	c.closes = closes
+	return nil
+}
+
+// TestTheRestComesAheadOfTheEnd guards against bytes that are lost as netpoll tells of a close, and of what came before it not at all.
+func TestTheRestComesAheadOfTheEnd(t *testing.T) {
+	buffer := netpoll.NewLinkBuffer()
+	if _, err := buffer.WriteString("last"); err != nil {
+		t.Fatal(err)
+	}
+	if err := buffer.Flush(); err != nil {
+		t.Fatal(err)
+	}
+	posts, heard := make(loop, 16), make(hearing, 16)
+	nc := &closing{unread: unread{rest: buffer}}
+	c := wrap(posts, nc)
+	c.handler = heard
+	if err := c.start(); err != nil {
+		t.Fatal(err)
+	}
+	if err := nc.closes(nc); err != nil {
+		t.Fatal(err)
+	}
+	for len(posts) > 0 {
+		(<-posts)()
+	}
+	if text := <-heard; text != "last" {
+		t.Errorf("%q came, want what is in the reader", text)
+	}
+}
