Let a third call come in the search of orders, and the connection of the second close

For orders in which connections are given up twice, and ends of calls that came after a connection was given up.

--- a/internal/dispatchers/orders_events_test.go
+++ b/internal/dispatchers/orders_events_test.go
@@ -161,6 +161,10 @@
 			may := func(c *standInConnection) bool { return !c.peerClosed && !s.first.still }
 			return s.onConnectionOf(orderedID, may, (*standInConnection).close)
 		}, 0, false},
+		{'J', "it closes the other call's connection in good order", func(s *orderSite) bool {
+			may := func(c *standInConnection) bool { return !c.peerClosed && !s.first.still }
+			return s.onConnectionOf(otherID, may, (*standInConnection).close)
+		}, 0, false},
 		{'V', "a connection is closed for its descriptor", func(s *orderSite) bool {
 			before := s.pool.sockets.evicted
 			s.pool.Budget(s.pool.Held() - 1)
@@ -206,12 +210,16 @@
 
 // otherCall has the caller set up another call, which the first dispatcher answers at once if it comes there.
 func (s *orderSite) otherCall() bool {
-	if s.calls[otherID] != nil || s.left {
+	id := otherID
+	if s.calls[id] != nil {
+		id = thirdID
+	}
+	if s.calls[id] != nil || s.left {
 		return false
 	}
-	s.calls[otherID] = &orderedCall{}
-	s.first.promptly[otherID] = true
-	s.core.Loop().After(otherComes, func() { s.offer(otherID, orderDeadline) })
+	s.calls[id] = &orderedCall{}
+	s.first.promptly[id] = true
+	s.core.Loop().After(otherComes, func() { s.offer(id, orderDeadline) })
 	return true
 }
 
--- a/internal/dispatchers/orders_site_test.go
+++ b/internal/dispatchers/orders_site_test.go
@@ -18,8 +18,9 @@
 
 const (
 	orderedID = "00000000000000c1"
-	// otherID is that of a call beside it, which comes otherComes later and is answered at once.
+	// otherID and thirdID are those of calls beside it, which come otherComes later and are answered at once.
 	otherID    = "00000000000000c2"
+	thirdID    = "00000000000000c3"
 	otherComes = overtakenBy + 50*time.Millisecond
 	// orderSettings have one class, whose callers wait for 9 s, and a guard of 60 ms.
 	orderSettings = `{"caps":{"maxRetryAfterUs":2000000,"mayCancel":true,"retryAfter":true,"sendCap":5},
