Doubt calls whose connection closes beside one that their dispatcher never closed

Cause: a dispatcher never closes its side of a dead connection that was given up. The calls of that time are in doubt until they have ended (server.settleDoubts), and server.unclosed is forgotten with the last of them. A call that comes later is in no doubt. Its own connection is closed by the dispatcher, in good order, so nothing is renewed; and its end goes to any connection that the dispatcher takes for open, the dead one among them: an untold end.

Change: that a connection was never closed is kept for as long as the dispatcher's process runs, and the calls that were answered on a connection that ends are in doubt then, at the pace of doubts.

--- a/internal/dispatchers/doubt.go
+++ b/internal/dispatchers/doubt.go
@@ -19,6 +19,23 @@
 	}
 }
 
+// doubtItsCalls doubts the calls that were answered on a connection that ends, if their dispatcher may hold one that is dead for open: their ends
+// are told on any that it takes for open.
+func (l *link) doubtItsCalls() {
+	s := l.server
+	if !s.neverClosed {
+		return
+	}
+	s.doubt(func(yield func(string) bool) {
+		for id, answered := range s.standing {
+			if answered == l.lifetime && !yield(id) {
+				return
+			}
+		}
+	})
+	s.unclosed = s.unclosed || len(s.doubtful) > 0
+}
+
 // settleDoubts opens new connections, one at a time, for the ends of calls in doubt, for as long as one of them stands. Once the
 // dispatcher has closed all that was given up, it tells them elsewhere by itself. Those that it told on one that it closed late, after the next
 // one had come up, may have gone with it: it tells them once more.
--- a/internal/dispatchers/link_end.go
+++ b/internal/dispatchers/link_end.go
@@ -77,7 +77,7 @@
 func (l *link) ended(reason error) {
 	s := l.server
 	if errors.Is(reason, conn.ErrClosedHere) && (l.givenUp() || !l.evicted) {
-		s.unclosed = true // its dispatcher may hold it for open still
+		s.unclosed, s.neverClosed = true, true // its dispatcher may hold it for open still
 	}
 	if l.state == linkHalfClosed && len(s.doubtful) > 0 && time.Since(l.since) > checkEvery {
 		s.renewOnce = true // by a reset, it may be: where both sides have ended, that can't be told from a close
@@ -101,6 +101,7 @@
 	s.track()
 	l.endSetUps()
 	l.tellEarlierEnds()
+	l.doubtItsCalls()
 	l.keepUnconfirmed()
 	if len(s.links) == 0 {
 		s.withoutSince = time.Now()
--- a/internal/dispatchers/server.go
+++ b/internal/dispatchers/server.go
@@ -43,6 +43,7 @@
 	doubtful     map[string]bool // calls that stood as a connection was given up: their ends may be told there, in vain
 	doubtAt      time.Time       // when their ends are to be told on a new connection
 	unclosed     bool            // there was one that the dispatcher never closed
+	neverClosed  bool            // as unclosed, for as long as the process runs: ends may be told there for want of their own connection
 	renewOnce    bool            // one more connection is due for them, though all that was given up has been closed
 	dialing      bool
 	backoff      links.Backoff
@@ -163,7 +164,7 @@
 		s.releases = append(s.releases, pending...)
 	}
 	s.expire(time.Time{})
-	s.doubtful, s.unclosed, s.renewOnce = nil, false, false
+	s.doubtful, s.unclosed, s.neverClosed, s.renewOnce = nil, false, false, false
 	clear(s.standing)
 }
 
