Keep the only connection to a dispatcher that drains where no other is allowed beside it

TestLastConnectionToDispatcherThatListensNoMoreIsKept failed with one connection allowed ('the dispatcher holds the call that was answered late') and passes, with the package and the race detector.

--- a/internal/dispatchers/check.go
+++ b/internal/dispatchers/check.go
@@ -127,7 +127,7 @@
 // replaceStalled gives up a connection that is open but dead. The only one is kept until the next one is up: it may be that its dispatcher is
 // slow and takes no new ones, and there would be no way to it for the releases of calls that it holds.
 func (s *server) replaceStalled(l *link) {
-	if len(s.links) == 1 && s.pool.links > 1 {
+	if len(s.links) == 1 && (s.pool.links > 1 || s.Status != control.Active) {
 		s.connect()
 		return
 	}
