Tell a caller the end of a call whose answer it gave up on the way

A release with cause 16 from the connection of a call that stands ends it, and its caller was told nothing, as it had ended the call itself.

What callers saw: an answer after the give-up, and no end.

With cause 16 the end is told, on whichever connection takes it.

TestWhatIsSaidOfACallInEveryOrder excused every order with a give-up; it now wants the end where the give-up follows the answer: the orders that begin with AC failed before (ACL, ACE and others), and pass.

--- a/internal/call/offers.go
+++ b/internal/call/offers.go
@@ -151,6 +151,9 @@
 		if k.Caller != caller {
 			// It may come on any connection, but who waits for the call's end may be elsewhere.
 			c.log.Info("call ended from another connection", "id", id, "cause", cause)
+		}
+		if k.Caller != caller || cause == CauseNormal {
+			// With this cause a caller may give up a set-up whose answer is on its way: the call has stood, and is released here.
 			c.tellOver(k.Caller, id, endOf(cause))
 		}
 		c.noteOver(k, endOf(cause))
--- a/internal/call/overtaken_test.go
+++ b/internal/call/overtaken_test.go
@@ -95,6 +95,9 @@
 			if s.answers[overtakenID] == 1 && over && !cancelled && s.overs[overtakenID] != 1 {
 				t.Errorf("its end is not told: %s", told)
 			}
+			if strings.HasPrefix(letters, "AC") && s.overs[overtakenID] != 1 {
+				t.Errorf("the end of a call whose answer was given up on the way is not told: %s", told)
+			}
 			// Of an attempt whose connection is lost before its end comes, nothing more is known than that.
 			if over && !strings.ContainsAny(letters, "AC") && !strings.HasPrefix(letters, "L") && s.finals[overtakenID] != 1 {
 				t.Errorf("an end in place of an answer is no final answer: %s", told)
