Have a connection make room for one that is due for ends, where all have set-ups open

A connection that is due for ends that may have been lost waited, where a dispatcher had as many connections as it may, for one of them to be without a set-up. Set-ups go to the connection with the fewest, so under steady load none ever was: the connection was never dialled, and ends that had been told on the dead one reached nobody.

Callers of a busy dispatcher were not told that their call was over.

The connection with the fewest open set-ups now makes room: further ones go to others that are sound. It is without any once those that it has are answered or given up, and is replaced then.

A set-up that waits long on each of the connections still holds the next one up for as long as it waits.

--- a/internal/dispatchers/renewal.go
+++ b/internal/dispatchers/renewal.go
@@ -1,6 +1,7 @@
 package dispatchers
 
 import (
+	"cmp"
 	"errors"
 	"slices"
 	"time"
@@ -70,7 +71,8 @@
 	return false
 }
 
-// renew opens the connection that is due. Where there are as many as there may be, one that has nothing to do makes room.
+// renew opens the connection that is due. Where there are as many as there may be, one that has nothing to do makes room. If each has set-ups
+// open, one is given no more of them while another is sound.
 func (s *server) renew(now time.Time) {
 	if !s.renewal.Due(now) || s.dialing {
 		return
@@ -78,8 +80,10 @@
 	if len(s.links) >= s.pool.links {
 		idle := slices.IndexFunc(s.links, func(l *link) bool { return l.open() == 0 })
 		if idle < 0 {
-			return // later
+			s.vacate()
+			return // once it has nothing to do
 		}
+		s.vacated = nil
 		s.links[idle].retire(conn.ErrClosedHere)
 	}
 	if s.connect(); s.dialing {
@@ -87,6 +91,16 @@
 	}
 }
 
+// vacate has the connection with the fewest open set-ups given no more of them, unless another makes room already.
+func (s *server) vacate() {
+	if !slices.Contains(s.links, s.vacated) {
+		s.vacated = slices.MinFunc(s.links, func(a, b *link) int { return cmp.Compare(a.open(), b.open()) })
+	}
+}
+
+// vacates reports whether the connection is to make room for one that is due: set-ups go out on others that are sound.
+func (s *server) vacates(l *link) bool { return l == s.vacated && s.renewal.Pending() }
+
 // renewalFailed takes in that a dial has failed. While calls stand it is dialled again, at the pace of the dispatcher's backoff.
 func (s *server) renewalFailed() {
 	if s.renewal.Pending() {
--- a/internal/dispatchers/server.go
+++ b/internal/dispatchers/server.go
@@ -1,6 +1,7 @@
 package dispatchers
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -39,6 +40,7 @@
 	pool         *Pool
 	links        []*link
 	renewal      links.Renewal // of connections, for ends that may have been lost
+	vacated      *link         // to make room for one, if one is due; nil if none is
 	givenUp      []*link       // that are still read; MaxLinks at most
 	dialing      bool
 	backoff      links.Backoff
@@ -184,16 +186,38 @@
 	now := time.Now()
 	for i, l := range s.links {
 		if !l.ready() || !l.partial.IsZero() || l.invites[id] != nil || i >= s.pool.links { // beyond those, one is to go
-
 			continue
 		}
-		if least == nil || l.sound(now) && !least.sound(now) || l.sound(now) == least.sound(now) && l.load() < least.load() {
+		if least == nil || s.compareForSetUp(l, least, now) < 0 {
 			least = l
 		}
 	}
 	return least
 }
 
+// compareForSetUp orders connections by how well one more set-up goes on them, the best first: sound ones, and of these first those that make no
+// room for another.
+func (s *server) compareForSetUp(a, b *link, now time.Time) int {
+	switch {
+	case a.sound(now) != b.sound(now):
+		return boolOrder(b.sound(now), a.sound(now))
+	case s.vacates(a) != s.vacates(b):
+		return boolOrder(s.vacates(a), s.vacates(b))
+	}
+	return cmp.Compare(a.load(), b.load())
+}
+
+// boolOrder orders false before true.
+func boolOrder(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
+
 // room reports whether one more connection may be opened. One that has long been silent and has nothing to do makes room.
 func (s *server) room(now time.Time) bool {
 	if len(s.links) < s.pool.links {
