--- a/internal/mutants/list_callers.go
+++ b/internal/mutants/list_callers.go
@@ -97,7 +97,7 @@
 			Equivalent:  "notify has posted a read ahead of it",
 			Text:        "\tc.read() // what came before the close still counts\n",
 			Replacement: ``},
-		{Name: "took-marks", File: "internal/conn/write.go", Row: "end-not-left.md", Tests: connTests,
+		{Name: "took-marks", File: "internal/conn/write.go", Row: "end-not-left.md", Tests: dispatchersTests,
 			Text:        `for len(c.marks) > 0 && c.marks[0].at <= c.left {`,
 			Replacement: `for len(c.marks) > 0 {`},
 		{Name: "close-writes-last", File: "internal/conn/linger.go", Row: "crossings.md, a new connection is closed: any close by this side", Tests: connTests,
