Look after dead connections of dispatchers that are off the list, while calls stand

A dispatcher that is off the list keeps its connections until its calls have ended. None of them was given up as dead while another one brought something, and no further one was opened for ends that may have been told in vain: the end of a call that was told on a dead connection reached nobody for as long as the dispatcher spoke on another one.

Callers of a dispatcher that left the list while their calls stood were not told that a call was over.

Such a dispatcher is now looked after as one on the list is, in this respect: a connection that has long been silent beside others is given up, and a further one is dialled for what may have been lost while calls stand. One whose address is another's is dialled for nothing, as before, and no connection makes room for one that would not be dialled.

The new test failed before where the dispatcher is off the list (no end in 20 s, want it within 8 s), and passed where it is active or drains; all pass now, and so do the tests of internal/dispatchers.

--- a/internal/dispatchers/check.go
+++ b/internal/dispatchers/check.go
@@ -71,6 +71,11 @@
 	if len(s.links) == 0 || s.renewal.Missing() {
 		s.connect()
 	}
+	for _, l := range slices.Clone(s.links) {
+		s.checkSilent(l, now)
+	}
+	s.repeatEnds(now)
+	s.renew(now)
 }
 
 // check looks at one dispatcher.
@@ -107,13 +112,7 @@
 			s.giveUpDead(l)
 			continue
 		}
-		switch {
-		case s.heardAt.Sub(l.heardAt) <= deadAfter:
-		case l.open() == 0:
-			s.letGo(l) // the others are alive, and this one has nothing to do
-		case s.pool.core.Standing(s.ID) > 0: // its set-ups may have their answers yet, but ends may be told here in vain
-			s.renewal.Repeat(now)
-		}
+		s.checkSilent(l, now)
 	}
 	s.trim()
 	s.repeatEnds(now)
@@ -124,6 +123,17 @@
 	s.expire(now)
 }
 
+// checkSilent looks at a connection that has brought nothing for long while others did.
+func (s *server) checkSilent(l *link, now time.Time) {
+	switch {
+	case s.heardAt.Sub(l.heardAt) <= deadAfter:
+	case l.open() == 0:
+		s.letGo(l) // the others are alive, and this one has nothing to do
+	case s.pool.core.Standing(s.ID) > 0: // its set-ups may have their answers yet, but ends may be told here in vain
+		s.renewal.Repeat(now)
+	}
+}
+
 // giveUpDead gives up a connection that brings nothing. The only one to a dispatcher that drains stays until another has come up: where none
 // listens any more, releases of its calls have no other way there.
 func (s *server) giveUpDead(l *link) {
--- a/internal/dispatchers/dial.go
+++ b/internal/dispatchers/dial.go
@@ -46,7 +46,7 @@
 
 // reachable reports whether connections to the dispatcher are of use.
 func (s *server) reachable(now time.Time) bool {
-	return !s.gone() || s.mayRelease(now) || s.renewal.Missing() && !s.replaced && s.pool.core.Standing(s.ID) > 0
+	return !s.gone() || s.mayRelease(now) || (s.renewal.Missing() || s.renewal.Pending()) && !s.replaced && s.pool.core.Standing(s.ID) > 0
 }
 
 func (s *server) refused(err error) {
--- /dev/null
+++ b/internal/dispatchers/removed_test.go
@@ -0,0 +1,43 @@
+package dispatchers
+
+import (
+	"testing"
+	"time"
+
+	"cherryrelay/control"
+)
+
+// TestEndIsToldThoughItsDispatcherIsOffTheList guards against an end that a dispatcher tells on a dead connection, where it is off the list and
+// speaks on another one.
+func TestEndIsToldThoughItsDispatcherIsOffTheList(t *testing.T) {
+	t.Parallel()
+	for name, status := range map[string]control.ServerStatus{"active": control.Active, "draining": control.Draining, "removed": control.Removed} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			withSite(t, orderStart{links: 2}, func(s *orderSite) {
+				s.establish(orderedID)
+				own := s.first.established[orderedID]
+				s.do(func() {
+					own.deaden()
+					s.list(status, "first")
+				})
+				for _, e := range speaks(8 * time.Second) {
+					s.do(func() { e.occurs(s) })
+					time.Sleep(e.after)
+				}
+				if s.calls[orderedID].overs > 0 {
+					t.Fatal("it is cut while it goes on")
+				}
+				s.do(func() { s.tellsOn(own) })
+				for _, e := range speaks(20 * time.Second) {
+					s.do(func() { e.occurs(s) })
+					time.Sleep(e.after)
+				}
+				c := s.calls[orderedID]
+				if late := c.overAt.Sub(c.endedAt); c.overs != 1 || late > endUntold {
+					t.Errorf("%d ends, %v late; want 1 within %v", c.overs, late, endUntold)
+				}
+			})
+		})
+	}
+}
--- a/internal/dispatchers/renewal.go
+++ b/internal/dispatchers/renewal.go
@@ -74,7 +74,7 @@
 // renew opens the connection that is due. Where there are as many as there may be, one that has nothing to do makes room. If each has set-ups
 // open, one is given no more of them while another is sound.
 func (s *server) renew(now time.Time) {
-	if !s.renewal.Due(now) || s.dialing {
+	if !s.renewal.Due(now) || s.dialing || !s.reachable(now) {
 		return
 	}
 	if len(s.links) >= s.pool.links {
