Read what the loop owns on the loop, in a test

TestConnectionsClosedInGoodOrderAskForNoOthers failed with the race detector: it set the dialer and read the connections beside the loop. What it checks is the same.

--- a/internal/dispatchers/closed_in_order_test.go
+++ b/internal/dispatchers/closed_in_order_test.go
@@ -35,17 +35,17 @@
 func TestConnectionsClosedInGoodOrderAskForNoOthers(t *testing.T) {
 	t.Parallel()
 	withSite(t, orderStart{links: 2, most: 2, keeps: true}, func(s *orderSite) {
-		dial := s.pool.dial
-		s.pool.dial = func(address string, timeout time.Duration, opened func(connection) conn.Handler, done func(error)) {
-			dial(address, timeout, func(c connection) conn.Handler {
-				handler := opened(c)
-				if l, ok := handler.(socket); ok {
-					closesInOrder(l.link)
-				}
-				return handler
-			}, done)
-		}
 		s.do(func() {
+			dial := s.pool.dial
+			s.pool.dial = func(address string, timeout time.Duration, opened func(connection) conn.Handler, done func(error)) {
+				dial(address, timeout, func(c connection) conn.Handler {
+					handler := opened(c)
+					if l, ok := handler.(socket); ok {
+						closesInOrder(l.link)
+					}
+					return handler
+				}, done)
+			}
 			for _, l := range s.pool.servers["first"].links {
 				closesInOrder(l)
 			}
@@ -55,8 +55,11 @@
 			time.Sleep(3 * checkEvery)
 		}
 		ended := map[*standInConnection]bool{}
-		before := len(s.first.all)
-		s.do(func() { s.pool.Renew("first") })
+		before := 0
+		s.do(func() {
+			before = len(s.first.all)
+			s.pool.Renew("first")
+		})
 		for range 10 * time.Second / (dialTime / 2) {
 			time.Sleep(dialTime / 2) // before the next one is up
 			s.do(func() {
@@ -69,8 +72,10 @@
 				}
 			})
 		}
-		if got, most := len(s.first.all)-before, 1; got > most {
-			t.Errorf("%d connections after one was asked for, want %d at most", got, most)
-		}
+		s.do(func() {
+			if got, most := len(s.first.all)-before, 1; got > most {
+				t.Errorf("%d connections after one was asked for, want %d at most", got, most)
+			}
+		})
 	})
 }
