Do not count the time for which a test's connection held an end as told

An end is told again for 30 s from when it was first with a kernel. One that a connection for tests took has reached no caller by that: if it was passed on after 30 s, and the connection on which it was told then closed at once, it was told no more. The time begins anew as it is passed on.

The new test failed before (0 ends wait, want 1) and passes now; so do the tests of internal/callers.

--- a/internal/callers/ends.go
+++ b/internal/callers/ends.go
@@ -166,6 +166,7 @@
 	c.sent, c.tested = nil, true
 	for _, t := range sent {
 		c.logCall(endlog.EndForTest, t.id)
+		t.firstLeftAt = time.Time{} // it has reached no caller
 		c.repeat(t)
 	}
 }
