Force the release of a call that its dispatcher holds by an earlier attempt

The mutants heldThere, releaseEarlier-ended, releaseEarlier-withdrawn and releaseEarlier-once were not found by the tests that the list names: a call that a late answer has established stays at its dispatcher, or is released with each further attempt.

The test has the earlier attempt answered while the later one is out, and that be refused or given up by its caller.

--- /dev/null
+++ b/internal/call/earlier_held_test.go
@@ -0,0 +1,48 @@
+package call
+
+import (
+	"testing"
+	"time"
+
+	"cherryrelay/control"
+)
+
+// TestACallHeldByAnEarlierAttemptIsReleased guards against a call that nobody releases at its dispatcher, by the late answer to an earlier attempt, as
+// the later one there comes to nothing; and against a second release, as a further attempt does too.
+func TestACallHeldByAnEarlierAttemptIsReleased(t *testing.T) {
+	t.Parallel()
+	for name, comesToNothing := range map[string]func(s *site, server control.ServerID){
+		"it is refused":   func(s *site, server control.ServerID) { s.core.Ended(server, "1", 1, control.Failed, false, nil) },
+		"its caller goes": func(s *site, _ control.ServerID) { s.core.GiveUp(s, "1", CauseNormal) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newSite(t)
+			s.react = func(server control.ServerID, a SetUp) {
+				delete(s.out, a.ID)
+				switch a.Attempt {
+				case 0:
+					s.ready[a.ID] = time.Now().Add(guard)
+					s.core.Ended(server, a.ID, 0, control.Reset, false, nil)
+				case 1:
+					s.core.Answered(server, a.ID, 0, "late")
+					if s.releases > 0 {
+						t.Error("the call is released while the later attempt is out")
+					}
+					comesToNothing(s, server)
+					s.core.Loop().After(10*guard, s.core.Loop().Quit)
+				default:
+					s.core.Ended(server, a.ID, a.Attempt, control.Failed, false, nil)
+				}
+			}
+			s.core.Loop().Post(func() {
+				s.list(control.Active, "a")
+				_ = s.core.Offer(Request{ID: "1", Class: "c", Deadline: time.Now().Add(time.Minute), Caller: s, Description: "x"})
+			})
+			s.core.Loop().Run()
+			if s.releases != 1 {
+				t.Errorf("%d releases after %d set-ups, want 1", s.releases, s.setUps)
+			}
+		})
+	}
+}
--- a/internal/mutants/list.go
+++ b/internal/mutants/list.go
@@ -9,7 +9,7 @@
 // connections.
 var (
 	dispatchersTests = Tests{"./internal/dispatchers", ""}
-	callTests        = Tests{"./internal/call ./internal/dispatchers", "EachEnd|AfterARefusal|CouldNotBe|TheDecisions|AsItsAttempt|ALateAnswer|TheEndOfACall|AnEnd|OfUnknown|ReleasesIn"}
+	callTests        = Tests{"./internal/call ./internal/dispatchers", "EachEnd|AfterARefusal|CouldNotBe|TheDecisions|AsItsAttempt|ALateAnswer|TheEndOfACall|AnEnd|OfUnknown|ReleasesIn|HeldBy"}
 	callOrderTests   = Tests{"./internal/call ./internal/dispatchers", "WhatIsSaid|AfterARefusal|CouldNotBe|TheDecisions|AsItsAttempt|TheEndOfACall|AnEnd|ReleasesIn"}
 	callersTests     = Tests{"./internal/callers", ""}
 	connTests        = Tests{"./internal/conn ./internal/callers ./internal/dispatchers", ""}
