Call a mutant equivalent that no release can tell from the sources

An answer that establishes a call removes its set-up from the connection, so that a release on the same connection belongs to no attempt, and the condition before it excludes it already.

--- a/internal/mutants/list_dispatchers.go
+++ b/internal/mutants/list_dispatchers.go
@@ -218,6 +218,7 @@
 			Text:        "attempt != noAttempt && answered != nil && answered != l.lifetime {",
 			Replacement: "answered != nil && answered != l.lifetime {"},
 		{Name: "keepEarly-of-another-connection", File: "internal/dispatchers/link.go", Row: "crossings.md, a connection to a dispatcher ends: closed in order by its dispatcher, on which a later attempt stands", Tests: dispatchersTests,
+			Equivalent:  "the answer that establishes a call removes its set-up from the connection: a release there belongs to no attempt",
 			Text:        "answered != nil && answered != l.lifetime {",
 			Replacement: "answered != nil {"},
 		{Name: "keepEarly-forgets", File: "internal/dispatchers/early.go", Row: "crossings.md, a connection to a dispatcher ends: closed in order by its dispatcher, on which a later attempt stands", Tests: dispatchersTests,
