--- a/internal/callers/ends_reset_test.go
+++ b/internal/callers/ends_reset_test.go
@@ -43,7 +43,7 @@
 	onLoop(f.loop, func() {
 		now := time.Now()
 		c := &Conn{front: f, conn: &endedConnection{endedAt: now, left: gone}, format: &Lines{}, asked: true}
-		c.sent = []*told{{release: release{"00000000000000a1", ended, now}, leftAt: now.Add(-left)}}
+		c.sent = []*told{{release: release{id: "00000000000000a1", end: ended, at: now, firstLeftAt: now.Add(-left)}, leftAt: now.Add(-left)}}
 		step(f, c)
 	})
 }
@@ -87,7 +87,7 @@
 // TestAnEndIsKeptAsTheNextOneIsTold guards against an end that is told to nobody, as it lay unread while the next one was sent ahead of a reset.
 func TestAnEndIsKeptAsTheNextOneIsTold(t *testing.T) {
 	onEnded(t, 2*recent, false, func(f *Front, c *Conn) {
-		c.release(release{"00000000000000a2", ended, time.Now()})
+		c.release(release{id: "00000000000000a2", end: ended, at: time.Now()})
 		if c.Closed(conn.ErrReset); f.ends.Repeated != 2 {
 			t.Errorf("%d ends are told again, want 2", f.ends.Repeated)
 		}
--- a/internal/dispatchers/evict_test.go
+++ b/internal/dispatchers/evict_test.go
@@ -26,7 +26,7 @@
 				s.do(func() { s.list(control.Active, "first") })
 				time.Sleep(time.Second)
 				if stands {
-					s.do(func() { s.offer(orderedID) })
+					s.do(func() { s.offer(orderedID, orderDeadline) })
 					s.do(func() { s.first.finalAnswer(orderedID, 200); s.first.all[0].deliver() })
 				}
 				closed := func() (closed bool) {
