Force the end of a call that was queued well before its connection closed, and never left

The mutant told-as-queued, by which the age of an end counts from when it was queued, was not found by the tests that the list names.

The test has the end queued and its connection close in order later. It fails with the mutant and passes 5 of 5 times under -race without.

--- a/internal/callers/ends_reset_test.go
+++ b/internal/callers/ends_reset_test.go
@@ -105,3 +105,16 @@
 		f.open = nil
 	})
 }
+
+// TestAnEndThatHasNotLeftAsItsConnectionCloses guards against an end that counts as read, as it was queued well before the connection closed and never
+// left.
+func TestAnEndThatHasNotLeftAsItsConnectionCloses(t *testing.T) {
+	onEnded(t, 0, false, func(f *Front, c *Conn) {
+		c.sent = nil
+		c.release(release{"00000000000000a2", ended, time.Now()})
+		c.conn = &endedConnection{endedAt: time.Now().Add(2 * recent)}
+		if c.Closed(io.EOF); f.ends.Repeated != 1 {
+			t.Errorf("%d ends are told again, want 1", f.ends.Repeated)
+		}
+	})
+}
