--- a/internal/mutants/play.go
+++ b/internal/mutants/play.go
@@ -58,6 +58,7 @@
 	Root     string        // of the module
 	Limit    time.Duration // for the tests of one mutant
 	Parallel int           // mutants that are played at once
+	Skip     string        // an expression for tests that fail without a mutant; empty for none
 }
 
 // Play plays all mutants, and calls report with each result as it is known, one at a time.
@@ -183,6 +184,9 @@
 	if tests.Run != "" {
 		args = append(args, "-run", tests.Run)
 	}
+	if p.Skip != "" {
+		args = append(args, "-skip", p.Skip)
+	}
 	return p.command(ctx, append(args, strings.Fields(tests.Packages)...)...)
 }
 
