Hand ends of calls that wait for a caller over to the successor

What callers would see: the end of a call told to nobody, where its caller had no connection open as a new version took over, or its connection was reset with the end unread after that.

Cause: such an end waits for a connection (Front.pending). Callers connect to the successor alone by then. Ends that come once it serves are told by it (Core.tellOver); those that waited stayed at the old process and were dropped as it ended.

Mend: Front.deliver, which looks at what waits each 10 ms beside a successor, leaves it to that by the way on which the others go (Core.HandOver). What the successor does not take in yet is tried again.

By reading, open: what a successor has taken and not told as it dies is lost, as before.

--- a/cmd/cherryrelay/upgrade_test.go
+++ b/cmd/cherryrelay/upgrade_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -113,6 +114,47 @@
 	})
 }
 
+// endWaits waits until the end of a call waits for a caller to connect.
+func (w *world) endWaits() {
+	w.Helper()
+	const waited = "edge_lb_ends_waited_total 1"
+	text := ""
+	for until := time.Now().Add(peer.Patience); !strings.Contains(text, waited); time.Sleep(time.Millisecond) {
+		_, text = w.operator("GET", "/api/telemetry")
+		if time.Now().After(until) {
+			w.Fatalf("no %q", waited)
+		}
+	}
+}
+
+// TestEndsThatWaitGoToTheSuccessor guards against the end of a call that is told to nobody: it waits at the old process for a caller to
+// connect, and callers connect to the new one.
+func TestEndsThatWaitGoToTheSuccessor(t *testing.T) {
+	upgrades(t, []string{
+		"d0: setup 1 x", "caller: answer 1 y", "d0: setup 2 x", "caller: release 1 16", "caller: answer 2 y",
+	}, func(old *world) {
+		gone := old.caller()
+		old.must(gone.SetUp(id(1), long, 0, "x"))
+		ends := old.gets(0)
+		old.must(ends.Answer("y"))
+		old.hears(gone)
+		old.acked(0)
+		old.must(gone.Close())
+		old.must(ends.ReleaseHere(id(1), 16))
+		old.endWaits()
+		next := old.another()
+		next.knows()
+		next.ready()
+		c := next.caller()
+		old.must(c.SetUp(id(2), long, 0, "x"))
+		e := old.gets(0)
+		old.hears(c)
+		old.must(e.Answer("y"))
+		old.hears(c)
+		old.must(<-old.done)
+	})
+}
+
 // TestASuccessorThatDies leaves the old process in service, before it was ready and after; another one may follow.
 func TestASuccessorThatDies(t *testing.T) {
 	upgrades(t, []string{
--- a/internal/call/succession.go
+++ b/internal/call/succession.go
@@ -66,11 +66,18 @@
 
 // tellOver tells a caller that a call that stood has ended; with a successor, that one does, as callers are there.
 func (c *Core) tellOver(caller Caller, id string, end End) {
+	if !c.HandOver(id, end) {
+		caller.Over(id, end)
+	}
+}
+
+// HandOver leaves the end of a call to the successor, and reports whether that has taken it. It is false without one.
+func (c *Core) HandOver(id string, end End) bool {
 	if c.relay != nil && c.relay(id, end) {
 		endlog.Call(c.log, endlog.ToSuccessor, id)
-		return
+		return true
 	}
-	caller.Over(id, end)
+	return false
 }
 
 // Standings calls f for each call that stands, in the order of their ids.
--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -82,6 +82,8 @@
 	Phase() call.Phase
 	// Superseded reports whether another process tells the ends of calls.
 	Superseded() bool
+	// HandOver leaves the end of a call to that process, and reports whether it has taken it.
+	HandOver(id string, end call.End) bool
 }
 
 // Format is the framing of one connection.
--- a/internal/callers/ends.go
+++ b/internal/callers/ends.go
@@ -27,15 +27,19 @@
 	leftAt time.Time // when all of it was with the kernel; zero until then
 }
 
-// deliver passes on the ends that have waited for a connection.
+// deliver passes on the ends that have waited for a connection. A process that has superseded this one takes them, as callers connect there.
 func (f *Front) deliver() {
 	f.dropExpired()
-	if len(f.pending) == 0 || !slices.ContainsFunc(f.open, (*Conn).hears) {
+	superseded := f.core.Superseded()
+	if len(f.pending) == 0 || !superseded && !slices.ContainsFunc(f.open, (*Conn).hears) {
 		return
 	}
 	pending := f.pending
 	f.pending = nil
 	for _, r := range pending {
+		if superseded && f.core.HandOver(r.id, r.end) {
+			continue
+		}
 		if !f.send(r) {
 			f.pending = append(f.pending, r)
 		}
