Stay for ends of calls that wait for a caller as the process drains

What callers would see: the end of a call told to nobody, where its caller had no connection open as the controller got SIGTERM, and connected again a moment later.

Cause: Core.leave asked whether set-ups are owed an answer and whether bytes are unread or unsent, but not whether ends wait for a connection (Front.pending). The process ended 0.7 s after SIGTERM and dropped them.

An end that has waited for 30 s is given up as ever. If nobody connects, the drain takes all of that time; before, it took 0.7 s.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -82,7 +82,8 @@
 	Release(id string, end End)
 	// Open is the number of its connections.
 	Open() int
-	// Quiet reports whether nothing that callers have sent waits to be taken in, and nothing to be sent to them.
+	// Quiet reports whether nothing that callers have sent waits to be taken in, and nothing to be sent to them, nor the end of a call to
+	// one that is still to connect.
 	Quiet() bool
 }
 
--- a/internal/call/drain.go
+++ b/internal/call/drain.go
@@ -59,7 +59,7 @@
 }
 
 // leave ends the loop of a controller that drains once nothing is owed, nothing new can arrive, and what has arrived is taken in: a
-// set-up may have come in time and lie unread, if this process had to wait for its core.
+// set-up may have come in time and lie unread, if this process had to wait for its core. The end of a call may wait for its caller to connect.
 func (c *Core) leave() {
 	if c.draining.IsZero() || c.left || c.owed > 0 {
 		return
--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -188,9 +188,10 @@
 // Open is the number of connections that hold a descriptor.
 func (f *Front) Open() int { return f.listener.Held() }
 
-// Quiet reports whether no connection waits to be accepted, and none has anything unread, half a message, or words that wait for the socket.
+// Quiet reports whether no end of a call waits for a caller, no connection waits to be accepted, and none has anything unread, half a message,
+// or words that wait for the socket.
 func (f *Front) Quiet() bool {
-	return !f.listener.Waiting() && !slices.ContainsFunc(f.all, func(c *Conn) bool {
+	return len(f.pending) == 0 && !f.listener.Waiting() && !slices.ContainsFunc(f.all, func(c *Conn) bool {
 		return !c.closed && (c.partial && time.Since(c.since) < wholeWithin || c.conn.Unsent() > 0 || !c.conn.Quiet() || !c.conn.AllTaken())
 	})
 }
--- a/internal/callers/ends_leave_test.go
+++ b/internal/callers/ends_leave_test.go
@@ -35,6 +35,85 @@
 	s.do(func() { s.dispatchers.ends() })
 }
 
+// connectsAgain has the caller open a connection and send a set-up there, once a time has passed.
+func (s *orderSite) connectsAgain(after time.Duration) {
+	time.Sleep(after)
+	s.do(func() { s.setUp(s.caller.opens()) })
+}
+
+// drains ends the controller as SIGTERM does, and returns when that came.
+func (s *orderSite) drains() time.Time {
+	s.do(s.core.Drain)
+	return time.Now()
+}
+
+// leavesAfter waits for the end of the loop, and checks how long after SIGTERM it came.
+func leavesAfter(t *testing.T, left <-chan struct{}, since time.Time, least, most time.Duration) {
+	t.Helper()
+	<-left
+	if took := time.Since(since); took < least || took > most {
+		t.Errorf("the controller has ended %v after SIGTERM, want %v to %v", took, least, most)
+	}
+}
+
+const (
+	// earliestEnd is how soon after SIGTERM a controller may end that owes nothing.
+	earliestEnd = 700 * time.Millisecond
+	// latestEnd is when one ends that owes something still.
+	latestEnd = 3300 * time.Millisecond
+	// soon is how long it may take until what happens shows.
+	soon = lookEvery + 50*time.Millisecond
+)
+
+// TestADrainStaysForEndsThatWait guards against the end of a call that is told to nobody: it waits for a caller to connect, and the controller
+// ends before one does.
+func TestADrainStaysForEndsThatWait(t *testing.T) {
+	const backAfter, waited = 2 * time.Second, keep - 1500*time.Millisecond
+	for name, test := range map[string]struct {
+		play        func(s *orderSite) (since time.Time)
+		heard       bool
+		least, most time.Duration
+	}{
+		"its caller connects again": {func(s *orderSite) time.Time {
+			s.endsUnheard()
+			since := s.drains()
+			s.connectsAgain(backAfter)
+			return since
+		}, true, backAfter, backAfter + recent + soon},
+		"it comes in the drain, and its caller connects again": {func(s *orderSite) time.Time {
+			since := s.drains()
+			s.endsUnheard()
+			s.connectsAgain(backAfter)
+			return since
+		}, true, backAfter, backAfter + recent + soon},
+		"nobody connects": {func(s *orderSite) time.Time {
+			s.endsUnheard()
+			return s.drains()
+		}, false, latestEnd, latestEnd + soon},
+		"nobody counts on it any more": {func(s *orderSite) time.Time {
+			s.endsUnheard()
+			time.Sleep(waited)
+			return s.drains()
+		}, false, keep - waited, keep - waited + soon},
+		"its caller has read it": {func(s *orderSite) time.Time {
+			s.do(func() { s.dispatchers.ends() })
+			return s.drains()
+		}, true, earliestEnd, earliestEnd + soon},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				s := newOrderSite(t, orderStart{})
+				left := s.callStands()
+				leavesAfter(t, left, test.play(s), test.least, test.most)
+				if s.hasRead() != test.heard {
+					t.Errorf("its end is read: %v, want %v", s.hasRead(), test.heard)
+				}
+			})
+		})
+	}
+}
+
 // TestEndsThatWaitGoToTheSuccessor guards against the end of a call that waits for a caller at a process that nobody connects to any more.
 func TestEndsThatWaitGoToTheSuccessor(t *testing.T) {
 	const relayBusyFor = 500 * time.Millisecond
