Stay for ends of calls that may cross a close as the process drains

What callers would see: the end of a call told to nobody, which was told on a connection without calls just as its caller closed that, and the controller ended before it knew of the close.

Cause: what was told is kept for 0.2 s, for the case that it crosses a close; Core.leave did not ask for that.

Mend: Front.Quiet asks for such ends (Conn.mayLoseEnd). Ends on the connection of their own call do not count: its caller holds the call for standing until it has read the end, and a controller whose calls end all the time would always take 3.3 s to drain, refusing what comes. A caller that closes or resets just that connection in that moment is left open (docs/crossings.md).

Evidence: TestADrainStaysForEndsThatCrossAClose forces it with the stand-ins, the end 2.5 ms before a process may end and its close 2.5 ms after that: told to nobody before, told to the next connection now.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -83,7 +83,7 @@
 	// Open is the number of its connections.
 	Open() int
 	// Quiet reports whether nothing that callers have sent waits to be taken in, and nothing to be sent to them, nor the end of a call to
-	// one that is still to connect.
+	// one that is still to connect or may not have read it.
 	Quiet() bool
 }
 
--- a/internal/callers/callers.go
+++ b/internal/callers/callers.go
@@ -189,10 +189,10 @@
 func (f *Front) Open() int { return f.listener.Held() }
 
 // Quiet reports whether no end of a call waits for a caller, no connection waits to be accepted, and none has anything unread, half a message,
-// or words that wait for the socket.
+// words that wait for the socket, or an end that may be lost with it.
 func (f *Front) Quiet() bool {
 	return len(f.pending) == 0 && !f.listener.Waiting() && !slices.ContainsFunc(f.all, func(c *Conn) bool {
-		return !c.closed && (c.partial && time.Since(c.since) < wholeWithin || c.conn.Unsent() > 0 || !c.conn.Quiet() || !c.conn.AllTaken())
+		return !c.closed && (c.partial && time.Since(c.since) < wholeWithin || c.conn.Unsent() > 0 || !c.conn.Quiet() || !c.conn.AllTaken() || c.mayLoseEnd())
 	})
 }
 
--- a/internal/callers/ends.go
+++ b/internal/callers/ends.go
@@ -24,7 +24,8 @@
 // told is a release that was written to a connection.
 type told struct {
 	release
-	leftAt time.Time // when all of it was with the kernel; zero until then
+	leftAt    time.Time // when all of it was with the kernel; zero until then
+	elsewhere bool      // the connection is not that of the call
 }
 
 // deliver passes on the ends that have waited for a connection. A process that has superseded this one takes them, as callers connect there.
@@ -97,7 +98,7 @@
 	})
 	for _, c := range hears {
 		if !c.gone() {
-			c.release(r)
+			c.release(r).elsewhere = true
 			return true
 		}
 	}
@@ -138,13 +139,14 @@
 
 // release sends the end of a call that stood and keeps it for a moment: callers close connections without calls, and
 // one that crosses such a close is lost.
-func (c *Conn) release(r release) {
+func (c *Conn) release(r release) *told {
 	c.logCall(endlog.EndQueued, r.id)
 	r.at = time.Now()
 	t := &told{release: r}
 	c.writeRelease(r, func() { c.reachedKernel(t) })
 	c.sent = slices.DeleteFunc(c.sent, func(o *told) bool { return !c.unheard(o) && time.Since(o.leftAt) > unreadFor })
 	c.sent = append(c.sent, t)
+	return t
 }
 
 // reachedKernel notes that all of a release has gone to the kernel.
@@ -157,6 +159,13 @@
 	c.front.ends.Told++
 }
 
+// mayLoseEnd reports whether the end of a call that was told here may be lost, as the caller closes the connection. It may do so where no call of
+// its own is; the connection of a call it keeps until it has read the end.
+func (c *Conn) mayLoseEnd() bool {
+	return c.front.core.Owes(c) == 0 && c.front.core.StandingOf(c) == 0 &&
+		slices.ContainsFunc(c.sent, func(t *told) bool { return t.elsewhere && c.unheard(t) })
+}
+
 // repeat tells the end of a call on another connection, as it may not have been read on this one.
 func (c *Conn) repeat(t *told) {
 	c.front.ends.Repeated++
--- a/internal/callers/ends_leave_test.go
+++ b/internal/callers/ends_leave_test.go
@@ -8,6 +8,7 @@
 
 	"cherryrelay/control"
 	"cherryrelay/internal/call"
+	"cherryrelay/internal/jsonl"
 )
 
 // callStands runs the loop, with a call that stands on the caller's only connection. The channel is closed once the loop has ended.
@@ -114,6 +115,66 @@
 	}
 }
 
+// opensIdle has the caller open a connection on which a set-up is refused at once: it has no call there.
+func (s *orderSite) opensIdle() *standInConnection {
+	var idle *standInConnection
+	s.do(func() { idle = s.caller.opens() })
+	s.do(func() {
+		idle.asked = true
+		idle.client.send(jsonl.Message{Type: "setup", ID: otherID, SDP: new(string), Fields: map[string]jsonl.Value{"class": "none"}})
+	})
+	return idle
+}
+
+// TestADrainStaysForEndsThatCrossAClose guards against the end of a call that is told to nobody: it is told on a connection without calls that its
+// caller is closing, and the controller ends before it knows of the close. Ends on the connections of their calls hold up no drain.
+func TestADrainStaysForEndsThatCrossAClose(t *testing.T) {
+	const endsAt, backAfter = earliestEnd - finalFlight/2, time.Second
+	ends := func(s *orderSite, first func()) {
+		time.Sleep(endsAt)
+		s.do(func() {
+			first()
+			s.dispatchers.ends()
+		})
+	}
+	for name, test := range map[string]struct {
+		play        func(s *orderSite) (since time.Time)
+		least, most time.Duration
+	}{
+		"another connection closes": {func(s *orderSite) time.Time {
+			s.do(func() { s.first.close() })
+			idle, since := s.opensIdle(), s.drains()
+			ends(s, idle.closeInFlight)
+			s.connectsAgain(backAfter)
+			return since
+		}, endsAt + backAfter, endsAt + backAfter + recent + soon},
+		"another connection stays": {func(s *orderSite) time.Time {
+			s.do(func() { s.first.close() })
+			s.opensIdle()
+			since := s.drains()
+			ends(s, func() {})
+			return since
+		}, endsAt + recent, endsAt + recent + soon},
+		"the call's own connection": {func(s *orderSite) time.Time {
+			since := s.drains()
+			ends(s, func() {})
+			return since
+		}, earliestEnd, earliestEnd + soon},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				s := newOrderSite(t, orderStart{})
+				left := s.callStands()
+				leavesAfter(t, left, test.play(s), test.least, test.most)
+				if !s.hasRead() {
+					t.Error("its end is told to nobody")
+				}
+			})
+		})
+	}
+}
+
 // TestEndsThatWaitGoToTheSuccessor guards against the end of a call that waits for a caller at a process that nobody connects to any more.
 func TestEndsThatWaitGoToTheSuccessor(t *testing.T) {
 	const relayBusyFor = 500 * time.Millisecond
