Take in what came on a connection though a write to it fails

What callers would see: the end of a call told to nobody. A dispatcher tells the end and resets the connection; something is written there before netpoll tells of the reset. The write failed (EPIPE, ECONNRESET), Conn.Flush closed the connection, and what lay in the ring, in netpoll's buffer or in the socket was discarded. Its dispatcher repeats the end on the next connection alone; one that drains may take none.

The fix drops what is queued and closes nothing: the socket is closed by its peer, so netpoll tells the end of the connection, behind what came before. Marks and tickets of what is dropped go with it, so that a release waits for the next connection and an end towards a caller is told on another one, as after any reset.

--- a/internal/conn/write.go
+++ b/internal/conn/write.go
@@ -96,6 +96,9 @@
 				time.AfterFunc(retryAfter, func() { c.loop.Post(func() { c.retries = false; c.Flush() }) })
 			}
 			return
+		case errors.Is(err, syscall.EPIPE), errors.Is(err, syscall.ECONNRESET):
+			c.dropQueued()
+			return
 		default:
 			c.Close(fmt.Errorf("writing: %w", err))
 			return
@@ -104,6 +107,13 @@
 	c.out.Empty()
 }
 
+// dropQueued drops what is queued, as the peer has ended the connection. Its end follows from netpoll, behind what the peer sent before it: a close by
+// this side would have that discarded.
+func (c *Conn) dropQueued() {
+	c.out.Discard(c.out.Len())
+	c.marks, c.left = nil, c.queued
+}
+
 // commit has what was decided kept, if it is to be, before it is told.
 func (c *Conn) commit() {
 	if l, ok := c.loop.(committer); ok {
--- a/internal/mutants/list_callers.go
+++ b/internal/mutants/list_callers.go
@@ -164,5 +164,8 @@
 			Equivalent:  "took runs them once bytes have left, and none is written after this side's end",
 			Text:        "\tc.out.Discard(c.out.Len())\n\tc.marks = nil\n",
 			Replacement: "\tc.out.Discard(c.out.Len())\n"},
+		{Name: "write-fails-and-closes", File: "internal/conn/write.go", Row: "thrown-away-as-a-write-fails.md", Tests: connTests,
+			Text:        "\t\tcase errors.Is(err, syscall.EPIPE), errors.Is(err, syscall.ECONNRESET):\n\t\t\tc.dropQueued()\n\t\t\treturn\n",
+			Replacement: ``},
 	}
 }
