Tell an end read before its answer where an earlier attempt was refused late

What callers would see: an answer, and the end of the call told to nobody. An end that comes ahead of its answer, on another connection, is kept for 0.5 s, unless an earlier attempt at the same dispatcher may have established the call: then it is dropped as ambiguous. An attempt that had been withdrawn counted as one that may have, though its dispatcher had refused it since, as it does with each set-up that is cancelled (487): Core.Ended passed over what came of an attempt that was out no more.

Evidence: TestAnEndAheadOfItsAnswerAfterALateRefusal (new), four cases: cancelled, failed and full, before the next attempt and beside it.

A refusal stands in place of the answer on the connection of its set-up, so it can't follow one: the attempt has established nothing. It is taken off the list by its number, whenever the refusal comes.

--- a/internal/call/core.go
+++ b/internal/call/core.go
@@ -62,18 +62,18 @@
 	overAt   time.Time
 
 	// Of calls that can be resumed, and of those that an earlier process had.
-	answer    string             // what the dispatcher gave
-	end       End                // how it ended
-	told      Caller             // who had its final answer
-	claimedAt time.Time          // when its caller came for it here; zero if it never did
-	orphan    *Timer             // when it is given up, or released, unless its caller comes
-	notBefore time.Duration      // no attempt before that, on the clock of now
-	parked    bool               // the module does not know it yet: it waits for its caller
-	moving    bool               // it is being given to another controller
-	ranSince  time.Time          // of the first attempt that may have run, with a selection; zero for none
-	tried     []control.ServerID // where its attempts went that may have established it, by this process; the last is the one that is out
-	overtaken *overtaking        // its end, if that came before the answer to the attempt that is out
-	heldThere bool               // the dispatcher of the attempt that is out may hold the call by an earlier attempt there
+	answer    string         // what the dispatcher gave
+	end       End            // how it ended
+	told      Caller         // who had its final answer
+	claimedAt time.Time      // when its caller came for it here; zero if it never did
+	orphan    *Timer         // when it is given up, or released, unless its caller comes
+	notBefore time.Duration  // no attempt before that, on the clock of now
+	parked    bool           // the module does not know it yet: it waits for its caller
+	moving    bool           // it is being given to another controller
+	ranSince  time.Time      // of the first attempt that may have run, with a selection; zero for none
+	tried     []triedAttempt // its attempts by this process that may have established it; the last is the one that is out
+	overtaken *overtaking    // its end, if that came before the answer to the attempt that is out
+	heldThere bool           // the dispatcher of the attempt that is out may hold the call by an earlier attempt there
 	place     *recovery.Call
 }
 
--- a/internal/call/outcomes.go
+++ b/internal/call/outcomes.go
@@ -41,7 +41,7 @@
 		endlog.Call(c.log, endlog.AnswerUnfit, id, endlog.Server(server), endlog.Attempt(attempt))
 		c.dispatchers.Release(server, id, CauseNormal)
 		c.Ended(server, id, attempt, control.Failed, false, nil)
-		k.tried = append(k.tried, server) // it was established there
+		k.tried = append(k.tried, triedAttempt{server, k.attempts - 1}) // it was established there
 		return false
 	}
 	c.note(k, recovery.Stood, func(e *recovery.Event) {
@@ -69,10 +69,13 @@
 }
 
 // Ended tells the outcome of an attempt that does not stand. The outcome of one that was withdrawn has been told
-// already, so only its report counts.
+// already: its report counts, and that it was refused.
 func (c *Core) Ended(server control.ServerID, id string, attempt int, o control.Outcome, noLine bool, report []float64) {
 	k := c.calls[id]
 	if k == nil || !k.out || k.server != server || attempt >= 0 && attempt != k.attempts-1 {
+		if k != nil && attempt >= 0 {
+			k.forgetRefused(attempt, o)
+		}
 		c.Reported(server, report)
 		return
 	}
@@ -86,7 +89,7 @@
 	if noLine {
 		c.countAsk(server, true)
 	}
-	k.forgetRefused(o)
+	k.forgetRefused(k.attempts-1, o)
 	c.noteBack(k, o)
 	c.tell(control.AttemptEnded{ID: control.CallID(id), Server: server, Attempt: k.attempts - 1, Outcome: o,
 		Elapsed: time.Since(k.sentAt), NoLine: noLine, Report: report})
--- a/internal/call/overtaken.go
+++ b/internal/call/overtaken.go
@@ -26,7 +26,7 @@
 	switch {
 	case k.overtaken != nil:
 		return endRepeated
-	case slices.Contains(k.tried[:len(k.tried)-1], k.server):
+	case slices.ContainsFunc(k.tried[:len(k.tried)-1], func(a triedAttempt) bool { return a.server == k.server }):
 		return endAmbiguous
 	}
 	return endBeforeAnswer
@@ -59,17 +59,24 @@
 	}
 }
 
+// triedAttempt is an attempt that may have established its call.
+type triedAttempt struct {
+	server control.ServerID
+	number int
+}
+
 // noteTried keeps where a call was tried, and drops the end that an earlier attempt may have had.
 func (c *Core) noteTried(k *record, server control.ServerID) {
-	k.tried = append(k.tried, server)
+	k.tried = append(k.tried, triedAttempt{server, k.attempts - 1})
 	c.dropOvertaken(k)
 }
 
-// forgetRefused drops the attempt that has just ended from those that may have established the call, if its dispatcher refused it or it never ran.
-func (k *record) forgetRefused(o control.Outcome) {
+// forgetRefused drops an attempt from those that may have established the call, if its dispatcher refused it or it never ran. A refusal
+// that comes after the attempt was withdrawn tells as much: it stands in place of the answer.
+func (k *record) forgetRefused(attempt int, o control.Outcome) {
 	switch o {
-	case control.Failed, control.Full, control.Unreachable, control.NotSent:
-		k.tried = k.tried[:len(k.tried)-1]
+	case control.Failed, control.Full, control.Unreachable, control.NotSent, control.Cancelled:
+		k.tried = slices.DeleteFunc(k.tried, func(a triedAttempt) bool { return a.number == attempt })
 	}
 }
 
