Tell an end that comes under the name of a dispatcher that had the address before

What callers would see: the end of a call told to nobody. A dispatcher takes the address of one that has gone. Until the list tells so, its process is connected to under the earlier name, and that connection stays, as it lives. Once the connection of a call at the new one has closed, the end comes on any other, and may come on that one: it counted as the end of a call at the earlier dispatcher (other_dispatcher), was confirmed, and dropped.

Evidence: TestAnEndOnAConnectionUnderAnEarlierNameIsTold (new) forces the order over the real core and pool. Without the fix the end is told 0 times, and the entry of the call is left; with it once, 3 plays of 3 with the race detector.

The end of a call that stands not at the dispatcher whose connection it comes on, but at another one with the same address, is taken for that one's. Where an attempt of the call is known on the connection it counts as before.

--- a/internal/dispatchers/link.go
+++ b/internal/dispatchers/link.go
@@ -328,6 +328,12 @@
 		if !call.ValidID(m.id) {
 			return nil
 		}
+		if o := s.holderBeside(m.id); o != nil && i == nil {
+			l.logCall(endlog.ReleaseRead, m.id, noAttempt)
+			delete(o.standing, m.id)
+			core.Released(o.ID, m.id, noAttempt, m.cause, m.report)
+			return nil
+		}
 		attempt = s.attemptReleased(m.id, attempt)
 		l.logCall(endlog.ReleaseRead, m.id, attempt)
 		core.Released(s.ID, m.id, attempt, m.cause, m.report)
@@ -360,3 +366,17 @@
 	}
 	return attempt
 }
+
+// holderBeside is another dispatcher at this one's address at which a call stands that does not stand here; nil if there is none. Before the list told
+// of it, its process may have been connected to under this one's name, and it tells the ends of its calls on any connection.
+func (s *server) holderBeside(id string) *server {
+	if s.standing[id] != nil {
+		return nil
+	}
+	for _, o := range s.pool.at[s.Address] {
+		if o != s && o.standing[id] != nil {
+			return o
+		}
+	}
+	return nil
+}
