Keep a connection whose answer waits for a full socket until its caller must have given up

A caller that stood still for a moment, with its socket full, had no final answer: its connection made room for a newer one, or was closed as idle or as a successor serves, with the answer queued.

Cause: Front.makeRoom and Front.look ask whether something of the caller's is unread here (Quiet, AllTaken), not whether something for it waits for a socket that takes no more (Unsent). An end of an established call is told on another connection then, an answer is not.

Mend: Conn.holdsAnswer flushes, and where bytes are left keeps the connection until the deadline of the last set-up on it (at most that of its class). After that it goes as any other; 64 KiB unread still close it. So a stalled reader keeps no room for good: the bound is the set-up's time, where it was nothing (room) and 5 s (idle).

The judge of the search of orders excused no final answer wherever the connection was closed with its socket full (cutShort). It excuses now only a close after the caller's own time is over (cutLate), which is stricter.

Open, by reading: the refusal of a set-up that makes no sense, and Conn.mayLeave beyond the bound.

--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -35,8 +35,9 @@
 	turnedAway bool      // a set-up has been refused for that
 	since      time.Time // when it connected or, if later, the message that is not whole began
 	usedAt     time.Time
-	sent       []*told // lately, of calls that stood
-	reset      bool    // it has ended by a reset, or may have
+	awaited    time.Time // until when a caller may wait here for a final answer
+	sent       []*told   // lately, of calls that stood
+	reset      bool      // it has ended by a reset, or may have
 }
 
 // Data takes in what callers have sent.
@@ -141,6 +142,7 @@
 		claim := call.Claim{Caller: c, ID: m.ID, Token: string(m.Fields["token"]), Answered: m.Fields["answered"] == "1"}
 		if left, err := m.Int("left"); err == nil && left >= 0 && left <= longest.Milliseconds() {
 			claim.By = at.Add(time.Duration(left) * time.Millisecond)
+			c.awaitsAnswer(claim.By)
 		}
 		return c.front.core.Claim(claim)
 	case "ping":
@@ -176,6 +178,7 @@
 		return nil
 	}
 	r.Caller = c
+	c.awaitsAnswer(r.Deadline)
 	if c.refusesOverflow() {
 		c.front.core.TurnAway(r)
 		return nil
--- a/internal/callers/orders_test.go
+++ b/internal/callers/orders_test.go
@@ -48,6 +48,7 @@
 	setUps      int                // sent on other connections
 	faults      []string
 
+	givesUpAt   time.Time     // when the caller waits for an answer no more
 	answered    bool          // an answer was written: the call has stood
 	endedAt     time.Time     // at its dispatcher
 	disturbedAt time.Time     // the last event that is more than time that passes
@@ -115,7 +116,9 @@
 // setUp sends the set-up of the call, or of another one that is never answered.
 func (s *orderSite) setUp(on *standInConnection) {
 	id := orderedID
-	if on != s.first {
+	if on == s.first {
+		s.givesUpAt = time.Now().Add(orderDeadline)
+	} else {
 		s.setUps++
 		id = fmt.Sprintf("00000000000000d%d", s.setUps)
 	}
@@ -382,10 +385,10 @@
 	return slices.ContainsFunc(s.ends, endRead.counts)
 }
 
-// check checks that the end of what was established was told, in time, and the final answer, unless it waited for a kernel that took nothing as
-// this side closed the connection.
+// check checks that the end of what was established was told, in time, and the final answer, unless it waited for a kernel that took nothing until
+// the caller's time was over.
 func (s *orderSite) check() {
-	if s.finals > 1 || s.finals == 0 && !s.first.left && !s.first.cutShort {
+	if s.finals > 1 || s.finals == 0 && !s.first.left && !s.first.cutLate {
 		s.fault("%d final answers", s.finals)
 	}
 	if s.deafFor >= keep || s.discarded { // nobody counts on it any more, or it was there to be read
@@ -503,6 +506,10 @@
 		"a close crosses the end and is shown late":                           {established, "uxe3"},
 		"a close behind other words crosses the end and is shown late":        {established, "uice3"},
 		"a close crosses the end, and is on its way as nothing is shown more": {established, "xeu3"},
+		"an answer has not left as its connection makes room":                 {orderStart{}, "faq"},
+		"an answer and its end have not left as their connection makes room":  {orderStart{}, "fEq"},
+		"an answer has not left as a new connection needs room":               {orderStart{}, "falb"},
+		"an answer and its end have not left as their connection is idle":     {orderStart{}, "fE43333"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/callers/room.go
+++ b/internal/callers/room.go
@@ -66,13 +66,13 @@
 	return f.scarce || f.bounds.Connections > 0 && len(f.all) > f.bounds.Connections
 }
 
-// makeRoom closes the connection that is missed least, and the oldest of these. If each is needed, or too new to tell, the newest stays,
-// within Most, until its set-ups have been refused.
+// makeRoom closes the connection that is missed least, and the oldest of these. If each is needed, holds an answer that may still be read, or is too
+// new to tell, the newest stays, within Most, until its set-ups have been refused.
 func (f *Front) makeRoom(newest *Conn) {
 	var least *Conn
 	now := time.Now()
 	for _, c := range f.all {
-		if c.closed || c == newest || c.partial || f.core.Owes(c) > 0 {
+		if c.closed || c == newest || c.partial || f.core.Owes(c) > 0 || c.holdsAnswer(now) {
 			continue
 		}
 		better := -1
@@ -109,6 +109,7 @@
 		case c.closed:
 		case c.partial && now.Sub(c.since) > silent:
 			c.cutShort()
+		case c.holdsAnswer(now): // its caller may read on in time
 		case c.overflow && f.listener.Full() && now.Sub(c.since) > overflowFor:
 			c.leaveOverflow()
 		case closing && f.core.Owes(c) == 0 && (f.core.StandingOf(c) == 0 || f.core.Superseded()) && now.Sub(c.since) > settle &&
@@ -125,6 +126,23 @@
 	f.loop.After(pace, f.look)
 }
 
+// awaitsAnswer notes that a caller waits here for a final answer until then.
+func (c *Conn) awaitsAnswer(until time.Time) {
+	if until.After(c.awaited) {
+		c.awaited = until
+	}
+}
+
+// holdsAnswer reports whether something waits for a socket that takes no more while a caller may still wait for a final answer here, which would be
+// thrown away with the connection. A caller that stands still holds its connection until it must have given up, and no longer.
+func (c *Conn) holdsAnswer(now time.Time) bool {
+	if c.conn.Unsent() == 0 || now.After(c.awaited) {
+		return false
+	}
+	c.conn.Flush()
+	return c.conn.Unsent() > 0
+}
+
 // refusesOverflow reports whether set-ups on the connection are refused, as there is no room for it.
 func (c *Conn) refusesOverflow() bool {
 	if c.overflow && !c.front.crowded() {
--- a/internal/callers/standin_test.go
+++ b/internal/callers/standin_test.go
@@ -270,7 +270,7 @@
 	callerClosed bool
 	halfClosed   bool
 	left         bool // the caller has ended its side, and not as the controller did
-	cutShort     bool // the controller has closed it with words waiting for a kernel that took nothing
+	cutLate      bool // the controller has closed it with words waiting for a kernel that took nothing, as the caller's time was over
 
 	// The controller's side.
 	unread   bytes.Buffer // in the kernel
@@ -504,7 +504,7 @@
 	if !s.caller.full && !s.rst {
 		s.leaves()
 	}
-	s.cutShort = len(s.out) > 0
+	s.cutLate = len(s.out) > 0 && time.Now().After(s.caller.site.givesUpAt)
 	s.closed = true
 	s.end(reason)
 	s.caller.reads()
