Have the only connection to a dispatcher that drains make room last, where calls stand there

Where descriptors are few, calls that stood at a dispatcher that drains were cut off from here: told as cut, or their ends told to nobody, and held on there.

Cause: of the connections to dispatchers with calls links.Evict takes the one that was used least recently, as its dispatcher can be connected to again. One that drains takes no new connections (docs/incidents/last-connection-given-up.md), and gets no set-ups, so it is the first to go. The next dial is refused, or never comes.

Mend: it has a rank of its own, behind all others that may go.

Evidence: TestTheOnlyConnectionToADispatcherThatDrainsMakesRoomLast failed before ("0 connections", "0 ends are told as its dispatcher has told one"), and passes.

Change to a test: TestEvict lists connections in the order in which they go. The one of a dispatcher that drains with calls stood ahead of the others with calls by its UsedAt alone; that order was the fault. It stands last now, still with the earliest UsedAt, so that the rank shows, and one more row has it stay until it is settled.

TestAReleaseThatHasNotLeftAsItsConnectionMakesRoom passed before as well: a release in the queue of an evicted connection goes out on the next one (link.keepUnconfirmed), where the dispatcher can be connected to.

Open: where no other connection can make room it goes as before.

--- a/internal/decide/links/budget.go
+++ b/internal/decide/links/budget.go
@@ -77,6 +77,8 @@
 		return 2, true
 	case !c.Standing:
 		return 3, true
+	case c.Drains: // one that drains may take no new connection, and there would be no way to its calls
+		return 6, rested
 	}
 	return 5, rested
 }
@@ -86,7 +88,7 @@
 func (p Purpose) highest(without time.Duration) int {
 	switch {
 	case p == SetUp, p == Standing && without >= withoutFor:
-		return 5
+		return 6
 	case p == Standing:
 		return 3
 	case p == Ahead:
--- a/internal/decide/links/budget_test.go
+++ b/internal/decide/links/budget_test.go
@@ -32,15 +32,16 @@
 		{Sole: true, UsedAt: now.Add(-time.Minute)},
 		{Sole: true, UsedAt: now.Add(-time.Second)},
 		{HalfClosed: true, Standing: true, Since: now.Add(-settled), UsedAt: start},
-		{Drains: true, Sole: true, Standing: true, Since: now.Add(-settled), UsedAt: start},
 		{Sole: true, Standing: true, Since: now.Add(-settled), UsedAt: now.Add(-time.Second)},
 		{Sole: true, Standing: true, Heard: true, Since: now.Add(-settledHeard), UsedAt: now},
+		{Drains: true, Sole: true, Standing: true, Since: now.Add(-settled), UsedAt: start},
 	}
 	kept := []Connection{
 		{SetUps: 1}, {Sole: true, SetUps: 2, Standing: true}, {Drains: true, SetUps: 1},
 		{Sole: true, Standing: true, Since: now.Add(-settled + 1)},
 		{HalfClosed: true, Standing: true, Heard: true, Since: now.Add(-settled + 1)},
 		{Sole: true, Standing: true, Heard: true, Since: now.Add(-settledHeard + 1)},
+		{Drains: true, Sole: true, Standing: true, Since: now.Add(-settled + 1)},
 	}
 	for _, test := range []struct {
 		purpose Purpose
--- a/internal/dispatchers/evict_test.go
+++ b/internal/dispatchers/evict_test.go
@@ -70,3 +70,66 @@
 		}
 	})
 }
+
+// TestAReleaseThatHasNotLeftAsItsConnectionMakesRoom guards against a call that its dispatcher holds and nobody releases, as the release was queued on a
+// connection that made room and whose socket was full.
+func TestAReleaseThatHasNotLeftAsItsConnectionMakesRoom(t *testing.T) {
+	t.Parallel()
+	makesRoom := event("the connection with the release makes room", 0, func(s *orderSite) {
+		for _, l := range s.pool.servers["first"].links {
+			if l.conn.Unsent() > 0 {
+				l.evict()
+				return
+			}
+		}
+		s.fault("no release waits")
+	})
+	for name, test := range map[string]namedOrder{
+		"the only connection":                            {orderStart{called: true}, "jc"},
+		"the only connection, where another call stands": {orderStart{called: true}, "mjc"},
+		"one of two":                            {orderStart{called: true, links: 2}, "jc"},
+		"one of two, where another call stands": {orderStart{called: true, links: 2}, "mjc"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			order := append(spelledOrder(test.order), makesRoom)
+			if result := test.start.play(t, order); !result.possible || len(result.faults) > 0 {
+				t.Errorf("possible: %v: %s", result.possible, strings.Join(result.faults, "; "))
+			}
+		})
+	}
+}
+
+// TestTheOnlyConnectionToADispatcherThatDrainsMakesRoomLast guards against calls that are cut as they stand, and whose ends are told to nobody, as the
+// only connection to their dispatcher, which takes no new ones, makes room while another one could.
+func TestTheOnlyConnectionToADispatcherThatDrainsMakesRoomLast(t *testing.T) {
+	t.Parallel()
+	withSite(t, orderStart{second: true}, func(s *orderSite) {
+		s.establish(orderedID)
+		s.do(func() {
+			s.list(control.Draining, "first")
+			s.first.listens = false
+			s.list(control.Active, "second")
+		})
+		time.Sleep(time.Second)
+		s.do(func() { s.offer(otherID, orderDeadline) })
+		time.Sleep(time.Second)
+		s.do(func() {
+			if !s.knows(otherID, "second") {
+				t.Error("no call stands at the other dispatcher")
+			}
+			s.pool.Budget(1)
+		})
+		time.Sleep(evictedFor + checkEvery)
+		s.do(func() {
+			if !s.knows(orderedID, "first") || len(s.pool.servers["first"].links) != 1 {
+				t.Errorf("%d ends are told of the call as it stands; %d connections", s.calls[orderedID].overs, len(s.pool.servers["first"].links))
+			}
+			s.end(s.first, orderedID)
+		})
+		s.pass(onItsWay + arrivalStep)
+		if c := s.calls[orderedID]; c.overs != 1 {
+			t.Errorf("%d ends are told as its dispatcher has told one", c.overs)
+		}
+	})
+}
