Have a connection with a release queued make room as one of a dispatcher with calls

A dispatcher that drains held a call that its caller had ended, and nobody released it. Callers saw nothing.

Cause: the call counts as over once its release is queued, so nothing seems to stand at the dispatcher, and the only connection to it makes room before nearly all others, with the release in its queue. The release is kept for the next connection, which such a dispatcher does not take.

Mend: a connection with a release that has not left, or may not have been heard, counts as one where calls stand (link.owesRelease). One is forgotten as it is confirmed, or as something is heard well after it.

Open: where no other connection can make room.

--- a/internal/dispatchers/budget.go
+++ b/internal/dispatchers/budget.go
@@ -141,7 +141,7 @@
 	return links.Connection{
 		Drains: s.Status != control.Active || s.replaced, Sole: len(s.links) == 1, HalfClosed: l.givenUp(),
 		Heard: l.heardAt.After(l.openedAt), SetUps: len(l.invites),
-		Standing: s.pool.standingAt(s.ID, now) > 0, Since: l.since, UsedAt: l.usedAt,
+		Standing: s.pool.standingAt(s.ID, now) > 0 || l.owesRelease(), Since: l.since, UsedAt: l.usedAt,
 	}
 }
 
--- a/internal/dispatchers/evict_test.go
+++ b/internal/dispatchers/evict_test.go
@@ -133,3 +133,38 @@
 		}
 	})
 }
+
+// TestAConnectionWithAReleaseToADispatcherThatDrainsMakesRoomLast guards against a call that its dispatcher holds and nobody releases, as the release
+// waits on the only connection there, which makes room while another one could, and no other can be opened.
+func TestAConnectionWithAReleaseToADispatcherThatDrainsMakesRoomLast(t *testing.T) {
+	t.Parallel()
+	withSite(t, orderStart{second: true}, func(s *orderSite) {
+		s.establish(orderedID)
+		s.do(func() {
+			s.list(control.Draining, "first")
+			s.first.listens = false
+			s.list(control.Active, "second")
+		})
+		time.Sleep(time.Second)
+		s.do(func() { s.offer(otherID, orderDeadline) })
+		time.Sleep(time.Second)
+		s.do(func() {
+			s.first.all[0].full = true
+			s.cancel(orderedID)
+		})
+		time.Sleep(2 * checkEvery)
+		s.do(func() {
+			if !s.knows(otherID, "second") || s.first.all[0].Unsent() == 0 {
+				t.Error("no call stands at the other dispatcher, or no release waits")
+			}
+			s.pool.Budget(1)
+		})
+		time.Sleep(evictedFor + checkEvery)
+		s.do(s.first.all[0].flows)
+		s.do(func() {
+			if _, held := s.first.established[orderedID]; held {
+				t.Error("the dispatcher holds the call")
+			}
+		})
+	})
+}
--- a/internal/dispatchers/release.go
+++ b/internal/dispatchers/release.go
@@ -133,6 +133,12 @@
 	return true
 }
 
+// owesRelease reports whether the release of a call that is known to be at the dispatcher has not left, or may not have been heard.
+func (l *link) owesRelease() bool {
+	l.forgetDelivered()
+	return slices.ContainsFunc(l.unconfirmed, func(r *sentRelease) bool { return r.here })
+}
+
 // release ends a call that stands at the dispatcher, or may. It is kept until the dispatcher has confirmed it.
 func (l *link) release(r release) {
 	if !l.writable() {
