Tell the faults of a failed play ahead of its log, and bound the log

What fails a play is as before; what is taken out of the middle of a longer log is counted in its place.

--- a/cmd/cherryrelay/replacement_soak_test.go
+++ b/cmd/cherryrelay/replacement_soak_test.go
@@ -418,9 +418,8 @@
 	t.Logf("seed %d: %d ends judged, %d of calls tried again at their dispatcher, %d answers crossed a give-up, %d connections given up as dead, %v in all; %v; %v",
 		seed, r.ends, r.again, r.crossed, strings.Count(r.log, "open but dead"), time.Since(begun).Round(time.Millisecond), r.counts, &s)
 	if len(r.faults) > 0 {
-		t.Logf("the log of the process:\n%s", r.log)
-		t.Errorf("%d faults; again with `make soak SOAK=SoakReplacements SEEDS=1 FIRST=%d`\n%s", len(r.faults), seed,
-			strings.Join(r.faults[:min(len(r.faults), 12)], "\n"))
+		again := fmt.Sprintf("again with `make soak SOAK=SoakReplacements SEEDS=1 FIRST=%d`", seed)
+		t.Error(failureReport(again, r.faults, r.log))
 	}
 	return r.ends
 }
--- a/cmd/cherryrelay/shutdown_soak_test.go
+++ b/cmd/cherryrelay/shutdown_soak_test.go
@@ -455,9 +455,8 @@
 					t.Errorf("ready %v after a kill", r.readyAgain)
 				}
 				if len(r.faults) > 0 {
-					t.Logf("the log of the process:\n%s", r.log)
-					t.Errorf("%d faults; again with `make soak SEEDS=1 FIRST=%d`; %v\n%s", len(r.faults), seed, scenario.kinds(),
-						strings.Join(r.faults[:min(len(r.faults), 12)], "\n"))
+					again := fmt.Sprintf("again with `make soak SEEDS=1 FIRST=%d`; %v", seed, scenario.kinds())
+					t.Error(failureReport(again, r.faults, r.log))
 				}
 			})
 		}
