Split the long functions of the etcd stand-in

What is done, and in which order, is unchanged.

`go test -race` passed for internal/store, internal/membership and internal/lists/etcd, which use it.

--- a/internal/store/watch.go
+++ b/internal/store/watch.go
@@ -21,119 +21,169 @@
 	next int64
 }
 
+// watchStream is one stream with its watches.
+type watchStream struct {
+	etcdserverpb.Watch_WatchServer
+	s      *Store
+	all    []*watching
+	nextID int64
+}
+
 // Watch serves any number of watches on one stream. One goroutine reads what the client asks; the stream's own sends.
 func (w watch) Watch(stream etcdserverpb.Watch_WatchServer) error {
-	s := w.s
 	ctx, cancel := context.WithCancel(stream.Context())
 	defer cancel()
 	asked := make(chan *etcdserverpb.WatchRequest)
 	go func() {
 		defer cancel()
-		for {
-			r, err := stream.Recv()
-			if err != nil {
-				return
-			}
-			select {
-			case asked <- r:
-			case <-ctx.Done():
-				return
-			}
-		}
-	}()
-	var all []*watching
-	nextID := int64(0)
-	defer func() {
-		s.mu.Lock()
-		s.watchers -= len(all)
-		s.mu.Unlock()
+		forward(ctx, stream, asked)
 	}()
+	served := &watchStream{Watch_WatchServer: stream, s: w.s}
+	defer served.end()
 	for {
-		if err := s.enter(ctx); err != nil {
+		changed, err := served.notify(ctx)
+		if err != nil {
 			return err
 		}
-		late := s.faults.Late
-		var out []*etcdserverpb.WatchResponse
-		kept := all[:0]
-		for _, one := range all {
-			resp, ended := s.news(one)
-			if resp != nil {
-				out = append(out, resp)
-			}
-			if ended {
-				s.watchers--
-			} else {
-				kept = append(kept, one)
-			}
-		}
-		all = kept
-		changed := s.changed
-		s.mu.Unlock()
-		if len(out) > 0 {
-			if err := sleep(ctx, late); err != nil {
-				return err
-			}
-		}
-		for _, resp := range out {
-			if err := stream.Send(resp); err != nil {
-				return err
-			}
-		}
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-changed:
 		case r := <-asked:
-			if err := s.enter(ctx); err != nil {
+			if err := served.answer(ctx, r); err != nil {
 				return err
 			}
-			var resp *etcdserverpb.WatchResponse
-			switch {
-			case r.GetCreateRequest() != nil:
-				s.counts.Watches++
-				one := &watching{id: nextID, r: r.GetCreateRequest(), next: r.GetCreateRequest().StartRevision}
-				if one.next == 0 {
-					one.next = s.revision + 1
-				}
-				nextID++
-				all = append(all, one)
-				s.watchers++
-				resp = &etcdserverpb.WatchResponse{Header: s.header(), WatchId: one.id, Created: true}
-			case r.GetCancelRequest() != nil:
-				id := r.GetCancelRequest().WatchId
-				for i, one := range all {
-					if one.id == id {
-						all = append(all[:i], all[i+1:]...)
-						s.watchers--
-						break
-					}
-				}
-				resp = &etcdserverpb.WatchResponse{Header: s.header(), WatchId: id, Canceled: true}
-			case r.GetProgressRequest() != nil && !s.faults.Deaf:
-				s.counts.Progress++
-				// As etcd does: for all watches of the stream at once, and only when none of them is behind.
-				resp = &etcdserverpb.WatchResponse{Header: s.header(), WatchId: -1}
-				for _, one := range all {
-					if one.next <= s.revision && s.has(one) {
-						resp = nil
-						break
-					}
-				}
-			}
-			late := s.faults.Late
-			s.mu.Unlock()
-			if err := sleep(ctx, late); err != nil {
-				return err
-			}
-			if resp != nil {
-				if err := stream.Send(resp); err != nil {
-					return err
-				}
-			}
 		}
 	}
 }
 
+// forward passes on what the client asks, until the stream ends.
+func forward(ctx context.Context, stream etcdserverpb.Watch_WatchServer, asked chan<- *etcdserverpb.WatchRequest) {
+	for {
+		r, err := stream.Recv()
+		if err != nil {
+			return
+		}
+		select {
+		case asked <- r:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// end takes the watches of the stream off the count.
+func (w *watchStream) end() {
+	w.s.mu.Lock()
+	w.s.watchers -= len(w.all)
+	w.s.mu.Unlock()
+}
+
+// notify tells all watches what is new. Changed is closed when there is more.
+func (w *watchStream) notify(ctx context.Context) (changed <-chan struct{}, err error) {
+	s := w.s
+	if err := s.enter(ctx); err != nil {
+		return nil, err
+	}
+	late := s.faults.Late
+	out := w.news()
+	changed = s.changed
+	s.mu.Unlock()
+	if len(out) > 0 {
+		if err := sleep(ctx, late); err != nil {
+			return nil, err
+		}
+	}
+	for _, resp := range out {
+		if err := w.Send(resp); err != nil {
+			return nil, err
+		}
+	}
+	return changed, nil
+}
+
+// news is what there is to tell; watches that end by it are taken out.
+func (w *watchStream) news() (out []*etcdserverpb.WatchResponse) {
+	kept := w.all[:0]
+	for _, one := range w.all {
+		resp, ended := w.s.news(one)
+		if resp != nil {
+			out = append(out, resp)
+		}
+		if ended {
+			w.s.watchers--
+		} else {
+			kept = append(kept, one)
+		}
+	}
+	w.all = kept
+	return out
+}
+
+// answer does what the client asks.
+func (w *watchStream) answer(ctx context.Context, r *etcdserverpb.WatchRequest) error {
+	s := w.s
+	if err := s.enter(ctx); err != nil {
+		return err
+	}
+	var resp *etcdserverpb.WatchResponse
+	switch {
+	case r.GetCreateRequest() != nil:
+		resp = w.create(r.GetCreateRequest())
+	case r.GetCancelRequest() != nil:
+		resp = w.cancel(r.GetCancelRequest().WatchId)
+	case r.GetProgressRequest() != nil && !s.faults.Deaf:
+		resp = w.progress()
+	}
+	late := s.faults.Late
+	s.mu.Unlock()
+	if err := sleep(ctx, late); err != nil {
+		return err
+	}
+	if resp == nil {
+		return nil
+	}
+	return w.Send(resp)
+}
+
+// create begins a watch.
+func (w *watchStream) create(r *etcdserverpb.WatchCreateRequest) *etcdserverpb.WatchResponse {
+	s := w.s
+	s.counts.Watches++
+	one := &watching{id: w.nextID, r: r, next: r.StartRevision}
+	if one.next == 0 {
+		one.next = s.revision + 1
+	}
+	w.nextID++
+	w.all = append(w.all, one)
+	s.watchers++
+	return &etcdserverpb.WatchResponse{Header: s.header(), WatchId: one.id, Created: true}
+}
+
+// cancel ends a watch, if there is one of that number.
+func (w *watchStream) cancel(id int64) *etcdserverpb.WatchResponse {
+	for i, one := range w.all {
+		if one.id == id {
+			w.all = append(w.all[:i], w.all[i+1:]...)
+			w.s.watchers--
+			break
+		}
+	}
+	return &etcdserverpb.WatchResponse{Header: w.s.header(), WatchId: id, Canceled: true}
+}
+
+// progress answers as etcd does: for all watches of the stream at once, and only when none of them is behind; nil otherwise.
+func (w *watchStream) progress() *etcdserverpb.WatchResponse {
+	s := w.s
+	s.counts.Progress++
+	for _, one := range w.all {
+		if one.next <= s.revision && s.has(one) {
+			return nil
+		}
+	}
+	return &etcdserverpb.WatchResponse{Header: s.header(), WatchId: -1}
+}
+
 // news is what a watch has to be told, and whether that ends it.
 func (s *Store) news(w *watching) (resp *etcdserverpb.WatchResponse, ended bool) {
 	if w.next <= s.compacted {
