Split the long functions of the test peers

Caller.NextWithin, link.serve and link.serveSIP: reading one message, the opening of the call-control API, and what a request of SIP tells are functions of their own. What is sent and told, and in which order, is unchanged.

`go test -race` passed for internal/trial, and for TestKilledAgainAndAgain (over both transports), TestKilledInTheWaitBeforeAResend, TestThirtyStartAtOnce and TestReplacements in cmd/cherryrelay.

--- a/internal/peer/caller.go
+++ b/internal/peer/caller.go
@@ -92,23 +92,7 @@
 		return nil, err
 	}
 	for {
-		var m *jsonl.Message
-		var err error
-		if c.ws {
-			var f *websocket.Message
-			if f, err = c.dec.Next(c.in); f != nil {
-				switch f.Op {
-				case websocket.Text:
-					m, err = jsonl.Parse(f.Payload)
-				case websocket.Close:
-					return nil, &websocket.Error{Code: f.Code, Text: "closed by the controller"}
-				default:
-					continue
-				}
-			}
-		} else {
-			m, err = c.line.Next(c.in)
-		}
+		m, err := c.parse()
 		if m != nil || err != nil {
 			return m, err
 		}
@@ -118,6 +102,25 @@
 	}
 }
 
+// parse is the next message of what has come; nil if that is not whole yet.
+func (c *Caller) parse() (*jsonl.Message, error) {
+	if !c.ws {
+		return c.line.Next(c.in)
+	}
+	for {
+		f, err := c.dec.Next(c.in)
+		if f == nil {
+			return nil, err
+		}
+		switch f.Op {
+		case websocket.Text:
+			return jsonl.Parse(f.Payload)
+		case websocket.Close:
+			return nil, &websocket.Error{Code: f.Code, Text: "closed by the controller"}
+		}
+	}
+}
+
 // CloseWrite ends the caller's side alone.
 func (c *Caller) CloseWrite() error {
 	tcp, ok := c.Conn.(*net.TCPConn)
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -28,23 +28,8 @@
 }
 
 func (d *Dispatcher) serve(l *link) {
-	if d.ws {
-		for {
-			response, err := websocket.Accept(l.in, Path)
-			if response != nil {
-				_ = l.write(response)
-			}
-			if err != nil {
-				_ = l.Close()
-				return
-			}
-			if response != nil {
-				break
-			}
-			if l.more() != nil {
-				return
-			}
-		}
+	if d.ws && !l.open() {
+		return
 	}
 	d.mu.Lock()
 	_ = l.write(d.state())
@@ -67,6 +52,26 @@
 	}
 }
 
+// open takes the opening of the call-control API. It reports false if there is none.
+func (l *link) open() bool {
+	for {
+		response, err := websocket.Accept(l.in, Path)
+		if response != nil {
+			_ = l.write(response)
+		}
+		if err != nil {
+			_ = l.Close()
+			return false
+		}
+		if response != nil {
+			return true
+		}
+		if l.more() != nil {
+			return false
+		}
+	}
+}
+
 func (l *link) serveAPI() {
 	dec := websocket.Decoder{Masked: true}
 	for {
@@ -107,31 +112,42 @@
 			}
 			continue
 		}
-		e := Event{ID: m.CallID, seq: m.Seq}
-		switch m.Method {
-		case "INVITE":
-			ms, _ := strconv.Atoi(m.Get("P-Time-Left"))
-			key, _, _ := strings.Cut(strings.TrimPrefix(m.URI, "sip:"), "@")
-			e.Kind, e.Class, e.Key, e.Description = "setup", m.Get("P-Kind"), key, string(m.Body)
-			e.Left = time.Duration(ms) * time.Millisecond
-		case "CANCEL": // a release of a set-up, as the API has it
-			e.Kind, e.Cause = "release", 16
-		case "BYE":
-			_, text, _ := strings.Cut(m.Get("Reason"), "cause=")
-			e.Kind = "release"
-			e.Cause, _ = strconv.Atoi(text)
-			_ = l.write(sip.Append(nil, &sip.Message{Status: 200, Phrase: "OK", CallID: m.CallID, Seq: m.Seq, SeqOf: "BYE"}))
-		case "OPTIONS":
-			e.Kind = "probe"
-		case "ACK":
-			e.Kind = "ack"
-		default:
+		e, ok := eventOf(m)
+		if !ok {
 			continue
 		}
+		if m.Method == "BYE" {
+			_ = l.write(sip.Append(nil, &sip.Message{Status: 200, Phrase: "OK", CallID: m.CallID, Seq: m.Seq, SeqOf: "BYE"}))
+		}
 		l.tell(e)
 	}
 }
 
+// eventOf is what a request of SIP tells; false if it is none that is known.
+func eventOf(m *sip.Message) (e Event, ok bool) {
+	e = Event{ID: m.CallID, seq: m.Seq}
+	switch m.Method {
+	case "INVITE":
+		ms, _ := strconv.Atoi(m.Get("P-Time-Left"))
+		key, _, _ := strings.Cut(strings.TrimPrefix(m.URI, "sip:"), "@")
+		e.Kind, e.Class, e.Key, e.Description = "setup", m.Get("P-Kind"), key, string(m.Body)
+		e.Left = time.Duration(ms) * time.Millisecond
+	case "CANCEL": // a release of a set-up, as the API has it
+		e.Kind, e.Cause = "release", 16
+	case "BYE":
+		_, text, _ := strings.Cut(m.Get("Reason"), "cause=")
+		e.Kind = "release"
+		e.Cause, _ = strconv.Atoi(text)
+	case "OPTIONS":
+		e.Kind = "probe"
+	case "ACK":
+		e.Kind = "ack"
+	default:
+		return Event{}, false
+	}
+	return e, true
+}
+
 func (l *link) tell(e Event) {
 	e.At, e.link = time.Now(), l
 	if e.Kind == "ack" {
