Name the connections that are left in a test of evictions

TestEvictBounds built the same list twice, one time to ask and one time to look at the answer. Checks are as they were: 23 calls of t.Error, Errorf, Fatal and Fatalf in the package's tests before and after, 23 rows of tables.

`go test -race ./internal/decide/links` passed.

--- a/internal/decide/links/budget_test.go
+++ b/internal/decide/links/budget_test.go
@@ -1,6 +1,7 @@
 package links
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -107,8 +108,9 @@
 		case purpose == Ahead && !c.Drains && !c.HalfClosed:
 			t.Fatal("a live dispatcher's makes room for what nobody needs yet")
 		}
-		if j := Evict(now, purpose, without, append(append([]Connection(nil), connections[:i]...), connections[i+1:]...)); j >= 0 {
-			other := append(append([]Connection(nil), connections[:i]...), connections[i+1:]...)[j]
+		others := slices.Delete(slices.Clone(connections), i, i+1)
+		if j := Evict(now, purpose, without, others); j >= 0 {
+			other := others[j]
 			a, _ := c.rank(now)
 			if b, _ := other.rank(now); b < a || b == a && other.UsedAt.Before(c.UsedAt) {
 				t.Fatal("one that is missed less is kept")
