--- a/internal/mutants/mutants_test.go
+++ b/internal/mutants/mutants_test.go
@@ -48,18 +48,20 @@
 func TestAListWithFaultsIsRefused(t *testing.T) {
 	t.Parallel()
 	root := tinyModule(t)
+	inAdd := func(text, replacement string) Mutant {
+		return Mutant{Name: "m", File: "add.go", Text: text, Replacement: replacement}
+	}
 	for name, test := range map[string]struct {
 		list []Mutant
 		want error
 	}{
-		"a text that is not there":   {[]Mutant{{Name: "m", File: "add.go", Text: "a - b", Replacement: "0"}}, ErrNoText},
-		"no text":                    {[]Mutant{{Name: "m", File: "add.go", Replacement: "0"}}, ErrNoText},
-		"a text that is there twice": {[]Mutant{{Name: "m", File: "add.go", Text: "return", Replacement: "panic"}}, ErrAmbiguous},
-		"a replacement that is none": {[]Mutant{{Name: "m", File: "add.go", Text: "a + b", Replacement: "a + b"}}, ErrUnchanged},
+		"a text that is not there":   {[]Mutant{inAdd("a - b", "0")}, ErrNoText},
+		"no text":                    {[]Mutant{inAdd("", "0")}, ErrNoText},
+		"a text that is there twice": {[]Mutant{inAdd("return", "panic")}, ErrAmbiguous},
+		"a replacement that is none": {[]Mutant{inAdd("a + b", "a + b")}, ErrUnchanged},
 		"no such file":               {[]Mutant{{Name: "m", File: "sub.go", Text: "a + b", Replacement: "0"}}, os.ErrNotExist},
-		"a name twice": {[]Mutant{{Name: "m", File: "add.go", Text: "a + b", Replacement: "0"},
-			{Name: "m", File: "add.go", Text: "return 0", Replacement: "return 1"}}, ErrNameTwice},
-		"nothing wrong": {[]Mutant{{Name: "m", File: "add.go", Text: "a + b", Replacement: "0"}}, nil},
+		"a name twice":               {[]Mutant{inAdd("a + b", "0"), inAdd("return 0", "return 1")}, ErrNameTwice},
+		"nothing wrong":              {[]Mutant{inAdd("a + b", "0")}, nil},
 	} {
 		if err := Check(root, test.list); !errors.Is(err, test.want) {
 			t.Errorf("%s: %v, want %v", name, err, test.want)
