Share what tests repeat to start a process, and the pauses of replacements

The soak of replacements spelled the environment of a program on the platform's configuration twice, as terms_fleet_test.go did, began a command as launchWith does, and drew its pauses in seven places. These are platformEnvironment, run and pause now; the bounds of the pauses have names, and the draws are the same.

--- a/cmd/cherryrelay/kill_test.go
+++ b/cmd/cherryrelay/kill_test.go
@@ -132,15 +132,21 @@
 
 func (p *process) launchWith(env ...string) {
 	p.Helper()
-	p.log, p.ended = new(diary), make(chan error, 1)
-	p.cmd = exec.Command(os.Args[0])
-	p.cmd.Env = append(os.Environ(), asProgram+"=1", "LB_OPERATOR="+filepath.Join(p.directory, "operator.ini"), "TMPDIR="+p.directory)
-	p.cmd.Env = append(p.cmd.Env, env...)
-	p.cmd.Stderr = p.log
-	if err := p.cmd.Start(); err != nil {
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), asProgram+"=1", "LB_OPERATOR="+filepath.Join(p.directory, "operator.ini"), "TMPDIR="+p.directory)
+	cmd.Env = append(cmd.Env, env...)
+	p.run(cmd)
+}
+
+// run begins a command as the process, and notes its log and its end.
+func (p *process) run(cmd *exec.Cmd) {
+	p.Helper()
+	ended := make(chan error, 1)
+	p.cmd, p.log, p.ended = cmd, new(diary), ended
+	cmd.Stderr = p.log
+	if err := cmd.Start(); err != nil {
 		p.Fatal(err)
 	}
-	cmd, ended := p.cmd, p.ended
 	go func() { ended <- cmd.Wait() }()
 }
 
--- a/cmd/cherryrelay/replacement_soak_test.go
+++ b/cmd/cherryrelay/replacement_soak_test.go
@@ -8,7 +8,6 @@
 	"net/http/httptest"
 	"os"
 	"os/exec"
-	"path/filepath"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -31,6 +30,8 @@
 	linkDelay, linkJitter = 3 * time.Millisecond, 22 * time.Millisecond
 	// tellLinesEvery is the pace at which dispatchers tell of their free lines.
 	tellLinesEvery = 200 * time.Millisecond
+	// stepPause is the longest pause between two steps of a replacement, and replacementPause between the beginnings of two.
+	stepPause, replacementPause = 300 * time.Millisecond, 1500 * time.Millisecond
 )
 
 // latency is the rule of all links.
@@ -224,19 +225,12 @@
 	p.Helper()
 	program := os.Getenv(replacementProgram)
 	if program == "" {
-		p.launchWith("LB_OPERATOR=", "LB_CONFIG="+filepath.Join(p.directory, platformConfig), "LB_LISTEN="+p.lines, "LB_MANAGEMENT="+p.management, exitAtOnce)
+		p.launchWith(append(p.platformEnvironment(), exitAtOnce)...)
 		return
 	}
-	p.log, p.process.ended = new(diary), make(chan error, 1)
-	p.cmd = exec.Command(program)
-	p.cmd.Env = append(os.Environ(), "LB_OPERATOR=", "LB_CONFIG="+filepath.Join(p.directory, platformConfig), "LB_LISTEN="+p.lines,
-		"LB_MANAGEMENT="+p.management, "TMPDIR="+p.directory)
-	p.cmd.Stderr = p.log
-	if err := p.cmd.Start(); err != nil {
-		p.Fatal(err)
-	}
-	cmd, ended := p.cmd, p.process.ended
-	go func() { ended <- cmd.Wait() }()
+	cmd := exec.Command(program)
+	cmd.Env = append(os.Environ(), append(p.platformEnvironment(), "TMPDIR="+p.directory)...)
+	p.run(cmd)
 }
 
 // begin opens the dispatchers and starts the process.
@@ -268,27 +262,32 @@
 	return old
 }
 
+// pause waits for a time that is drawn, in milliseconds.
+func pause(rng *rand.Rand, most time.Duration) {
+	time.Sleep(time.Duration(rng.IntN(int(most/time.Millisecond))) * time.Millisecond)
+}
+
 // replace has one dispatcher take the place of another, which drains and ends.
 func (p *replacementPlay) replace(d *replaceable, n int, rng *rand.Rand) {
-	time.Sleep(time.Duration(rng.IntN(300)) * time.Millisecond)
+	pause(rng, stepPause)
 	next := p.stands(n, time.Now())
 	p.list.tell(p.T, next.entry)
 	next.Answer(p.slowest)
-	time.Sleep(time.Duration(rng.IntN(600)) * time.Millisecond)
+	pause(rng, 2*stepPause)
 	p.list.tell(p.T, d.is("leaving"))
 	if p.deaf {
-		time.Sleep(time.Duration(rng.IntN(300)) * time.Millisecond)
+		pause(rng, stepPause)
 		p.net.Refuse(d.link)
 		d.Stop()
 	}
 	time.Sleep(time.Duration(rng.Int64N(int64(p.drainFor))))
 	if rng.IntN(2) == 0 {
 		p.list.tell(p.T, d.is("left"))
-		time.Sleep(time.Duration(rng.IntN(300)) * time.Millisecond)
+		pause(rng, stepPause)
 		d.Die()
 	} else {
 		d.Die()
-		time.Sleep(time.Duration(rng.IntN(300)) * time.Millisecond)
+		pause(rng, stepPause)
 		p.list.tell(p.T, d.is("left"))
 	}
 	p.net.Refuse(d.link)
@@ -314,7 +313,7 @@
 		rng := rand.New(rand.NewPCG(seed, uint64(10+i)))
 		replacing.Go(func() { p.replace(d, p.each+i, rng) })
 		if !p.atOnce {
-			time.Sleep(time.Duration(p.rng.IntN(1500)) * time.Millisecond)
+			pause(p.rng, replacementPause)
 		}
 	}
 	replacing.Wait()
--- a/cmd/cherryrelay/terms_fleet_test.go
+++ b/cmd/cherryrelay/terms_fleet_test.go
@@ -76,7 +76,12 @@
 // launchOnPlatform starts the process and does not wait until it is ready.
 func (p *process) launchOnPlatform() {
 	p.Helper()
-	p.launchWith("LB_OPERATOR=", "LB_CONFIG="+filepath.Join(p.directory, platformConfig), "LB_LISTEN="+p.lines, "LB_MANAGEMENT="+p.management)
+	p.launchWith(p.platformEnvironment()...)
+}
+
+// platformEnvironment has the program use the platform's configuration and the process's addresses.
+func (p *process) platformEnvironment() []string {
+	return []string{"LB_OPERATOR=", "LB_CONFIG=" + filepath.Join(p.directory, platformConfig), "LB_LISTEN=" + p.lines, "LB_MANAGEMENT=" + p.management}
 }
 
 // TestThirtyStartAtOnce: thirty processes are killed and start again at once, while the coordinator is down and every core is busy. Nine in ten are ready within ten seconds.
