--- a/internal/dispatchers/after_attempt_test.go
+++ b/internal/dispatchers/after_attempt_test.go
@@ -2,10 +2,7 @@
 
 import (
 	"testing"
-	"testing/synctest"
-	"time"
 
-	"cherryrelay/control"
 	"cherryrelay/internal/call"
 )
 
@@ -13,22 +10,11 @@
 // as a release of their call has both go out on the same connection.
 func TestAnAttemptDoesNotFollowAReleaseToWhereAnEarlierOneWas(t *testing.T) {
 	t.Parallel()
-	synctest.Test(t, func(t *testing.T) {
-		s := newOrderSite(t, orderStart{})
-		go s.core.Loop().Run()
-		defer func() {
-			s.core.Loop().Quit()
-			synctest.Wait()
-		}()
-		s.do(func() { s.list(control.Active, "first") })
-		time.Sleep(time.Second)
-		setUp := call.SetUp{ID: orderedID, Class: "c", Called: "k", Description: "x", Limit: time.Minute}
-		other := setUp
-		other.ID = otherID
+	withSite(t, orderStart{}, func(s *orderSite) {
 		s.do(func() {
 			s.calls[orderedID], s.calls[otherID] = &orderedCall{}, &orderedCall{}
-			s.pool.SetUp("first", other)
-			s.pool.SetUp("first", setUp)
+			s.pool.SetUp("first", attemptOf(otherID, 0))
+			s.pool.SetUp("first", attemptOf(orderedID, 0))
 		})
 		s.do(func() { s.pool.Withdraw("first", orderedID, 0) })
 		s.do(func() {
@@ -37,8 +23,7 @@
 			s.first.finalAnswerOn(c, otherID, 486)
 			c.deliver()
 			s.pool.Release("first", orderedID, call.CauseNormal)
-			setUp.Attempt = 1
-			s.pool.SetUp("first", setUp)
+			s.pool.SetUp("first", attemptOf(orderedID, 1))
 			l := s.pool.servers["first"].links[0]
 			if i := l.invites[orderedID]; !l.releases(orderedID) || i == nil || i.attempt != 0 {
 				t.Errorf("the first connection has the release: %v, and the set-up %+v; want that of attempt 0", l.releases(orderedID), i)
--- a/internal/dispatchers/budget_test.go
+++ b/internal/dispatchers/budget_test.go
@@ -56,15 +56,8 @@
 func newBudgeted(t *testing.T, budget, n int) *budgeted {
 	t.Helper()
 	b := &budgeted{T: t, loop: call.NewLoop(), core: &standings{ends: ends{told: map[string]control.Outcome{}}, at: map[control.ServerID][]string{}}}
-	for i := range n {
-		d, err := peer.Dispatch("tcp", "127.0.0.1:0", "x0:40")
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(d.Die)
-		d.TellLinks()
-		b.dispatchers = append(b.dispatchers, d)
-		b.list.Servers = append(b.list.Servers, call.Server{ServerEntry: control.ServerEntry{ID: name(i)}, Address: d.Address()})
+	for range n {
+		b.lists(dispatcherAt(t, "tcp", "127.0.0.1:0"))
 	}
 	b.list.Whole = true
 	go b.loop.Run()
@@ -76,6 +69,25 @@
 	return b
 }
 
+// dispatcherAt listens at an address until the test ends.
+func dispatcherAt(t *testing.T, transport, address string) *peer.Dispatcher {
+	t.Helper()
+	d, err := peer.Dispatch(transport, address, "x0:40")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(d.Die)
+	return d
+}
+
+// lists puts a dispatcher on the list, and has it tell of its connections.
+func (b *budgeted) lists(d *peer.Dispatcher) {
+	d.TellLinks()
+	id := name(len(b.dispatchers))
+	b.dispatchers = append(b.dispatchers, d)
+	b.list.Servers = append(b.list.Servers, call.Server{ServerEntry: control.ServerEntry{ID: id}, Address: d.Address()})
+}
+
 func name(i int) control.ServerID { return control.ServerID(fmt.Sprint("d", i)) }
 
 // do runs a function on the loop.
@@ -88,7 +100,7 @@
 // setUp places a call at a dispatcher.
 func (b *budgeted) setUp(i int, id string) {
 	b.do(func() {
-		b.pool.SetUp(name(i), call.SetUp{ID: id, Class: "c", Called: "k", Description: "x", Limit: time.Minute})
+		b.pool.SetUp(name(i), attemptOf(id, 0))
 		b.pool.Flush()
 	})
 }
@@ -115,6 +127,35 @@
 	}
 }
 
+// establishes has a dispatcher answer a set-up, and waits until the call stands, the only one there.
+func (b *budgeted) establishes(i int, setUp peer.Event) {
+	b.Helper()
+	if err := setUp.Answer("y"); err != nil {
+		b.Fatal(err)
+	}
+	waitOnLoop(b, func() bool { return len(b.core.at[name(i)]) == 1 })
+}
+
+// setUpWithoutRelease places a call at a dispatcher, ahead of which releases would go out, and wants none to come there.
+func (b *budgeted) setUpWithoutRelease(i int, id string) {
+	b.Helper()
+	b.setUp(i, id)
+	for until := time.Now().Add(peer.Patience); time.Now().Before(until); {
+		b.do(b.pool.Flush)
+		select {
+		case e := <-b.dispatchers[i].Events:
+			switch {
+			case e.Kind == "release":
+				b.Fatalf("call %s is released", e.ID)
+			case e.Kind == "setup" && e.ID == id:
+				return
+			}
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
+	b.Error("the next set-up never comes")
+}
+
 // TestASetUpMakesRoom: with two sockets for three dispatchers, a set-up for one without a connection has an idle one closed, and waits
 // while both have set-ups open.
 func TestASetUpMakesRoom(t *testing.T) {
@@ -213,12 +254,7 @@
 	if got, most := dials(), n+1+int(time.Since(begun)/time.Second); got > most || got < n+int(lasting/time.Second)-1 {
 		t.Errorf("%d dials in %v, want %d at most", got, time.Since(begun), most)
 	}
-	back, err := peer.Dispatch("tcp", b.dispatchers[n-1].Address(), "x0:40")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(back.Die)
-	b.dispatchers[n-1] = back
+	b.dispatchers[n-1] = dispatcherAt(t, "tcp", b.dispatchers[n-1].Address())
 	since := time.Now()
 	b.setUp(n-1, "a")
 	b.comes(n-1, "setup")
--- a/internal/dispatchers/closed_in_order_test.go
+++ b/internal/dispatchers/closed_in_order_test.go
@@ -65,8 +65,7 @@
 			s.do(func() {
 				for _, c := range s.first.all {
 					if ended[c] && !c.closed {
-						c.tell(stateReport())
-						c.deliver()
+						c.reports()
 					}
 					ended[c] = c.finished // and it takes a moment to come back
 				}
--- a/internal/dispatchers/earlier_test.go
+++ b/internal/dispatchers/earlier_test.go
@@ -36,25 +36,7 @@
 func endOnEarlierConnection(t *testing.T, closed bool, want int) {
 	const id = "00000000000000a1"
 	b := newBudgeted(t, 0, 1)
-	core := &releaseLog{standings: *b.core}
-	b.do(func() {
-		b.pool.core = core
-		b.pool.Update(b.list)
-	})
-	b.comes(0, "opened")
-	b.setUp(0, id)
-	first := b.comes(0, "setup")
-	b.do(func() {
-		b.pool.Withdraw(name(0), id, 0)
-		b.pool.SetUp(name(0), call.SetUp{ID: id, Attempt: 1, Class: "c", Called: "k", Description: "x", Limit: time.Minute})
-	})
-	b.comes(0, "opened")
-	second := b.comes(0, "setup")
-	if err := second.Answer("yes"); err != nil {
-		t.Fatal(err)
-	}
-	waitOnLoop(b, func() bool { return len(core.at[name(0)]) == 1 })
-	b.dispatchers[0].Stop() // no further connection comes up
+	core, first, _ := b.standsBySecondAttempt(id)
 	if closed {
 		b.do(func() {
 			s := b.pool.servers[name(0)]
@@ -83,25 +65,7 @@
 	t.Parallel()
 	const id = "00000000000000a2"
 	b := newBudgeted(t, 0, 1)
-	core := &releaseLog{standings: *b.core}
-	b.do(func() {
-		b.pool.core = core
-		b.pool.Update(b.list)
-	})
-	b.comes(0, "opened")
-	b.setUp(0, id)
-	first := b.comes(0, "setup")
-	b.do(func() {
-		b.pool.Withdraw(name(0), id, 0)
-		b.pool.SetUp(name(0), call.SetUp{ID: id, Attempt: 1, Class: "c", Called: "k", Description: "x", Limit: time.Minute})
-	})
-	b.comes(0, "opened")
-	second := b.comes(0, "setup")
-	if err := second.Answer("yes"); err != nil {
-		t.Fatal(err)
-	}
-	waitOnLoop(b, func() bool { return len(core.at[name(0)]) == 1 })
-	b.dispatchers[0].Stop() // no further connection comes up, on which it would be told again
+	core, first, second := b.standsBySecondAttempt(id)
 	if err := first.ReleaseHere(id, call.CauseNormal); err != nil {
 		t.Fatal(err)
 	}
@@ -117,6 +81,29 @@
 	})
 }
 
+// standsBySecondAttempt has a call stand by its second attempt at the first dispatcher, on a second connection, where the first attempt was withdrawn;
+// first and second are their set-ups. No further connection comes up, on which an end would be told again.
+func (b *budgeted) standsBySecondAttempt(id string) (core *releaseLog, first, second peer.Event) {
+	b.Helper()
+	core = &releaseLog{standings: *b.core}
+	b.do(func() {
+		b.pool.core = core
+		b.pool.Update(b.list)
+	})
+	b.comes(0, "opened")
+	b.setUp(0, id)
+	first = b.comes(0, "setup")
+	b.do(func() {
+		b.pool.Withdraw(name(0), id, 0)
+		b.pool.SetUp(name(0), attemptOf(id, 1))
+	})
+	b.comes(0, "opened")
+	second = b.comes(0, "setup")
+	b.establishes(0, second)
+	b.dispatchers[0].Stop()
+	return core, first, second
+}
+
 // waitOnLoop waits until a condition holds on the loop.
 func waitOnLoop(b *budgeted, condition func() bool) {
 	b.Helper()
--- a/internal/dispatchers/early_test.go
+++ b/internal/dispatchers/early_test.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"cherryrelay/control"
-	"cherryrelay/internal/call"
 )
 
 // TestAReleaseOfAnEarlierAttemptEndsNoLaterCall guards against a release of a withdrawn attempt that ends the call which stands by the next one at
@@ -26,11 +25,8 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
-				s, core := siteWithEarlyRelease(t)
-				defer func() {
-					s.core.Loop().Quit()
-					synctest.Wait()
-				}()
+				s, core, quit := siteWithEarlyRelease(t)
+				defer quit()
 				time.Sleep(test.after)
 				s.do(func() {
 					c := s.first.all[test.closes]
@@ -53,26 +49,25 @@
 }
 
 // siteWithEarlyRelease is a site with three connections: a release has come on the first one, where an attempt was withdrawn, of the call that stands
-// by the next attempt on the second.
-func siteWithEarlyRelease(t *testing.T) (*orderSite, *releaseLog) {
+// by the next attempt on the second. Its loop runs until quit is called.
+func siteWithEarlyRelease(t *testing.T) (s *orderSite, core *releaseLog, quit func()) {
 	t.Helper()
-	s := newOrderSite(t, orderStart{})
-	core := &releaseLog{standings: standings{ends: ends{told: map[string]control.Outcome{}}, at: map[control.ServerID][]string{}}}
+	s = newOrderSite(t, orderStart{})
+	core = &releaseLog{standings: standings{ends: ends{told: map[string]control.Outcome{}}, at: map[control.ServerID][]string{}}}
 	s.pool.core = core
-	go s.core.Loop().Run()
-	setUp := func(attempt int) {
-		s.pool.SetUp("first", call.SetUp{ID: orderedID, Attempt: attempt, Class: "c", Called: "k", Description: "x", Limit: time.Minute})
-	}
+	quit = s.run()
 	s.do(func() { s.list(control.Active, "first") })
 	time.Sleep(time.Second)
-	s.do(func() { s.calls[orderedID] = &orderedCall{}; setUp(0) })
+	s.do(func() {
+		s.calls[orderedID] = &orderedCall{}
+		s.pool.SetUp("first", attemptOf(orderedID, 0))
+	})
 	s.do(func() { s.pool.Withdraw("first", orderedID, 0) })
 	s.do(func() {
 		c := s.first.all[0]
 		c.flight = nil // the withdrawn attempt has no final answer yet
-		c.tell(stateReport())
-		c.deliver()
-		setUp(1)
+		c.reports()
+		s.pool.SetUp("first", attemptOf(orderedID, 1))
 	})
 	time.Sleep(time.Second)
 	s.do(func() { s.first.finalAnswer(orderedID, 200); s.first.all[1].deliver() })
@@ -83,5 +78,5 @@
 		c.tell(byeOf(orderedID))
 		c.deliver()
 	})
-	return s, core
+	return s, core, quit
 }
--- a/internal/dispatchers/ends_lost_test.go
+++ b/internal/dispatchers/ends_lost_test.go
@@ -7,9 +7,7 @@
 	"testing/synctest"
 	"time"
 
-	"cherryrelay/control"
 	"cherryrelay/internal/decide/links"
-	"cherryrelay/internal/sip"
 )
 
 // Orders in which the end of a call goes down with a connection, while the dispatcher speaks on another one: only a further connection brings it.
@@ -37,9 +35,7 @@
 		events = append(events, event("it reports", reportEvery, func(s *orderSite) {
 			for _, c := range s.first.open() {
 				if c.process == s.first {
-					c.tell(sip.Append(nil, &sip.Message{Method: "NOTIFY", URI: "sip:state@net", CallID: "state", Seq: 1, SeqOf: "NOTIFY",
-						Headers: []sip.Header{{Name: "P-Report", Value: "idle:8"}}}))
-					c.deliver()
+					c.reports()
 				}
 			}
 		}))
@@ -119,34 +115,17 @@
 // TestAConnectionThatIsNeverClosedKeepsItsDoubts guards against ends on a dead connection of calls that came to stand after all that were in doubt.
 func TestAConnectionThatIsNeverClosedKeepsItsDoubts(t *testing.T) {
 	t.Parallel()
-	synctest.Test(t, func(t *testing.T) {
-		s := newOrderSite(t, orderStart{links: 2})
-		go s.core.Loop().Run()
-		defer func() {
-			s.core.Loop().Quit()
-			synctest.Wait()
-		}()
-		goesOn := func(d time.Duration) {
-			for _, e := range speaks(d) {
-				s.do(func() { e.occurs(s) })
-				time.Sleep(e.after)
-			}
-		}
-		establish := func(id string) {
-			s.do(func() { s.offer(id, orderDeadline) })
-			time.Sleep(10 * time.Millisecond)
+	withSite(t, orderStart{links: 2}, func(s *orderSite) {
+		establish := func(id string) { // the answer arrives with what the dispatcher says next
+			s.setsUp(id)
 			s.do(func() { s.first.finalAnswer(id, 200); s.arrive() })
 		}
-		s.do(func() { s.list(control.Active, "first") })
-		time.Sleep(time.Second)
-		s.do(func() { s.pool.Renew("first") })
-		time.Sleep(time.Second)
 		establish(orderedID)
 		dead := s.first.all[1]
 		s.do(dead.deaden)
-		goesOn(12 * time.Second)
+		s.speaksFor(12 * time.Second)
 		s.do(func() { s.first.ends(orderedID); s.arrive() })
-		goesOn(6 * time.Second)
+		s.speaksFor(6 * time.Second)
 		establish(otherID)
 		s.do(func() {
 			c := s.first.established[otherID]
@@ -159,7 +138,7 @@
 			dead.tell(byeOf(otherID))
 		})
 		endedAt := time.Now()
-		goesOn(20 * time.Second)
+		s.speaksFor(20 * time.Second)
 		for id, c := range s.calls {
 			if c.answers != 1 || c.overs != 1 {
 				t.Errorf("%s: %d answers, %d ends; want 1, 1", id, c.answers, c.overs)
--- a/internal/dispatchers/evict_test.go
+++ b/internal/dispatchers/evict_test.go
@@ -1,9 +1,7 @@
 package dispatchers
 
 import (
-	"strings"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"cherryrelay/control"
@@ -16,15 +14,7 @@
 	for name, stands := range map[string]bool{"a call stands": true, "no call stands": false} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			synctest.Test(t, func(t *testing.T) {
-				s := newOrderSite(t, orderStart{keeps: true})
-				go s.core.Loop().Run()
-				defer func() {
-					s.core.Loop().Quit()
-					synctest.Wait()
-				}()
-				s.do(func() { s.list(control.Active, "first") })
-				time.Sleep(time.Second)
+			withSite(t, orderStart{keeps: true}, func(s *orderSite) {
 				if stands {
 					s.do(func() { s.offer(orderedID, orderDeadline) })
 					s.do(func() { s.first.finalAnswer(orderedID, 200); s.first.all[0].deliver() })
@@ -63,12 +53,7 @@
 		}),
 		event("the call ends", 0, func(s *orderSite) { s.end(s.first, orderedID) }),
 	}
-	synctest.Test(t, func(t *testing.T) {
-		s := newOrderSite(t, orderStart{called: true, links: 2, chats: true})
-		if !s.play(order) || len(s.faults) > 0 {
-			t.Error(strings.Join(s.faults, "; "))
-		}
-	})
+	orderStart{called: true, links: 2, chats: true}.playWithoutFault(t, order)
 }
 
 // TestAReleaseThatHasNotLeftAsItsConnectionMakesRoom guards against a call that its dispatcher holds and nobody releases, as the release was queued on a
@@ -93,27 +78,30 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			order := append(spelledOrder(test.order), makesRoom)
-			if result := test.start.play(t, order); !result.possible || len(result.faults) > 0 {
-				t.Errorf("possible: %v: %s", result.possible, strings.Join(result.faults, "; "))
-			}
+			test.start.playWithoutFault(t, order)
 		})
 	}
 }
 
+// drainsBesideAnother has a call established at the first dispatcher, which then drains and listens no more, and another call set up at the second.
+func (s *orderSite) drainsBesideAnother() {
+	s.establish(orderedID)
+	s.do(func() {
+		s.list(control.Draining, "first")
+		s.first.listens = false
+		s.list(control.Active, "second")
+	})
+	time.Sleep(time.Second)
+	s.do(func() { s.offer(otherID, orderDeadline) })
+	time.Sleep(time.Second)
+}
+
 // TestTheOnlyConnectionToADispatcherThatDrainsMakesRoomLast guards against calls that are cut as they stand, and whose ends are told to nobody, as the
 // only connection to their dispatcher, which takes no new ones, makes room while another one could.
 func TestTheOnlyConnectionToADispatcherThatDrainsMakesRoomLast(t *testing.T) {
 	t.Parallel()
 	withSite(t, orderStart{second: true}, func(s *orderSite) {
-		s.establish(orderedID)
-		s.do(func() {
-			s.list(control.Draining, "first")
-			s.first.listens = false
-			s.list(control.Active, "second")
-		})
-		time.Sleep(time.Second)
-		s.do(func() { s.offer(otherID, orderDeadline) })
-		time.Sleep(time.Second)
+		s.drainsBesideAnother()
 		s.do(func() {
 			if !s.knows(otherID, "second") {
 				t.Error("no call stands at the other dispatcher")
@@ -139,15 +127,7 @@
 func TestAConnectionWithAReleaseToADispatcherThatDrainsMakesRoomLast(t *testing.T) {
 	t.Parallel()
 	withSite(t, orderStart{second: true}, func(s *orderSite) {
-		s.establish(orderedID)
-		s.do(func() {
-			s.list(control.Draining, "first")
-			s.first.listens = false
-			s.list(control.Active, "second")
-		})
-		time.Sleep(time.Second)
-		s.do(func() { s.offer(otherID, orderDeadline) })
-		time.Sleep(time.Second)
+		s.drainsBesideAnother()
 		s.do(func() {
 			s.first.all[0].full = true
 			s.cancel(orderedID)
--- a/internal/dispatchers/given_up_late_test.go
+++ b/internal/dispatchers/given_up_late_test.go
@@ -1,10 +1,6 @@
 package dispatchers
 
-import (
-	"strings"
-	"testing"
-	"testing/synctest"
-)
+import "testing"
 
 // TestAnEndOnAConnectionThatIsGivenUpLate guards against an end that is told more than 8 s late, as the connection that it was lost on is found out
 // late, and the next one is opened later still.
@@ -21,17 +17,11 @@
 		order = append(order, event("another connection speaks", spokenEvery, func(s *orderSite) {
 			for _, c := range s.first.connections {
 				if c != dead {
-					c.tell(stateReport())
-					c.deliver()
+					c.reports()
 					return
 				}
 			}
 		}))
 	}
-	synctest.Test(t, func(t *testing.T) {
-		s := newOrderSite(t, orderStart{called: true, links: 2})
-		if !s.play(order) || len(s.faults) > 0 {
-			t.Error(strings.Join(s.faults, "; "))
-		}
-	})
+	orderStart{called: true, links: 2}.playWithoutFault(t, order)
 }
--- a/internal/dispatchers/last_connection_test.go
+++ b/internal/dispatchers/last_connection_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"cherryrelay/control"
@@ -12,17 +11,8 @@
 // is given up while it takes no new ones. Its end is told to nobody either.
 func TestALateAnswerAtADispatcherThatRefusesIsReleased(t *testing.T) {
 	t.Parallel()
-	synctest.Test(t, func(t *testing.T) {
-		s := newOrderSite(t, orderStart{})
-		go s.core.Loop().Run()
-		defer func() {
-			s.core.Loop().Quit()
-			synctest.Wait()
-		}()
-		s.do(func() { s.list(control.Active, "first") })
-		time.Sleep(time.Second)
-		s.do(func() { s.offer(orderedID, orderDeadline) })
-		time.Sleep(10 * time.Millisecond)
+	withSite(t, orderStart{}, func(s *orderSite) {
+		s.setsUp(orderedID)
 		s.do(func() {
 			s.list(control.Draining, "first")
 			s.first.listens = false
--- a/internal/dispatchers/orders_events_test.go
+++ b/internal/dispatchers/orders_events_test.go
@@ -116,10 +116,7 @@
 			return s.onNewest(func(c *standInConnection) { c.deaf, s.stalled = true, true })
 		}, 0, false},
 		{'N', "it tells its state there", func(s *orderSite) bool {
-			return s.onNewest(func(c *standInConnection) {
-				c.tell(stateReport())
-				c.deliver()
-			})
+			return s.onNewest((*standInConnection).reports)
 		}, 0, false},
 		{'p', "the first dispatcher answers by itself from now on", func(s *orderSite) bool {
 			before := s.first.promptly[orderedID]
--- a/internal/dispatchers/orders_site_test.go
+++ b/internal/dispatchers/orders_site_test.go
@@ -225,11 +225,7 @@
 
 // play plays an order of events, and then has everything arrive and come to its end. It reports false if one of the events could not be.
 func (s *orderSite) play(order []orderEvent) bool {
-	go s.core.Loop().Run()
-	defer func() {
-		s.core.Loop().Quit()
-		synctest.Wait()
-	}()
+	defer s.run()()
 	s.do(func() {
 		if s.second {
 			s.list(control.Active, "first", "second")
@@ -246,8 +242,7 @@
 		s.do(func() { s.offer(otherID, doubtedFor) })
 		time.Sleep(time.Second)
 	}
-	s.do(func() { s.offer(orderedID, orderDeadline) })
-	time.Sleep(10 * time.Millisecond)
+	s.setsUp(orderedID)
 	if s.called {
 		s.do(func() { s.first.finalAnswer(orderedID, 200) })
 		time.Sleep(time.Millisecond)
--- a/internal/dispatchers/orders_test.go
+++ b/internal/dispatchers/orders_test.go
@@ -187,10 +187,7 @@
 	for name, test := range orders {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			order := spelledOrder(test.order)
-			if result := test.start.play(t, order); !result.possible || len(result.faults) > 0 {
-				t.Errorf("order %s, possible: %v: %s", test.order, result.possible, strings.Join(result.faults, "; "))
-			}
+			test.start.playWithoutFault(t, spelledOrder(test.order))
 		})
 	}
 }
--- a/internal/dispatchers/quiet_test.go
+++ b/internal/dispatchers/quiet_test.go
@@ -2,41 +2,11 @@
 
 import (
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"cherryrelay/control"
 )
 
-// establish has a call set up at the first dispatcher, and answered there.
-func (s *orderSite) establish(id string) {
-	s.do(func() { s.offer(id, orderDeadline) })
-	time.Sleep(10 * time.Millisecond)
-	s.do(func() { s.first.finalAnswer(id, 200) })
-	time.Sleep(time.Millisecond)
-	s.do(s.arrive)
-}
-
-// withSite runs a test over a site whose first dispatcher is connected to as the start says.
-func withSite(t *testing.T, start orderStart, test func(s *orderSite)) {
-	t.Helper()
-	synctest.Test(t, func(t *testing.T) {
-		s := newOrderSite(t, start)
-		go s.core.Loop().Run()
-		defer func() {
-			s.core.Loop().Quit()
-			synctest.Wait()
-		}()
-		s.do(func() { s.list(control.Active, "first") })
-		time.Sleep(time.Second)
-		for range start.links - 1 {
-			s.do(func() { s.pool.Renew("first") })
-			time.Sleep(time.Second)
-		}
-		test(s)
-	})
-}
-
 // TestLossOfAnotherConnectionCutsNoCall guards against a call that is cut, as its dispatcher listens no more, for ends that another connection
 // may have lost: its own is open.
 func TestLossOfAnotherConnectionCutsNoCall(t *testing.T) {
--- a/internal/dispatchers/release_test.go
+++ b/internal/dispatchers/release_test.go
@@ -4,7 +4,6 @@
 	"testing"
 	"time"
 
-	"cherryrelay/control"
 	"cherryrelay/internal/call"
 	"cherryrelay/internal/peer"
 	"cherryrelay/internal/ring"
@@ -26,12 +25,7 @@
 		}
 	})
 	waitOnLoop(b, func() bool { return !b.pool.servers[name(0)].dialing })
-	back, err := peer.Dispatch("tcp", b.dispatchers[0].Address(), "x0:40")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(back.Die)
-	b.dispatchers[0] = back
+	b.dispatchers[0] = dispatcherAt(t, "tcp", b.dispatchers[0].Address())
 	begun := time.Now()
 	b.do(func() { b.pool.Release(name(0), id, call.CauseNormal) })
 	if e := b.comes(0, "release"); e.ID != id {
@@ -82,16 +76,9 @@
 // of an earlier attempt, which its dispatcher had not confirmed as the connection ended, was sent again when the next attempt had been established there.
 func TestAReleaseIsNotRepeatedOverTheNextAttempt(t *testing.T) {
 	t.Parallel()
-	const id = "00000000000000b4"
+	const id, next = "00000000000000b4", "00000000000000b5"
 	b := newBudgeted(t, 0, 0)
-	d, err := peer.Dispatch("ws", "127.0.0.1:0", "x0:40") // it confirms no release
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(d.Die)
-	d.TellLinks()
-	b.dispatchers = append(b.dispatchers, d)
-	b.list.Servers = append(b.list.Servers, call.Server{ServerEntry: control.ServerEntry{ID: name(0)}, Address: d.Address()})
+	b.lists(dispatcherAt(t, "ws", "127.0.0.1:0")) // it confirms no release
 	b.do(func() { b.pool.Update(b.list) })
 	b.comes(0, "opened")
 	b.setUp(0, id)
@@ -101,29 +88,10 @@
 	}
 	released := b.comes(0, "release")
 	b.setUp(0, id)
-	second := b.comes(0, "setup")
-	if err := second.Answer("y"); err != nil {
-		t.Fatal(err)
-	}
-	waitOnLoop(b, func() bool { return len(b.core.at[name(0)]) == 1 })
+	b.establishes(0, b.comes(0, "setup"))
 	if err := released.Reset(); err != nil {
 		t.Fatal(err)
 	}
 	b.comes(0, "opened")
-	const next = "00000000000000b5"
-	b.setUp(0, next) // releases go out ahead of it
-	for until := time.Now().Add(peer.Patience); time.Now().Before(until); {
-		b.do(b.pool.Flush)
-		select {
-		case e := <-d.Events:
-			switch {
-			case e.Kind == "release":
-				t.Fatalf("call %s, which stands, is released", e.ID)
-			case e.Kind == "setup" && e.ID == next:
-				return
-			}
-		case <-time.After(10 * time.Millisecond):
-		}
-	}
-	t.Error("the next set-up never comes")
+	b.setUpWithoutRelease(0, next)
 }
--- a/internal/dispatchers/releases_lost_test.go
+++ b/internal/dispatchers/releases_lost_test.go
@@ -9,8 +9,6 @@
 
 	"cherryrelay/control"
 	"cherryrelay/internal/call"
-	"cherryrelay/internal/peer"
-	"cherryrelay/internal/sip"
 )
 
 // TestAReleaseOnADrainedConnectionThatIsDead guards against a call that its dispatcher holds on, as its release went out on a connection that was
@@ -18,12 +16,7 @@
 func TestAReleaseOnADrainedConnectionThatIsDead(t *testing.T) {
 	t.Parallel()
 	order := slices.Concat(spelledOrder("vq"), []orderEvent{event("the connection is dead", 0, func(s *orderSite) { s.first.all[0].deaden() })}, spelledOrder("w"))
-	synctest.Test(t, func(t *testing.T) {
-		s := newOrderSite(t, orderStart{called: true})
-		if !s.play(order) || len(s.faults) > 0 {
-			t.Error(strings.Join(s.faults, "; "))
-		}
-	})
+	orderStart{called: true}.playWithoutFault(t, order)
 }
 
 // TestAnEarlierConnectionTakesNoLaterAttemptAlong guards against a release of what may have come of a withdrawn attempt that ends the next attempt
@@ -44,15 +37,12 @@
 			b.do(func() { b.pool.Withdraw(name(0), id, 0) })
 			b.comes(0, "release") // the set-up is cancelled
 			b.do(func() {
-				b.pool.SetUp(name(0), call.SetUp{ID: id, Attempt: 1, Class: "c", Called: "k", Description: "x", Limit: time.Minute})
+				b.pool.SetUp(name(0), attemptOf(id, 1))
 			})
 			b.comes(0, "opened")
 			second := b.comes(0, "setup")
 			if answered {
-				if err := second.Answer("y"); err != nil {
-					t.Fatal(err)
-				}
-				waitOnLoop(b, func() bool { return len(b.core.at[name(0)]) == 1 })
+				b.establishes(0, second)
 			}
 			if err := first.Reset(); err != nil {
 				t.Fatal(err)
@@ -60,21 +50,7 @@
 			waitOnLoop(b, func() bool {
 				return !slices.ContainsFunc(b.pool.servers[name(0)].links, func(l *link) bool { return l.lifetime == earlier })
 			})
-			b.setUp(0, next) // releases go out ahead of it
-			for until := time.Now().Add(peer.Patience); time.Now().Before(until); {
-				b.do(b.pool.Flush)
-				select {
-				case e := <-b.dispatchers[0].Events:
-					switch {
-					case e.Kind == "release":
-						t.Fatalf("call %s is released", e.ID)
-					case e.Kind == "setup" && e.ID == next:
-						return
-					}
-				case <-time.After(10 * time.Millisecond):
-				}
-			}
-			t.Error("the next set-up never comes")
+			b.setUpWithoutRelease(0, next)
 		})
 	}
 }
@@ -85,15 +61,7 @@
 	for name, confirms := range map[string]bool{"confirmed": true, "heard from since": false} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			synctest.Test(t, func(t *testing.T) {
-				s := newOrderSite(t, orderStart{})
-				go s.core.Loop().Run()
-				defer func() {
-					s.core.Loop().Quit()
-					synctest.Wait()
-				}()
-				s.do(func() { s.list(control.Active, "first") })
-				time.Sleep(time.Second)
+			withSite(t, orderStart{}, func(s *orderSite) {
 				for range 5 {
 					s.do(func() { s.pool.Release("first", orderedID, call.CauseNormal) })
 					s.do(func() {
@@ -104,12 +72,7 @@
 						c.deliver()
 					})
 					time.Sleep(2 * closesWithin)
-					s.do(func() {
-						c := s.first.connections[0]
-						c.tell(sip.Append(nil, &sip.Message{Method: "NOTIFY", URI: "sip:state@net", CallID: "state", Seq: 1, SeqOf: "NOTIFY",
-							Headers: []sip.Header{{Name: "P-Report", Value: "idle:8"}}}))
-						c.deliver()
-					})
+					s.do(func() { s.first.connections[0].reports() })
 				}
 				s.do(func() {
 					most := 1
@@ -146,10 +109,7 @@
 func TestReleasesInOrdersThatNeedThem(t *testing.T) {
 	t.Parallel()
 	established := orderStart{called: true}
-	for what, test := range map[string]struct {
-		start orderStart
-		order string
-	}{
+	playNamed(t, map[string]namedOrder{
 		"an answer is read after its dispatcher is off the list, and listens no more":    {orderStart{}, "sax"},
 		"a call goes on at a dispatcher that is off the list, and listens no more":       {established, "sxT"},
 		"a release waits as its dispatcher is off the list, and can't be reached":        {orderStart{called: true, most: 1}, "vTttcxTw"},
@@ -158,15 +118,7 @@
 		"an answer is on its way as its dispatcher is cut off":                           {orderStart{}, "avqw"},
 		"a dispatcher that is connected to anew listens no more":                         {established, "rtsT"},
 		"a set-up is given up at a dispatcher that is off the list, and listens no more": {orderStart{}, "sx"},
-	} {
-		t.Run(what, func(t *testing.T) {
-			t.Parallel()
-			order := spelledOrder(test.order)
-			if result := test.start.play(t, order); !result.possible || len(result.faults) > 0 {
-				t.Errorf("order %s, possible: %v: %s", test.order, result.possible, strings.Join(result.faults, "; "))
-			}
-		})
-	}
+	})
 }
 
 // TestADispatcherOffTheListIsForgotten guards against a dispatcher that is dialled for ever for a release that it never takes.
@@ -203,22 +155,28 @@
 	})
 }
 
+// leavesNoSetUp has the end of a call come without its answer, and wants one final answer to its caller, and no set-up that counts as open.
+func leavesNoSetUp(t *testing.T, start orderStart, endComes orderEvent) {
+	t.Helper()
+	order := slices.Concat([]orderEvent{endComes}, spelledOrder("qq"))
+	synctest.Test(t, func(t *testing.T) {
+		s := newOrderSite(t, start)
+		s.play(order)
+		if server := s.pool.servers["first"]; s.calls[orderedID].finals != 1 || server.openSetUps() > 0 {
+			t.Errorf("%d final answers, %d set-ups open; want 1, 0", s.calls[orderedID].finals, server.openSetUps())
+		}
+	})
+}
+
 // TestAnEndWithoutAnAnswerLeavesNoSetUp guards against a connection that counts as busy for ever, as the end of a call came and its answer never did.
 func TestAnEndWithoutAnAnswerLeavesNoSetUp(t *testing.T) {
 	t.Parallel()
-	order := slices.Concat([]orderEvent{event("the end of the call comes, and its answer does not", 0, func(s *orderSite) {
+	leavesNoSetUp(t, orderStart{}, event("the end of the call comes, and its answer does not", 0, func(s *orderSite) {
 		c := s.first.pending(orderedID)
 		delete(c.setUps, orderedID)
 		c.tell(byeOf(orderedID))
 		c.deliver()
-	})}, spelledOrder("qq"))
-	synctest.Test(t, func(t *testing.T) {
-		s := newOrderSite(t, orderStart{})
-		s.play(order)
-		if server := s.pool.servers["first"]; s.calls[orderedID].finals != 1 || server.openSetUps() > 0 {
-			t.Errorf("%d final answers, %d set-ups open; want 1, 0", s.calls[orderedID].finals, server.openSetUps())
-		}
-	})
+	}))
 }
 
 // TestAnAttemptAtADroppedDispatcherIsCancelled guards against an attempt elsewhere beside the first one, whose dispatcher returns in the moment in
@@ -227,15 +185,10 @@
 	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		s := newOrderSite(t, orderStart{second: true})
-		go s.core.Loop().Run()
-		defer func() {
-			s.core.Loop().Quit()
-			synctest.Wait()
-		}()
+		defer s.run()()
 		s.do(func() { s.list(control.Active, "first", "second") })
 		time.Sleep(time.Second)
-		s.do(func() { s.offer(orderedID, orderDeadline) })
-		time.Sleep(10 * time.Millisecond)
+		s.setsUp(orderedID)
 		s.do(func() { s.first.cutOff = true })
 		for dropped := false; !dropped; time.Sleep(time.Millisecond) {
 			s.do(func() { dropped = len(s.pool.servers["first"].links) == 0 })
@@ -273,17 +226,10 @@
 // one and its answer never did.
 func TestAnEndAheadOfAnAnswerThatNeverComesLeavesNoSetUp(t *testing.T) {
 	t.Parallel()
-	order := slices.Concat([]orderEvent{event("the end of the call comes on another connection, and its answer does not", 0, func(s *orderSite) {
+	leavesNoSetUp(t, orderStart{links: 2}, event("the end of the call comes on another connection, and its answer does not", 0, func(s *orderSite) {
 		delete(s.first.pending(orderedID).setUps, orderedID)
 		c := s.first.connections[1]
 		c.tell(byeOf(orderedID))
 		c.deliver()
-	})}, spelledOrder("qq"))
-	synctest.Test(t, func(t *testing.T) {
-		s := newOrderSite(t, orderStart{links: 2})
-		s.play(order)
-		if server := s.pool.servers["first"]; s.calls[orderedID].finals != 1 || server.openSetUps() > 0 {
-			t.Errorf("%d final answers, %d set-ups open; want 1, 0", s.calls[orderedID].finals, server.openSetUps())
-		}
-	})
+	}))
 }
--- a/internal/dispatchers/removed_test.go
+++ b/internal/dispatchers/removed_test.go
@@ -25,18 +25,12 @@
 				if name == "removed long ago" {
 					before = 25 * time.Second
 				}
-				for _, e := range speaks(before) {
-					s.do(func() { e.occurs(s) })
-					time.Sleep(e.after)
-				}
+				s.speaksFor(before)
 				if s.calls[orderedID].overs > 0 {
 					t.Fatal("it is cut while it goes on")
 				}
 				s.do(func() { s.tellsOn(own) })
-				for _, e := range speaks(20 * time.Second) {
-					s.do(func() { e.occurs(s) })
-					time.Sleep(e.after)
-				}
+				s.speaksFor(20 * time.Second)
 				c := s.calls[orderedID]
 				if late := c.overAt.Sub(c.endedAt); c.overs != 1 || late > endUntold {
 					t.Errorf("%d ends, %v late; want 1 within %v", c.overs, late, endUntold)
--- a/internal/dispatchers/renew_test.go
+++ b/internal/dispatchers/renew_test.go
@@ -41,10 +41,6 @@
 		dials, dialing := dialled()
 		return dials > before && !dialing
 	})
-	back, err := peer.Dispatch("tcp", b.dispatchers[0].Address(), "x0:40")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(back.Die)
+	back := dispatcherAt(t, "tcp", b.dispatchers[0].Address())
 	speak(func() bool { return back.Links() > 0 })
 }
--- a/internal/dispatchers/sole_test.go
+++ b/internal/dispatchers/sole_test.go
@@ -17,8 +17,7 @@
 			withSite(t, start, func(s *orderSite) {
 				s.establish(otherID)
 				time.Sleep(time.Second)
-				s.do(func() { s.offer(orderedID, orderDeadline) })
-				time.Sleep(10 * time.Millisecond)
+				s.setsUp(orderedID)
 				s.do(func() {
 					s.first.all[0].mute = true
 					s.first.finalAnswer(orderedID, 200)
--- a/internal/dispatchers/standin_test.go
+++ b/internal/dispatchers/standin_test.go
@@ -112,6 +112,12 @@
 		Headers: []sip.Header{{Name: "P-Report", Value: "idle:8"}}})
 }
 
+// reports has the process tell its state on a connection, which arrives at once.
+func (s *standInConnection) reports() {
+	s.tell(stateReport())
+	s.deliver()
+}
+
 func byeOf(id string) []byte {
 	return sip.Append(nil, &sip.Message{Method: "BYE", URI: "sip:call@net", CallID: id, Seq: 1, SeqOf: "BYE",
 		Headers: []sip.Header{{Name: "Reason", Value: "Q.850;cause=16"}}})
@@ -192,8 +198,7 @@
 	loop.After(time.Second, func() {
 		for _, s := range p.open() {
 			if !p.still {
-				s.tell(stateReport())
-				s.deliver()
+				s.reports()
 			}
 		}
 		p.chat(loop)
--- a/internal/dispatchers/steps_test.go
+++ b/internal/dispatchers/steps_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"io"
 	"log/slog"
 	"strings"
 	"testing"
@@ -10,17 +11,19 @@
 	"cherryrelay/internal/endlog"
 )
 
+// logTo has the pool log its steps.
+func (s *orderSite) logTo(w io.Writer) {
+	s.pool.Log = slog.New(slog.NewTextHandler(w, &slog.HandlerOptions{Level: slog.LevelDebug}))
+}
+
 // TestTheStepsOfAGivenUpConnectionAreLogged guards against ends that are read on a connection that was given up without the log saying so.
 func TestTheStepsOfAGivenUpConnectionAreLogged(t *testing.T) {
 	start := orderStart{name: "established", called: true}
 	var log bytes.Buffer
-	occurs := func(f func(s *orderSite)) orderEvent {
-		return orderEvent{occurs: func(s *orderSite) bool { f(s); return true }}
-	}
 	order := []orderEvent{
-		occurs(func(s *orderSite) { s.end(s.first, orderedID) }), // it is on its way
-		occurs(func(s *orderSite) {
-			s.pool.Log = slog.New(slog.NewTextHandler(&log, &slog.HandlerOptions{Level: slog.LevelDebug}))
+		event("the end of the call is on its way", 0, func(s *orderSite) { s.end(s.first, orderedID) }),
+		event("its connection is given up", 0, func(s *orderSite) {
+			s.logTo(&log)
 			s.pool.servers["first"].links[0].retire(errors.New("for the test"))
 		}),
 	}
@@ -48,10 +51,7 @@
 	for _, e := range orderEvents() {
 		events[e.letter] = e
 	}
-	events['!'] = orderEvent{occurs: func(s *orderSite) bool {
-		s.pool.servers["first"].drop(errors.New("for the test"))
-		return true
-	}}
+	events['!'] = event("the first dispatcher is dropped", 0, func(s *orderSite) { s.pool.servers["first"].drop(errors.New("for the test")) })
 	for step, order := range map[endlog.Step]string{
 		endlog.RenewalAsked:     "rT",
 		endlog.RenewalBegun:     "n",
@@ -66,10 +66,7 @@
 	} {
 		t.Run(string(step), func(t *testing.T) {
 			var log bytes.Buffer
-			all := []orderEvent{{occurs: func(s *orderSite) bool {
-				s.pool.Log = slog.New(slog.NewTextHandler(&log, &slog.HandlerOptions{Level: slog.LevelDebug}))
-				return true
-			}}}
+			all := []orderEvent{event("steps are logged", 0, func(s *orderSite) { s.logTo(&log) })}
 			for _, letter := range []byte(order) {
 				all = append(all, events[letter])
 			}
--- a/internal/dispatchers/waiting_test.go
+++ b/internal/dispatchers/waiting_test.go
@@ -52,7 +52,7 @@
 		for n := range 2 * maxReleases {
 			p.Release("", fmt.Sprint("unknown-", n), 31) // anybody may send these: they are bounded
 		}
-		p.SetUp("d", call.SetUp{ID: "last", Class: "c", Called: "k", Description: "x", Limit: time.Minute})
+		p.SetUp("d", attemptOf("last", 0))
 	})
 	d.Open()
 	for n := range many + 1 {
