Rename sound and spoilt in the connections to dispatchers

link.sound is link.healthy and Message.spoilt is Message.damaged, as docs/names.md has it; the text "answer that came spoilt", which dispatchers are told, stays.

--- a/internal/dispatchers/dispatchers.go
+++ b/internal/dispatchers/dispatchers.go
@@ -137,7 +137,7 @@
 	}
 	now := time.Now()
 	l := s.least(a.ID)
-	if l != nil && len(s.releases) == 0 && (l.sound(now) || !s.room(now)) {
+	if l != nil && len(s.releases) == 0 && (l.healthy(now) || !s.room(now)) {
 		l.setUp(a)
 		return
 	}
--- a/internal/dispatchers/link.go
+++ b/internal/dispatchers/link.go
@@ -47,7 +47,7 @@
 	report      []float64
 	reply       func(called string) []byte // what the wire owes for it; nil for nothing
 	final       bool                       // nothing more comes for the set-up
-	spoilt      bool                       // the description cannot be what was meant
+	damaged     bool                       // the description cannot be what was meant
 }
 
 // Wire is the form in which one connection speaks to a dispatcher.
@@ -266,10 +266,10 @@
 	return n
 }
 
-// sound reports whether one more set-up may go out here while a new connection may be opened. On one that has long been silent,
+// healthy reports whether one more set-up may go out here while a new connection may be opened. On one that has long been silent,
 // a set-up and what takes it back may both be stuck, if its dispatcher is cut off: they arrive together as that ends, and the
 // guard counts from there. And where one was given up without an answer, it may be the connection that is dead.
-func (l *link) sound(now time.Time) bool {
+func (l *link) healthy(now time.Time) bool {
 	return now.Sub(l.heardAt) <= silence && l.load() < unansweredWeight
 }
 
@@ -282,7 +282,7 @@
 		s.pool.Log.Debug("answer to no set-up", "server", s.ID, "id", m.id)
 		return nil
 	}
-	if m.spoilt {
+	if m.damaged {
 		return errNoise
 	}
 	if m.reply != nil {
--- a/internal/dispatchers/release.go
+++ b/internal/dispatchers/release.go
@@ -79,7 +79,7 @@
 func (s *server) releasing(id string) *link {
 	now := time.Now()
 	for _, l := range s.links {
-		if l.ready() && l.sound(now) && l.invites[id] == nil && l.releases(id) {
+		if l.ready() && l.healthy(now) && l.invites[id] == nil && l.releases(id) {
 			return l
 		}
 	}
--- a/internal/dispatchers/renewal.go
+++ b/internal/dispatchers/renewal.go
@@ -72,7 +72,7 @@
 }
 
 // renew opens the connection that is due. Where there are as many as there may be, one that has nothing to do makes room. If each has set-ups
-// open, one is given no more of them while another is sound.
+// open, one is given no more of them while another is healthy.
 func (s *server) renew(now time.Time) {
 	if !s.renewal.Due(now) || s.dialing || !s.reachable(now) {
 		return
@@ -98,7 +98,7 @@
 	}
 }
 
-// vacates reports whether the connection is to make room for one that is due: set-ups go out on others that are sound.
+// vacates reports whether the connection is to make room for one that is due: set-ups go out on others that are healthy.
 func (s *server) vacates(l *link) bool { return l == s.vacated && s.renewal.Pending() }
 
 // renewalFailed takes in that a dial has failed. While calls stand it is dialled again, at the pace of the dispatcher's backoff.
--- a/internal/dispatchers/server.go
+++ b/internal/dispatchers/server.go
@@ -195,12 +195,12 @@
 	return least
 }
 
-// compareForSetUp orders connections by how well one more set-up goes on them, the best first: sound ones, and of these first those that make no
+// compareForSetUp orders connections by how well one more set-up goes on them, the best first: healthy ones, and of these first those that make no
 // room for another.
 func (s *server) compareForSetUp(a, b *link, now time.Time) int {
 	switch {
-	case a.sound(now) != b.sound(now):
-		return boolOrder(b.sound(now), a.sound(now))
+	case a.healthy(now) != b.healthy(now):
+		return boolOrder(b.healthy(now), a.healthy(now))
 	case s.vacates(a) != s.vacates(b):
 		return boolOrder(s.vacates(a), s.vacates(b))
 	}
@@ -224,7 +224,7 @@
 		return true
 	}
 	for _, l := range s.links {
-		if l.open() == 0 && !l.sound(now) {
+		if l.open() == 0 && !l.healthy(now) {
 			l.retire(conn.ErrClosedHere)
 			return true
 		}
--- a/internal/dispatchers/sip.go
+++ b/internal/dispatchers/sip.go
@@ -90,7 +90,7 @@
 		w.finalAnswer(m, got)
 		// A length that is too short leaves the rest of the description as the beginning of the next message; one that is
 		// too long takes that into the description.
-		got.spoilt = got.kind == answer && (!call.ValidDescription(got.description) ||
+		got.damaged = got.kind == answer && (!call.ValidDescription(got.description) ||
 			strings.Contains(got.description, "SIP/2.0") || !sip.MayBegin(in))
 	default:
 		got.kind = nothing
--- a/internal/dispatchers/sip_test.go
+++ b/internal/dispatchers/sip_test.go
@@ -39,9 +39,9 @@
 		in.Write([]byte(test.text))
 		m, err := new(SIP).Next(in)
 		switch {
-		case test.want == "" && err == nil && !m.spoilt:
+		case test.want == "" && err == nil && !m.damaged:
 			t.Errorf("%s: taken as %+v, want an error", name, m)
-		case test.want != "" && (err != nil || m.spoilt || m.kind != answer || m.description != test.want):
+		case test.want != "" && (err != nil || m.damaged || m.kind != answer || m.description != test.want):
 			t.Errorf("%s: got %+v, %v", name, m, err)
 		}
 	}
--- a/internal/dispatchers/websocket.go
+++ b/internal/dispatchers/websocket.go
@@ -130,7 +130,7 @@
 	switch m.Type {
 	case "answer":
 		got.kind, got.final, got.description = answer, true, m.Description()
-		got.spoilt = !call.ValidDescription(got.description)
+		got.damaged = !call.ValidDescription(got.description)
 	case "released":
 		got.kind = confirmation
 	case "release":
