Judge late answers of the shutdown soak once all delays are recorded

This is a fault of the judge that was found on the way; that it was this one is not shown.

The judge excuses what a process waited for a core, by the kernel's count. A delay is recorded when it has ended, which may be after the answer that it made late has been read; and late answers alone were judged as they were read. So an answer was held against the process though most of its lateness was excused by what came into the record a moment later.

Late answers are judged with everything else in the verdict, by the same bound and the same record.

--- a/cmd/cherryrelay/shutdown_judge_test.go
+++ b/cmd/cherryrelay/shutdown_judge_test.go
@@ -115,9 +115,6 @@
 			j.fault("%s: an answer that no dispatcher gave: %.40q", id, description)
 		}
 	}
-	if late := at.Sub(c.written) - c.left; c.leftAt.IsZero() && j.exceeds(late, lateMost, c.written, at) {
-		j.fault("%s: answered %v after its time of %v", id, late, c.left)
-	}
 }
 
 // ended notes that a connection has ended, at a time on the kernel's clock, with the set-ups that came on it.
@@ -156,6 +153,9 @@
 	faults, _, _ := dispatchers.Verdict()
 	faults = append(faults, j.faults...)
 	for id, c := range j.calls {
+		if late := c.finalAt.Sub(c.written) - c.left; c.finals > 0 && c.leftAt.IsZero() && j.exceeds(late, lateMost, c.written, c.finalAt) {
+			faults = append(faults, fmt.Sprintf("%s: answered %v after its time of %v", id, late, c.left))
+		}
 		if c.finals == 0 && c.leftAt.IsZero() && !c.crossed && !c.lost && !c.excluded {
 			faults = append(faults, fmt.Sprintf("%s: no answer, written %v before the end", id, livedUntil.Sub(c.written)))
 		}
@@ -288,3 +288,29 @@
 		}
 	}
 }
+
+// TestAnAnswerIsJudgedByAllThatWasMeasured guards against a judge that holds a process to a delay that it is excused for: the delay is recorded
+// once it has ended, which may be after the answer that it made late. One that is recorded for another time excuses nothing.
+func TestAnAnswerIsJudgedByAllThatWasMeasured(t *testing.T) {
+	t.Parallel()
+	const call, left, late, delay = "1", time.Second, 700 * time.Millisecond, 400 * time.Millisecond
+	begun := time.Now().Add(-time.Hour) // no meter has seen that
+	answered := begun.Add(left + late)
+	for name, test := range map[string]struct {
+		delayEnded time.Time
+		ok         bool
+	}{
+		"it lasted as the answer came": {answered.Add(delay / 10), true},
+		"it began after the answer":    {answered.Add(2 * delay), false},
+	} {
+		j := newShutdownJudge()
+		j.process = &schedulerMeter{}
+		j.written(call, begun, left, false)
+		j.heardOf(call, "release", "", answered)
+		j.process.add(schedulerDelay{end: test.delayEnded, lost: delay})
+		faults := j.verdict(trial.NewJudge(guard, time.Hour), nil, time.Now())
+		if (len(faults) == 0) != test.ok {
+			t.Errorf("%s: %q, want it to pass: %v", name, faults, test.ok)
+		}
+	}
+}
