Tell an end read on an earlier attempt's connection ahead of the answer to the next one

What callers would see: an answer, and the end of the call told to nobody. A dispatcher answers a second attempt, closes its connection in good order and tells the end on the connection of an earlier, withdrawn attempt.

The end is kept for the close where a later attempt is out at that dispatcher, too (server.hasLater).

--- a/internal/dispatchers/early.go
+++ b/internal/dispatchers/early.go
@@ -6,14 +6,22 @@
 	"time"
 )
 
-// earlyRelease is a release that came on the connection of an earlier attempt while that of the attempt that stands was open here. Its dispatcher
-// may have closed the latter, and the close not have been read yet: then it is the end of the call that stands.
+// earlyRelease is a release that came on the connection of an earlier attempt while that of the attempt that stands, or may as its answer is read, was
+// open here. Its dispatcher may have closed the latter, and the close not have been read yet: then it is the end of the call that stands.
 type earlyRelease struct {
 	cause  int
 	report []float64
 	at     time.Time
 }
 
+// hasLater reports whether an attempt is out at the dispatcher that was made after the given one of the same call.
+func (s *server) hasLater(id string, attempt int) bool {
+	return attempt != noAttempt && slices.ContainsFunc(s.links, func(l *link) bool {
+		i := l.invites[id]
+		return i != nil && i.attempt > attempt && i.withdrawn.IsZero()
+	})
+}
+
 // keepEarly keeps a release for closesWithin.
 func (s *server) keepEarly(id string, r earlyRelease) {
 	if s.early == nil {
--- a/internal/dispatchers/orders_test.go
+++ b/internal/dispatchers/orders_test.go
@@ -169,6 +169,7 @@
 		"a connection makes room as the end of a call is on its way there":     {orderStart{called: true, chats: true}, "neV"},
 		"a set-up waits on a dead connection on which an end has been told":    {orderStart{called: true, links: 2, chats: true, before: "io"}, "em"},
 		"an end on the connection of an earlier attempt, before a close":       {orderStart{links: 2, doubted: true, newest: true, chats: true}, "TadHedd"},
+		"an end on the connection of an earlier attempt, before the answer":    {orderStart{links: 2, doubted: true, newest: true, chats: true}, "TaHedd"},
 		"an end on a dead connection, of a call that came after its give-up":   {orderStart{called: true, links: 2, chats: true}, "ioqeqmJE"},
 		"an attempt comes to nothing whose predecessor is answered late":       {orderStart{links: 2}, "am"},
 		"the next attempt overtakes a release of the one before":               {orderStart{links: 3}, "amNIdptu"},
