Take no end for that of a set-up that has not left yet

What callers would see: a final answer, 41, though another attempt was under way, and that one's set-up going out after it. A dispatcher repeats the end of an earlier attempt's call on a new connection; where the next attempt of the same call had just been queued there, the end was taken for that attempt's, by the call's id alone.

What a dispatcher tells is about a set-up on its connection only if all of that has left (link.invitedWith). The end counts as on any other connection then: here as that of an attempt before, and the next one goes on.

--- a/internal/dispatchers/link.go
+++ b/internal/dispatchers/link.go
@@ -76,6 +76,7 @@
 	called    string
 	withdrawn time.Time // when it was given up, if it was
 	ticket    conn.Ticket
+	left      bool // all of it is with the kernel
 }
 
 // lifetime tells whether a connection has closed. What refers to it keeps none of the connection's buffers.
@@ -143,7 +144,10 @@
 	i := &invite{attempt: a.Attempt, called: a.Called, sentAt: time.Now()}
 	l.usedAt = i.sentAt
 	l.invites[a.ID] = i
-	i.ticket = l.conn.WriteThen(l.wire.SetUp(a), l.server.pool.core.Written)
+	i.ticket = l.conn.WriteThen(l.wire.SetUp(a), func() {
+		i.left = true
+		l.server.pool.core.Written()
+	})
 	l.written()
 	l.server.pool.touch(l.server)
 }
@@ -273,10 +277,18 @@
 	return now.Sub(l.heardAt) <= silence && l.load() < unansweredWeight
 }
 
+// invitedWith is the set-up of a call that a message of the dispatcher may be about; nil if there is none. It can't be about one that has not left.
+func (l *link) invitedWith(id string) *invite {
+	if i := l.invites[id]; i != nil && i.left {
+		return i
+	}
+	return nil
+}
+
 // take acts on a message. An error ends the connection.
 func (l *link) take(m *Message) error {
 	s, core := l.server, l.server.pool.core
-	i := l.invites[m.id]
+	i := l.invitedWith(m.id)
 	if i == nil && m.final && m.kind != ended {
 		// A second copy, or an answer to what was not asked here: there is nothing that it could be the answer to.
 		s.pool.Log.Debug("answer to no set-up", "server", s.ID, "id", m.id)
--- a/internal/dispatchers/orders_test.go
+++ b/internal/dispatchers/orders_test.go
@@ -170,6 +170,7 @@
 		"a set-up waits on a dead connection on which an end has been told":    {orderStart{called: true, links: 2, chats: true, before: "io"}, "em"},
 		"an end on the connection of an earlier attempt, before a close":       {orderStart{links: 2, doubted: true, newest: true, chats: true}, "TadHedd"},
 		"an end on the connection of an earlier attempt, before the answer":    {orderStart{links: 2, doubted: true, newest: true, chats: true}, "TaHedd"},
+		"an end is repeated where the next attempt has not left yet":           {orderStart{links: 2, doubted: true, newest: true, chats: true}, "TaHed"},
 		"an end on a dead connection, of a call that came after its give-up":   {orderStart{called: true, links: 2, chats: true}, "ioqeqmJE"},
 		"an attempt comes to nothing whose predecessor is answered late":       {orderStart{links: 2}, "am"},
 		"the next attempt overtakes a release of the one before":               {orderStart{links: 3}, "amNIdptu"},
