Stay for an end on a connection that its caller has ended and nobody has told of

Found by review.

Conn.mayLoseEnd counts an end on a connection that its caller has ended, for as long as that has not been told, which ends it. The new case of TestADrainStaysForEndsThatCrossAClose failed before ("its end is told to nobody"); the stand-in drops what is queued on a reset as conn.Flush does.

--- a/internal/callers/ends.go
+++ b/internal/callers/ends.go
@@ -160,8 +160,11 @@
 }
 
 // mayLoseEnd reports whether the end of a call that was told here may be lost, as the caller closes the connection. It may do so where no call of
-// its own is; the connection of a call it keeps until it has read the end.
+// its own is; the connection of a call it keeps until it has read the end, unless it has ended it by now.
 func (c *Conn) mayLoseEnd() bool {
+	if c.gone() {
+		return slices.ContainsFunc(c.sent, c.unheard)
+	}
 	return c.front.core.Owes(c) == 0 && c.front.core.StandingOf(c) == 0 &&
 		slices.ContainsFunc(c.sent, func(t *told) bool { return t.elsewhere && c.unheard(t) })
 }
--- a/internal/callers/ends_leave_test.go
+++ b/internal/callers/ends_leave_test.go
@@ -155,6 +155,19 @@
 			ends(s, func() {})
 			return since
 		}, endsAt + recent, endsAt + recent + soon},
+		"the call's own connection is reset, which is not shown yet": {func(s *orderSite) time.Time {
+			since := s.drains()
+			time.Sleep(endsAt)
+			s.do(func() {
+				s.dispatchers.ends()
+				s.caller.unshown = true
+				s.first.reset()
+			})
+			time.Sleep(finalFlight)
+			s.do(func() { s.caller.goesOn() })
+			s.connectsAgain(backAfter)
+			return since
+		}, endsAt + backAfter, endsAt + backAfter + recent + soon},
 		"the call's own connection": {func(s *orderSite) time.Time {
 			since := s.drains()
 			ends(s, func() {})
--- a/internal/callers/standin_test.go
+++ b/internal/callers/standin_test.go
@@ -2,11 +2,9 @@
 
 import (
 	"bytes"
-	"fmt"
 	"io"
 	"os"
 	"slices"
-	"syscall"
 	"time"
 
 	"cherryrelay/control"
@@ -435,7 +433,7 @@
 	case s.told || len(s.out) == 0 || s.caller.full:
 	case s.ended:
 	case s.rst:
-		s.Close(fmt.Errorf("writing: %w", syscall.ECONNRESET))
+		s.out = nil
 	default:
 		s.leaves()
 	}
