Hold a connection for a resumed call no longer than any set-up may take

One that named no time was not waited for at all, and its answer could be thrown away.

It is held for what the caller names, at most for the longest deadline of a class, and for that where it names none. TestAResumeHoldsNoConnectionForLong failed before in three of four cases.

--- a/internal/callers/conn.go
+++ b/internal/callers/conn.go
@@ -140,10 +140,12 @@
 			return call.ErrTooManyClaims
 		}
 		claim := call.Claim{Caller: c, ID: m.ID, Token: string(m.Fields["token"]), Answered: m.Fields["answered"] == "1"}
+		awaited := at.Add(c.front.terms.longestDeadline())
 		if left, err := m.Int("left"); err == nil && left >= 0 && left <= longest.Milliseconds() {
 			claim.By = at.Add(time.Duration(left) * time.Millisecond)
-			c.awaitsAnswer(claim.By)
+			awaited = earlier(awaited, claim.By)
 		}
+		c.awaitsAnswer(awaited)
 		return c.front.core.Claim(claim)
 	case "ping":
 		if !c.tested && !c.asked {
--- a/internal/callers/room.go
+++ b/internal/callers/room.go
@@ -133,6 +133,14 @@
 	}
 }
 
+// earlier is the earlier one of two times.
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // holdsAnswer reports whether something waits for a socket that takes no more while a caller may still wait for a final answer here, which would be
 // thrown away with the connection. A caller that stands still holds its connection until it must have given up, and no longer.
 func (c *Conn) holdsAnswer(now time.Time) bool {
--- a/internal/callers/terms.go
+++ b/internal/callers/terms.go
@@ -60,6 +60,14 @@
 	return t
 }
 
+// longestDeadline is the longest time that a set-up may have.
+func (t *Terms) longestDeadline() (longest time.Duration) {
+	for _, class := range t.classes {
+		longest = max(longest, class.deadline)
+	}
+	return longest
+}
+
 // request reads the fields of a set-up. Its token counts where calls can be resumed.
 func (t *Terms) request(m *jsonl.Message, at time.Time, resumable bool) (r call.Request, err error) {
 	field := func(name string) string { return string(m.Fields[name]) }
--- a/internal/callers/unsent_test.go
+++ b/internal/callers/unsent_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"cherryrelay/internal/call"
+	"cherryrelay/internal/jsonl"
 	"cherryrelay/internal/peer"
 )
 
@@ -150,3 +151,45 @@
 		}
 	})
 }
+
+// claimsCore takes claims to calls.
+type claimsCore struct{ *openCore }
+
+func (claimsCore) Claim(call.Claim) error { return nil }
+
+// TestAResumeHoldsNoConnectionForLong guards against a front that is kept full by callers that do not read, and name an hour in which they would wait for
+// the answer of the call that they come back for; and against an answer that is thrown away, as its caller names no time.
+func TestAResumeHoldsNoConnectionForLong(t *testing.T) {
+	t.Parallel()
+	const deadline = 9 * time.Second // of the only class
+	for name, test := range map[string]struct {
+		left  jsonl.Value
+		until time.Duration
+	}{
+		"it names an hour":  {"3600000", deadline},
+		"it names less":     {"1000", time.Second},
+		"it names no time":  {"", deadline},
+		"it names nonsense": {"x", deadline},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := oneConnection(t, claimsCore{serving()})
+			_, c := connects(t, f, 1)
+			onLoop(f.loop, func() {
+				f.terms.ResumeLines(true)
+				fillSocket(t, c)
+				at := time.Now()
+				fields := map[string]jsonl.Value{}
+				if test.left != "" {
+					fields["left"] = test.left
+				}
+				if err := c.take(&jsonl.Message{Type: "resume", ID: unsentID, Fields: fields}, at); err != nil {
+					t.Error(err)
+				}
+				if end := at.Add(test.until); !c.holdsAnswer(end.Add(-time.Millisecond)) || c.holdsAnswer(end.Add(time.Millisecond)) {
+					t.Errorf("the connection is held until %v after the resume, want %v", c.awaited.Sub(at), test.until)
+				}
+			})
+		})
+	}
+}
