Have a release that is kept for a close end no call on another connection

Where the later attempt had not left yet, or was refused and followed by another one, a close ended the call that had come to stand since, while its dispatcher held it.

link.awaitsClose names the connection, of an attempt that has left, and tellEarly looks at that.

--- a/internal/dispatchers/early.go
+++ b/internal/dispatchers/early.go
@@ -12,14 +12,27 @@
 	cause  int
 	report []float64
 	at     time.Time
+	awaits *lifetime // the connection that its dispatcher may have closed
 }
 
-// hasLater reports whether an attempt is out at the dispatcher that was made after the given one of the same call.
-func (s *server) hasLater(id string, attempt int) bool {
-	return attempt != noAttempt && slices.ContainsFunc(s.links, func(l *link) bool {
-		i := l.invites[id]
-		return i != nil && i.attempt > attempt && i.withdrawn.IsZero()
-	})
+// awaitsClose is the connection of a later attempt than the given one, whose call a release on this connection ends if its dispatcher has closed that;
+// nil if there is none.
+func (l *link) awaitsClose(id string, attempt int) *lifetime {
+	if attempt == noAttempt {
+		return nil
+	}
+	if answered := l.server.standing[id]; answered != nil {
+		if answered == l.lifetime {
+			return nil
+		}
+		return answered
+	}
+	for _, o := range l.server.links {
+		if i := o.invitedWith(id); i != nil && i.attempt > attempt && i.withdrawn.IsZero() {
+			return o.lifetime
+		}
+	}
+	return nil
 }
 
 // keepEarly keeps a release for closesWithin.
@@ -35,7 +48,7 @@
 func (s *server) tellEarly(closed *lifetime) {
 	for _, id := range slices.Sorted(maps.Keys(s.early)) {
 		r := s.early[id]
-		if s.standing[id] != closed {
+		if s.standing[id] != closed || r.awaits != closed {
 			continue
 		}
 		delete(s.early, id)
--- a/internal/dispatchers/early_test.go
+++ b/internal/dispatchers/early_test.go
@@ -48,9 +48,8 @@
 	}
 }
 
-// siteWithEarlyRelease is a site with three connections: a release has come on the first one, where an attempt was withdrawn, of the call that stands
-// by the next attempt on the second. Its loop runs until quit is called.
-func siteWithEarlyRelease(t *testing.T) (s *orderSite, core *releaseLog, quit func()) {
+// siteWithWithdrawnAttempt is a site on whose first connection an attempt was withdrawn, which has no final answer yet. Its loop runs until quit is called.
+func siteWithWithdrawnAttempt(t *testing.T) (s *orderSite, core *releaseLog, quit func()) {
 	t.Helper()
 	s = newOrderSite(t, orderStart{})
 	core = &releaseLog{standings: standings{ends: ends{told: map[string]control.Outcome{}}, at: map[control.ServerID][]string{}}}
@@ -65,18 +64,111 @@
 	s.do(func() { s.pool.Withdraw("first", orderedID, 0) })
 	s.do(func() {
 		c := s.first.all[0]
-		c.flight = nil // the withdrawn attempt has no final answer yet
+		c.flight = nil
 		c.reports()
-		s.pool.SetUp("first", attemptOf(orderedID, 1))
 	})
+	return s, core, quit
+}
+
+// siteWithEarlyRelease is a site with three connections: a release has come on the first one, where an attempt was withdrawn, of the call that stands
+// by the next attempt on the second. Its loop runs until quit is called.
+func siteWithEarlyRelease(t *testing.T) (s *orderSite, core *releaseLog, quit func()) {
+	t.Helper()
+	s, core, quit = siteWithWithdrawnAttempt(t)
+	s.do(func() { s.pool.SetUp("first", attemptOf(orderedID, 1)) })
 	time.Sleep(time.Second)
 	s.do(func() { s.first.finalAnswer(orderedID, 200); s.first.all[1].deliver() })
 	s.do(func() { s.pool.Renew("first") })
 	time.Sleep(time.Second)
-	s.do(func() {
-		c := s.first.all[0]
-		c.tell(byeOf(orderedID))
-		c.deliver()
-	})
+	s.do(s.releasedOnTheFirst)
 	return s, core, quit
 }
+
+// releasedOnTheFirst has a release of the call come on the first connection.
+func (s *orderSite) releasedOnTheFirst() {
+	s.first.all[0].tell(byeOf(orderedID))
+	s.first.all[0].deliver()
+}
+
+// connectionWithSetUp is the connection on which the call's set-up is open at its dispatcher.
+func (s *orderSite) connectionWithSetUp(t *testing.T) *standInConnection {
+	t.Helper()
+	for _, c := range s.first.all[1:] {
+		if _, ok := c.setUps[orderedID]; ok {
+			return c
+		}
+	}
+	t.Fatal("the set-up is on no connection")
+	return nil
+}
+
+// TestAReleaseKeptForOneCloseEndsNothingByAnother guards against a call that is cut as it stands: a release of an earlier attempt was kept for the close of
+// a connection on which the next attempt had not left yet, or was refused, and the call came to stand after that.
+func TestAReleaseKeptForOneCloseEndsNothingByAnother(t *testing.T) {
+	t.Parallel()
+	const refused = 486
+	isRefused := func(t *testing.T, s *orderSite) (on *standInConnection) {
+		s.do(func() { s.pool.SetUp("first", attemptOf(orderedID, 1)) })
+		s.do(s.releasedOnTheFirst)
+		on = s.connectionWithSetUp(t)
+		s.do(func() {
+			s.first.finalAnswerOn(on, orderedID, refused)
+			on.deliver()
+			s.calls[otherID] = &orderedCall{}
+			s.pool.SetUp("first", attemptOf(otherID, 0)) // on the same connection: the next attempt takes another one
+		})
+		s.do(func() { s.pool.SetUp("first", attemptOf(orderedID, 2)) })
+		if s.connectionWithSetUp(t) == on {
+			t.Fatal("the next attempt is on the same connection")
+		}
+		return on
+	}
+	for name, goesOn := range map[string]func(t *testing.T, s *orderSite) (closes *standInConnection){
+		"the next attempt had not left": func(t *testing.T, s *orderSite) *standInConnection {
+			s.do(func() {
+				for _, c := range s.first.all[1:] {
+					c.full = true
+				}
+				s.pool.SetUp("first", attemptOf(orderedID, 1))
+			})
+			s.do(s.releasedOnTheFirst)
+			s.do(func() {
+				for _, c := range s.first.all[1:] {
+					c.flows()
+				}
+			})
+			return s.connectionWithSetUp(t)
+		},
+		"the next attempt was refused": func(t *testing.T, s *orderSite) *standInConnection {
+			isRefused(t, s)
+			return s.connectionWithSetUp(t)
+		},
+		"the next attempt was refused, and its connection closes": isRefused,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				s, core, quit := siteWithWithdrawnAttempt(t)
+				defer quit()
+				for range 2 {
+					s.do(func() { s.pool.Renew("first") })
+					time.Sleep(time.Second)
+				}
+				closes, c := goesOn(t, s), s.connectionWithSetUp(t)
+				s.do(func() {
+					s.first.finalAnswerOn(c, orderedID, 200)
+					c.deliver()
+				})
+				s.do(func() {
+					closes.close()
+					closes.deliver()
+				})
+				s.do(func() {
+					if !slices.Equal(core.attempts, []int{0}) {
+						t.Errorf("releases are those of the attempts %d, want 0 alone", core.attempts)
+					}
+				})
+			})
+		})
+	}
+}
--- a/internal/dispatchers/link.go
+++ b/internal/dispatchers/link.go
@@ -349,8 +349,8 @@
 		attempt = s.attemptReleased(m.id, attempt)
 		l.logCall(endlog.ReleaseRead, m.id, attempt)
 		core.Released(s.ID, m.id, attempt, m.cause, m.report)
-		if answered := s.standing[m.id]; s.hasLater(m.id, attempt) || attempt != noAttempt && answered != nil && answered != l.lifetime {
-			s.keepEarly(m.id, earlyRelease{cause: m.cause, report: m.report, at: time.Now()})
+		if awaits := l.awaitsClose(m.id, attempt); awaits != nil {
+			s.keepEarly(m.id, earlyRelease{cause: m.cause, report: m.report, at: time.Now(), awaits: awaits})
 		} else {
 			delete(s.standing, m.id)
 		}
