Fill a socket and ask for room in one turn in the tests of unsent answers

A fault of the test: it held the socket for full once a byte waited, and had another connection come turns later. The kernel may take more by then, as acknowledgements come late: the answer had left, and the connection was right to go.

At least 30 KB wait now, and room is asked for in the same turn. What is checked is the same.

--- a/internal/callers/unsent_test.go
+++ b/internal/callers/unsent_test.go
@@ -16,6 +16,8 @@
 	unsentID = "00000000000000b1"
 	// fillerSize is most of the largest message.
 	fillerSize = 15 << 10
+	// fullWith is how much waits for a socket that is full.
+	fullWith = 2 * fillerSize
 )
 
 // accepts waits until the front has a connection beside another one.
@@ -34,10 +36,11 @@
 	return accepted
 }
 
-// fillSocket has the connection tell its caller, which does not read, answers of other calls until its socket takes no more. It runs on the loop.
+// fillSocket has the connection tell its caller, which does not read, answers of other calls until its socket takes no more. It runs on the loop, and
+// what follows there at once finds the socket full: its kernel may take more later.
 func fillSocket(t *testing.T, c *Conn) {
 	t.Helper()
-	for c.conn.Unsent() == 0 {
+	for c.conn.Unsent() < fullWith {
 		if err := c.Answer(otherID, strings.Repeat("x", fillerSize)); err != nil {
 			t.Fatal(err)
 		}
@@ -60,13 +63,7 @@
 			t.Fatal("the set-up is never taken")
 		}
 	}
-	onLoop(f.loop, func() {
-		core.owes[first] = 0
-		fillSocket(t, first)
-		if err := first.Answer(unsentID, "y"); err != nil {
-			t.Error(err)
-		}
-	})
+	onLoop(f.loop, func() { f.Limit(2) })
 	newest, err := peer.Call("tcp", f.Address())
 	if err != nil {
 		t.Fatal(err)
@@ -74,6 +71,13 @@
 	defer newest.Close()
 	second := accepts(t, f, first)
 	onLoop(f.loop, func() {
+		core.owes[first] = 0
+		fillSocket(t, first)
+		if err := first.Answer(unsentID, "y"); err != nil {
+			t.Error(err)
+		}
+		f.Limit(1)
+		f.makeRoom(second)
 		if first.closed || !second.overflow {
 			t.Errorf("it is closed: %v; the new one waits for its refusal: %v", first.closed, second.overflow)
 		}
