Fetch ends that may be told on a connection that was closed here for noise

What callers would see: the end of a call told to nobody. A dispatcher stands still as noise has its connection closed here. As it goes on it tells the end of a call there, where it is discarded, and repeats it only on the next connection that opens after that.

Cause: one connection is opened right after the close, while the dispatcher stands still. More follow each 5 s only where it may hold a connection for open that nobody reads (Renewal.Unread), and that was noted for connections that were given up in good order, not for those closed for a fault.

Evidence: TestAnEndOnAConnectionClosedForNoiseIsTold forces the order and failed each time before ("its end is not told"). Its steps, logged: closed at 1.31 s, the next connection opened by 1.50 s, the end told on the closed one, nothing asked for again. With the fix the next connection begins at 6.60 s and brings the end. A connection that was closed for any fault is now noted as one that its dispatcher may hold for open (link.Closed). The same order on a connection that had been given up as dead before the noise came (TestAnEndOnAHalfClosedConnectionClosedForNoiseIsTold, new) failed before, too.

--- a/internal/dispatchers/link_end.go
+++ b/internal/dispatchers/link_end.go
@@ -64,6 +64,9 @@
 	if l.losesEnds(reason) {
 		s.noteLostEnds()
 	}
+	if l.state != linkClosed && closedForFault(reason) {
+		s.renewal.SetUnread(true) // its dispatcher may tell ends here until it sees the close
+	}
 	if l.state == linkOpen {
 		l.end(reason)
 	} else {
@@ -83,6 +86,11 @@
 	return errors.Is(reason, io.EOF) && !errors.Is(reason, conn.ErrReset)
 }
 
+// closedForFault reports whether this side closed a connection for a fault. What its dispatcher sends there after that is discarded.
+func closedForFault(reason error) bool {
+	return !errors.Is(reason, io.EOF) && !errors.Is(reason, conn.ErrClosedHere)
+}
+
 // ended takes in the end of a connection that had been given up.
 func (l *link) ended(reason error) {
 	s := l.server
@@ -104,7 +112,7 @@
 	s := l.server
 	s.probedAt = time.Time{} // it may have gone out here
 	s.pool.touch(s)
-	if !errors.Is(reason, io.EOF) && !errors.Is(reason, conn.ErrClosedHere) && !errors.Is(reason, errDead) {
+	if closedForFault(reason) && !errors.Is(reason, errDead) {
 		s.pool.Log.Warn("connection to dispatcher closed", "server", s.ID, "reason", reason)
 	}
 	s.links = slices.DeleteFunc(s.links, func(o *link) bool { return o == l })
