Probe for whose end it is that came ahead of an answer, after a lost attempt

What callers would see: the end of a call told to nobody. A dispatcher establishes the second attempt of a call, closes the connection of that and tells the end on another one, which is read first. Where an earlier attempt there had been reset, or withdrawn without a refusal since, the end could be that one's as well, and was dropped for good.

Cause: by what had been read the two can't be told apart, and nothing was done to learn more. The steps logged in both orders have the same line, attempt=-1, attempt 1 out, result=ambiguous; the difference comes after it, on the connection of the attempt that is out: the answer and a close if the end was its own, the answer and more if it was the earlier one's.

The end is kept now, and that connection is probed. A dispatcher tells the end of a call on the connection of its set-up while that is open, so if the reply comes and no end ahead of it, the end was the earlier attempt's. If the connection closes behind the answer, or brings nothing by 0.8 s after the end, it counts as the call's; the dispatcher is told, too, as it may hold the call. Where an earlier attempt is known to have stood, only the close does.

TestAnEndOfUnknownAttempt changes. Its checks are word for word what they were; the reply that shows the attempt's connection to live is now among its events, ahead of the answer and behind it.

--- /dev/null
+++ b/internal/call/ambiguous.go
@@ -0,0 +1,79 @@
+package call
+
+import (
+	"time"
+
+	"cherryrelay/internal/endlog"
+)
+
+const (
+	// repliedWithin is how long after it was read an ambiguous end waits for the reply to the probe. What has stood is to be released towards its
+	// caller within a second of its end.
+	repliedWithin = 800 * time.Millisecond
+	// repliedAfterAnswer is how long it waits at least once the answer has come: the reply may be right behind that.
+	repliedAfterAnswer = 100 * time.Millisecond
+)
+
+// ambiguousEnd is the end of a call that was read on another connection than that of the attempt that is out, ahead of its answer, where an earlier
+// attempt at the same dispatcher may have established the call. A dispatcher tells the end of a call on the connection of its set-up, unless it has
+// closed that: what comes there next tells whose end it is.
+type ambiguousEnd struct {
+	cause  int
+	report []float64
+	readAt time.Time
+	// ofEarlier is set where an earlier attempt is known to have established the call: without a reply the end counts as that one's.
+	ofEarlier bool
+	timer     *Timer // runs from the answer on
+}
+
+// probeAmbiguous keeps such an end, and has the connection of the attempt probed. If the reply comes and no end ahead of it, the end is an earlier
+// attempt's. If the connection ends first, behind the answer, it is that of the call that was answered.
+func (c *Core) probeAmbiguous(k *record, cause int, report []float64) {
+	end := &ambiguousEnd{cause: cause, report: report, readAt: time.Now(), ofEarlier: k.earlierEstablished()}
+	c.dropAmbiguous(k)
+	k.ambiguous = end
+	c.dispatchers.Ping(k.server, k.ID, k.attempts-1, func(replied bool) {
+		switch {
+		case k.ambiguous != end:
+		case replied:
+			endlog.Call(c.log, endlog.EndOfEarlier, k.ID, endlog.Server(k.server), endlog.Attempt(k.attempts-1))
+			c.dropAmbiguous(k)
+		case k.state == stands:
+			c.concludeAmbiguous(k)
+		}
+	})
+}
+
+// awaitReply bounds the wait for the reply once a call has been answered.
+func (c *Core) awaitReply(k *record) {
+	end := k.ambiguous
+	if end == nil || k.state != stands {
+		return
+	}
+	end.timer = c.loop.After(max(repliedWithin-time.Since(end.readAt), repliedAfterAnswer), func() {
+		switch {
+		case k.ambiguous != end:
+		case end.ofEarlier:
+			c.dropAmbiguous(k)
+		default:
+			c.concludeAmbiguous(k)
+		}
+	})
+}
+
+// concludeAmbiguous ends a call that was answered, by the ambiguous end that came before. Its dispatcher may hold it all the same, and releases it then.
+func (c *Core) concludeAmbiguous(k *record) {
+	end := k.ambiguous
+	endlog.Call(c.log, endlog.EndOfLatest, k.ID, endlog.Server(k.server), endlog.Attempt(k.attempts-1))
+	c.dropAmbiguous(k)
+	c.dispatchers.Release(k.server, k.ID, CauseTemporary)
+	c.Released(k.server, k.ID, noAttempt, end.cause, end.report)
+}
+
+// dropAmbiguous forgets an ambiguous end.
+func (c *Core) dropAmbiguous(k *record) {
+	if k.ambiguous != nil {
+		c.loop.Stop(k.ambiguous.timer)
+		k.ambiguous = nil
+	}
+}
--- a/internal/call/core_test.go
+++ b/internal/call/core_test.go
@@ -25,6 +25,7 @@
 	releases int
 	drained  map[control.ServerID]bool
 	setUps   int
+	pings    []func(replied bool)
 	react    func(server control.ServerID, a SetUp)
 	settings *settings.Settings
 }
@@ -38,6 +39,20 @@
 func (s *site) Over(id string, _ End)                 { s.overs[id]++ }
 func (s *site) Renew(control.ServerID)                {}
 
+// Ping keeps what is to be called as the reply to a probe comes.
+func (s *site) Ping(_ control.ServerID, _ string, _ int, done func(bool)) {
+	s.pings = append(s.pings, done)
+}
+
+// pinged tells of each probe that its reply has come, or that the connection has ended.
+func (s *site) pinged(replied bool) {
+	pings := s.pings
+	s.pings = nil
+	for _, done := range pings {
+		done(replied)
+	}
+}
+
 func (s *site) Withdraw(_ control.ServerID, id string, _ int) {
 	delete(s.out, id)
 	s.ready[id] = time.Now().Add(guard)
--- a/internal/call/durable_test.go
+++ b/internal/call/durable_test.go
@@ -63,6 +63,9 @@
 func (mute) Release(control.ServerID, string, int)  {}
 func (mute) Probe(control.ServerID)                 {}
 
+// Ping has no reply.
+func (mute) Ping(control.ServerID, string, int, func(bool)) {}
+
 // durableSite is a core with two dispatchers.
 func durableSite(t *testing.T) (*Core, *site) {
 	s := newSite(t)
--- a/internal/call/offers.go
+++ b/internal/call/offers.go
@@ -261,7 +261,7 @@
 	}
 	c.stopTimers(k)
 	k.state, k.out, k.overAt = over, false, time.Now()
-	k.Caller, k.Description, k.answer, k.place, k.tried, k.overtaken = nil, "", "", nil, nil, nil
+	k.Caller, k.Description, k.answer, k.place, k.tried, k.overtaken, k.ambiguous = nil, "", "", nil, nil, nil, nil
 	c.ended = append(c.ended, k)
 	for len(c.ended) > 0 && time.Since(c.ended[0].overAt) > remember {
 		delete(c.calls, c.ended[0].ID)
@@ -276,4 +276,7 @@
 	if k.overtaken != nil {
 		c.loop.Stop(k.overtaken.timer)
 	}
+	if k.ambiguous != nil {
+		c.loop.Stop(k.ambiguous.timer)
+	}
 }
--- a/internal/call/outcomes.go
+++ b/internal/call/outcomes.go
@@ -25,6 +25,7 @@
 		// An earlier attempt's, late. A release would go out under the id that both have, and cut the call that the later
 		// one is about to stand as. It goes out if that one comes to nothing.
 		k.heldThere = true
+		k.noteEstablished(attempt)
 		endlog.Call(c.log, endlog.AnswerOfEarlier, id, endlog.Server(server), endlog.Attempt(attempt))
 		return false
 	}
@@ -32,6 +33,9 @@
 		c.callerLeft(k) // before the answer came: whoever leaves later has had it, and its call stands
 	}
 	if k == nil || !k.out || k.server != server || attempt >= 0 && attempt != k.attempts-1 {
+		if k != nil {
+			k.noteEstablished(attempt)
+		}
 		endlog.Call(c.log, endlog.AnswerUnwanted, id, endlog.Server(server), endlog.Attempt(attempt))
 		c.dispatchers.Release(server, id, CauseNormal)
 		return false
@@ -41,7 +45,7 @@
 		endlog.Call(c.log, endlog.AnswerUnfit, id, endlog.Server(server), endlog.Attempt(attempt))
 		c.dispatchers.Release(server, id, CauseNormal)
 		c.Ended(server, id, attempt, control.Failed, false, nil)
-		k.tried = append(k.tried, triedAttempt{server, k.attempts - 1}) // it was established there
+		k.tried = append(k.tried, triedAttempt{server, k.attempts - 1, true}) // it was established there
 		return false
 	}
 	c.note(k, recovery.Stood, func(e *recovery.Event) {
@@ -64,6 +68,7 @@
 	}
 	c.tell(control.CallStands{ID: control.CallID(id), Server: server, Attempt: k.attempts - 1,
 		Elapsed: time.Since(k.sentAt)})
+	c.awaitReply(k)
 	c.overtook(k)
 	return k.state == stands
 }
@@ -122,7 +127,9 @@
 		c.endUnanswered(k, report)
 	case endBeforeAnswer:
 		c.overtakes(k, cause, report)
-	case endOfEarlier, endAgain, endOtherDispatcher, endNotEstablished, endRepeated, endAmbiguous:
+	case endAmbiguous:
+		c.probeAmbiguous(k, cause, report)
+	case endOfEarlier, endAgain, endOtherDispatcher, endNotEstablished, endRepeated:
 	}
 }
 
--- a/internal/call/overtaken.go
+++ b/internal/call/overtaken.go
@@ -20,8 +20,7 @@
 }
 
 // matchOvertaking says what the end of a call is taken for that is still open, from the dispatcher at which its attempt is out, on another
-// connection than that of the attempt. If an earlier attempt may have established the call there, the end may be of that one, and says nothing of
-// this one.
+// connection than that of the attempt. If an earlier attempt may have established the call there, the end may be of that one.
 func (k *record) matchOvertaking() receivedEnd {
 	switch {
 	case k.overtaken != nil:
@@ -61,14 +60,30 @@
 
 // triedAttempt is an attempt that may have established its call.
 type triedAttempt struct {
-	server control.ServerID
-	number int
+	server      control.ServerID
+	number      int
+	established bool // its answer has come, though it established nothing here
 }
 
-// noteTried keeps where a call was tried, and drops the end that an earlier attempt may have had.
+// noteTried keeps where a call was tried, and drops the ends that earlier attempts may have had.
 func (c *Core) noteTried(k *record, server control.ServerID) {
-	k.tried = append(k.tried, triedAttempt{server, k.attempts - 1})
+	k.tried = append(k.tried, triedAttempt{server: server, number: k.attempts - 1})
 	c.dropOvertaken(k)
+	c.dropAmbiguous(k)
+}
+
+// noteEstablished keeps that a call was established by an attempt other than the one that is out.
+func (k *record) noteEstablished(attempt int) {
+	for i := range k.tried {
+		if k.tried[i].number == attempt {
+			k.tried[i].established = true
+		}
+	}
+}
+
+// earlierEstablished reports whether the dispatcher of the attempt that is out is known to have established the call by an earlier one.
+func (k *record) earlierEstablished() bool {
+	return slices.ContainsFunc(k.tried[:len(k.tried)-1], func(a triedAttempt) bool { return a.server == k.server && a.established })
 }
 
 // forgetRefused drops an attempt from those that may have established the call, if its dispatcher refused it or it never ran. A refusal
--- a/internal/call/overtaken_test.go
+++ b/internal/call/overtaken_test.go
@@ -109,29 +109,41 @@
 	}
 }
 
-// TestAnEndOfUnknownAttempt guards against an end of an earlier attempt at the same dispatcher that is taken for that of the one that is out.
+// TestAnEndOfUnknownAttempt guards against an end of an earlier attempt at the same dispatcher that is taken for that of the one that is out, on whose
+// connection the dispatcher goes on to speak, and tells none.
 func TestAnEndOfUnknownAttempt(t *testing.T) {
 	t.Parallel()
-	s := newSite(t)
-	s.react = func(server control.ServerID, a SetUp) {
-		if a.Attempt == 0 {
-			delete(s.out, a.ID)
-			s.ready[a.ID] = time.Now().Add(guard)
-			s.core.Ended(server, a.ID, 0, control.Reset, false, nil)
-			return
-		}
-		s.core.Released(server, a.ID, -1, CauseNormal, nil)
-		s.core.Loop().After(10*time.Millisecond, func() {
-			s.core.Answered(server, a.ID, a.Attempt, "y")
-			s.core.Loop().After(time.Second, s.core.Loop().Quit)
+	for name, repliesFirst := range map[string]bool{"the probe is replied to ahead of the answer": true, "it is replied to behind the answer": false} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newSite(t)
+			s.react = func(server control.ServerID, a SetUp) {
+				if a.Attempt == 0 {
+					delete(s.out, a.ID)
+					s.ready[a.ID] = time.Now().Add(guard)
+					s.core.Ended(server, a.ID, 0, control.Reset, false, nil)
+					return
+				}
+				s.core.Released(server, a.ID, -1, CauseNormal, nil)
+				s.core.Loop().After(10*time.Millisecond, func() {
+					if repliesFirst {
+						s.pinged(true)
+					}
+					s.core.Answered(server, a.ID, a.Attempt, "y")
+					if !repliesFirst {
+						s.core.Loop().After(10*time.Millisecond, func() { s.pinged(true) })
+					}
+					s.core.Loop().After(time.Second, s.core.Loop().Quit)
+				})
+			}
+			s.core.Loop().Post(func() {
+				s.list(control.Active, "a")
+				_ = s.core.Offer(Request{ID: overtakenID, Class: "c", Deadline: time.Now().Add(time.Minute), Caller: s, Description: "x"})
+			})
+			s.core.Loop().Run()
+			if s.answers[overtakenID] != 1 || s.overs[overtakenID] != 0 || s.finals[overtakenID] != 0 {
+				t.Errorf("%d answers, %d ends, %d final answers; want an answer, and no more", s.answers[overtakenID], s.overs[overtakenID], s.finals[overtakenID])
+			}
 		})
 	}
-	s.core.Loop().Post(func() {
-		s.list(control.Active, "a")
-		_ = s.core.Offer(Request{ID: overtakenID, Class: "c", Deadline: time.Now().Add(time.Minute), Caller: s, Description: "x"})
-	})
-	s.core.Loop().Run()
-	if s.answers[overtakenID] != 1 || s.overs[overtakenID] != 0 || s.finals[overtakenID] != 0 {
-		t.Errorf("%d answers, %d ends, %d final answers; want an answer, and no more", s.answers[overtakenID], s.overs[overtakenID], s.finals[overtakenID])
-	}
 }
--- a/internal/call/received.go
+++ b/internal/call/received.go
@@ -26,9 +26,12 @@
 	endOtherDispatcher receivedEnd = "other_dispatcher" // the call, or its attempt, is at another one
 	endNotEstablished  receivedEnd = "not_established"  // no attempt is out
 	endRepeated        receivedEnd = "repeated"         // the first one awaits the answer
-	endAmbiguous       receivedEnd = "ambiguous"        // it may be that of an earlier attempt at the same dispatcher
+	endAmbiguous       receivedEnd = "ambiguous"        // of the attempt that is out, or of an earlier one at the same dispatcher
 )
 
+// noAttempt is the number of an attempt where an end came on a connection on which none was made.
+const noAttempt = -1
+
 var receivedEnds = []receivedEnd{
 	endOfCall, endBeforeAnswer, endWithoutAnswer, endOfUnknownCall, endElsewhere,
 	endOfEarlier, endAgain, endOtherDispatcher, endNotEstablished, endRepeated, endAmbiguous,
--- a/internal/callers/standin_test.go
+++ b/internal/callers/standin_test.go
@@ -53,6 +53,9 @@
 // Probe is answered by nobody.
 func (d *standInDispatchers) Probe(control.ServerID) {}
 
+// Ping has no reply.
+func (d *standInDispatchers) Ping(control.ServerID, string, int, func(bool)) {}
+
 // Renew opens nothing.
 func (d *standInDispatchers) Renew(control.ServerID) {}
 
--- a/internal/dispatchers/check.go
+++ b/internal/dispatchers/check.go
@@ -160,7 +160,7 @@
 			return true
 		}
 		s.probedAt = now
-		l.send(l.wire.Probe())
+		l.probe()
 		return false
 	}
 	return now.Sub(s.probedAt) > probeWithin
--- a/internal/dispatchers/dispatchers.go
+++ b/internal/dispatchers/dispatchers.go
@@ -168,15 +168,6 @@
 	}
 }
 
-// Probe asks a dispatcher for a report.
-func (p *Pool) Probe(id control.ServerID) {
-	if s := p.servers[id]; s != nil {
-		if l := s.best(); l != nil {
-			l.send(l.wire.Probe())
-		}
-	}
-}
-
 // Heard reports whether all that dispatchers have sent is with the loop, as far as it may be. Those at which nothing stands and nothing is
 // open have nothing to say that could be waited for.
 func (p *Pool) Heard() bool {
--- a/internal/dispatchers/link.go
+++ b/internal/dispatchers/link.go
@@ -48,6 +48,7 @@
 	reply       func(called string) []byte // what the wire owes for it; nil for nothing
 	final       bool                       // nothing more comes for the set-up
 	damaged     bool                       // the description cannot be what was meant
+	probe       uint32                     // the number of the probe that it is the reply to; 0 for none
 }
 
 // Wire is the form in which one connection speaks to a dispatcher.
@@ -59,7 +60,8 @@
 	SetUp(call.SetUp) []byte
 	Cancel(id string, attempt int, called string) []byte
 	Release(id string, cause int) []byte
-	Probe() []byte
+	// Probe is a probe and its number on the connection, from 1 on.
+	Probe() (message []byte, number uint32)
 	// Next takes one message off the ring; nil if none is whole yet.
 	Next(*ring.Buffer) (*Message, error)
 	// Bye are the last words before the connection is closed for an error.
@@ -115,6 +117,7 @@
 	invites map[string]*invite
 	// unconfirmed are releases that the dispatcher may not have heard.
 	unconfirmed []*sentRelease
+	pings       []ping // whose replies have not come, in the order of their numbers
 }
 
 func (l *link) ready() bool { return l.state == linkOpen && l.wire.Greeted() }
@@ -297,6 +300,9 @@
 	if m.damaged {
 		return errNoise
 	}
+	if m.probe > 0 {
+		l.probeReplied(m.probe)
+	}
 	if m.reply != nil {
 		called := ""
 		if i != nil {
--- a/internal/dispatchers/link_end.go
+++ b/internal/dispatchers/link_end.go
@@ -73,6 +73,7 @@
 		l.ended(reason)
 	}
 	s.tellEarly(l.lifetime)
+	l.endPings()
 	if !inOrder(reason) {
 		l.releaseUnknown(invites)
 	}
--- a/internal/dispatchers/sip.go
+++ b/internal/dispatchers/sip.go
@@ -11,6 +11,9 @@
 	"cherryrelay/internal/sip"
 )
 
+// probeID begins the Call-ID of probes.
+const probeID = "probe-"
+
 // byeSeq is the CSeq number of releases, beyond those of attempts.
 const byeSeq = 100
 
@@ -59,11 +62,24 @@
 	})
 }
 
-// Probe is OPTIONS.
-func (w *SIP) Probe() []byte {
+// Probe is OPTIONS. Its Call-ID numbers it.
+func (w *SIP) Probe() (message []byte, number uint32) {
 	w.probes++
 	return sip.Append(nil, &sip.Message{
-		Method: "OPTIONS", URI: uri("load"), CallID: "probe-" + strconv.Itoa(int(w.probes)), Seq: w.probes, SeqOf: "OPTIONS"})
+		Method: "OPTIONS", URI: uri("load"), CallID: probeID + strconv.FormatUint(uint64(w.probes), 10), Seq: w.probes, SeqOf: "OPTIONS"}), w.probes
+}
+
+// probeNumber is the number of the probe with a Call-ID; 0 if it is that of none.
+func probeNumber(callID string) uint32 {
+	text, ok := strings.CutPrefix(callID, probeID)
+	if !ok {
+		return 0
+	}
+	number, err := strconv.ParseUint(text, 10, 32)
+	if err != nil {
+		return 0
+	}
+	return uint32(number)
 }
 
 // Next reads a message.
@@ -85,6 +101,8 @@
 		got.reply = respond(m)
 	case m.SeqOf == "BYE" && m.Status >= 200:
 		got.kind = confirmation
+	case m.SeqOf == "OPTIONS" && m.Status >= 200:
+		got.probe = probeNumber(m.CallID)
 	case m.SeqOf != "INVITE":
 	case m.Status >= 200:
 		w.finalAnswer(m, got)
--- a/internal/dispatchers/websocket.go
+++ b/internal/dispatchers/websocket.go
@@ -22,6 +22,8 @@
 	opening    websocket.Opening
 	open, bye  bool
 	dec        websocket.Decoder
+	probes     uint32 // sent
+	replies    uint32 // to them, which come in their order
 }
 
 // Place tells where an address of the list leads and in which form to speak there: "host:port" is SIP over TCP,
@@ -80,9 +82,10 @@
 }
 
 // Probe is a "ping".
-func (w *WebSocket) Probe() []byte {
+func (w *WebSocket) Probe() (message []byte, number uint32) {
+	w.probes++
 	none := 0
-	return frame(jsonl.Message{Type: "ping", ID: "load", Cause: &none})
+	return frame(jsonl.Message{Type: "ping", ID: "load", Cause: &none}), w.probes
 }
 
 // Next reads a message.
@@ -133,6 +136,9 @@
 		got.damaged = !call.ValidDescription(got.description)
 	case "released":
 		got.kind = confirmation
+	case "pong":
+		w.replies++
+		got.probe = w.replies
 	case "release":
 		got.kind, got.final, got.cause = ended, true, m.CauseOr(call.CauseNormal)
 		got.outcome, got.noLine = outcome(got.cause)
--- a/internal/endlog/endlog.go
+++ b/internal/endlog/endlog.go
@@ -49,6 +49,8 @@
 	ReleaseRead   Step = "release read from the dispatcher"
 	EndReceived   Step = "end received" // with the result, as the figures name it
 	Over          Step = "over"
+	EndOfEarlier  Step = "ambiguous end is an earlier attempt's: a reply came on the connection of the later one"
+	EndOfLatest   Step = "ambiguous end counts as that of the established call: no reply came on its connection"
 	WithoutAnswer Step = "over without its answer"
 	EndedByCaller Step = "ended by its caller"
 	Arrived       Step = "taken over from another controller"
--- a/internal/mutants/list.go
+++ b/internal/mutants/list.go
@@ -9,7 +9,7 @@
 // callers, and of connections.
 var (
 	dispatchersTests = Tests{"./internal/dispatchers", ""}
-	callTests        = Tests{"./internal/call ./internal/dispatchers", "EachEnd|AfterARefusal|CouldNotBe|TheDecisions|AsItsAttempt|ALateAnswer|TheEndOfACall|AnEnd|OfUnknown|ReleasesIn|HeldBy"}
+	callTests        = Tests{"./internal/call ./internal/dispatchers", "EachEnd|AfterARefusal|CouldNotBe|TheDecisions|AsItsAttempt|ALateAnswer|TheEndOfACall|AnEnd|OfUnknown|ReleasesIn|HeldBy|Ambiguous"}
 	callOrderTests   = Tests{"./internal/call ./internal/dispatchers", "WhatIsSaid|AfterARefusal|CouldNotBe|TheDecisions|AsItsAttempt|TheEndOfACall|AnEnd|ReleasesIn"}
 	callersTests     = Tests{"./internal/callers", ""}
 	callersStories   = Tests{"./cmd/cherryrelay", "AnEndThatHasNotLeft|AnEndAsTheLast|AnEndIsNotATests|AConnectionIsKept|LastAnswersWait"}
