--- a/internal/dispatchers/ambiguous_end_test.go
+++ b/internal/dispatchers/ambiguous_end_test.go
@@ -9,6 +9,9 @@
 // lostAttempt is a dispatcher with three connections, on the oldest of which the first attempt of a call is out. It tells ends on its newest one.
 var lostAttempt = orderStart{links: 3, chats: true, newest: true}
 
+// nextIsOut is when the next attempt is out, and the next connection has not opened yet.
+const nextIsOut = 100 * time.Millisecond
+
 // TestAnEndAheadOfItsAnswerWhereAnAttemptWasLostIsTold guards against the untold end of a call whose connection its dispatcher closed, and which is read on
 // another one ahead of its answer, where an earlier attempt was lost with its connection or withdrawn.
 func TestAnEndAheadOfItsAnswerWhereAnAttemptWasLostIsTold(t *testing.T) {
@@ -34,7 +37,6 @@
 // connection, is read while the next attempt at the same dispatcher is out.
 func TestTheEndOfALostAttemptLeavesTheNextOne(t *testing.T) {
 	t.Parallel()
-	const nextIsOut = 100 * time.Millisecond // the guard is shorter, and the next connection opens later
 	for name, order := range map[string][]orderEvent{
 		"the next attempt is answered later":           slices.Concat(spelledOrder("aerta"), notTold(2*time.Second)),
 		"the answer to the next attempt is on its way": slices.Concat(spelledOrder("aer"), []orderEvent{passes('-', nextIsOut)}, spelledOrder("a"), notTold(2*time.Second)),
@@ -50,7 +52,6 @@
 // whose the end is: nothing reaches the dispatcher on the connection of the attempt.
 func TestAnAmbiguousEndWithoutAReplyReleasesTheCall(t *testing.T) {
 	t.Parallel()
-	const nextIsOut = 100 * time.Millisecond
 	toldAndReleased := event("its end is told, and the dispatcher has released it", 0, func(s *orderSite) {
 		_, holds := s.first.established[orderedID]
 		if s.calls[orderedID].overs != 1 || holds {
@@ -60,3 +61,10 @@
 	lostAttempt.playWithoutFault(t, slices.Concat(spelledOrder("aer"), []orderEvent{passes('-', nextIsOut)}, spelledOrder("ia"),
 		[]orderEvent{passes('-', releaseUntold), toldAndReleased}))
 }
+
+// TestTheEndOfALostAttemptLeavesTheCallThatStands guards against a call that is cut as it stands, and that its dispatcher goes on to hold: the end of an
+// earlier attempt, whose answer was lost with its connection, is read on another one behind the answer to the next attempt.
+func TestTheEndOfALostAttemptLeavesTheCallThatStands(t *testing.T) {
+	t.Parallel()
+	lostAttempt.playWithoutFault(t, slices.Concat(spelledOrder("aer"), []orderEvent{passes('-', nextIsOut)}, spelledOrder("ad"), notTold(2*time.Second)))
+}
