--- a/internal/dispatchers/link.go
+++ b/internal/dispatchers/link.go
@@ -5,12 +5,10 @@
 	"io"
 	"time"
 
-	"cherryrelay/control"
 	"cherryrelay/internal/call"
 	"cherryrelay/internal/conn"
 	"cherryrelay/internal/endlog"
 	"cherryrelay/internal/ring"
-	"cherryrelay/internal/websocket"
 )
 
 // errCutShort ends a connection inside a message.
@@ -19,55 +17,6 @@
 // errDead ends a connection that brings nothing while others do.
 var errDead = errors.New("a connection that is open but dead")
 
-// errNoise is an answer whose description cannot be what its dispatcher meant.
-var errNoise = &websocket.Error{Code: websocket.BadData, Text: "answer that came spoilt"}
-
-// kind says what a dispatcher's message means.
-type kind int
-
-const (
-	nothing kind = iota // progress, or what wants no more than its reply
-	hello               // the connection may be used now
-	answer
-	refusal
-	released
-	ended        // a refusal if the set-up is open, else the end of a call that stood
-	confirmation // of a release
-	report
-)
-
-// Message is what a dispatcher says, whatever the wire.
-type Message struct {
-	kind        kind
-	id          string
-	description string
-	outcome     control.Outcome
-	noLine      bool
-	cause       int
-	report      []float64
-	reply       func(called string) []byte // what the wire owes for it; nil for nothing
-	final       bool                       // nothing more comes for the set-up
-	damaged     bool                       // the description cannot be what was meant
-	probe       uint32                     // the number of the probe that it is the reply to; 0 for none
-}
-
-// Wire is the form in which one connection speaks to a dispatcher.
-type Wire interface {
-	// Hello opens the conversation; nil if the wire has no such thing.
-	Hello() []byte
-	// Greeted reports whether calls can be placed.
-	Greeted() bool
-	SetUp(call.SetUp) []byte
-	Cancel(id string, attempt int, called string) []byte
-	Release(id string, cause int) []byte
-	// Probe is a probe and its number on the connection, from 1 on.
-	Probe() (message []byte, number uint32)
-	// Next takes one message off the ring; nil if none is whole yet.
-	Next(*ring.Buffer) (*Message, error)
-	// Bye are the last words before the connection is closed for an error.
-	Bye(err error) []byte
-}
-
 // noAttempt is the number of an attempt where a message belongs to none.
 const noAttempt = -1
 
@@ -287,114 +236,3 @@
 	}
 	return nil
 }
-
-// take acts on a message. An error ends the connection.
-func (l *link) take(m *Message) error {
-	s, core := l.server, l.server.pool.core
-	i := l.invitedWith(m.id)
-	if i == nil && m.final && m.kind != ended {
-		// A second copy, or an answer to what was not asked here: there is nothing that it could be the answer to.
-		s.pool.Log.Debug("answer to no set-up", "server", s.ID, "id", m.id)
-		return nil
-	}
-	if m.damaged {
-		return errNoise
-	}
-	if m.probe > 0 {
-		l.probeReplied(m.probe)
-	}
-	if m.reply != nil {
-		called := ""
-		if i != nil {
-			called = i.called
-		}
-		l.send(m.reply(called))
-	}
-	attempt := noAttempt
-	if i != nil {
-		attempt = i.attempt
-	}
-	if m.kind == ended {
-		m.kind = refusal
-		if i == nil || s.attemptReleased(m.id, attempt) == noAttempt {
-			m.kind = released
-		}
-	}
-	if m.final && i != nil {
-		delete(l.invites, m.id)
-		l.finalAt = time.Now()
-		if m.outcome != control.Full && i.sentAt.After(s.answered) {
-			s.answered = i.sentAt // what is turned away does not wait in line
-		}
-	}
-	switch m.kind {
-	case hello:
-		s.ready(l)
-	case answer:
-		if l.state == linkDraining { // the attempt has ended here
-			l.logCall(endlog.AnswerOnDraining, m.id, attempt)
-			l.release(release{m.id, call.CauseNormal, true})
-			return nil
-		}
-		s.answeredAt = time.Now()
-		if core.Answered(s.ID, m.id, attempt, m.description) {
-			s.standing[m.id] = l.lifetime
-		}
-	case refusal:
-		core.Ended(s.ID, m.id, attempt, m.outcome, m.noLine, m.report)
-	case released:
-		if !call.ValidID(m.id) {
-			return nil
-		}
-		if o := s.holderBeside(m.id); o != nil && i == nil {
-			l.logCall(endlog.ReleaseRead, m.id, noAttempt)
-			delete(o.standing, m.id)
-			core.Released(o.ID, m.id, noAttempt, m.cause, m.report)
-			return nil
-		}
-		attempt = s.attemptReleased(m.id, attempt)
-		l.logCall(endlog.ReleaseRead, m.id, attempt)
-		core.Released(s.ID, m.id, attempt, m.cause, m.report)
-		if awaits := l.awaitsClose(m.id, attempt); awaits != nil {
-			s.keepEarly(m.id, earlyRelease{cause: m.cause, report: m.report, at: time.Now(), awaits: awaits})
-		} else {
-			delete(s.standing, m.id)
-		}
-		if i != nil && i.withdrawn.IsZero() {
-			i.withdrawn = time.Now() // its answer may still come, late
-		}
-	case confirmation:
-		l.confirmed(m.id)
-		if m.report != nil {
-			core.Reported(s.ID, m.report)
-		}
-	case report:
-		core.Reported(s.ID, m.report)
-	}
-	return nil
-}
-
-// attemptReleased is the attempt whose call a release ends that came on the connection of the given attempt. A dispatcher sends the end of a
-// call on the connection of its set-up and, once that is closed, on any other: there an earlier attempt of the same call may have been
-// withdrawn, whose call it is not.
-func (s *server) attemptReleased(id string, attempt int) int {
-	answered := s.standing[id]
-	if answered != nil && answered.over {
-		return noAttempt
-	}
-	return attempt
-}
-
-// holderBeside is another dispatcher at this one's address at which a call stands that does not stand here; nil if there is none. Before the list told
-// of it, its process may have been connected to under this one's name, and it tells the ends of its calls on any connection.
-func (s *server) holderBeside(id string) *server {
-	if s.standing[id] != nil {
-		return nil
-	}
-	for _, o := range s.pool.at[s.Address] {
-		if o != s && o.standing[id] != nil {
-			return o
-		}
-	}
-	return nil
-}
--- /dev/null
+++ b/internal/dispatchers/wire.go
@@ -0,0 +1,55 @@
+package dispatchers
+
+import (
+	"cherryrelay/control"
+	"cherryrelay/internal/call"
+	"cherryrelay/internal/ring"
+)
+
+// What dispatchers say and are told, whatever the form.
+
+// kind says what a dispatcher's message means.
+type kind int
+
+const (
+	nothing kind = iota // progress, or what wants no more than its reply
+	hello               // the connection may be used now
+	answer
+	refusal
+	released
+	ended        // a refusal if the set-up is open, else the end of a call that stood
+	confirmation // of a release
+	report
+)
+
+// Message is what a dispatcher says, whatever the wire.
+type Message struct {
+	kind        kind
+	id          string
+	description string
+	outcome     control.Outcome
+	noLine      bool
+	cause       int
+	report      []float64
+	reply       func(called string) []byte // what the wire owes for it; nil for nothing
+	final       bool                       // nothing more comes for the set-up
+	damaged     bool                       // the description cannot be what was meant
+	probe       uint32                     // the number of the probe that it is the reply to; 0 for none
+}
+
+// Wire is the form in which one connection speaks to a dispatcher.
+type Wire interface {
+	// Hello opens the conversation; nil if the wire has no such thing.
+	Hello() []byte
+	// Greeted reports whether calls can be placed.
+	Greeted() bool
+	SetUp(call.SetUp) []byte
+	Cancel(id string, attempt int, called string) []byte
+	Release(id string, cause int) []byte
+	// Probe is a probe and its number on the connection, from 1 on.
+	Probe() (message []byte, number uint32)
+	// Next takes one message off the ring; nil if none is whole yet.
+	Next(*ring.Buffer) (*Message, error)
+	// Bye are the last words before the connection is closed for an error.
+	Bye(err error) []byte
+}
