Probe for whose end it is that came behind an answer, after a lost attempt

Cause: the answer of a first attempt went down with its connection, and its call ended. Its end was told on a connection of its own, behind the answer to the next attempt at the same dispatcher. Core.matchEnd took any end from the dispatcher of a call that stands for that call's, as it did not know whether it came on the connection of the answer.

Evidence: TestTheEndOfALostAttemptLeavesTheCallThatStands, unchanged, failed in each play before: 'the end of an earlier attempt is told as that of the call'. TestAnEndBehindTheAnswerWithoutAReplyReleasesTheCall (three orders), TestTheRepeatedEndOfALostAttemptLeavesTheCallThatStands and TestTheEndOfACallAfterTheEndOfALostAttemptIsTold, new, failed on too.

Change: the pool tells the core of an end on another connection than that of the answer (ReleasedBeside). Where an earlier attempt at the same dispatcher may have established the call, the end is ambiguous, as ahead of the answer: the connection of the answer is probed, and what comes there tells. Why it works: by the protocol a dispatcher tells the end of a call on the connection of its set-up while that is open, so a reply with no end ahead of it shows that the end is another's.

--- a/internal/call/ambiguous.go
+++ b/internal/call/ambiguous.go
@@ -14,9 +14,9 @@
 	repliedAfterAnswer = 100 * time.Millisecond
 )
 
-// ambiguousEnd is the end of a call that was read on another connection than that of the attempt that is out, ahead of its answer, where an earlier
-// attempt at the same dispatcher may have established the call. A dispatcher tells the end of a call on the connection of its set-up, unless it has
-// closed that: what comes there next tells whose end it is.
+// ambiguousEnd is the end of a call that was read on another connection than that of its latest attempt, ahead of the answer or behind it, where an
+// earlier attempt at the same dispatcher may have established the call. A dispatcher tells the end of a call on the connection of its set-up, unless it
+// has closed that: what comes there next tells whose end it is.
 type ambiguousEnd struct {
 	cause  int
 	report []float64
@@ -30,6 +30,9 @@
 // attempt's. If the connection ends first, behind the answer, it is that of the call that was answered.
 func (c *Core) probeAmbiguous(k *record, cause int, report []float64) {
 	end := &ambiguousEnd{cause: cause, report: report, readAt: time.Now(), ofEarlier: k.earlierEstablished()}
+	if k.ambiguous != nil && k.state == stands {
+		end.readAt = k.ambiguous.readAt
+	}
 	c.dropAmbiguous(k)
 	k.ambiguous = end
 	c.dispatchers.Ping(k.server, k.ID, k.attempts-1, func(replied bool) {
@@ -42,6 +45,7 @@
 			c.concludeAmbiguous(k)
 		}
 	})
+	c.awaitReply(k)
 }
 
 // awaitReply bounds the wait for the reply once a call has been answered.
@@ -61,7 +65,7 @@
 	})
 }
 
-// concludeAmbiguous ends a call that was answered, by the ambiguous end that came before. Its dispatcher may hold it all the same, and releases it then.
+// concludeAmbiguous ends a call that was answered, by the ambiguous end that came. Its dispatcher may hold it all the same, and releases it then.
 func (c *Core) concludeAmbiguous(k *record) {
 	end := k.ambiguous
 	endlog.Call(c.log, endlog.EndOfLatest, k.ID, endlog.Server(k.server), endlog.Attempt(k.attempts-1))
--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -124,7 +124,7 @@
 	Release(server control.ServerID, id string, cause int)
 	Probe(control.ServerID)
 	// Ping probes the connection of an attempt. Done is called once the reply has been read there, behind all that the dispatcher told there
-	// before; at once, if the attempt has not left; and with false if the connection ends first.
+	// before; at once, if the attempt has not left; and with false if the connection ends first, or has ended.
 	Ping(server control.ServerID, id string, attempt int, done func(replied bool))
 	// Renew opens one more connection: a dispatcher tells on it what it told last on one that is lost.
 	Renew(control.ServerID)
--- a/internal/call/core.go
+++ b/internal/call/core.go
@@ -71,7 +71,7 @@
 	parked    bool           // the module does not know it yet: it waits for its caller
 	moving    bool           // it is being given to another controller
 	ranSince  time.Time      // of the first attempt that may have run, with a selection; zero for none
-	tried     []triedAttempt // its attempts by this process that may have established it; the last is the one that is out
+	tried     []triedAttempt // its attempts by this process that may have established it; the last is the latest one
 	overtaken *overtaking    // its end, if that came before the answer to the attempt that is out
 	ambiguous *ambiguousEnd  // its end, or that of an earlier attempt
 	heldThere bool           // the dispatcher of the attempt that is out may hold the call by an earlier attempt there
--- a/internal/call/outcomes.go
+++ b/internal/call/outcomes.go
@@ -114,6 +114,24 @@
 	k := c.calls[id]
 	result := c.matchEnd(k, server, attempt)
 	c.logEnd(server, id, attempt, k, result)
+	c.applyEnd(k, id, result, cause, report)
+}
+
+// ReleasedBeside tells that a dispatcher has released a call that stands, on another connection than that of its answer, and reports whether the call
+// goes on there. The release may be that of a call which an earlier attempt has established under the same id.
+func (c *Core) ReleasedBeside(server control.ServerID, id string, cause int, report []float64) (goesOn bool) {
+	k := c.calls[id]
+	result := c.matchEnd(k, server, noAttempt)
+	if result == endOfCall && k.triedBefore() {
+		result = endAmbiguous
+	}
+	c.logEnd(server, id, noAttempt, k, result)
+	c.applyEnd(k, id, result, cause, report)
+	return k != nil && k.state == stands && k.server == server
+}
+
+// applyEnd does what the end of a call leads to.
+func (c *Core) applyEnd(k *record, id string, result receivedEnd, cause int, report []float64) {
 	c.received[result]++
 	switch result {
 	case endElsewhere:
--- a/internal/call/overtaken.go
+++ b/internal/call/overtaken.go
@@ -25,7 +25,7 @@
 	switch {
 	case k.overtaken != nil:
 		return endRepeated
-	case slices.ContainsFunc(k.tried[:len(k.tried)-1], func(a triedAttempt) bool { return a.server == k.server }):
+	case k.triedBefore():
 		return endAmbiguous
 	}
 	return endBeforeAnswer
@@ -81,11 +81,19 @@
 	}
 }
 
+// triedBefore reports whether an earlier attempt than the latest one may have established the call at the same dispatcher.
+func (k *record) triedBefore() bool {
+	return slices.ContainsFunc(k.earlierAttempts(), func(a triedAttempt) bool { return a.server == k.server })
+}
+
 // earlierEstablished reports whether the dispatcher of the attempt that is out is known to have established the call by an earlier one.
 func (k *record) earlierEstablished() bool {
-	return slices.ContainsFunc(k.tried[:len(k.tried)-1], func(a triedAttempt) bool { return a.server == k.server && a.established })
+	return slices.ContainsFunc(k.earlierAttempts(), func(a triedAttempt) bool { return a.server == k.server && a.established })
 }
 
+// earlierAttempts are those before the latest one that may have established the call.
+func (k *record) earlierAttempts() []triedAttempt { return k.tried[:max(len(k.tried)-1, 0)] }
+
 // forgetRefused drops an attempt from those that may have established the call, if its dispatcher refused it or it never ran. A refusal
 // that comes after the attempt was withdrawn tells as much: it stands in place of the answer.
 func (k *record) forgetRefused(attempt int, o control.Outcome) {
--- a/internal/dispatchers/dispatchers.go
+++ b/internal/dispatchers/dispatchers.go
@@ -68,6 +68,8 @@
 	Answered(server control.ServerID, id string, attempt int, description string) bool
 	Ended(server control.ServerID, id string, attempt int, o control.Outcome, noLine bool, report []float64)
 	Released(server control.ServerID, id string, attempt, cause int, report []float64)
+	// ReleasedBeside is Released on another connection than that of the answer. It reports whether the call goes on there.
+	ReleasedBeside(server control.ServerID, id string, cause int, report []float64) (goesOn bool)
 	Reported(server control.ServerID, report []float64)
 	Died(server control.ServerID)
 	Standing(server control.ServerID) int
--- a/internal/dispatchers/earlier_test.go
+++ b/internal/dispatchers/earlier_test.go
@@ -20,6 +20,12 @@
 	r.attempts = append(r.attempts, attempt)
 }
 
+// ReleasedBeside records a release without an attempt.
+func (r *releaseLog) ReleasedBeside(control.ServerID, string, int, []float64) (goesOn bool) {
+	r.attempts = append(r.attempts, noAttempt)
+	return false
+}
+
 // TestAnEndOnTheConnectionOfAnEarlierAttempt: a call stands by its second attempt at a dispatcher, on a second connection. Once that one has
 // closed, the end comes on the first one, where the withdrawn attempt is still known: it is the end of the call that stands. While it is open,
 // what comes on the first one belongs to the earlier attempt.
--- a/internal/dispatchers/messages.go
+++ b/internal/dispatchers/messages.go
@@ -100,26 +100,42 @@
 
 // takeRelease takes in the end of a call. The attempt is that of the set-up that is open here, if there is one.
 func (l *link) takeRelease(m *Message, i *invite, attempt int) {
-	s, core := l.server, l.server.pool.core
+	s := l.server
 	if !call.ValidID(m.id) {
 		return
 	}
 	if o := s.holderBeside(m.id); o != nil && i == nil {
 		l.logCall(endlog.ReleaseRead, m.id, noAttempt)
-		delete(o.standing, m.id)
-		core.Released(o.ID, m.id, noAttempt, m.cause, m.report)
+		o.takeReleaseBeside(m)
 		return
 	}
 	attempt = s.attemptReleased(m.id, attempt)
 	l.logCall(endlog.ReleaseRead, m.id, attempt)
-	core.Released(s.ID, m.id, attempt, m.cause, m.report)
+	if answered := s.standing[m.id]; answered != nil && answered != l.lifetime && attempt == noAttempt {
+		s.takeReleaseBeside(m)
+	} else {
+		l.takeReleaseOf(m, attempt)
+	}
+	if i != nil && i.withdrawn.IsZero() {
+		i.withdrawn = time.Now() // its answer may still come, late
+	}
+}
+
+// takeReleaseOf takes in the end of what the given attempt led to or, without one, of the call that stands.
+func (l *link) takeReleaseOf(m *Message, attempt int) {
+	s := l.server
+	s.pool.core.Released(s.ID, m.id, attempt, m.cause, m.report)
 	if awaits := l.awaitsClose(m.id, attempt); awaits != nil {
 		s.keepEarly(m.id, earlyRelease{cause: m.cause, report: m.report, at: time.Now(), awaits: awaits})
 	} else {
 		delete(s.standing, m.id)
 	}
-	if i != nil && i.withdrawn.IsZero() {
-		i.withdrawn = time.Now() // its answer may still come, late
+}
+
+// takeReleaseBeside takes in the end of a call that came on another connection than that of its answer.
+func (s *server) takeReleaseBeside(m *Message) {
+	if !s.pool.core.ReleasedBeside(s.ID, m.id, m.cause, m.report) {
+		delete(s.standing, m.id)
 	}
 }
 
--- a/internal/dispatchers/ping.go
+++ b/internal/dispatchers/ping.go
@@ -24,12 +24,17 @@
 }
 
 // Ping probes the connection of an attempt, and has done called once its reply has been read there: by then all has been read that the dispatcher had
-// told there before. What has not left is at no dispatcher yet: then done is called at once. If the connection ends first, it is called with false.
+// told there before. What has not left is at no dispatcher yet: then done is called at once. If the connection ends first, or has ended, it is called
+// with false.
 func (p *Pool) Ping(id control.ServerID, callID string, attempt int, done func(replied bool)) {
 	s := p.servers[id]
 	if s == nil {
 		return
 	}
+	if answered := s.standing[callID]; answered != nil {
+		s.pingAnswered(answered, done)
+		return
+	}
 	if slices.ContainsFunc(s.waiting, func(w waiting) bool { return w.ID == callID && w.Attempt == attempt }) {
 		done(true)
 		return
@@ -39,7 +44,7 @@
 		switch {
 		case i == nil || i.attempt != attempt:
 		case i.left:
-			l.pings = append(l.pings, ping{l.probe(), done})
+			l.ping(done)
 			return
 		default:
 			done(true)
@@ -48,6 +53,19 @@
 	}
 }
 
+// pingAnswered is Ping of the connection of an answer.
+func (s *server) pingAnswered(answered *lifetime, done func(replied bool)) {
+	i := slices.IndexFunc(s.links, func(l *link) bool { return l.lifetime == answered })
+	if i < 0 {
+		done(false)
+		return
+	}
+	s.links[i].ping(done)
+}
+
+// ping sends a probe, and has done called with its reply.
+func (l *link) ping(done func(replied bool)) { l.pings = append(l.pings, ping{l.probe(), done}) }
+
 // probe sends a probe, and returns its number.
 func (l *link) probe() uint32 {
 	message, number := l.wire.Probe()
