End calls whose dispatcher died where another one has its address

Its dispatcher had died, and another one at its address was connected to under its name before the list told; the call counted as standing for as long as that connection lived.

Cause: nothing was refused as the connections were lost, so the dead one never counted as stopped, and once the list told server.checkGone kept it for the connection, as the list may be ahead of a process.

Change: a dispatcher's connections have a generation, which ends with the last of them, and a call keeps that of its answer. Once the list tells that another dispatcher has the address, a call of an earlier generation counts as cut, and is released. Why it works: no connection is left that its process had, and one that was opened since leads to whoever has the address. While a connection of its generation is open the call goes on, as the list may be ahead of the process (TestCallsOfADispatcherThatOutlivesItsPlaceOnTheListGoOn).

--- a/internal/dispatchers/check.go
+++ b/internal/dispatchers/check.go
@@ -8,7 +8,9 @@
 	"time"
 
 	"cherryrelay/control"
+	"cherryrelay/internal/call"
 	"cherryrelay/internal/decide/links"
+	"cherryrelay/internal/endlog"
 )
 
 const (
@@ -74,10 +76,27 @@
 	for _, l := range slices.Clone(s.links) {
 		s.checkSilent(l, now)
 	}
+	if s.replaced {
+		s.endStranded()
+	}
 	s.repeatEnds(now)
 	s.renew(now)
 }
 
+// endStranded ends the calls at a dispatcher whose place is another's, and to which no connection is open that its process had. Those that have been
+// opened since under its name lead to whoever has the address. Should that be its process all the same, the calls are released there.
+func (s *server) endStranded() {
+	for _, id := range slices.Sorted(s.pool.core.StandAt(s.ID)) {
+		answered := s.standing[id]
+		if answered == nil || answered.generation == s.generation {
+			continue
+		}
+		endlog.Call(s.pool.Log, endlog.Stranded, id, endlog.Server(s.ID))
+		s.pool.Release(s.ID, id, call.CauseTemporary)
+		s.pool.core.Released(s.ID, id, noAttempt, call.CauseTemporary, nil)
+	}
+}
+
 // check looks at one dispatcher.
 func (s *server) check(now time.Time) {
 	silent := now.Sub(s.heardAt)
--- a/internal/dispatchers/dial.go
+++ b/internal/dispatchers/dial.go
@@ -24,7 +24,7 @@
 	handler := func(c connection) conn.Handler {
 		now := time.Now()
 		s.pool.opened++
-		l = &link{server: s, number: s.pool.opened, process: s.process, lifetime: new(lifetime), conn: c, wire: wire, invites: map[string]*invite{}, openedAt: now, heardAt: now, since: now, usedAt: now}
+		l = &link{server: s, number: s.pool.opened, process: s.process, lifetime: &lifetime{generation: s.generation}, conn: c, wire: wire, invites: map[string]*invite{}, openedAt: now, heardAt: now, since: now, usedAt: now}
 		return socket{l}
 	}
 	s.pool.dial(dial, s.pool.ConnectTimeout, handler, func(err error) {
--- a/internal/dispatchers/link.go
+++ b/internal/dispatchers/link.go
@@ -31,7 +31,10 @@
 }
 
 // lifetime tells whether a connection has closed. What refers to it keeps none of the connection's buffers.
-type lifetime struct{ over bool }
+type lifetime struct {
+	over       bool
+	generation int // of the dispatcher's connections
+}
 
 // linkState is how far a connection is used.
 type linkState int
--- a/internal/dispatchers/link_end.go
+++ b/internal/dispatchers/link_end.go
@@ -122,6 +122,7 @@
 	l.keepUnconfirmed()
 	if len(s.links) == 0 {
 		s.withoutSince = time.Now()
+		s.generation++
 	}
 	if now := time.Now(); now.Sub(l.openedAt) < endsAtOnce {
 		s.backoff.Fail(now, rand.Float64())
--- a/internal/dispatchers/server.go
+++ b/internal/dispatchers/server.go
@@ -63,6 +63,7 @@
 	due          time.Time // there
 	starved      bool      // room is being made for a connection
 	withoutSince time.Time // when it last came to have no open connection
+	generation   int       // counts how often it did
 }
 
 // waiting is an attempt for which there is no connection yet.
--- a/internal/dispatchers/steps_test.go
+++ b/internal/dispatchers/steps_test.go
@@ -52,6 +52,7 @@
 		events[e.letter] = e
 	}
 	events['!'] = event("the first dispatcher is dropped", 0, func(s *orderSite) { s.pool.servers["first"].drop(errors.New("for the test")) })
+	events['%'], events['@'] = allReset(), addressTaken()
 	for step, order := range map[endlog.Step]string{
 		endlog.RenewalAsked:     "rT",
 		endlog.RenewalBegun:     "n",
@@ -63,6 +64,7 @@
 		endlog.WaitingRelease:   "adrrc",
 		endlog.LostAnswer:       "ar",
 		endlog.AnswerOnDraining: "a!d",
+		endlog.Stranded:         "ad%@",
 	} {
 		t.Run(string(step), func(t *testing.T) {
 			var log bytes.Buffer
--- a/internal/endlog/endlog.go
+++ b/internal/endlog/endlog.go
@@ -65,6 +65,7 @@
 	EndUnread     Step = "end may be unread as its connection ended: told again"
 	EndForTest    Step = "end told on a connection for tests: told again"
 	EndDropped    Step = "end given up"
+	Stranded      Step = "counts as cut: another dispatcher has the address, and no connection is left of those that there were"
 	InDoubt       Step = "end in doubt: a connection to the dispatcher was given up"
 )
 
