Part what ends lead to, and dispatchers that are gone, into files of their own

call/outcomes.go and dispatchers/check.go had grown; call/ends.go and dispatchers/gone.go hold what dispatchers' ends lead to, and dispatchers that count as no more.

--- /dev/null
+++ b/internal/dispatchers/gone.go
@@ -0,0 +1,70 @@
+package dispatchers
+
+import (
+	"errors"
+	"slices"
+	"time"
+
+	"cherryrelay/internal/call"
+	"cherryrelay/internal/endlog"
+)
+
+// Dispatchers that count as no more, or are about to.
+
+// checkGone looks at a dispatcher of which nothing is to be expected any more. The list may be ahead of the process: it is let go when it is quiet,
+// and dialled only to release calls, and for ends that may have been lost.
+func (s *server) checkGone(now time.Time) {
+	if len(s.links) == 0 || now.Sub(s.heardAt) > silence && s.quietForGood(now) {
+		s.drop(errors.New("dispatcher is gone"))
+		s.pool.core.Died(s.ID)
+	}
+	if !s.mayRelease(now) {
+		s.releases = nil
+	}
+	if len(s.links) == 0 || s.renewal.Missing() {
+		s.connect()
+	}
+	for _, l := range slices.Clone(s.links) {
+		s.checkSilent(l, now)
+	}
+	if s.replaced {
+		s.endStranded()
+	}
+	s.repeatEnds(now)
+	s.renew(now)
+}
+
+// endStranded ends the calls at a dispatcher whose place is another's, and to which no connection is open that its process had. Those that have been
+// opened since under its name lead to whoever has the address. Should that be its process all the same, the calls are released there.
+func (s *server) endStranded() {
+	for _, id := range slices.Sorted(s.pool.core.StandAt(s.ID)) {
+		answered := s.standing[id]
+		if answered == nil || answered.generation == s.generation {
+			continue
+		}
+		endlog.Call(s.pool.Log, endlog.Stranded, id, endlog.Server(s.ID))
+		s.pool.Release(s.ID, id, call.CauseTemporary)
+		s.pool.core.Released(s.ID, id, noAttempt, call.CauseTemporary, nil)
+	}
+}
+
+// quietForGood reports whether a silent dispatcher counts as no more: it leaves a probe unanswered, or ends of its calls may have been lost and it
+// can't be connected to for what it would tell again. The end of a call whose own connection is open comes there.
+func (s *server) quietForGood(now time.Time) bool {
+	return s.renewal.Missing() && s.hasEndsAtRisk() && (s.refuses || s.dialTimedOut || s.replaced) || s.probeUnanswered(now)
+}
+
+// probeUnanswered reports whether the dispatcher leaves a probe unanswered for probeWithin on the connection that was heard from last. It sends
+// the probe first. One that drains may listen no more, and have nothing to say of its calls until they end.
+func (s *server) probeUnanswered(now time.Time) bool {
+	if s.probedAt.IsZero() || s.heardAt.After(s.probedAt) {
+		l := s.best()
+		if l == nil {
+			return true
+		}
+		s.probedAt = now
+		l.probe()
+		return false
+	}
+	return now.Sub(s.probedAt) > probeWithin
+}
