Wait until the decisions know of a list before its figures are read in a test

Its order was by luck: it posts a list to the loop and asks for the figures at once. The decisions are told of a list at the end of the round in which it came (Core.tell), so a request that is taken in in the same round is answered with the figures of before. In the product the figures of one round are a round old; nothing is lost by that.

The test waits until the figures have the line, for Patience at most, and then reads and compares all of them as before: as strict.

--- a/cmd/cherryrelay/operators_test.go
+++ b/cmd/cherryrelay/operators_test.go
@@ -196,6 +196,23 @@
 	}
 }
 
+// awaitsFigure waits until the figures have a line. The decisions are told of a list at the end of the round of the loop in which it came: figures that are read
+// in that round are those of before.
+func (w *world) awaitsFigure(line string) {
+	w.Helper()
+	shown := make(chan bool)
+	for begun := time.Now(); time.Since(begun) < peer.Patience; time.Sleep(time.Millisecond) {
+		w.node.loop.Post(func() {
+			text, err := w.node.core.Telemetry()
+			shown <- err == nil && strings.Contains(text, line)
+		})
+		if <-shown {
+			return
+		}
+	}
+	w.Errorf("the figures never have %q", line)
+}
+
 // endFigures are the figures of ends of calls, where one has ended, or none.
 func endFigures(ended int) []string {
 	var lines []string
@@ -248,6 +265,7 @@
 		leaving.Servers[0].Status = control.Draining
 		time.Sleep(500 * time.Millisecond) // by then it does not rest any more: that it drains is what counts
 		w.node.loop.Post(func() { w.node.core.Update(leaving) })
+		w.awaitsFigure("dispatchers_excluded 1")
 		w.reads()
 	})
 }
