--- a/review/harness/harness.go
+++ b/review/harness/harness.go
@@ -186,6 +186,7 @@
 // Controller is a controller as a process of its own.
 type Controller struct {
 	Name, Listen, Management string
+	Label                    string // of the process in the record and of its files
 	TempDir                  string
 	c                        *Case
 	cmd                      *exec.Cmd
@@ -195,11 +196,10 @@
 
 // NewController prepares a controller. The operator's file may be empty.
 func (c *Case) NewController(name string, config map[string]any, operator string) *Controller {
-	p := &Controller{Name: name, Listen: c.Address(), Management: c.Address(), TempDir: filepath.Join(c.Dir, name), c: c}
+	p := &Controller{Name: name, Label: name, Listen: c.Address(), Management: c.Address(), TempDir: filepath.Join(c.Dir, name), c: c}
 	c.Must(os.MkdirAll(p.TempDir, 0o700))
 	p.WriteConfig(config)
-	p.env = append(os.Environ(), "LB_NAME="+name, "LB_LISTEN="+p.Listen, "LB_MANAGEMENT="+p.Management, "LB_CONFIG="+p.configPath(),
-		"TMPDIR="+p.TempDir)
+	p.setEnv()
 	if operator != "" {
 		path := filepath.Join(c.Dir, name+".ini")
 		c.Must(os.WriteFile(path, []byte(operator), 0o600))
@@ -208,7 +208,12 @@
 	return p
 }
 
-func (p *Controller) configPath() string { return filepath.Join(p.c.Dir, p.Name+".json") }
+func (p *Controller) setEnv() {
+	p.env = append(os.Environ(), "LB_NAME="+p.Name, "LB_LISTEN="+p.Listen, "LB_MANAGEMENT="+p.Management, "LB_CONFIG="+p.configPath(),
+		"TMPDIR="+p.TempDir)
+}
+
+func (p *Controller) configPath() string { return filepath.Join(p.c.Dir, p.Label+".json") }
 
 // WriteConfig writes the configuration of the platform.
 func (p *Controller) WriteConfig(config map[string]any) {
@@ -235,7 +240,7 @@
 func (p *Controller) Start() {
 	run, err := runCommand()
 	p.c.Must(err)
-	out, err := os.OpenFile(filepath.Join(os.Getenv("RECORD_DIR"), "controller-"+p.Name+".log"), os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o600)
+	out, err := os.OpenFile(filepath.Join(os.Getenv("RECORD_DIR"), "controller-"+p.Label+".log"), os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o600)
 	p.c.Must(err)
 	defer out.Close()
 	p.cmd = exec.Command("/bin/sh", "-c", run)
@@ -245,13 +250,13 @@
 	cmd, done := p.cmd, p.done
 	go func() {
 		err := cmd.Wait()
-		p.c.Log(p.Name, "process %d has ended: %v", cmd.Process.Pid, err)
+		p.c.Log(p.Label, "process %d has ended: %v", cmd.Process.Pid, err)
 		close(done)
 	}()
 	p.c.mu.Lock()
 	p.c.procs = append(p.c.procs, p)
 	p.c.mu.Unlock()
-	p.c.Log(p.Name, "process %d started, callers at %s", p.cmd.Process.Pid, p.Listen)
+	p.c.Log(p.Label, "process %d started, callers at %s", p.cmd.Process.Pid, p.Listen)
 }
 
 // WaitReady waits until the controller is ready.
@@ -263,16 +268,16 @@
 		}
 		response.Body.Close()
 		if response.StatusCode == http.StatusOK {
-			p.c.Log(p.Name, "ready")
+			p.c.Log(p.Label, "ready")
 			return
 		}
 	}
-	p.c.Fatal("%s is not ready within 30 s", p.Name)
+	p.c.Fatal("%s is not ready within 30 s", p.Label)
 }
 
 // Signal sends a signal to the controller.
 func (p *Controller) Signal(s syscall.Signal) {
-	p.c.Log(p.Name, "signal %v", s)
+	p.c.Log(p.Label, "signal %v", s)
 	p.c.Must(p.cmd.Process.Signal(s))
 }
 
@@ -308,5 +313,11 @@
 	}
 }
 
-// Env sets variables of the environment of the controller.
-func (p *Controller) Env(variables ...string) { p.env = append(p.env, variables...) }
+// Successor prepares a controller with the name and the address for callers of this one, which takes over from it when it is started.
+// It has a management address of its own, as that is not handed over.
+func (p *Controller) Successor(label string, config map[string]any) *Controller {
+	s := &Controller{Name: p.Name, Label: label, Listen: p.Listen, Management: p.c.Address(), TempDir: p.TempDir, c: p.c}
+	s.WriteConfig(config)
+	s.setEnv()
+	return s
+}
