--- a/review/harness/harness.go
+++ b/review/harness/harness.go
@@ -168,7 +168,7 @@
 func Config(coordinator string, classes []map[string]any, events ...map[string]any) map[string]any {
 	return map[string]any{
 		"seed": "8c1f30d27a5be964", "limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-		"coordinator": coordinator, "known": map[string]any{"index": len(events), "updates": events},
+		"coordinator": coordinator, "known": map[string]any{"index": len(events), "updates": append([]map[string]any{}, events...)},
 		"settings": map[string]any{
 			"caps": map[string]any{"connIdleUs": 600000000, "connectTimeoutUs": 500000, "cpuUsPerS": 300000, "maxOpen": 20000,
 				"maxRetryAfterUs": 2000000, "maxStreams": 1048576, "mayCancel": true, "mayProbe": true, "retryAfter": true, "sendCap": 5},
