--- a/review/harness/harness.go
+++ b/review/harness/harness.go
@@ -236,7 +236,7 @@
 	return string(m[1]), nil
 }
 
-// Start starts the controller and returns its log file.
+// Start starts the controller. Its log is controller-LABEL.log beside the record.
 func (p *Controller) Start() {
 	run, err := runCommand()
 	p.c.Must(err)
@@ -245,6 +245,7 @@
 	defer out.Close()
 	p.cmd = exec.Command("/bin/sh", "-c", run)
 	p.cmd.Env, p.cmd.Stdout, p.cmd.Stderr = p.env, out, out
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // no controller outlives the case
 	p.c.Must(p.cmd.Start())
 	p.done = make(chan struct{})
 	cmd, done := p.cmd, p.done
