Refuse no call at a shutdown that may have run and must not run twice

Callers saw: at a planned restart a set-up of a class that must not run twice was released with cause 42 (trying again is harmless) while its dispatcher worked on it.

Cause: Core.Drain refuses each open call as its time is up, and did not ask whether an attempt may have run. The rule stood in three forms: the module's refuse, and the core's mayRepeat for the deadline and for recovery, which counted attempts and knew no groups.

Change: the rule is Class.MayRefuse (control/repetition.go, listed under policy). Core.rejectCall, the one way to a final answer of a pending call, asks it, and sends a failure (41) in place of a refusal that it does not allow. CancelAttempt tells whether a set-up was taken back unsent; such a call is still refused. At the deadline a call by key whose group is all is refused now, as the rule allows.

--- a/control/api.go
+++ b/control/api.go
@@ -1,6 +1,7 @@
 // Package control decides, for one access node, which core server gets each call set-up, and when.
 //
-// The interface (settings, events, actions) is in api.go; every decision is in control.go.
+// The interface (settings, events, actions) is in api.go; the decisions are in control.go, and the rules on repeated
+// set-ups in repetition.go.
 //
 // The mechanism is Somoza's Dynamic Processor Overload Control, run at the sender. Each server has a
 // window of N new set-ups per control period. At the end of each update interval the window is resized
@@ -153,11 +154,11 @@
 	NotSent
 )
 
-// mayHaveRun reports whether the server may have started to process the set-up.
-func (o Outcome) mayHaveRun() bool { return o == Failed || o.mayStillRun() }
+// MayHaveRun reports whether the server may have started to process the set-up.
+func (o Outcome) MayHaveRun() bool { return o == Failed || o.MayStillRun() }
 
-// mayStillRun reports whether the server may still process the set-up or hold resources for it.
-func (o Outcome) mayStillRun() bool { return o == TimedOut || o == Reset || o == Cancelled }
+// MayStillRun reports whether the server may still process the set-up or hold resources for it.
+func (o Outcome) MayStillRun() bool { return o == TimedOut || o == Reset || o == Cancelled }
 
 // ServerStats holds the state that limits the set-ups of this node to a server.
 type ServerStats struct {
--- a/control/control.go
+++ b/control/control.go
@@ -340,19 +340,7 @@
 	if c.settings.Layout == Network && (s.Cell == c.settings.OwnCell || k.transit && s.Cell != k.firstCell) {
 		return false
 	}
-	if k.ranOn == nil || class.Idempotency == Idempotent {
-		return true
-	}
-	if class.Idempotency == NonIdempotent || c.now-k.ranSentAt >= class.DedupWindow {
-		return false
-	}
-	switch class.DedupScope {
-	case DedupZone:
-		return s.Zone == k.ranOn.Zone
-	case DedupCell:
-		return s.Cell == k.ranOn.Cell
-	}
-	return true
+	return k.ranOn == nil || class.mayResendTo(s, k.ranOn, c.now-k.ranSentAt)
 }
 
 // selectServer picks a server whose window allows the call, or returns nil if the call has to wait. Servers
@@ -541,13 +529,11 @@
 	return false
 }
 
-// refuse sends the final answer of the call. A call that may have run fails unless every server may get a
-// repetition of it. Other calls are refused, with a hold-off where callers support it.
+// refuse sends the final answer of the call: a refusal, with a hold-off where callers support it, or a
+// failure if the class does not allow a refusal any more.
 func (c *Controller) refuse(k *call) {
-	class := k.class
 	c.removeUnserved(k)
-	if k.ranOn != nil && (class.Idempotency == NonIdempotent ||
-		class.Idempotency == IdempotentByKey && class.DedupScope != DedupAll) {
+	if !k.class.MayRefuse(k.ranOn != nil) {
 		c.emit(Fail{ID: k.id})
 		return
 	}
@@ -654,7 +640,7 @@
 		return
 	}
 	k.server.removeAttempt(k)
-	if k.ranOn == nil && e.Outcome.mayHaveRun() {
+	if k.ranOn == nil && e.Outcome.MayHaveRun() {
 		k.ranOn, k.ranSentAt = k.server, k.sentAt
 	}
 	k.server = nil
@@ -662,7 +648,7 @@
 		c.removeCall(k)
 		return
 	}
-	if e.Outcome.mayStillRun() {
+	if e.Outcome.MayStillRun() {
 		k.notBefore = c.now + c.settings.ReleaseGuard
 	}
 	if c.now >= k.deadline-2*c.settings.Tick {
--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -123,8 +123,8 @@
 	Update(Update)
 	// SetUp starts an attempt.
 	SetUp(control.ServerID, SetUp)
-	// CancelAttempt cancels an attempt.
-	CancelAttempt(server control.ServerID, id string, attempt int)
+	// CancelAttempt cancels an attempt, and reports whether nothing of it was sent, and nothing will be.
+	CancelAttempt(server control.ServerID, id string, attempt int) (neverSent bool)
 	// Release releases an established call; an empty server releases it at all dispatchers.
 	Release(server control.ServerID, id string, cause int)
 	// Probe sends a probe to a dispatcher.
--- a/internal/call/core.go
+++ b/internal/call/core.go
@@ -73,7 +73,7 @@
 	notBefore            time.Duration  // earliest time of the next attempt, on the clock of Core.now
 	awaitsResume         bool           // the module does not know the call until its caller resumes it
 	transferring         bool           // the call is being transferred to another controller
-	firstRunAt           time.Time      // when the first attempt that may have run was sent, if a subset is in use; zero for none
+	firstRunAt           time.Time      // when the first attempt that has ended and may have run was sent; zero for none
 	tried                []triedAttempt // attempts of this process that may have established the call; the last is the latest one
 	earlyEnd             *earlyEnd      // the end of the call, if it arrived before the answer to the attempt in progress
 	ambiguous            *ambiguousEnd  // the end of the call or of an earlier attempt
--- a/internal/call/core_test.go
+++ b/internal/call/core_test.go
@@ -25,9 +25,11 @@
 	releases int
 	drained  map[control.ServerID]bool
 	setUps   int
-	pings    []func(replied bool)                   // outstanding probes
-	onSetUp  func(server control.ServerID, a SetUp) // the behaviour of the dispatchers
-	settings *settings.Settings
+	// neverSent is what CancelAttempt returns.
+	neverSent bool
+	pings     []func(replied bool)                   // outstanding probes
+	onSetUp   func(server control.ServerID, a SetUp) // the behaviour of the dispatchers
+	settings  *settings.Settings
 }
 
 func (s *fixture) Update(Update)                         {}
@@ -53,9 +55,10 @@
 	}
 }
 
-func (s *fixture) CancelAttempt(_ control.ServerID, id string, _ int) {
+func (s *fixture) CancelAttempt(_ control.ServerID, id string, _ int) bool {
 	delete(s.inProgress, id)
 	s.notBefore[id] = time.Now().Add(guard)
+	return s.neverSent
 }
 
 func (s *fixture) SetUp(server control.ServerID, a SetUp) {
--- a/internal/call/drain.go
+++ b/internal/call/drain.go
@@ -21,14 +21,19 @@
 		if !c.drainingSince.Equal(since) {
 			return // draining was called off
 		}
-		for _, id := range c.pendingIDs() {
-			k := c.calls[id]
-			c.cancelCall(k)
-			c.rejectCall(k, End{Cause: CauseCongestion, Reason: ReasonDraining, HoldOff: c.holdOff()})
-		}
+		c.rejectPending()
 	})
 }
 
+// rejectPending ends all pending calls because the controller stops.
+func (c *Core) rejectPending() {
+	for _, id := range c.pendingIDs() {
+		k := c.calls[id]
+		c.cancelCall(k)
+		c.rejectCall(k, End{Cause: CauseCongestion, Reason: ReasonDraining, HoldOff: c.holdOff()})
+	}
+}
+
 // drainTimeout returns how long after SIGTERM the last pending calls are answered: killMargin before a SIGKILL that may
 // follow.
 func (c *Core) drainTimeout() time.Duration {
--- a/internal/call/ledger_writer.go
+++ b/internal/call/ledger_writer.go
@@ -91,13 +91,19 @@
 func (c *Core) persistAttemptFailed(k *record, o control.Outcome) {
 	c.selection.attemptFailed(k, o)
 	c.persistEvent(k, recovery.KindAttemptFailed, func(e *recovery.Event) {
-		switch o {
-		case control.TimedOut, control.Reset, control.Cancelled:
+		if o.MayStillRun() {
 			e.NotBeforeUs = (c.now() + c.decisions.ReleaseGuard).Microseconds()
 		}
 	})
 }
 
+// persistRejected records the final answer to a call that is not established.
+func (c *Core) persistRejected(k *record, end End) {
+	c.persistEvent(k, recovery.KindRejected, func(e *recovery.Event) {
+		e.Cause, e.Reason, e.HoldOffUs = end.Cause, string(end.Reason), end.HoldOff.Microseconds()
+	})
+}
+
 // persistTerminated records that an established call was terminated.
 func (c *Core) persistTerminated(k *record, end End) {
 	c.persistEvent(k, recovery.KindTerminated, func(e *recovery.Event) { e.Cause, e.Reason = end.Cause, string(end.Reason) })
--- a/internal/call/ledger_writer_test.go
+++ b/internal/call/ledger_writer_test.go
@@ -58,12 +58,12 @@
 // stubDispatchers are dispatchers that do nothing: the test reports outcomes itself.
 type stubDispatchers struct{}
 
-func (stubDispatchers) Update(Update)                               {}
-func (stubDispatchers) SetUp(control.ServerID, SetUp)               {}
-func (stubDispatchers) Reconnect(control.ServerID)                  {}
-func (stubDispatchers) CancelAttempt(control.ServerID, string, int) {}
-func (stubDispatchers) Release(control.ServerID, string, int)       {}
-func (stubDispatchers) Probe(control.ServerID)                      {}
+func (stubDispatchers) Update(Update)                                    {}
+func (stubDispatchers) SetUp(control.ServerID, SetUp)                    {}
+func (stubDispatchers) Reconnect(control.ServerID)                       {}
+func (stubDispatchers) CancelAttempt(control.ServerID, string, int) bool { return false }
+func (stubDispatchers) Release(control.ServerID, string, int)            {}
+func (stubDispatchers) Probe(control.ServerID)                           {}
 
 // Ping gets no reply.
 func (stubDispatchers) Ping(control.ServerID, string, int, func(bool)) {}
--- a/internal/call/metrics.go
+++ b/internal/call/metrics.go
@@ -16,28 +16,6 @@
 	}
 }
 
-// reject sends a caller the final answer to a set-up that is not established, and counts it. Classes that callers name
-// are only counted if they are in the settings, as the number of other names is unlimited.
-func (c *Core) reject(r *Request, end End) {
-	if c.metrics.HasClass(r.Class) {
-		switch class := c.metrics.Class(r.Class); end.Cause {
-		case CauseNoCircuit, CauseCongestion, CauseFacility:
-			class.Refused++
-		default:
-			class.Failed++
-		}
-	}
-	r.Caller.End(r.ID, end)
-}
-
-// Reject answers an invalid set-up. If its id is that of another call of the same connection that is not terminated,
-// the answer to that call serves for both.
-func (c *Core) Reject(r Request) {
-	if old := c.calls[r.ID]; old == nil || old.state == terminated || old.Caller != r.Caller {
-		c.reject(&r, BadRequest)
-	}
-}
-
 // SetUpWritten counts a set-up that has been written to a dispatcher completely.
 func (c *Core) SetUpWritten() { c.metrics.Attempts++ }
 
--- a/internal/call/module.go
+++ b/internal/call/module.go
@@ -150,12 +150,13 @@
 func (c *Core) cancelAttempt(k *record, o control.Outcome, callOver bool) {
 	c.loop.Stop(k.attemptTimer)
 	k.attemptInProgress = false
-	c.dispatchers.CancelAttempt(k.server, k.ID, k.attempts-1)
+	neverSent := c.dispatchers.CancelAttempt(k.server, k.ID, k.attempts-1)
 	c.releaseEarlierAttempt(k)
 	if k.earlyEnd != nil && !callOver {
 		c.terminateUnanswered(k, k.earlyEnd.report)
 		return
 	}
+	k.recordOutcome(o, neverSent)
 	c.persistAttemptFailed(k, o)
 	c.queueEvent(control.AttemptEnded{ID: control.CallID(k.ID), Server: k.server, Attempt: k.attempts - 1, Outcome: o,
 		Elapsed: time.Since(k.sentAt), CallOver: callOver})
--- a/internal/call/recover.go
+++ b/internal/call/recover.go
@@ -69,8 +69,14 @@
 		server:  control.ServerID(d.Server), attempts: d.Attempts, sentAt: now.Add(d.LastEventAt - c.now()), restored: d.Call,
 	}
 	action := d.Action
+	if action == recovery.AwaitResume {
+		k.Deadline = now.Add(d.TimeLeft)
+	}
+	if d.Attempts > 0 {
+		k.firstRunAt = unknownRunTime
+	}
 	// A call that may be set up again must not cause harm if an earlier attempt ran.
-	if action == recovery.AwaitResume && !c.mayRepeat(c.classIndex(d.Class), d.Attempts) {
+	if class := c.classOf(k); action == recovery.AwaitResume && (c.classIndex(k.Class) < 0 || !k.mayBeOfferedAgain(&class)) {
 		action, d.Why = recovery.FailCall, "it may not be repeated"
 	}
 	c.recovered.Actions[action.String()]++
@@ -82,7 +88,7 @@
 	}
 	switch action {
 	case recovery.AwaitResume:
-		k.Description, k.Deadline, k.notBefore, k.awaitsResume = d.Description, now.Add(d.TimeLeft), d.NotBefore, true
+		k.Description, k.notBefore, k.awaitsResume = d.Description, d.NotBefore, true
 		c.addPending(k)
 		c.startDeadlineTimer(k)
 		c.cancelUnlessResumed(k, d.ResumeDeadline-c.now())
--- a/internal/call/requests.go
+++ b/internal/call/requests.go
@@ -75,32 +75,16 @@
 	return End{Cause: CauseCongestion, Reason: ReasonDeadline, HoldOff: c.holdOff()}
 }
 
-// RefuseOverLimit refuses a set-up on a connection beyond the limit of connections.
-func (c *Core) RefuseOverLimit(r Request) {
-	c.log.Warn("limit of connections reached", "id", r.ID)
-	c.reject(&r, End{Cause: CauseCongestion, Reason: ReasonRefused, HoldOff: c.holdOff()})
-}
-
 // startDeadlineTimer sets a timer that answers the call just before its caller's deadline, if it is still pending.
 func (c *Core) startDeadlineTimer(k *record) {
 	// The module normally answers in time. This is a safeguard: a call must never stay without a final answer.
 	k.deadlineTimer = c.loop.After(time.Until(k.Deadline)-fallbackMargin, func() {
 		c.log.Warn("call without an answer at its deadline", "id", k.ID)
 		c.cancelCall(k)
-		if c.mayRepeat(c.classIndex(k.Class), k.attempts) {
-			c.rejectCall(k, End{Cause: CauseCongestion, Reason: ReasonDeadline, HoldOff: c.holdOff()})
-		} else {
-			c.rejectCall(k, End{Cause: CauseTemporary, Reason: ReasonDeadline})
-		}
+		c.rejectCall(k, End{Cause: CauseCongestion, Reason: ReasonDeadline, HoldOff: c.holdOff()})
 	})
 }
 
-// mayRepeat reports whether a set-up of the class may safely be sent again after the given number of attempts, whatever
-// their outcomes.
-func (c *Core) mayRepeat(class, attempts int) bool {
-	return class >= 0 && (attempts == 0 || c.decisions.Classes[class].Idempotency == control.Idempotent)
-}
-
 // offerToModule passes a call to the decision module.
 func (c *Core) offerToModule(k *record, class int) {
 	c.selection.callOffered(k, c.decisions.Classes[class])
@@ -115,6 +99,14 @@
 	return slices.IndexFunc(c.decisions.Classes, func(class control.Class) bool { return class.Name == name })
 }
 
+// classOf returns the class of a call. One that is not in the settings counts as non-idempotent.
+func (c *Core) classOf(k *record) control.Class {
+	if i := c.classIndex(k.Class); i >= 0 {
+		return c.decisions.Classes[i]
+	}
+	return control.Class{Name: k.Class, Idempotency: control.NonIdempotent}
+}
+
 // holdOff returns the greatest hold-off of the settings; 0 if they do not allow any.
 func (c *Core) holdOff() time.Duration {
 	if !c.decisions.MayHoldOff {
@@ -245,20 +237,6 @@
 	}
 }
 
-// rejectCall sends the final answer to a pending call.
-func (c *Core) rejectCall(k *record, end End) {
-	if k.state != pending {
-		return
-	}
-	r := k.Request
-	c.persistEvent(k, recovery.KindRejected, func(e *recovery.Event) {
-		e.Cause, e.Reason, e.HoldOffUs = end.Cause, string(end.Reason), end.HoldOff.Microseconds()
-	})
-	c.close(k)
-	k.end, k.answeredTo = end, r.Caller
-	c.reject(&r, end)
-}
-
 // close marks a call as terminated, and drops calls whose retention period is over.
 func (c *Core) close(k *record) {
 	switch {
--- a/internal/call/selection.go
+++ b/internal/call/selection.go
@@ -392,22 +392,15 @@
 // usable reports whether the module sends calls to a dispatcher.
 func (s *selection) usable(id control.ServerID) bool { return !s.core.module.Avoids(s.core.now(), id) }
 
-// attemptFailed records that an attempt failed: when the next one may begin, and whether this one may have run.
+// attemptFailed records that an attempt failed, and when the next one may begin.
 func (s *selection) attemptFailed(k *record, o control.Outcome) {
 	if s == nil {
 		return
 	}
 	now := s.core.now()
-	switch o {
-	case control.TimedOut, control.Reset, control.Cancelled:
+	if o.MayStillRun() {
 		k.notBefore = now + s.core.decisions.ReleaseGuard
 	}
-	switch o {
-	case control.Failed, control.TimedOut, control.Reset, control.Cancelled:
-		if k.firstRunAt.IsZero() {
-			k.firstRunAt = k.sentAt
-		}
-	}
 	if s.coversList() {
 		return
 	}
@@ -459,7 +452,7 @@
 	class := c.classIndex(k.Class)
 	maxAttempts := c.decisions.MaxAttempts
 	if class < 0 || maxAttempts > 0 && k.attempts >= maxAttempts || time.Until(k.Deadline) < max(2*answerMargin, 4*c.decisions.Tick) ||
-		!k.repeatable(&c.decisions.Classes[class]) {
+		!k.mayBeOfferedAgain(&c.decisions.Classes[class]) {
 		return false
 	}
 	if !s.grow() {
@@ -469,18 +462,6 @@
 	return true
 }
 
-// repeatable reports whether the call may still be sent to any dispatcher of its class by its deadline: the module does
-// not remember where a call that it refused may have run.
-func (k *record) repeatable(class *control.Class) bool {
-	switch {
-	case k.firstRunAt.IsZero() || class.Idempotency == control.Idempotent:
-		return true
-	case class.Idempotency == control.IdempotentByKey && class.DedupScope == control.DedupAll:
-		return k.Deadline.Sub(k.firstRunAt) < class.DedupWindow
-	}
-	return false
-}
-
 // --- Settings and metrics ---
 
 // scaleSettings returns the settings for the module, with the number of controllers that connect to one dispatcher
--- a/internal/call/selection_test.go
+++ b/internal/call/selection_test.go
@@ -53,9 +53,9 @@
 	s.fixture.SetUp(server, a)
 }
 
-func (s *subsetFixture) CancelAttempt(server control.ServerID, id string, attempt int) {
+func (s *subsetFixture) CancelAttempt(server control.ServerID, id string, attempt int) bool {
 	s.request("cancel %s/%d at %s", id, attempt, server)
-	s.fixture.CancelAttempt(server, id, attempt)
+	return s.fixture.CancelAttempt(server, id, attempt)
 }
 
 func (s *subsetFixture) Release(server control.ServerID, id string, cause int) {
--- a/internal/callers/fake_peers_test.go
+++ b/internal/callers/fake_peers_test.go
@@ -37,10 +37,11 @@
 }
 
 // CancelAttempt cancels the attempt.
-func (d *fakeDispatchers) CancelAttempt(_ control.ServerID, id string, _ int) {
+func (d *fakeDispatchers) CancelAttempt(_ control.ServerID, id string, _ int) bool {
 	if id == testCallID {
 		d.attemptPending = false
 	}
+	return false
 }
 
 // Release ends the call.
--- a/internal/dispatchers/connection.go
+++ b/internal/dispatchers/connection.go
@@ -110,15 +110,16 @@
 	c.server.pool.markActive(c.server)
 }
 
-// cancelSetUp cancels a set-up. One that is still queued is not sent at all: its caller may have disconnected long before the dispatcher
-// reads on, or the dispatcher may be draining by then.
-func (c *connection) cancelSetUp(id string, setUp *setUpState) {
+// cancelSetUp cancels a set-up. One that is still queued is not sent at all, which is reported as neverSent: its caller may have
+// disconnected long before the dispatcher reads on, or the dispatcher may be draining by then.
+func (c *connection) cancelSetUp(id string, setUp *setUpState) (neverSent bool) {
 	if c.conn.CancelWrite(setUp.ticket) {
 		delete(c.setUps, id)
-		return
+		return true
 	}
 	setUp.cancelledAt = time.Now()
 	c.send(c.protocol.Cancel(id, setUp.attempt, setUp.called))
+	return false
 }
 
 // Data processes input from the dispatcher.
--- a/internal/dispatchers/dispatchers.go
+++ b/internal/dispatchers/dispatchers.go
@@ -156,18 +156,21 @@
 	s.connect()
 }
 
-// CancelAttempt cancels an attempt.
-func (p *Pool) CancelAttempt(id control.ServerID, callID string, attempt int) {
+// CancelAttempt cancels an attempt, and reports whether nothing of it was sent, and nothing will be.
+func (p *Pool) CancelAttempt(id control.ServerID, callID string, attempt int) (neverSent bool) {
 	s := p.servers[id]
 	if s == nil {
-		return
+		return false
 	}
-	s.waiting = slices.DeleteFunc(s.waiting, func(w waitingSetUp) bool { return w.ID == callID })
+	waits := func(w waitingSetUp) bool { return w.ID == callID }
+	neverSent = slices.ContainsFunc(s.waiting, waits)
+	s.waiting = slices.DeleteFunc(s.waiting, waits)
 	for _, c := range s.conns {
 		if setUp := c.setUps[callID]; setUp != nil && setUp.attempt == attempt && setUp.cancelledAt.IsZero() {
-			c.cancelSetUp(callID, setUp)
+			neverSent = c.cancelSetUp(callID, setUp)
 		}
 	}
+	return neverSent
 }
 
 // Reconnect opens one more connection to a dispatcher, after a short delay that combines several requests. If the dispatcher has the
--- a/internal/dispatchers/queued_set_up_test.go
+++ b/internal/dispatchers/queued_set_up_test.go
@@ -87,10 +87,14 @@
 		setUp("cancelled", "its caller cancels")
 		setUp("moved", "it is placed elsewhere")
 		p.Flush()
-		p.CancelAttempt("d", "cancelled", 0)
+		if !p.CancelAttempt("d", "cancelled", 0) {
+			t.Error("the set-up that waits behind others is not reported as never sent")
+		}
 		server.Status = control.Draining
 		p.Update(call.Update{Servers: []call.Server{server}})
-		p.CancelAttempt("d", lastID, 0)
+		if p.CancelAttempt("d", lastID, 0) {
+			t.Error("a set-up that was sent in part, or has an outcome, is reported as never sent")
+		}
 		setUp("end", "nothing follows")
 		p.Flush()
 		if diff := cmp.Diff(want, core.outcomes); diff != "" {
