Decide by the class with which a call was accepted whether it may be refused

Callers saw nothing yet; found while the paths that end a pending call were gone through, and forced.

Cause: the module keeps the class of a call, but the core looked it up by name whenever it had to decide. After a reload that made a class harmless to repeat, a call of before whose attempt was out was refused (42) at a shutdown or at its deadline. After one that dropped its class, a call that may be repeated was told as failed. And a call that waited for its caller after a restart was offered to the module by the class of now, which may not allow that.

Change: a call has its class from when it is accepted or recovered. It is offered again only if that class and the one of now allow it.

TestClassThatMustNotBeRepeatedAnyMoreWhileCallAwaitsResume sees the second set-up there.

--- a/internal/call/core.go
+++ b/internal/call/core.go
@@ -55,6 +55,7 @@
 // record is the state of one call.
 type record struct {
 	Request
+	class             control.Class // as configured when the call was accepted or recovered
 	state             state
 	attempts          int
 	attemptInProgress bool
--- a/internal/call/final_answer.go
+++ b/internal/call/final_answer.go
@@ -35,10 +35,15 @@
 	}
 }
 
-// mayBeOfferedAgain reports whether a call may be passed to the module once more. The module then knows nothing of
-// earlier attempts, and may send the call to any dispatcher of the class until its deadline.
+// mayBeOfferedAgain reports whether a call may be passed to the module once more, which places it by the class given. The
+// module then knows nothing of earlier attempts, and may send the call to any dispatcher of the class until its
+// deadline. If the settings have changed since the call was accepted, both its classes must allow that.
 func (k *record) mayBeOfferedAgain(class *control.Class) bool {
-	return k.firstRunAt.IsZero() || class.MayResendAnywhere(k.Deadline.Sub(k.firstRunAt))
+	if k.firstRunAt.IsZero() {
+		return true
+	}
+	untilDeadline := k.Deadline.Sub(k.firstRunAt)
+	return k.class.MayResendAnywhere(untilDeadline) && class.MayResendAnywhere(untilDeadline)
 }
 
 // rejectCall sends the final answer to a pending call. It is a failure in place of a refusal if the class of the call
@@ -47,7 +52,7 @@
 	if k.state != pending {
 		return
 	}
-	if class := c.classOf(k); end.refuses() && !class.MayRefuse(k.mayHaveRun()) {
+	if end.refuses() && !k.class.MayRefuse(k.mayHaveRun()) {
 		end = failureInsteadOf(end)
 	}
 	r := k.Request
--- a/internal/call/final_answer_test.go
+++ b/internal/call/final_answer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -29,6 +30,14 @@
 	"non_idempotent":        {control.NonIdempotent, control.DedupAll, false},
 }
 
+// opposite returns the semantics of a class whose calls may be refused if those of this class may not, and vice versa.
+func (c repetitionClass) opposite() string {
+	if c.refusable {
+		return "non_idempotent"
+	}
+	return "read_like"
+}
+
 // attemptHistory is what has become of the attempts of a pending call.
 type attemptHistory struct {
 	play       func(f *refusalFixture)
@@ -110,6 +119,22 @@
 		f.core.TransferRequested(map[string]takeover.Query{refusalCallID: query})
 		f.core.rejectPending()
 	}, refuses: func(class repetitionClass, _ attemptHistory) bool { return class.refusable }, elsewhere: true},
+	"a reload that changes the class, and a drain": {play: func(f *refusalFixture) {
+		f.reload("c", f.class.opposite())
+		f.core.rejectPending()
+	}, refuses: always},
+	"a reload that changes the class, and the deadline": {play: func(f *refusalFixture) {
+		f.reload("c", f.class.opposite())
+		f.core.calls[refusalCallID].deadlineTimer.f()
+	}, refuses: always},
+	"a reload that drops the class, and a drain": {play: func(f *refusalFixture) {
+		f.reload("another", "read_like")
+		f.core.rejectPending()
+	}, refuses: always},
+	"a reload that drops the class, and the deadline": {play: func(f *refusalFixture) {
+		f.reload("another", "read_like")
+		f.core.calls[refusalCallID].deadlineTimer.f()
+	}, refuses: always},
 	"recovery": {play: func(f *refusalFixture) {
 		events := f.core.recoveryCall(f.core.calls[refusalCallID]).Events()
 		f.replaceCore()
@@ -167,6 +192,18 @@
 	f.configure()
 }
 
+// reload applies settings whose only class has the name and the semantics.
+func (f *refusalFixture) reload(name, semantics string) {
+	f.t.Helper()
+	changed := *f.settings
+	changed.RequestClasses = slices.Clone(changed.RequestClasses)
+	changed.RequestClasses[0].Name, changed.RequestClasses[0].Semantics = name, semantics
+	f.core.events = nil // the module must not act on the call
+	if err := f.core.Reconfigure(&changed); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
 // startAttempt starts an attempt in place of the module, which does not run.
 func (f *refusalFixture) startAttempt() {
 	delete(f.notBefore, refusalCallID) // the guard is the module's to keep
@@ -265,3 +302,32 @@
 		})
 	}
 }
+
+// TestCallsAreOfferedAgainByBothClasses checks which calls may be passed to the module again after a reload has changed
+// their class.
+func TestCallsAreOfferedAgainByBothClasses(t *testing.T) {
+	for name, test := range map[string]struct {
+		accepted, current control.Idempotency
+		ran, want         bool
+	}{
+		"not attempted":                 {control.NonIdempotent, control.NonIdempotent, false, true},
+		"idempotent":                    {control.Idempotent, control.Idempotent, true, true},
+		"idempotent by key":             {control.IdempotentByKey, control.IdempotentByKey, true, true},
+		"idempotent only when accepted": {control.Idempotent, control.NonIdempotent, true, false},
+		"idempotent only now":           {control.NonIdempotent, control.Idempotent, true, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			class := func(idempotency control.Idempotency) control.Class {
+				return control.Class{Idempotency: idempotency, DedupWindow: time.Minute}
+			}
+			now := time.Now()
+			k := &record{class: class(test.accepted), Request: Request{Deadline: now.Add(time.Second)}}
+			if test.ran {
+				k.firstRunAt = now
+			}
+			if current := class(test.current); k.mayBeOfferedAgain(&current) != test.want {
+				t.Errorf("may be offered again: %v, want %v", !test.want, test.want)
+			}
+		})
+	}
+}
--- a/internal/call/reconfigure.go
+++ b/internal/call/reconfigure.go
@@ -7,7 +7,7 @@
 )
 
 // Reconfigure applies other settings to the core and its module; on an error, nothing changes. Existing calls keep
-// their class.
+// their class: it also decides whether they may be refused.
 func (c *Core) Reconfigure(s *settings.Settings) error {
 	decisions, err := s.ControlSettings()
 	if err != nil {
--- a/internal/call/recover.go
+++ b/internal/call/recover.go
@@ -76,7 +76,8 @@
 		k.firstRunAt = unknownRunTime
 	}
 	// A call that may be set up again must not cause harm if an earlier attempt ran.
-	if class := c.classOf(k); action == recovery.AwaitResume && (c.classIndex(k.Class) < 0 || !k.mayBeOfferedAgain(&class)) {
+	k.class = c.classByName(d.Class)
+	if action == recovery.AwaitResume && (c.classIndex(d.Class) < 0 || !k.mayBeOfferedAgain(&k.class)) {
 		action, d.Why = recovery.FailCall, "it may not be repeated"
 	}
 	c.recovered.Actions[action.String()]++
@@ -276,7 +277,9 @@
 		if k.awaitsResume {
 			k.awaitsResume = false
 			class := c.classIndex(k.Class)
-			if class < 0 { // the class was removed from the settings meanwhile: the module would not accept the call
+			// The settings may have changed meanwhile: the module would not accept a call whose class they lack, and might
+			// repeat one that may not be repeated any more.
+			if class < 0 || !k.mayBeOfferedAgain(&c.decisions.Classes[class]) {
 				c.rejectCall(k, End{Cause: CauseTemporary, Reason: ReasonFailed})
 				break
 			}
--- a/internal/call/recover_test.go
+++ b/internal/call/recover_test.go
@@ -207,3 +207,35 @@
 		t.Errorf("messages (-want +got):\n%s", diff)
 	}
 }
+
+// TestClassThatMustNotBeRepeatedAnyMoreWhileCallAwaitsResume guards against another attempt for a call that may have run,
+// after its class was changed in the settings before its caller resumed it.
+func TestClassThatMustNotBeRepeatedAnyMoreWhileCallAwaitsResume(t *testing.T) {
+	const id = "00000000000000aa"
+	fix := newFixture(t)
+	core := fix.core
+	s := &recorder{core: core}
+	core.SetDispatchers(s)
+	core.AddFront(recordingFront{s})
+	b := recovery.NewCallTable()
+	b.Apply(accepted(id, core.now()))
+	b.Apply(event(recovery.KindAttemptSent, id, core.now()))
+	core.Recover(b, nil)
+	core.Update(Update{Complete: true, Servers: []Server{{ServerEntry: control.ServerEntry{ID: "a"}, Address: "127.0.0.1:1"}}})
+	core.finishIteration()
+	other := *fix.settings
+	other.RequestClasses = slices.Clone(other.RequestClasses)
+	other.RequestClasses[0].Semantics = "non_idempotent"
+	if err := core.Reconfigure(&other); err != nil {
+		t.Fatal(err)
+	}
+	if err := core.ResumeCall(ResumeRequest{Caller: s, ID: id, Token: callToken}); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(guard + 20*time.Millisecond) // an attempt would wait for the guard
+	core.queueEvent(control.Woken{})
+	core.finishIteration()
+	if diff := cmp.Diff([]string{"dispatchers release " + id, "end " + id + " 41 failed"}, s.messages); diff != "" {
+		t.Errorf("messages (-want +got):\n%s", diff)
+	}
+}
--- a/internal/call/requests.go
+++ b/internal/call/requests.go
@@ -58,6 +58,7 @@
 		c.reject(&r, End{Cause: CauseCongestion, Reason: ReasonRefused, HoldOff: c.holdOff()})
 		return nil
 	}
+	k.class = c.decisions.Classes[class]
 	c.calls[r.ID] = k
 	c.addPending(k)
 	c.persistEvent(k, recovery.KindAccepted, nil)
@@ -99,12 +100,12 @@
 	return slices.IndexFunc(c.decisions.Classes, func(class control.Class) bool { return class.Name == name })
 }
 
-// classOf returns the class of a call. One that is not in the settings counts as non-idempotent.
-func (c *Core) classOf(k *record) control.Class {
-	if i := c.classIndex(k.Class); i >= 0 {
+// classByName returns the class of that name. One that is not in the settings counts as non-idempotent.
+func (c *Core) classByName(name string) control.Class {
+	if i := c.classIndex(name); i >= 0 {
 		return c.decisions.Classes[i]
 	}
-	return control.Class{Name: k.Class, Idempotency: control.NonIdempotent}
+	return control.Class{Name: name, Idempotency: control.NonIdempotent}
 }
 
 // holdOff returns the greatest hold-off of the settings; 0 if they do not allow any.
--- a/internal/mutants/list.go
+++ b/internal/mutants/list.go
@@ -9,7 +9,7 @@
 // run the whole controller; connTests include the users of package conn.
 var (
 	dispatchersTests     = Tests{"./internal/dispatchers", ""}
-	refusalTests         = Tests{"./internal/call", "AreNotRefused|DrainEndsInTime"}
+	refusalTests         = Tests{"./internal/call", "AreNotRefused|DrainEndsInTime|OfferedAgain|ClassThat"}
 	shutdownRefusalTests = Tests{"./cmd/cherryrelay", "AShutdownDoesNotRefuse"}
 	callTests            = Tests{"./internal/call ./internal/dispatchers", "EachEnd|AfterARefusal|CouldNotBe|TheDecisions|AsItsAttempt|ALateAnswer|TheEndOfACall|AnEnd|OfUnknown|ReleasesIn|HeldBy|Ambiguous"}
 	callOrderTests       = Tests{"./internal/call ./internal/dispatchers", "MessagesOfACall|AfterARefusal|CouldNotBe|TheDecisions|AsItsAttempt|TheEndOfACall|AnEnd|ReleasesIn"}
--- a/internal/mutants/list_calls.go
+++ b/internal/mutants/list_calls.go
@@ -202,8 +202,8 @@
 			Text:        "\t\tk.heldByEarlierAttempt = false\n",
 			Replacement: ``},
 		{Name: "refuse-asks", File: "internal/call/final_answer.go", Row: "refused-at-a-shutdown.md", Tests: refusalTests,
-			Text:        "end.refuses() && !class.MayRefuse(k.mayHaveRun())",
-			Replacement: "!end.refuses() && !class.MayRefuse(k.mayHaveRun())"},
+			Text:        "end.refuses() && !k.class.MayRefuse(k.mayHaveRun())",
+			Replacement: "!end.refuses() && !k.class.MayRefuse(k.mayHaveRun())"},
 		{Name: "refuse-transferring", File: "internal/call/final_answer.go", Row: "refused-at-a-shutdown.md", Tests: refusalTests,
 			Text:        "return k.attemptInProgress || k.transferring ||",
 			Replacement: "return k.attemptInProgress ||"},
@@ -225,5 +225,11 @@
 		{Name: "refuse-queued", File: "internal/dispatchers/connection.go", Row: "refused-at-a-shutdown.md", Tests: Tests{"./internal/dispatchers", "QueuedSetUps"},
 			Text:        "\t\tdelete(c.setUps, id)\n\t\treturn true\n",
 			Replacement: "\t\tdelete(c.setUps, id)\n\t\treturn false\n"},
+		{Name: "refuse-class-of-the-call", File: "internal/call/final_answer.go", Row: "refused-by-a-changed-class.md", Tests: refusalTests,
+			Text:        "return k.class.MayResendAnywhere(untilDeadline) && class.MayResendAnywhere(untilDeadline)",
+			Replacement: "return class.MayResendAnywhere(untilDeadline)"},
+		{Name: "refuse-class-of-now", File: "internal/call/recover.go", Row: "refused-by-a-changed-class.md", Tests: refusalTests,
+			Text:        "if class < 0 || !k.mayBeOfferedAgain(&c.decisions.Classes[class]) {",
+			Replacement: "if class < 0 {"},
 	}
 }
