Keep in the ledger whether a call may be repeated, and which of its attempts never ran

Callers saw nothing yet; found while the paths that end a pending call were gone through, and forced.

Cause: the ledger had the name of a call's class alone. A controller that came back with other settings, or another one that took the call over, judged by its own: a call that must not run twice, with an attempt out, was placed again or refused as harmless where the class of that name may be repeated by now. It also had the number of attempts alone, so a call whose attempts never ran was told as failed.

Both are new keys, which older versions pass over; without them the class of now counts, and the attempt counts as one that may have run.

TestLedgerMatchesCore and the property of replays compare both new facts, too.

--- a/internal/call/core.go
+++ b/internal/call/core.go
@@ -55,7 +55,7 @@
 // record is the state of one call.
 type record struct {
 	Request
-	class             control.Class // as configured when the call was accepted or recovered
+	class             control.Class // as configured when the call was accepted
 	state             state
 	attempts          int
 	attemptInProgress bool
--- a/internal/call/final_answer.go
+++ b/internal/call/final_answer.go
@@ -28,13 +28,6 @@
 	return k.attemptInProgress || k.transferring || !k.firstRunAt.IsZero()
 }
 
-// recordOutcome records whether the attempt that has ended may have run.
-func (k *record) recordOutcome(o control.Outcome, neverSent bool) {
-	if !neverSent && o.MayHaveRun() && k.firstRunAt.IsZero() {
-		k.firstRunAt = k.sentAt
-	}
-}
-
 // mayBeOfferedAgain reports whether a call may be passed to the module once more, which places it by the class given. The
 // module then knows nothing of earlier attempts, and may send the call to any dispatcher of the class until its
 // deadline. If the settings have changed since the call was accepted, both its classes must allow that.
--- a/internal/call/final_answer_test.go
+++ b/internal/call/final_answer_test.go
@@ -42,45 +42,46 @@
 type attemptHistory struct {
 	play       func(f *refusalFixture)
 	mayHaveRun bool
+	inProgress bool
 }
 
 var attemptHistories = map[string]attemptHistory{
-	"no attempt yet": {func(*refusalFixture) {}, false},
+	"no attempt yet": {play: func(*refusalFixture) {}},
 	"one in progress": {func(f *refusalFixture) {
 		f.startAttempt()
-	}, true},
+	}, true, true},
 	"one that never ran": {func(f *refusalFixture) {
 		f.startAttempt()
 		f.endAttempt("a", SetUp{ID: refusalCallID, Attempt: 0}, control.Full)
-	}, false},
+	}, false, false},
 	"one that was cancelled before it was sent": {func(f *refusalFixture) {
 		f.startAttempt()
 		f.neverSent = true
 		f.core.perform(control.Cancel{ID: refusalCallID})
 		f.neverSent = false
-	}, false},
+	}, false, false},
 	"one in the write queue": {func(f *refusalFixture) {
 		f.startAttempt()
 		f.neverSent = true
-	}, false},
+	}, false, true},
 	"one that was cancelled": {func(f *refusalFixture) {
 		f.startAttempt()
 		f.core.perform(control.Cancel{ID: refusalCallID})
-	}, true},
+	}, true, false},
 	"one that timed out": {func(f *refusalFixture) {
 		f.startAttempt()
 		f.core.calls[refusalCallID].attemptTimer.f()
-	}, true},
+	}, true, false},
 	"one that failed": {func(f *refusalFixture) {
 		f.startAttempt()
 		f.endAttempt("a", SetUp{ID: refusalCallID, Attempt: 0}, control.Failed)
-	}, true},
+	}, true, false},
 	"one that may have run, and one that never did": {func(f *refusalFixture) {
 		f.startAttempt()
 		f.endAttempt("a", SetUp{ID: refusalCallID, Attempt: 0}, control.Reset)
 		f.startAttempt()
 		f.endAttempt("a", SetUp{ID: refusalCallID, Attempt: 1}, control.Unreachable)
-	}, true},
+	}, true, false},
 }
 
 // ending is a way in which a pending call gets its final answer without an answer of a dispatcher.
@@ -94,9 +95,10 @@
 
 func always(repetitionClass, attemptHistory) bool { return true }
 
-// ifIdempotent is for endings after which it is not known when and whether earlier attempts ran.
-func ifIdempotent(class repetitionClass, _ attemptHistory) bool {
-	return class.idempotency == control.Idempotent
+// afterRestart is for endings in another process, which does not know when earlier attempts ran, and what became of one
+// that was in progress.
+func afterRestart(class repetitionClass, history attemptHistory) bool {
+	return class.idempotency == control.Idempotent || !history.mayHaveRun && !history.inProgress
 }
 
 var endings = map[string]ending{
@@ -145,7 +147,21 @@
 		f.core.Recover(table, nil)
 		f.resume()
 		f.core.rejectPending()
-	}, refuses: ifIdempotent},
+	}, refuses: afterRestart},
+	"recovery by a process with another class of that name": {play: func(f *refusalFixture) {
+		events := f.core.recoveryCall(f.core.calls[refusalCallID]).Events()
+		f.replaceCore()
+		f.reload("c", f.class.opposite())
+		table := recovery.NewCallTable()
+		for _, e := range events {
+			table.Apply(e)
+		}
+		f.core.Recover(table, nil)
+		f.resume()
+		f.core.rejectPending()
+	}, refuses: func(_ repetitionClass, history attemptHistory) bool {
+		return !history.mayHaveRun && !history.inProgress
+	}},
 	"takeover by another controller": {play: func(f *refusalFixture) {
 		events := f.core.recoveryCall(f.core.calls[refusalCallID]).Events()
 		f.replaceCore()
@@ -153,7 +169,7 @@
 		f.resume()
 		f.core.CallReceived(&takeover.Call{Events: events, LastAliveUs: f.core.now().Microseconds()}, -1)
 		f.core.rejectPending()
-	}, refuses: ifIdempotent},
+	}, refuses: afterRestart},
 }
 
 const refusalCallID = "00000000000000ab"
--- a/internal/call/ledger_writer.go
+++ b/internal/call/ledger_writer.go
@@ -76,7 +76,7 @@
 	switch kind {
 	case recovery.KindAccepted:
 		e.Class, e.Called, e.FirstCell, e.Redial, e.Description, e.Token = k.Class, k.Called, k.FirstCell, k.Redial, k.Description, k.Token
-		e.DeadlineUs = (c.now() + time.Until(k.Deadline)).Microseconds()
+		e.DeadlineUs, e.Repetition = (c.now() + time.Until(k.Deadline)).Microseconds(), repetitionOf(&k.class)
 	case recovery.KindAttemptSent, recovery.KindAttemptFailed, recovery.KindEstablished:
 		entry, _ := c.listedServer(k.server)
 		e.Attempt, e.Server, e.Address, e.ServerStartedUs = k.attempts-1, string(k.server), entry.Address, entry.StartedAt.Microseconds()
@@ -87,10 +87,14 @@
 	c.ledgerWriter.append(e)
 }
 
-// persistAttemptFailed records that an attempt failed.
-func (c *Core) persistAttemptFailed(k *record, o control.Outcome) {
+// recordAttemptFailed records that an attempt failed, and whether that proves that it never ran.
+func (c *Core) recordAttemptFailed(k *record, o control.Outcome, neverRan bool) {
+	if !neverRan && k.firstRunAt.IsZero() {
+		k.firstRunAt = k.sentAt
+	}
 	c.selection.attemptFailed(k, o)
 	c.persistEvent(k, recovery.KindAttemptFailed, func(e *recovery.Event) {
+		e.NeverRan = neverRan
 		if o.MayStillRun() {
 			e.NotBeforeUs = (c.now() + c.decisions.ReleaseGuard).Microseconds()
 		}
@@ -250,6 +254,7 @@
 	r := &recovery.Call{
 		Event:       recovery.Event{ID: k.ID, AtUs: now.Microseconds(), Token: k.Token},
 		LastEventAt: now, Attempts: k.attempts, AttemptInProgress: k.attemptInProgress, Server: string(k.server),
+		MayHaveRun: !k.firstRunAt.IsZero(),
 	}
 	if entry, _ := c.listedServer(k.server); entry.Address != "" {
 		r.Address, r.ServerStarted = entry.Address, entry.StartedAt
@@ -257,7 +262,7 @@
 		r.Address, r.ServerStarted = k.restored.Address, k.restored.ServerStarted
 	}
 	r.Class, r.Called, r.FirstCell, r.Redial, r.Description = k.Class, k.Called, k.FirstCell, k.Redial, k.Description
-	r.DeadlineUs = max((now + time.Until(k.Deadline)).Microseconds(), 1)
+	r.DeadlineUs, r.Repetition = max((now+time.Until(k.Deadline)).Microseconds(), 1), repetitionOf(&k.class)
 	switch k.state {
 	case pending:
 		if r.NotBefore = k.notBefore; k.attempts > 0 {
--- a/internal/call/ledger_writer_test.go
+++ b/internal/call/ledger_writer_test.go
@@ -97,7 +97,7 @@
 				continue // the core has dropped it by now
 			}
 			if got[c.ID] = fmt.Sprint(c.State, c.Cause); c.State <= recovery.StateEstablished {
-				got[c.ID] = fmt.Sprint(c.State, c.Attempts, c.AttemptInProgress, c.Server)
+				got[c.ID] = fmt.Sprint(c.State, c.Attempts, c.AttemptInProgress, c.Server, c.Repetition, c.State == recovery.StatePending && c.MayHaveRun)
 			}
 		}
 		for id, k := range core.calls {
@@ -106,7 +106,7 @@
 			}
 			c := core.recoveryCall(k)
 			if want[id] = fmt.Sprint(c.State, c.Cause); k.state != terminated {
-				want[id] = fmt.Sprint(c.State, k.attempts, k.attemptInProgress, string(k.server))
+				want[id] = fmt.Sprint(c.State, k.attempts, k.attemptInProgress, string(k.server), repetitionOf(&k.class), k.state == pending && !k.firstRunAt.IsZero())
 			}
 		}
 		if diff := cmp.Diff(want, got); diff != "" {
--- a/internal/call/module.go
+++ b/internal/call/module.go
@@ -156,8 +156,7 @@
 		c.terminateUnanswered(k, k.earlyEnd.report)
 		return
 	}
-	k.recordOutcome(o, neverSent)
-	c.persistAttemptFailed(k, o)
+	c.recordAttemptFailed(k, o, neverSent || !o.MayHaveRun())
 	c.queueEvent(control.AttemptEnded{ID: control.CallID(k.ID), Server: k.server, Attempt: k.attempts - 1, Outcome: o,
 		Elapsed: time.Since(k.sentAt), CallOver: callOver})
 }
--- a/internal/call/outcomes.go
+++ b/internal/call/outcomes.go
@@ -95,8 +95,7 @@
 		c.countSetUp(server, true)
 	}
 	k.dropRefused(k.attempts-1, o)
-	k.recordOutcome(o, false)
-	c.persistAttemptFailed(k, o)
+	c.recordAttemptFailed(k, o, !o.MayHaveRun())
 	c.queueEvent(control.AttemptEnded{ID: control.CallID(id), Server: server, Attempt: k.attempts - 1, Outcome: o,
 		Elapsed: time.Since(k.sentAt), NoLine: noLine, Report: report})
 }
--- a/internal/call/recover.go
+++ b/internal/call/recover.go
@@ -72,12 +72,14 @@
 	if action == recovery.AwaitResume {
 		k.Deadline = now.Add(d.TimeLeft)
 	}
-	if d.Attempts > 0 {
+	if d.MayHaveRun || d.AttemptInProgress {
 		k.firstRunAt = unknownRunTime
 	}
 	// A call that may be set up again must not cause harm if an earlier attempt ran.
-	k.class = c.classByName(d.Class)
-	if action == recovery.AwaitResume && (c.classIndex(d.Class) < 0 || !k.mayBeOfferedAgain(&k.class)) {
+	current := c.classByName(d.Class)
+	k.class = current
+	restoreRepetition(&k.class, d.Repetition)
+	if action == recovery.AwaitResume && (c.classIndex(d.Class) < 0 || !k.mayBeOfferedAgain(&current)) {
 		action, d.Why = recovery.FailCall, "it may not be repeated"
 	}
 	c.recovered.Actions[action.String()]++
--- a/internal/decide/recovery/call_table.go
+++ b/internal/decide/recovery/call_table.go
@@ -23,6 +23,7 @@
 	State               State
 	Attempts            int
 	AttemptInProgress   bool // an attempt has neither failed nor been answered
+	MayHaveRun          bool // an attempt has failed without proof that it never ran
 	Server              string
 	Address             string
 	ServerStarted       time.Duration
@@ -101,6 +102,7 @@
 			t.recordUnexpected(c)
 		}
 		c.AttemptInProgress, c.NotBefore = false, max(c.NotBefore, microseconds(e.NotBeforeUs))
+		c.MayHaveRun = c.MayHaveRun || !e.NeverRan
 	case KindEstablished:
 		if c.State != StatePending || !c.AttemptInProgress && c.Server != "" {
 			t.recordUnexpected(c)
@@ -195,12 +197,12 @@
 	}
 	sent, failed, established := common, common, common
 	sent.Kind, sent.Attempt = KindAttemptSent, max(c.Attempts-1, 0)
-	failed.Kind, failed.Attempt, failed.NotBeforeUs = KindAttemptFailed, sent.Attempt, c.NotBefore.Microseconds()
+	failed.Kind, failed.Attempt, failed.NotBeforeUs, failed.NeverRan = KindAttemptFailed, sent.Attempt, c.NotBefore.Microseconds(), !c.MayHaveRun
 	established.Kind, established.Attempt, established.Description = KindEstablished, sent.Attempt, c.Answer
 	switch c.State {
 	case StatePending:
 		if c.Attempts > 0 || c.Doubtful {
-			all = append(all, replayAttempts(sent)...)
+			all = append(all, replayAttempts(sent, !c.MayHaveRun)...)
 		}
 		if c.Attempts > 0 && !c.AttemptInProgress && !c.Doubtful {
 			all = append(all, failed)
@@ -219,12 +221,13 @@
 	return all
 }
 
-// replayAttempts returns the events of an attempt and of those before it. Only the number of the earlier attempts matters.
-func replayAttempts(sent Event) []Event {
+// replayAttempts returns the events of an attempt and of those before it. Of the earlier attempts, only the number matters, and whether
+// none of them ran.
+func replayAttempts(sent Event, neverRan bool) []Event {
 	var all []Event
 	for n := range sent.Attempt {
 		earlier, failed := sent, sent
-		earlier.Attempt, failed.Attempt, failed.Kind = n, n, KindAttemptFailed
+		earlier.Attempt, failed.Attempt, failed.Kind, failed.NeverRan = n, n, KindAttemptFailed, neverRan
 		all = append(all, earlier, failed)
 	}
 	return append(all, sent)
--- a/internal/decide/recovery/event.go
+++ b/internal/decide/recovery/event.go
@@ -24,6 +24,19 @@
 	KindCancelled     Kind = 7 // the caller cancelled the set-up: it needs no answer
 )
 
+// Repetition states when a set-up may be repeated. The numbers are stored on disk: none may be changed or reused.
+type Repetition uint8
+
+// The values of Repetition.
+const (
+	RepetitionUnknown  Repetition = 0 // the event is of an older version
+	RepeatFreely       Repetition = 1
+	RepeatByKey        Repetition = 2 // all servers discard repeats
+	RepeatByKeyInZone  Repetition = 3 // the servers in one zone discard repeats
+	RepeatByKeyInCell  Repetition = 4 // the servers in one cell discard repeats
+	RepeatIfItNeverRan Repetition = 5
+)
+
 // Event is an event of a call. Times are Unix times in microseconds.
 type Event struct {
 	Kind Kind   `cbor:"1,keyasint"`
@@ -38,6 +51,8 @@
 	Description string `cbor:"8,keyasint,omitempty"` // of the set-up; in KindEstablished, of the answer
 	DeadlineUs  int64  `cbor:"9,keyasint,omitempty"`
 	Token       []byte `cbor:"10,keyasint,omitempty"` // hash of the token with which the caller can resume the call
+	// Repetition is that of the class when the set-up was accepted.
+	Repetition Repetition `cbor:"19,keyasint,omitempty"`
 
 	// Fields of KindAttemptSent, KindAttemptFailed and KindEstablished.
 	Attempt         int    `cbor:"11,keyasint,omitempty"`
@@ -45,6 +60,7 @@
 	Address         string `cbor:"13,keyasint,omitempty"`
 	ServerStartedUs int64  `cbor:"14,keyasint,omitempty"` // start time of the server
 	NotBeforeUs     int64  `cbor:"15,keyasint,omitempty"` // in KindAttemptFailed: earliest time of the next attempt
+	NeverRan        bool   `cbor:"20,keyasint,omitempty"` // in KindAttemptFailed: the outcome proves that the attempt never ran
 
 	// Fields of KindRejected and KindTerminated.
 	Cause     int    `cbor:"16,keyasint,omitempty"`
--- a/internal/decide/recovery/recovery_test.go
+++ b/internal/decide/recovery/recovery_test.go
@@ -18,7 +18,8 @@
 var rules = Rules{Guard: 500 * ms, MaxAttempts: 5}
 
 func accepted(id string, at, left time.Duration) Event {
-	return Event{Kind: KindAccepted, ID: id, AtUs: at.Microseconds(), DeadlineUs: (at + left).Microseconds(), Class: "c", Description: "x", Token: HashToken("a token of a caller")}
+	return Event{Kind: KindAccepted, ID: id, AtUs: at.Microseconds(), DeadlineUs: (at + left).Microseconds(), Class: "c", Description: "x", Token: HashToken("a token of a caller"),
+		Repetition: RepeatByKeyInZone}
 }
 
 func event(kind Kind, id string, t time.Duration, options ...func(*Event)) Event {
@@ -36,6 +37,7 @@
 func withNotBefore(t time.Duration) func(*Event) {
 	return func(e *Event) { e.NotBeforeUs = t.Microseconds() }
 }
+func withNeverRan(neverRan bool) func(*Event) { return func(e *Event) { e.NeverRan = neverRan } }
 func withCause(c int, reason string) func(*Event) {
 	return func(e *Event) { e.Cause, e.Reason = c, reason }
 }
@@ -195,6 +197,41 @@
 	}
 }
 
+// TestEventsOfAnOlderVersionProveNothing checks that an attempt counts as one that may have run if its outcome was logged by
+// a version that did not log whether it ran.
+func TestEventsOfAnOlderVersionProveNothing(t *testing.T) {
+	table := NewCallTable()
+	e := accepted("a", base, 9*time.Second)
+	e.Repetition = 0
+	table.Apply(e)
+	table.Apply(event(KindAttemptSent, "a", base))
+	table.Apply(event(KindAttemptFailed, "a", base))
+	d := table.Plan(base+time.Second, rules)[0]
+	if !d.MayHaveRun || d.Repetition != RepetitionUnknown {
+		t.Errorf("may have run: %v, repetition %v", d.MayHaveRun, d.Repetition)
+	}
+}
+
+// TestMayHaveRunSurvivesCompaction checks that what is known of the attempts before the one in progress is the same after a
+// compaction: that one may yet turn out never to have run.
+func TestMayHaveRunSurvivesCompaction(t *testing.T) {
+	for _, neverRan := range []bool{true, false} {
+		table := NewCallTable()
+		table.Apply(accepted("a", base, 9*time.Second))
+		table.Apply(event(KindAttemptSent, "a", base))
+		table.Apply(event(KindAttemptFailed, "a", base, withNeverRan(neverRan)))
+		table.Apply(event(KindAttemptSent, "a", base, withAttempt(1)))
+		compacted := NewCallTable()
+		for _, e := range table.Events() {
+			compacted.Apply(e)
+		}
+		compacted.Apply(event(KindAttemptFailed, "a", base, withAttempt(1), withNeverRan(true)))
+		if c := compacted.Calls()[0]; c.MayHaveRun == neverRan || c.Attempts != 2 || compacted.UnexpectedEvents() > 0 {
+			t.Errorf("first attempt never ran: %v; may have run: %v after %d attempts, %d unexpected events", neverRan, c.MayHaveRun, c.Attempts, compacted.UnexpectedEvents())
+		}
+	}
+}
+
 // drawEvents draws events of several calls, in an order in which a controller may log them.
 func drawEvents(t *rapid.T) []Event {
 	var all []Event
@@ -226,7 +263,8 @@
 			all = append(all, event(KindEstablished, id, now, withAttempt(c.attempts-1), withAnswer(fmt.Sprint("y", i))))
 			c.pending, c.inProgress, c.established = false, false, true
 		case c.pending && c.inProgress && rapid.Bool().Draw(t, "attempt fails"):
-			all = append(all, event(KindAttemptFailed, id, now, withAttempt(c.attempts-1), withNotBefore(now+rules.Guard)))
+			all = append(all, event(KindAttemptFailed, id, now, withAttempt(c.attempts-1), withNotBefore(now+rules.Guard),
+				withNeverRan(rapid.Bool().Draw(t, "never ran"))))
 			c.inProgress = false
 		case c.pending && !c.inProgress && rapid.Bool().Draw(t, "rejected"):
 			all = append(all, event(KindRejected, id, now, withCause(42, "refused")))
@@ -246,7 +284,7 @@
 		events := drawEvents(t)
 		prefix := rapid.IntRange(0, len(events)).Draw(t, "prefix")
 		table := NewCallTable()
-		attempts, lastAt, ended, established := map[string]int{}, base, map[string]bool{}, map[string]bool{}
+		attempts, lastAt, ended, established, ran := map[string]int{}, base, map[string]bool{}, map[string]bool{}, map[string]bool{}
 		var records [][]byte
 		for _, e := range events[:prefix] {
 			table.Apply(e)
@@ -259,6 +297,8 @@
 			switch e.Kind {
 			case KindAttemptSent:
 				attempts[e.ID]++
+			case KindAttemptFailed:
+				ran[e.ID] = ran[e.ID] || !e.NeverRan
 			case KindEstablished:
 				established[e.ID] = true
 			case KindRejected, KindTerminated:
@@ -282,6 +322,8 @@
 				t.Fatalf("%s is established without a server or an answer: %+v", d.ID, d.Call)
 			case d.Action == AwaitResume && (d.Attempts != attempts[d.ID] || d.Attempts >= rules.MaxAttempts || d.TimeLeft <= 0 || now+d.TimeLeft > d.Deadline()):
 				t.Fatalf("%s: %d attempts, want %d; %v left", d.ID, d.Attempts, attempts[d.ID], d.TimeLeft)
+			case d.Action == AwaitResume && d.MayHaveRun != ran[d.ID]:
+				t.Fatalf("%s: may have run: %v, want %v", d.ID, d.MayHaveRun, ran[d.ID])
 			case d.Action == AwaitResume && (d.NotBefore < now+rules.Guard || !d.MustRelease):
 				t.Fatalf("%s: next attempt in %v violates the guard, or release is not set: %v", d.ID, d.NotBefore-now, d.MustRelease)
 			}
@@ -299,9 +341,9 @@
 		summarize := func(plan []Decision) (all []string) {
 			for _, d := range plan {
 				if d.Action != AwaitResume {
-					d.Call.Attempts = 0 // of no importance without a further attempt
+					d.Call.Attempts, d.Call.MayHaveRun = 0, false // of no importance without a further attempt
 				}
-				all = append(all, fmt.Sprint(d.ID, d.Action, d.Attempts, d.TimeLeft, d.NotBefore, d.MustRelease, d.Answer, d.Cause))
+				all = append(all, fmt.Sprint(d.ID, d.Action, d.Attempts, d.MayHaveRun, d.Repetition, d.TimeLeft, d.NotBefore, d.MustRelease, d.Answer, d.Cause))
 			}
 			return all
 		}
