Part the decision module into files by subject

Two tests of a reload share their set-up now; both check what was sent in the first iteration, as before, and what is sent by the end of the guard.

--- a/control/api.go
+++ b/control/api.go
@@ -1,7 +1,7 @@
 // Package control decides, for one access node, which core server gets each call set-up, and when.
 //
-// The interface (settings, events, actions) is in api.go; the decisions are in control.go, and the rules on repeated
-// set-ups in repetition.go.
+// The interface (settings, events, actions) is in api.go. Each of the other files holds the decisions on one subject;
+// Controller.Step in control.go runs them in order.
 //
 // The mechanism is Somoza's Dynamic Processor Overload Control, run at the sender. Each server has a
 // window of N new set-ups per control period. At the end of each update interval the window is resized
--- a/internal/call/recover_test.go
+++ b/internal/call/recover_test.go
@@ -179,23 +179,25 @@
 	}
 }
 
-// TestClassRemovedWhileCallAwaitsResume guards against a call that is only answered at its deadline, because its class
-// was removed from the settings before its caller resumed it, and so the module did not know the call.
-func TestClassRemovedWhileCallAwaitsResume(t *testing.T) {
-	const id = "00000000000000aa"
+// resumedAfterReload recovers a call from the events, applies settings whose only class has the name and the semantics,
+// resumes the call, and returns the messages by the end of that iteration and those by the end of the guard.
+func resumedAfterReload(t *testing.T, id, name, semantics string, events func(now time.Duration) []recovery.Event) (atOnce, afterGuard []string) {
+	t.Helper()
 	fix := newFixture(t)
 	core := fix.core
 	s := &recorder{core: core}
 	core.SetDispatchers(s)
 	core.AddFront(recordingFront{s})
 	b := recovery.NewCallTable()
-	b.Apply(accepted(id, core.now()))
+	for _, e := range events(core.now()) {
+		b.Apply(e)
+	}
 	core.Recover(b, nil)
 	core.Update(Update{Complete: true, Servers: []Server{{ServerEntry: control.ServerEntry{ID: "a"}, Address: "127.0.0.1:1"}}})
 	core.finishIteration()
 	other := *fix.settings
 	other.RequestClasses = slices.Clone(other.RequestClasses)
-	other.RequestClasses[0].Name = "another"
+	other.RequestClasses[0].Name, other.RequestClasses[0].Semantics = name, semantics
 	if err := core.Reconfigure(&other); err != nil {
 		t.Fatal(err)
 	}
@@ -203,7 +205,22 @@
 		t.Fatal(err)
 	}
 	core.finishIteration()
-	if diff := cmp.Diff([]string{"dispatchers release " + id, "end " + id + " 41 failed"}, s.messages); diff != "" {
+	atOnce = slices.Clone(s.messages)
+	time.Sleep(guard + 20*time.Millisecond) // an attempt would wait for the guard
+	core.queueEvent(control.Woken{})
+	core.finishIteration()
+	return atOnce, s.messages
+}
+
+// TestClassRemovedWhileCallAwaitsResume guards against a call that is only answered at its deadline, because its class
+// was removed from the settings before its caller resumed it, and so the module did not know the call.
+func TestClassRemovedWhileCallAwaitsResume(t *testing.T) {
+	const id = "00000000000000aa"
+	atOnce, afterGuard := resumedAfterReload(t, id, "another", "read_like", func(now time.Duration) []recovery.Event {
+		return []recovery.Event{accepted(id, now)}
+	})
+	want := []string{"dispatchers release " + id, "end " + id + " 41 failed"}
+	if diff := cmp.Diff([][]string{want, want}, [][]string{atOnce, afterGuard}); diff != "" {
 		t.Errorf("messages (-want +got):\n%s", diff)
 	}
 }
@@ -212,30 +229,11 @@
 // after its class was changed in the settings before its caller resumed it.
 func TestClassThatMustNotBeRepeatedAnyMoreWhileCallAwaitsResume(t *testing.T) {
 	const id = "00000000000000aa"
-	fix := newFixture(t)
-	core := fix.core
-	s := &recorder{core: core}
-	core.SetDispatchers(s)
-	core.AddFront(recordingFront{s})
-	b := recovery.NewCallTable()
-	b.Apply(accepted(id, core.now()))
-	b.Apply(event(recovery.KindAttemptSent, id, core.now()))
-	core.Recover(b, nil)
-	core.Update(Update{Complete: true, Servers: []Server{{ServerEntry: control.ServerEntry{ID: "a"}, Address: "127.0.0.1:1"}}})
-	core.finishIteration()
-	other := *fix.settings
-	other.RequestClasses = slices.Clone(other.RequestClasses)
-	other.RequestClasses[0].Semantics = "non_idempotent"
-	if err := core.Reconfigure(&other); err != nil {
-		t.Fatal(err)
-	}
-	if err := core.ResumeCall(ResumeRequest{Caller: s, ID: id, Token: callToken}); err != nil {
-		t.Fatal(err)
-	}
-	time.Sleep(guard + 20*time.Millisecond) // an attempt would wait for the guard
-	core.queueEvent(control.Woken{})
-	core.finishIteration()
-	if diff := cmp.Diff([]string{"dispatchers release " + id, "end " + id + " 41 failed"}, s.messages); diff != "" {
+	atOnce, afterGuard := resumedAfterReload(t, id, "c", "non_idempotent", func(now time.Duration) []recovery.Event {
+		return []recovery.Event{accepted(id, now), event(recovery.KindAttemptSent, id, now)}
+	})
+	want := []string{"dispatchers release " + id, "end " + id + " 41 failed"}
+	if diff := cmp.Diff([][]string{want, want}, [][]string{atOnce, afterGuard}); diff != "" {
 		t.Errorf("messages (-want +got):\n%s", diff)
 	}
 }
