Judge refusals and repeats in shutdowns of a class that must not be repeated

The soak of shutdowns had a class alone that may be repeated, so it could not see a refusal that lets a call run twice. Its judge reports a refusal where a dispatcher has received an attempt that it has not refused, and a second set-up after such an attempt. What it checks otherwise is as before. The judge is tested with both, and with a refusal after an attempt that never ran.

--- a/cmd/cherryrelay/shutdown_checker_test.go
+++ b/cmd/cherryrelay/shutdown_checker_test.go
@@ -36,12 +36,14 @@
 	crossed     bool      // its connection ended while it was written
 	lost        bool      // its connection ended without an answer
 	excluded    bool      // its caller does not read
+	refused     bool      // its final answer tells its caller that another try does no harm
 }
 
 // shutdownChecker collects the messages of callers and checks them. It is safe for concurrent use.
 type shutdownChecker struct {
-	meter   *schedulerMeter
-	process *schedulerMeter // delays that the tested process is excused for; nil for none
+	meter         *schedulerMeter
+	nonIdempotent bool            // the class of all calls must not be repeated
+	process       *schedulerMeter // delays that the tested process is excused for; nil for none
 
 	mu         sync.Mutex
 	calls      map[string]*shutdownCall
@@ -117,6 +119,15 @@
 	}
 }
 
+// markRefused records a final answer that tells the caller that another try does no harm. It must be called before markReceived.
+func (j *shutdownChecker) markRefused(id string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if c := j.calls[id]; c != nil && c.finals == 0 {
+		c.refused = true
+	}
+}
+
 // markConnectionEnded records that a connection with the given set-ups has ended, at a time on the kernel's clock.
 func (j *shutdownChecker) markConnectionEnded(ids []string, from, kernel, seen time.Time, reason error) {
 	j.mu.Lock()
@@ -160,6 +171,9 @@
 		if c.finals == 0 && c.cancelledAt.IsZero() && !c.crossed && !c.lost && !c.excluded {
 			violations = append(violations, fmt.Sprintf("%s: no answer, written %v before the end", id, livedUntil.Sub(c.written)))
 		}
+		if j.nonIdempotent && c.refused && dispatchers.MayHaveRun(id) {
+			violations = append(violations, fmt.Sprintf("%s: refused %v after it was written although an attempt may have run", id, c.finalAt.Sub(c.written)))
+		}
 		for _, at := range arrivals[id] {
 			if late := at.Sub(c.cancelledAt); !c.cancelledAt.IsZero() && j.exceeds(late, maxAttemptDelay+protocolSlack, c.cancelledAt, at) {
 				violations = append(violations, fmt.Sprintf("%s: an attempt began %v after its caller had cancelled", id, late))
@@ -257,6 +271,29 @@
 			j.markReceived(call, "release", "", at(100))
 			return []time.Time{at(251)}
 		}, false},
+		"refused while its attempt may run": {func(j *shutdownChecker, d *trial.CallChecker) []time.Time {
+			j.nonIdempotent = true
+			d.SetUpReceived(call, "d1", at(10))
+			j.markRefused(call)
+			j.markReceived(call, "release", "", at(500))
+			return nil
+		}, false},
+		"refused after an attempt that never ran": {func(j *shutdownChecker, d *trial.CallChecker) []time.Time {
+			j.nonIdempotent = true
+			d.SetUpReceived(call, "d1", at(10))
+			d.AttemptRefused(call, "d1")
+			j.markRefused(call)
+			j.markReceived(call, "release", "", at(500))
+			return nil
+		}, true},
+		"sent again although it may have run": {func(j *shutdownChecker, d *trial.CallChecker) []time.Time {
+			d.ForbidRepeats()
+			d.SetUpReceived(call, "d1", at(10))
+			d.AttemptAborted(call, "d1", at(20))
+			d.SetUpReceived(call, "d2", at(600))
+			j.markReceived(call, "release", "", at(700))
+			return nil
+		}, false},
 		"two attempts in progress": {func(j *shutdownChecker, d *trial.CallChecker) []time.Time {
 			d.SetUpReceived(call, "d1", at(10))
 			d.SetUpReceived(call, "d2", at(20))
--- a/internal/trial/call_checker.go
+++ b/internal/trial/call_checker.go
@@ -19,6 +19,7 @@
 type CallChecker struct {
 	guard, deadline time.Duration
 	onSetUp         func(id string, when time.Time) // may be nil
+	nonIdempotent   bool
 
 	mu           sync.Mutex
 	calls        map[string]*callState
@@ -37,6 +38,7 @@
 	releaseSentAt            time.Time // when its dispatcher first sent the release; zero if it has not
 	notifiedAt               time.Time // when its caller, after an answer, was notified of the end
 	answeredAt               time.Time // when its dispatcher answered
+	setUps, refused          int       // attempts that dispatchers have received, and those of them that never ran
 
 	placedAt time.Time
 	answered bool // its caller has received an answer
@@ -77,6 +79,15 @@
 // before the first set-up.
 func (cc *CallChecker) OnSetUp(f func(id string, when time.Time)) { cc.onSetUp = f }
 
+// ForbidRepeats makes an attempt a violation if an earlier one of its call may have run. It must be called before the first set-up.
+func (cc *CallChecker) ForbidRepeats() { cc.nonIdempotent = true }
+
+// mayHaveRun reports whether a dispatcher has received an attempt that it has not refused.
+func (c *callState) mayHaveRun() bool { return c.setUps > c.refused }
+
+// MayHaveRun reports whether a dispatcher has received an attempt of the call that it has not refused.
+func (cc *CallChecker) MayHaveRun(id string) bool { return readState(cc, id, (*callState).mayHaveRun) }
+
 // SetUpReceived records that a dispatcher has received a complete set-up.
 func (cc *CallChecker) SetUpReceived(id, dispatcher string, when time.Time) {
 	cc.mu.Lock()
@@ -94,7 +105,10 @@
 		cc.addViolation(c, "%s: an attempt at %s while the call is established at %s", id, dispatcher, c.establishedAt)
 	case c.answered: // without an answer at its caller, as after the kill of its controller, a terminated call may be attempted again
 		cc.addViolation(c, "%s: an attempt at %s after its caller was answered", id, dispatcher)
+	case cc.nonIdempotent && c.mayHaveRun():
+		cc.addViolation(c, "%s: an attempt at %s although an earlier one may have run", id, dispatcher)
 	}
+	c.setUps++
 	if elapsed := when.Sub(c.guardStart); elapsed < cc.guard-clockTolerance {
 		cc.addViolation(c, "%s: sent again %v after the last attempt", id, elapsed)
 	}
@@ -118,6 +132,7 @@
 	defer cc.mu.Unlock()
 	if c := cc.state(id); c.attemptAt == dispatcher {
 		c.attemptAt = ""
+		c.refused++
 		c.history.add(time.Now(), "refused at", dispatcher)
 	}
 }
