Show calls left standing after a dial across the replacement of a vanished dispatcher

internal/fault learns to let a machine vanish (open connections silent, dials without a response) and to start the next server at its address. The test plays that against a real process: the next process is reached by a dial that began before the list told of it.

--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -9,6 +9,7 @@
 	"io"
 	"math/rand/v2"
 	"net"
+	"os"
 	"slices"
 	"strings"
 	"sync"
@@ -55,6 +56,8 @@
 	started time.Time
 	links   map[string]*Link
 	log     []LogEntry
+	closed  chan struct{} // closed by Close
+	closing sync.Once
 }
 
 // maxLogEntries is the number of log entries that are kept; later ones are dropped.
@@ -62,7 +65,7 @@
 
 // New returns a Net without links. The seed determines the jitter.
 func New(seed uint64) *Net {
-	return &Net{rng: rand.New(rand.NewPCG(seed, seed)), started: time.Now(), links: map[string]*Link{}}
+	return &Net{rng: rand.New(rand.NewPCG(seed, seed)), started: time.Now(), links: map[string]*Link{}, closed: make(chan struct{})}
 }
 
 func (n *Net) logf(link, format string, args ...any) {
@@ -88,12 +91,15 @@
 	changed        chan struct{} // closed when the rule changes
 	conns          map[*proxiedConn]bool
 	forwardedBytes [2]int64
+	acceptAgain    chan struct{}   // receives when the link accepts connections again after Vanish
+	fillers        map[string]bool // local addresses of the connections that fill the backlog
 }
 
 // proxiedConn is a connection through a link.
 type proxiedConn struct {
 	client, server net.Conn // server is nil until it is connected
 	done           chan struct{}
+	vanished       chan struct{} // closed when the machine of the server has vanished
 	once           sync.Once
 }
 
@@ -120,7 +126,8 @@
 	if err != nil {
 		return "", fmt.Errorf("fault: listen: %w", err)
 	}
-	l := &Link{Name: from + ">" + to, net: n, ln: ln, target: target, changed: make(chan struct{}), conns: map[*proxiedConn]bool{}}
+	l := &Link{Name: from + ">" + to, net: n, ln: ln, target: target, changed: make(chan struct{}), conns: map[*proxiedConn]bool{},
+		acceptAgain: make(chan struct{}), fillers: map[string]bool{}}
 	n.mu.Lock()
 	n.links[l.Name] = l
 	n.mu.Unlock()
@@ -130,6 +137,7 @@
 
 // Close closes all links and their connections.
 func (n *Net) Close() {
+	n.closing.Do(func() { close(n.closed) })
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for _, l := range n.links {
@@ -235,10 +243,22 @@
 func (l *Link) accept() {
 	for {
 		client, err := l.ln.Accept()
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			select {
+			case <-l.acceptAgain:
+				continue
+			case <-l.net.closed:
+				return
+			}
+		}
 		if err != nil {
 			return
 		}
-		go l.serve(&proxiedConn{client: client, done: make(chan struct{})})
+		if l.isFiller(client) {
+			_ = client.Close()
+			continue
+		}
+		go l.serve(&proxiedConn{client: client, done: make(chan struct{}), vanished: make(chan struct{})})
 	}
 }
 
@@ -273,7 +293,7 @@
 			return
 		}
 	}
-	server, err := net.DialTimeout("tcp", l.target, dialTimeout)
+	server, err := net.DialTimeout("tcp", l.currentTarget(), dialTimeout)
 	if err != nil {
 		p.closeBoth(true) // the client sees a reset in place of a refused connection
 		return
@@ -319,6 +339,9 @@
 		select {
 		case <-p.done:
 			return
+		case <-p.vanished:
+			<-p.done
+			return
 		case <-time.After(time.Until(next.due)):
 		}
 		for { // Hole delays data and does not drop it
@@ -328,10 +351,15 @@
 			}
 			select {
 			case <-changed:
+			case <-p.vanished:
 			case <-p.done:
 				return
 			}
 		}
+		if p.hasVanished() {
+			<-p.done
+			return
+		}
 		if next.err != nil {
 			if !errors.Is(next.err, io.EOF) {
 				p.closeBoth(true)
--- a/internal/peer/event.go
+++ b/internal/peer/event.go
@@ -84,3 +84,12 @@
 
 // SameConn reports whether two events arrived on the same connection.
 func (e Event) SameConn(other Event) bool { return e.conn == other.conn }
+
+// AnswerProbe replies to a probe.
+func (e Event) AnswerProbe() error {
+	if e.conn.dispatcher.ws {
+		passed := 1
+		return e.conn.write(encodeAPI(jsonl.Message{Type: "pong", ID: e.ID, Cause: &passed}))
+	}
+	return e.conn.write(sip.Append(nil, &sip.Message{Status: 200, Phrase: "OK", CallID: e.ID, Seq: e.seq, SeqMethod: "OPTIONS"}))
+}
