Log each connection to a dispatcher with its dial, and why it is closed or given up

Each opening is logged with the time of its dial, each close with its reason, age and time without input, and each loss of a dispatcher with its reason.

--- a/cmd/cherryrelay/vanished_address_taken_test.go
+++ b/cmd/cherryrelay/vanished_address_taken_test.go
@@ -32,14 +32,13 @@
 	address   string // of the link
 	caller    *peer.Caller
 
-	mu        sync.Mutex
-	endedAt   map[string]time.Time // ends that the caller was told of
-	nextConns chan struct{}        // receives for each connection that the next dispatcher accepts
+	mu      sync.Mutex
+	endedAt map[string]time.Time // ends that the caller was told of
 }
 
 func newVanishRun(t *testing.T) *vanishRun {
 	t.Helper()
-	r := &vanishRun{T: t, net: fault.New(1), list: newEventServer(t), endedAt: map[string]time.Time{}, nextConns: make(chan struct{}, 100)}
+	r := &vanishRun{T: t, net: fault.New(1), list: newEventServer(t), endedAt: map[string]time.Time{}}
 	t.Cleanup(r.net.Close)
 	r.old, r.next = r.startDispatcher(), r.startDispatcher()
 	var err error
@@ -75,7 +74,6 @@
 	if err != nil {
 		r.Fatal(err)
 	}
-	d.EnableConnEvents()
 	stop := make(chan struct{})
 	r.Cleanup(func() { close(stop); d.Kill() })
 	go func() {
@@ -98,8 +96,8 @@
 // establish sets up the calls at the dispatcher that will vanish.
 func (r *vanishRun) establish() {
 	r.Helper()
-	go r.serve(r.old, make(chan struct{}, cap(r.nextConns)))
-	go r.serve(r.next, r.nextConns)
+	go serveCalls(r.old)
+	go serveCalls(r.next)
 	for n := range callsAtVanished {
 		if err := r.caller.SetUp(id(n+1), maxTimeLeft, 0, "x"); err != nil {
 			r.Fatal(err)
@@ -126,12 +124,10 @@
 	}
 }
 
-// serve answers all set-ups and probes at a dispatcher, and reports its connections.
-func (r *vanishRun) serve(d *peer.Dispatcher, opened chan<- struct{}) {
+// serveCalls answers all set-ups and probes at a dispatcher.
+func serveCalls(d *peer.Dispatcher) {
 	for e := range d.Events {
 		switch e.Kind {
-		case "opened":
-			opened <- struct{}{}
 		case "setup":
 			_ = e.Answer("y")
 		case "probe":
@@ -188,7 +184,7 @@
 				if err := r.net.Replace("c>old", r.next.Address()); err != nil {
 					t.Fatal(err)
 				}
-				<-r.nextConns
+				r.waitLog("connection=2") // the next process is reached under the old name
 				time.Sleep(listDelay)
 				r.listNext(startedAt)
 				r.expectEnds(vanishedAt)
--- a/internal/dispatchers/connection_close.go
+++ b/internal/dispatchers/connection_close.go
@@ -115,9 +115,7 @@
 	s := c.server
 	s.probedAt = time.Time{} // the probe may have been sent here
 	s.pool.markActive(s)
-	if closedForFault(reason) && !errors.Is(reason, errUnresponsive) {
-		s.pool.Log.Warn("connection to dispatcher closed", "server", s.ID, "reason", reason)
-	}
+	c.logClosed(reason)
 	s.conns = slices.DeleteFunc(s.conns, func(o *connection) bool { return o == c })
 	s.updateConnected()
 	c.failSetUps()
--- a/internal/dispatchers/dial.go
+++ b/internal/dispatchers/dial.go
@@ -102,6 +102,7 @@
 	s.renewal.RecordOpened(dialedAt)
 	s.conns = append(s.conns, c)
 	s.updateConnected()
+	c.logOpened(dialedAt)
 	c.logStep(endlog.ConnectionOpened, nil)
 	c.send(c.protocol.Handshake())
 	c.conn.Flush()
--- a/internal/dispatchers/log.go
+++ b/internal/dispatchers/log.go
@@ -1,12 +1,38 @@
 package dispatchers
 
 import (
+	"context"
+	"errors"
 	"log/slog"
+	"time"
 
 	"cherryrelay/internal/endlog"
 )
 
-// This file logs the steps by which the ends of calls pass through the connections to dispatchers.
+// This file logs the connections to dispatchers, and the steps by which the ends of calls pass through them.
+
+// logOpened logs a connection whose dial, begun at dialedAt, has succeeded.
+func (c *connection) logOpened(dialedAt time.Time) {
+	c.server.pool.Log.Info("connection to dispatcher opened", "server", c.server.ID, "connection", c.number,
+		"dial", c.openedAt.Sub(dialedAt), "others", len(c.server.conns)-1)
+}
+
+// logClosed logs why a connection takes no more set-ups.
+func (c *connection) logClosed(reason error) {
+	level := slog.LevelInfo
+	if closedForFault(reason) && !errors.Is(reason, errUnresponsive) {
+		level = slog.LevelWarn
+	}
+	now := time.Now()
+	c.server.pool.Log.Log(context.Background(), level, "connection to dispatcher closed", "server", c.server.ID, "connection", c.number,
+		"reason", reason, "open", c.openSetUps(), "age", now.Sub(c.openedAt), "without_input", now.Sub(c.lastReceivedAt))
+}
+
+// logGivenUp logs why all connections of a dispatcher are given up and its calls end.
+func (s *server) logGivenUp(reason error, calls int) {
+	s.pool.Log.Info("dispatcher is given up", "server", s.ID, "reason", reason, "calls", calls, "connections", len(s.conns),
+		"replaced", s.replaced, "without_input", time.Since(s.lastReceivedAt))
+}
 
 // String returns the name of the state in the log.
 func (s connState) String() string {
--- a/internal/dispatchers/server.go
+++ b/internal/dispatchers/server.go
@@ -149,6 +149,7 @@
 	latest := s.latestConn()
 	toRelease := s.collectReleases()
 	if len(s.conns)+len(toRelease) > 0 {
+		s.logGivenUp(reason, len(toRelease))
 		s.logStep(endlog.AllConnectionsAbandoned, reason)
 	}
 	for _, c := range slices.Clone(s.conns) {
