End the calls of a process that has vanished although another one has its address

What callers saw: calls at a dispatcher whose machine had vanished were told late, as the next process at its address died, or never.

Cause: whether a process runs was asked of a name. A dial that had begun before the replacement reached the next process under the old name; its input counted as a sign of life of the old one, and the calls' generation of connections did not end.

Change: a connection leads to a process of its own until an older connection receives input. Only then did the older process run as the new one was opened. Each process is judged by its own connections and probes, listed or not; calls that an earlier process of the controller had answered count as those of the first process connected to. Why this works: nothing that the next process sends can be taken for the old one's, as no older connection receives anything.

--- a/internal/dispatchers/check.go
+++ b/internal/dispatchers/check.go
@@ -94,6 +94,7 @@
 		}
 		s.checkUnresponsive(c, now)
 	}
+	s.endLostProcesses(now)
 	s.closeExcess()
 	s.requestRepeats(now)
 	s.renew(now)
--- a/internal/dispatchers/connection.go
+++ b/internal/dispatchers/connection.go
@@ -32,8 +32,8 @@
 
 // lifetime records whether a connection has closed. References to it don't keep the buffers of the connection in memory.
 type lifetime struct {
-	closed     bool
-	generation int // generation of the dispatcher's connections
+	closed bool
+	remote *remoteProcess // the process that the connection leads to
 }
 
 // connState is the state of a connection.
@@ -130,6 +130,7 @@
 		return nil
 	}
 	c.lastReceivedAt = at
+	c.server.recordInput(c.remote, at)
 	if at.After(c.server.lastReceivedAt) {
 		c.server.lastReceivedAt = at
 	}
--- a/internal/dispatchers/connection_close.go
+++ b/internal/dispatchers/connection_close.go
@@ -43,6 +43,7 @@
 	s, setUps := c.server, c.setUps
 	c.suspect = !errors.Is(reason, conn.ErrClosedLocally)
 	if c.suspect {
+		c.remote.identity().unresponsive = true
 		s.logCallsAtRisk()
 		s.requestRenewal()
 	}
@@ -62,6 +63,9 @@
 func (c *connection) Closed(reason error) {
 	s, setUps := c.server, c.setUps
 	c.logStep(endlog.ConnectionEnded, reason)
+	if isCleanClose(reason) && c.state != connClosed {
+		s.recordInput(c.remote, c.conn.EndedAt())
+	}
 	if c.mayLoseEnds(reason) {
 		s.recordLostEnds()
 	}
@@ -122,7 +126,6 @@
 	c.requeueUnconfirmed()
 	if len(s.conns) == 0 {
 		s.disconnectedSince = time.Now()
-		s.generation++
 	}
 	if now := time.Now(); now.Sub(c.openedAt) < minConnLifetime {
 		s.backoff.RecordFailure(now, rand.Float64())
--- a/internal/dispatchers/dial.go
+++ b/internal/dispatchers/dial.go
@@ -24,7 +24,7 @@
 	handler := func(transport transportConn) conn.Handler {
 		now := time.Now()
 		s.pool.lastConnNumber++
-		c = &connection{server: s, number: s.pool.lastConnNumber, process: s.process, lifetime: &lifetime{generation: s.generation},
+		c = &connection{server: s, number: s.pool.lastConnNumber, process: s.process, lifetime: &lifetime{remote: &remoteProcess{connectedAt: now, lastReceivedAt: now}},
 			conn: transport, protocol: protocol, setUps: map[string]*setUpState{},
 			openedAt: now, lastReceivedAt: now, since: now, usedAt: now}
 		return countedConn{c}
@@ -62,6 +62,9 @@
 	s.backoff.RecordFailure(time.Now(), rand.Float64())
 	s.lastDialRefused = errors.Is(err, conn.ErrRefused)
 	s.lastDialTimedOut = !s.lastDialRefused
+	if s.lastDialTimedOut {
+		s.dialTimedOutAt = time.Now()
+	}
 	s.pool.Log.Info("no connection", "server", s.ID, "err", err)
 	if len(s.conns) > 0 && (s.lastDialTimedOut || time.Since(s.lastReceivedAt) <= suspectAfter) {
 		return
@@ -101,6 +104,7 @@
 	s.lastDialTimedOut, s.lastDialRefused = false, false
 	s.renewal.RecordOpened(dialedAt)
 	s.conns = append(s.conns, c)
+	s.addProcess(c.remote)
 	s.updateConnected()
 	c.logOpened(dialedAt)
 	c.logStep(endlog.ConnectionOpened, nil)
--- a/internal/dispatchers/list.go
+++ b/internal/dispatchers/list.go
@@ -45,6 +45,7 @@
 			p.Log.Info("dispatcher restarted", "server", s.ID)
 			s.disconnect(errors.New("dispatcher restarted"))
 			s.releases = nil
+			s.forgetProcesses()
 			s.process++
 			p.core.DispatcherFailed(s.ID)
 		}
--- a/internal/dispatchers/log.go
+++ b/internal/dispatchers/log.go
@@ -59,6 +59,12 @@
 	}
 }
 
+// logLostProcess logs that the calls at a process have ended although another one is connected under the dispatcher's name.
+func (s *server) logLostProcess(p *remoteProcess, calls int) {
+	s.pool.Log.Warn("process of dispatcher is lost", "server", s.ID, "calls", calls, "replaced", s.replaced,
+		"without_input", time.Since(p.lastReceivedAt), "connections", len(s.conns))
+}
+
 // logStep logs a step of the dispatcher.
 func (s *server) logStep(step endlog.Step, reason error) {
 	log := s.pool.Log
--- a/internal/dispatchers/obsolete.go
+++ b/internal/dispatchers/obsolete.go
@@ -4,9 +4,6 @@
 	"errors"
 	"slices"
 	"time"
-
-	"cherryrelay/internal/call"
-	"cherryrelay/internal/endlog"
 )
 
 // This file handles dispatchers that were replaced or are off the list.
@@ -27,28 +24,11 @@
 	for _, c := range slices.Clone(s.conns) {
 		s.checkUnresponsive(c, now)
 	}
-	if s.replaced {
-		s.endOrphaned()
-	}
+	s.endLostProcesses(now)
 	s.requestRepeats(now)
 	s.renew(now)
 }
 
-// endOrphaned ends the calls at a replaced dispatcher that no longer has any connection of the generation in which they were answered.
-// Connections opened since under its name lead to the dispatcher that now has the address. In case that is the same process, the calls
-// are released there.
-func (s *server) endOrphaned() {
-	for _, id := range slices.Sorted(s.pool.core.EstablishedAt(s.ID)) {
-		answeredOn := s.established[id]
-		if answeredOn == nil || answeredOn.generation == s.generation {
-			continue
-		}
-		endlog.Call(s.pool.Log, endlog.Orphaned, id, endlog.Server(s.ID))
-		s.pool.Release(s.ID, id, call.CauseTemporary)
-		s.pool.core.Released(s.ID, id, noAttempt, call.CauseTemporary, nil)
-	}
-}
-
 // presumedStopped reports whether a dispatcher without input for long is presumed to have stopped: it has not replied to a probe, or ends
 // of its calls may have been lost and no connection can be opened on which it would repeat them. The end of a call whose own connection
 // is open arrives there.
--- a/internal/dispatchers/server.go
+++ b/internal/dispatchers/server.go
@@ -63,7 +63,10 @@
 	dialDueAt         time.Time // when that dial is due
 	awaitsSocket      bool      // waits for an evicted connection to end
 	disconnectedSince time.Time // when it last lost its last open connection
-	generation        int       // number of times that happened; the generation of the connections opened since
+
+	processes      []*remoteProcess // the processes that connections lead to, in the order in which they were connected to
+	firstProcess   *remoteProcess   // the first of them since the dispatcher last restarted, or nil
+	dialTimedOutAt time.Time        // when a dial last timed out
 }
 
 // waitingSetUp is an attempt that waits for a connection.
