Release calls held under an earlier name at the dispatcher that has the address

What callers saw: they were told that a call was cut, and its dispatcher held it on.

Cause: calls that were set up over a connection under the name of a replaced dispatcher stand at the next process at its address. When that connection closed, their releases were dropped, as a replaced dispatcher is not dialled.

Change: the releases of calls established at a later process than the first one under the old name go to the dispatcher that has the address now, unless it has the call under its own name. Those of calls at the first process still go to nobody else.

--- a/internal/dispatchers/address_reused_test.go
+++ b/internal/dispatchers/address_reused_test.go
@@ -1,6 +1,7 @@
 package dispatchers
 
 import (
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -70,3 +71,56 @@
 		{ServerEntry: control.ServerEntry{ID: "other", Status: control.Active}, Address: "first"},
 	}})
 }
+
+// TestACallUnderAnEarlierNameIsReleased guards against a call that a dispatcher keeps and nobody releases: it was set up under the name of
+// the dispatcher that had its address before, and the connections under that name have closed.
+func TestACallUnderAnEarlierNameIsReleased(t *testing.T) {
+	t.Parallel()
+	resetAll := func(h *harness) {
+		for _, c := range slices.Clone(h.first.openConns) {
+			c.reset()
+		}
+	}
+	closeAll := func(h *harness) {
+		for _, c := range slices.Clone(h.first.openConns) {
+			c.close()
+			c.deliverToPool()
+		}
+	}
+	hangUp := func(h *harness) { h.cancelCall(testCallID) }
+	for name, events := range map[string][]func(*harness){
+		"closed cleanly":                 {closeAll},
+		"reset":                          {resetAll},
+		"reset, and its caller hangs up": {resetAll, hangUp},
+		"its caller hangs up, and reset": {func(h *harness) { resetAll(h); hangUp(h) }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			withHarness(t, initialState{conns: 1}, func(h *harness) {
+				h.runOnLoop(h.replaceFirst)
+				time.Sleep(time.Second)
+				h.setUpCall(testCallID)
+				time.Sleep(time.Second)
+				h.runOnLoop(h.deliverAll)
+				h.runOnLoop(h.listReplacement)
+				time.Sleep(time.Second)
+				h.runOnLoop(func() {
+					c := h.first.established[testCallID]
+					if c == nil || !h.isEstablished(testCallID, "first") {
+						t.Fatalf("established: %v; want the call under the earlier name", c != nil)
+					}
+					h.first.ambiguous[testCallID] = true // the controller can't know that the process under the earlier name is the next one
+				})
+				for _, event := range events {
+					h.runOnLoop(func() { event(h) })
+				}
+				time.Sleep(time.Second)
+				h.runOnLoop(func() {
+					if _, holds := h.first.established[testCallID]; holds && (h.calls[testCallID].ends > 0 || h.calls[testCallID].cancelled) {
+						t.Error("the call has ended, and its dispatcher still holds it")
+					}
+				})
+			})
+		})
+	}
+}
--- a/internal/dispatchers/lost_releases_test.go
+++ b/internal/dispatchers/lost_releases_test.go
@@ -216,7 +216,7 @@
 		fake := &fakeConn{}
 		poolConn := &connection{server: &server{pool: h.pool}, conn: fake, protocol: &SIP{}}
 		for range releaseBatchSize + 1 {
-			poolConn.server.releases = append(poolConn.server.releases, release{testCallID, call.CauseNormal, true})
+			poolConn.server.releases = append(poolConn.server.releases, release{id: testCallID, cause: call.CauseNormal, knownHere: true})
 		}
 		if poolConn.server.sendReleases(poolConn) || len(poolConn.server.releases) != 1 {
 			t.Errorf("%d releases still wait, want 1", len(poolConn.server.releases))
--- a/internal/dispatchers/messages.go
+++ b/internal/dispatchers/messages.go
@@ -89,7 +89,7 @@
 	s := c.server
 	if c.state == connDraining { // the attempt has already failed here
 		c.logCallStep(endlog.AnswerOnDrainingConnection, m.id, attempt)
-		c.sendRelease(release{m.id, call.CauseNormal, true})
+		c.sendRelease(release{id: m.id, cause: call.CauseNormal, knownHere: true})
 		return
 	}
 	s.establishedAt = time.Now()
--- a/internal/dispatchers/obsolete.go
+++ b/internal/dispatchers/obsolete.go
@@ -16,7 +16,7 @@
 		s.pool.core.DispatcherFailed(s.ID)
 	}
 	if !s.mayDialForRelease(now) {
-		s.releases = nil
+		s.passReleasesOn()
 	}
 	if len(s.conns) == 0 || s.renewal.EndsMissing() {
 		s.connect()
@@ -29,6 +29,35 @@
 	s.renew(now)
 }
 
+// passReleasesOn passes waiting releases to the dispatcher that has the address now, if there is one: the calls may have been set up there,
+// on a connection under this one's name. A call that is known to be there under that dispatcher's own name is not released.
+func (s *server) passReleasesOn() {
+	releases := s.releases
+	s.releases = nil
+	next := s.nextAtAddress()
+	if next == nil {
+		return
+	}
+	for _, r := range releases {
+		if s.isAtLaterProcess(r) && !next.hasCallOrAttempt(r.id) {
+			s.pool.Release(next.ID, r.id, r.cause)
+		}
+	}
+}
+
+// nextAtAddress returns the dispatcher that has the address of a replaced one, or nil.
+func (s *server) nextAtAddress() *server {
+	if !s.replaced {
+		return nil
+	}
+	for _, o := range s.pool.byAddress[s.Address] {
+		if o != s && !o.obsolete() {
+			return o
+		}
+	}
+	return nil
+}
+
 // presumedStopped reports whether a dispatcher without input for long is presumed to have stopped: it has not replied to a probe, or ends
 // of its calls may have been lost and no connection can be opened on which it would repeat them. The end of a call whose own connection
 // is open arrives there.
--- a/internal/dispatchers/release.go
+++ b/internal/dispatchers/release.go
@@ -17,6 +17,8 @@
 	id        string
 	cause     int
 	knownHere bool // the call is known to be at this dispatcher
+	// process is the process at which the call was established; nil if that is not known.
+	process *remoteProcess
 }
 
 // sentRelease is a release on a connection that its dispatcher has not confirmed.
@@ -31,14 +33,14 @@
 // Release releases a call; an empty id means all dispatchers.
 func (p *Pool) Release(id control.ServerID, callID string, cause int) {
 	for _, s := range p.order {
-		if id != "" && s.ID != id || s.obsolete() && len(s.conns) == 0 && (id == "" || s.replaced) {
+		r := release{id: callID, cause: cause, knownHere: id != "", process: s.processOf(callID)}
+		if id != "" && s.ID != id || s.obsolete() && len(s.conns) == 0 && (id == "" || s.replaced && !s.isAtLaterProcess(r)) {
 			continue
 		}
 		delete(s.established, callID)
 		if c := s.latestConn(); c != nil && len(s.releases) == 0 {
-			c.sendRelease(release{callID, cause, id != ""})
+			c.sendRelease(r)
 		} else if id != "" || len(s.releases) < maxUnknownReleases {
-			r := release{callID, cause, id != ""}
 			s.logRelease(endlog.ReleaseWaits, r, 0)
 			s.releases = append(s.releases, r)
 			p.markActive(s)
@@ -55,7 +57,7 @@
 	}
 	for _, id := range slices.Sorted(maps.Keys(setUps)) {
 		if !s.hasCallOrAttempt(id) && len(s.releases) < maxUnknownReleases {
-			r := release{id, call.CauseNormal, true}
+			r := release{id: id, cause: call.CauseNormal, knownHere: true}
 			s.logRelease(endlog.ReleasedWithoutAnswer, r, c.number)
 			s.releases = append(s.releases, r)
 			s.pool.markActive(s)
@@ -108,7 +110,7 @@
 	collected := slices.DeleteFunc(s.releases, func(r release) bool { return !r.knownHere })
 	s.releases = nil
 	for _, id := range slices.Sorted(s.pool.core.EstablishedAt(s.ID)) {
-		collected = append(collected, release{id, call.CauseTemporary, true})
+		collected = append(collected, release{id: id, cause: call.CauseTemporary, knownHere: true, process: s.processOf(id)})
 	}
 	return collected
 }
--- a/internal/dispatchers/remote_process.go
+++ b/internal/dispatchers/remote_process.go
@@ -107,18 +107,31 @@
 func (s *server) callsByProcess() map[*remoteProcess][]string {
 	calls := map[*remoteProcess][]string{}
 	for _, id := range slices.Sorted(s.pool.core.EstablishedAt(s.ID)) {
-		p := s.firstProcess
-		if answeredOn := s.established[id]; answeredOn != nil {
-			p = answeredOn.remote
+		p := s.processOf(id)
+		if p == nil && s.firstProcess != nil {
+			p = s.firstProcess.identity()
 		}
 		if p != nil {
-			p = p.identity()
 			calls[p] = append(calls[p], id)
 		}
 	}
 	return calls
 }
 
+// processOf returns the process at which a call was established, or nil if its answer was not received here.
+func (s *server) processOf(id string) *remoteProcess {
+	if answeredOn := s.established[id]; answeredOn != nil {
+		return answeredOn.remote.identity()
+	}
+	return nil
+}
+
+// isAtLaterProcess reports whether a call was established at another process than the first one under the dispatcher's name. If the
+// dispatcher has been replaced, that process is the next dispatcher at its address.
+func (s *server) isAtLaterProcess(r release) bool {
+	return r.process != nil && s.firstProcess != nil && r.process.identity() != s.firstProcess.identity()
+}
+
 // isLost reports whether a process counts as lost: whether the list has another dispatcher at its address and nothing shows that it still
 // runs; or whether it has vanished, and only later connections to its address work.
 func (s *server) isLost(p *remoteProcess, now time.Time) bool {
@@ -170,7 +183,7 @@
 		s.pool.Release(s.ID, id, call.CauseTemporary)
 		for _, c := range conns {
 			if !c.hasUnconfirmedRelease(id) {
-				c.sendRelease(release{id, call.CauseTemporary, true})
+				c.sendRelease(release{id: id, cause: call.CauseTemporary, knownHere: true})
 			}
 		}
 		s.pool.core.Released(s.ID, id, noAttempt, call.CauseTemporary, nil)
