Limit the memory that calls which have ended and first tries may take

Cause: calls that have ended are kept for 20 s, and the module keeps the first try of each unserved call by the number called until the deadline of its class; nothing limited their number.

Change: calls that have ended may take an eighth of the memory, those that no dispatcher has received an eighth of that; the oldest go first. Nothing can come late for a call that no dispatcher has received, so a flood of these drops no call that has run. The module keeps at most 8,192 first tries.

--- a/control/held_calls.go
+++ b/control/held_calls.go
@@ -8,6 +8,10 @@
 
 // This file holds the calls that wait for an attempt, and sends or refuses them.
 
+// maxUnservedCalls limits the calls that were not answered and whose callers' first tries are kept. Callers can make
+// any number of them, each to another number.
+const maxUnservedCalls = 1 << 13
+
 // call is a pending call: one without a final answer.
 type call struct {
 	id           CallID
@@ -68,10 +72,15 @@
 	}
 	c.firstTries[k.callerKey()] = k.firstTriedAt
 	c.unservedCalls = append(c.unservedCalls, k)
-	for len(c.unservedCalls) > 0 && c.now-c.unservedCalls[0].firstTriedAt > c.unservedCalls[0].class.Deadline {
-		if old := c.unservedCalls[0]; c.firstTries[old.callerKey()] == old.firstTriedAt {
+	for len(c.unservedCalls) > 0 {
+		old := c.unservedCalls[0]
+		if len(c.unservedCalls) <= maxUnservedCalls && c.now-old.firstTriedAt <= old.class.Deadline {
+			break
+		}
+		if c.firstTries[old.callerKey()] == old.firstTriedAt {
 			delete(c.firstTries, old.callerKey())
 		}
+		c.unservedCalls[0] = nil
 		c.unservedCalls = c.unservedCalls[1:]
 	}
 }
--- a/deploy/built_test.go
+++ b/deploy/built_test.go
@@ -90,6 +90,7 @@
 	*testing.T
 	cmd        *exec.Cmd
 	log        string // path of the file with its output
+	lines      string // address for callers
 	management string
 }
 
@@ -116,7 +117,7 @@
 	if err := os.WriteFile(path, []byte(config), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	p := &process{T: t, management: freeAddress(t), log: filepath.Join(dir, "log")}
+	p := &process{T: t, lines: freeAddress(t), management: freeAddress(t), log: filepath.Join(dir, "log")}
 	out, err := os.Create(p.log)
 	if err != nil {
 		t.Fatal(err)
@@ -125,7 +126,7 @@
 	p.cmd = exec.Command("/bin/sh", "-c", deployCommand(t, "run"))
 	p.cmd.Dir = ".."
 	p.cmd.Stdout, p.cmd.Stderr = out, out
-	p.cmd.Env = append(os.Environ(), "LB_CONFIG="+path, "LB_LISTEN="+freeAddress(t), "LB_MANAGEMENT="+p.management, "TMPDIR="+dir)
+	p.cmd.Env = append(os.Environ(), "LB_CONFIG="+path, "LB_LISTEN="+p.lines, "LB_MANAGEMENT="+p.management, "TMPDIR="+dir)
 	if err := p.cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
--- /dev/null
+++ b/deploy/hostile_callers_test.go
@@ -0,0 +1,251 @@
+package deploy
+
+import (
+	"fmt"
+	"os"
+	"regexp"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"cherryrelay/internal/jsonl"
+	"cherryrelay/internal/peer"
+)
+
+const (
+	// memoryLimitMB is the memory limit of the example's configuration.
+	memoryLimitMB = 192
+	// hostileTime is how long hostile callers send.
+	hostileTime = 20 * time.Second
+	// slowCallers is the number of callers that write slowly or incompletely: a third of the descriptors of the example.
+	slowCallers = 340
+	// politeInterval is the interval between the calls of the other callers, and politeTimeLeft the time that each of them waits.
+	politeInterval, politeTimeLeft = 100 * time.Millisecond, 2 * time.Second
+	// lateAnswer is how late a final answer may be without being lost.
+	lateAnswer = 500 * time.Millisecond
+)
+
+// hostileCaller is a caller that sends as much as it can until the time is over.
+type hostileCaller func(address string, ids *atomic.Int64, until time.Time)
+
+// TestHostileCallers guards against a process that exceeds its memory limit, or other callers without answers in time, because of callers
+// that send without end, slowly, or incompletely.
+func TestHostileCallers(t *testing.T) {
+	if os.Getenv("CHERRYRELAY_BUILT") == "" {
+		t.Skip("CHERRYRELAY_BUILT is not set: bin may be outdated")
+	}
+	for name, test := range map[string]struct {
+		callers int
+		send    hostileCaller
+	}{
+		"set-ups that are cancelled at once": {1, sendBatches(func(c *peer.Caller, id string) []jsonl.Message {
+			return []jsonl.Message{c.SetUpMessage(id, politeTimeLeft, 0, "x"), release(id, 16)}
+		})},
+		"releases of unknown calls": {1, sendBatches(func(_ *peer.Caller, id string) []jsonl.Message {
+			return []jsonl.Message{release(id, 41)}
+		})},
+		"set-ups without fields": {1, sendBatches(func(_ *peer.Caller, id string) []jsonl.Message {
+			return []jsonl.Message{{Type: "setup", ID: id}}
+		})},
+		"set-ups that are written slowly": {slowCallers, writeSlowly},
+		"set-ups that stop half way":      {slowCallers, writeHalf},
+	} {
+		t.Run(name, func(t *testing.T) { // one at a time, as each of them keeps the processors busy
+			p := startWithPoliteCallers(t)
+			var ids atomic.Int64
+			var running sync.WaitGroup
+			until := time.Now().Add(hostileTime)
+			for range test.callers {
+				running.Go(func() { test.send(p.lines, &ids, until) })
+			}
+			lost, calls := p.placePoliteCalls(until)
+			running.Wait()
+			peak := p.peakMemoryMB()
+			t.Logf("%d hostile messages; %d polite calls, %d of them lost; peak of %d MB", ids.Load(), calls, lost, peak)
+			if lost > 0 || peak >= memoryLimitMB {
+				t.Errorf("%d of %d calls have no final answer in time, and the peak memory is %d MB of %d", lost, calls, peak, memoryLimitMB)
+			}
+		})
+	}
+}
+
+func release(id string, cause int) jsonl.Message {
+	return jsonl.Message{Type: "release", ID: id, Cause: &cause}
+}
+
+// startWithPoliteCallers starts a controller with a dispatcher that answers every set-up.
+func startWithPoliteCallers(t *testing.T) *process {
+	t.Helper()
+	example, err := os.ReadFile("../example/config.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if m := regexp.MustCompile(`"memory_mb": (\d+)`).FindSubmatch(example); m == nil || string(m[1]) != strconv.Itoa(memoryLimitMB) {
+		t.Fatalf("the example has another memory limit than %d MB", memoryLimitMB)
+	}
+	d, err := peer.StartDispatcher("tcp", "127.0.0.1:0", "x0:400;x1:400")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(d.Kill)
+	go func() {
+		for range d.Acks { // unused, but the channel must not fill up
+		}
+	}()
+	go func() {
+		for e := range d.Events {
+			switch e.Kind {
+			case "setup":
+				_ = e.Answer("y")
+			case "probe":
+				_ = e.AnswerProbe()
+			}
+		}
+	}()
+	p := start(t, d.Address())
+	p.waitReady()
+	return p
+}
+
+// placePoliteCalls places one call after the other on a connection of its own, and returns how many have no final answer in time.
+func (p *process) placePoliteCalls(until time.Time) (lost, calls int) {
+	var running sync.WaitGroup
+	var lostCalls atomic.Int64
+	for ; time.Now().Before(until); time.Sleep(politeInterval) {
+		calls++
+		id := fmt.Sprintf("%016x", 1<<56+calls)
+		running.Go(func() {
+			if p.placePoliteCall(id) != nil {
+				lostCalls.Add(1)
+			}
+		})
+	}
+	running.Wait()
+	return int(lostCalls.Load()), calls
+}
+
+// placePoliteCall places a call, waits for its final answer and ends it.
+func (p *process) placePoliteCall(id string) error {
+	c, err := peer.DialCaller("tcp", p.lines)
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	if err := c.SetUp(id, politeTimeLeft, 0, "x"); err != nil {
+		return err
+	}
+	for {
+		m, err := c.NextWithin(politeTimeLeft + lateAnswer)
+		if err != nil {
+			return err
+		}
+		if m.ID == id {
+			return c.Release(id, 16)
+		}
+	}
+}
+
+// peakMemoryMB returns the highest resident memory of the process so far.
+func (p *process) peakMemoryMB() int {
+	p.Helper()
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+	if err != nil {
+		p.Fatal("the process has ended: ", err, p.output())
+	}
+	m := regexp.MustCompile(`VmHWM:\s+(\d+) kB`).FindSubmatch(status)
+	if m == nil {
+		p.Fatalf("no peak of the memory in %s", status)
+	}
+	kilobytes, err := strconv.Atoi(string(m[1]))
+	if err != nil {
+		p.Fatal(err)
+	}
+	return kilobytes >> 10
+}
+
+// batchSize is the number of ids in a batch of a hostile caller. It waits for the reply to a ping after each batch, so that it is not cut
+// off as a flood.
+const batchSize = 20
+
+// sendBatches returns a hostile caller that sends the messages for one new id after the other.
+func sendBatches(messages func(c *peer.Caller, id string) []jsonl.Message) hostileCaller {
+	return func(address string, ids *atomic.Int64, until time.Time) {
+		for time.Now().Before(until) {
+			c, err := peer.DialCaller("tcp", address)
+			if err != nil {
+				continue
+			}
+			for time.Now().Before(until) && sendBatch(c, ids, messages) == nil {
+			}
+			_ = c.Close()
+		}
+	}
+}
+
+// sendBatch sends one batch and a ping, and waits for the reply.
+func sendBatch(c *peer.Caller, ids *atomic.Int64, messages func(c *peer.Caller, id string) []jsonl.Message) error {
+	var batch []byte
+	for range batchSize {
+		for _, m := range messages(c, fmt.Sprintf("%016x", ids.Add(1))) {
+			text, err := jsonl.Append(nil, m)
+			if err != nil {
+				return err
+			}
+			batch = append(batch, c.Frame(text)...)
+		}
+	}
+	if err := c.SendRaw(batch); err != nil {
+		return err
+	}
+	if err := c.Send(jsonl.Message{Type: "ping", ID: "0"}); err != nil {
+		return err
+	}
+	for {
+		m, err := c.NextWithin(peer.Timeout)
+		if err != nil || m.Type == "pong" {
+			return err
+		}
+	}
+}
+
+// largeSetUp returns the beginning of a set-up that almost has the maximum size.
+func largeSetUp(ids *atomic.Int64) string {
+	return fmt.Sprintf(`{"type":"setup","id":"%016x","fields":{},"sdp":"`, ids.Add(1)) + strings.Repeat("x", 15<<10)
+}
+
+// writeSlowly writes the beginnings of large set-ups, a few bytes at a time.
+func writeSlowly(address string, ids *atomic.Int64, until time.Time) {
+	const piece, pause = 100, 20 * time.Millisecond
+	eachConnection(address, until, func(c *peer.Caller) {
+		for text := largeSetUp(ids); len(text) > piece && time.Now().Before(until); text = text[piece:] {
+			if c.SendRaw([]byte(text[:piece])) != nil {
+				return
+			}
+			time.Sleep(pause)
+		}
+	})
+}
+
+// writeHalf writes the beginnings of large set-ups and leaves their connections open.
+func writeHalf(address string, ids *atomic.Int64, until time.Time) {
+	eachConnection(address, until, func(c *peer.Caller) {
+		if c.SendRaw([]byte(largeSetUp(ids))) == nil {
+			_, _ = c.NextWithin(time.Until(until)) // until it is closed
+		}
+	})
+}
+
+// eachConnection opens one connection after the other until the time is over.
+func eachConnection(address string, until time.Time, send func(c *peer.Caller)) {
+	for time.Now().Before(until) {
+		c, err := peer.DialCaller("tcp", address)
+		if err != nil {
+			continue
+		}
+		send(c)
+		_ = c.Close()
+	}
+}
--- a/internal/call/core.go
+++ b/internal/call/core.go
@@ -20,9 +20,6 @@
 	answerMargin = 25 * time.Millisecond
 	// fallbackMargin is how long before that deadline a call that is still pending is answered in any case.
 	fallbackMargin = 3 * time.Millisecond
-	// retentionPeriod is how long a terminated call is kept, so that late and duplicate messages are recognized and not
-	// forwarded.
-	retentionPeriod = 20 * time.Second
 	// previousCallsWindow is how long after the start callers may still release calls of the previous process.
 	previousCallsWindow = time.Minute
 	// lateArrivalWindow is how long after SIGTERM new set-ups may still arrive.
@@ -94,7 +91,7 @@
 	calls               map[string]*record
 	pendingByCaller     map[Caller]map[string]*record // pending calls by their callers
 	establishedByCaller map[Caller]int
-	recentlyTerminated  []*record // terminated calls, in the order of their ends
+	recentlyTerminated  terminatedCalls
 	pendingCount        int
 	descriptionBytes    int // size of the descriptions of pending set-ups
 	maxDescriptionBytes int
@@ -140,11 +137,12 @@
 	}
 	c := &Core{
 		loop: loop, log: log, decisions: decisions, module: module, calls: map[string]*record{},
-		pendingByCaller: map[Caller]map[string]*record{}, establishedByCaller: map[Caller]int{}, maxDescriptionBytes: math.MaxInt,
+		pendingByCaller: map[Caller]map[string]*record{}, establishedByCaller: map[Caller]int{},
 		serverStatus: map[control.ServerID]control.ServerStatus{}, startedAt: time.Now(),
 		setUpCounts: map[control.ServerID]setUpCount{}, endCounts: map[receivedEnd]uint64{},
 	}
 	c.unknownCaller, c.orphanCaller, c.knownServers = &unknownCaller{c}, &orphanCaller{unknownCaller{c}}, map[control.ServerID]Server{}
+	c.LimitMemory(0)
 	c.registerClasses()
 	c.AddMetrics(c.endMetrics)
 	loop.onIteration = c.finishIteration
@@ -163,8 +161,10 @@
 // AddFront adds a front for callers.
 func (c *Core) AddFront(f Front) { c.fronts = append(c.fronts, f) }
 
-// LimitMemory limits the descriptions of pending set-ups to a share of the memory of the process; 0 means no limit.
+// LimitMemory limits the descriptions of pending set-ups and the terminated calls that are kept to shares of the memory
+// of the process; 0 means no limit.
 func (c *Core) LimitMemory(memory int64) {
+	c.recentlyTerminated.limit(memory)
 	c.maxDescriptionBytes = math.MaxInt
 	if memory > 0 {
 		c.maxDescriptionBytes = int(descriptionMemoryShare * float64(memory))
--- a/internal/call/core_test.go
+++ b/internal/call/core_test.go
@@ -208,12 +208,12 @@
 		s.core.finishIteration()
 		s.core.Update(Update{Servers: []Server{{ServerEntry: control.ServerEntry{ID: control.ServerID(fmt.Sprint("s", i)), Status: control.Removed}}}})
 	}
-	for _, k := range s.core.recentlyTerminated {
+	for _, k := range s.core.recentlyTerminated.all() {
 		k.terminatedAt = k.terminatedAt.Add(-retentionPeriod) // as if it had terminated earlier
 	}
 	_ = s.core.Offer(Request{ID: "last", Class: "c", Deadline: time.Now().Add(time.Minute), Caller: s, Description: "x"})
 	s.core.CallerReleased(s, "last", CauseNormal)
-	got := map[string]int{"calls": len(s.core.calls), "terminated": len(s.core.recentlyTerminated),
+	got := map[string]int{"calls": len(s.core.calls), "terminated": len(s.core.recentlyTerminated.all()),
 		"callers": len(s.core.pendingByCaller) + len(s.core.establishedByCaller), "status": len(s.core.serverStatus),
 		"pending": s.core.pendingCount, "descriptions": s.core.descriptionBytes, "timers": len(s.core.loop.timers)}
 	want := map[string]int{"calls": 1, "terminated": 1, "callers": 0, "status": 0, "pending": 0, "descriptions": 0, "timers": 0}
--- a/internal/call/recover.go
+++ b/internal/call/recover.go
@@ -50,7 +50,7 @@
 		c.recover(d)
 	}
 	// Calls are dropped after their retention period in this order.
-	slices.SortStableFunc(c.recentlyTerminated, func(a, b *record) int { return a.terminatedAt.Compare(b.terminatedAt) })
+	c.recentlyTerminated.sort()
 	c.recovered.TookUs += time.Since(start).Microseconds()
 	if n := len(c.calls); n > 0 {
 		c.log.Info("calls of the previous process", "acts", fmt.Sprint(c.recovered.Actions), "strays", b.UnexpectedEvents(), "damage", len(damage))
@@ -126,7 +126,7 @@
 // recordEnd records how and when a call ended, for a caller that resumes it.
 func (c *Core) recordEnd(k *record, at time.Time, end End) {
 	k.state, k.Caller, k.end, k.terminatedAt, k.restored = terminated, nil, end, at, nil
-	c.recentlyTerminated = append(c.recentlyTerminated, k)
+	c.recentlyTerminated.addRecovered(k)
 }
 
 // verifyRecovered checks recovered established calls against the list once there is one, and releases calls that must
--- a/internal/call/requests.go
+++ b/internal/call/requests.go
@@ -251,11 +251,7 @@
 	c.stopTimers(k)
 	k.state, k.attemptInProgress, k.terminatedAt = terminated, false, time.Now()
 	k.Caller, k.Description, k.answer, k.restored, k.tried, k.earlyEnd, k.ambiguous = nil, "", "", nil, nil, nil, nil
-	c.recentlyTerminated = append(c.recentlyTerminated, k)
-	for len(c.recentlyTerminated) > 0 && time.Since(c.recentlyTerminated[0].terminatedAt) > retentionPeriod {
-		delete(c.calls, c.recentlyTerminated[0].ID)
-		c.recentlyTerminated = c.recentlyTerminated[1:]
-	}
+	c.retain(k)
 }
 
 // stopTimers stops all timers of a call.
@@ -263,6 +259,7 @@
 	c.loop.Stop(k.attemptTimer)
 	c.loop.Stop(k.deadlineTimer)
 	c.loop.Stop(k.orphanTimer)
+	k.attemptTimer, k.deadlineTimer, k.orphanTimer = nil, nil, nil
 	if k.earlyEnd != nil {
 		c.loop.Stop(k.earlyEnd.timer)
 	}
--- a/internal/call/transfer.go
+++ b/internal/call/transfer.go
@@ -227,7 +227,7 @@
 			delete(c.establishedByCaller, k.Caller)
 		}
 	default:
-		c.recentlyTerminated = slices.DeleteFunc(c.recentlyTerminated, func(o *record) bool { return o == k })
+		c.recentlyTerminated.remove(k)
 	}
 	delete(c.calls, id)
 	c.transfers.transferred = append(c.transfers.transferred, id)
