Read messages of very many fields without decoding these

Change: members are counted ahead of decoding; with more than 64 only type, id and cause are decoded, and a set-up is answered as invalid. Why this works: the count is one pass over at most 16 KiB, and allocates nothing.

--- a/deploy/hostile_callers_test.go
+++ b/deploy/hostile_callers_test.go
@@ -50,8 +50,9 @@
 		"set-ups without fields": {1, sendBatches(func(_ *peer.Caller, id string) []jsonl.Message {
 			return []jsonl.Message{{Type: "setup", ID: id}}
 		})},
-		"set-ups that are written slowly": {slowCallers, writeSlowly},
-		"set-ups that stop half way":      {slowCallers, writeHalf},
+		"set-ups that are written slowly":                  {slowCallers, writeSlowly},
+		"set-ups that stop half way":                       {slowCallers, writeHalf},
+		"set-ups of very many fields, by hundreds at once": {slowCallers, writeManyFields},
 	} {
 		t.Run(name, func(t *testing.T) { // one at a time, as each of them keeps the processors busy
 			p := startWithPoliteCallers(t)
@@ -238,6 +239,23 @@
 	})
 }
 
+// writeManyFields writes set-ups that consist of very many fields.
+func writeManyFields(address string, ids *atomic.Int64, until time.Time) {
+	const maxSize, setUps = 16000, 7
+	eachConnection(address, until, func(c *peer.Caller) {
+		for range setUps {
+			var text strings.Builder
+			fmt.Fprintf(&text, `{"type":"setup","id":"%016x","fields":{"0":0`, ids.Add(1))
+			for field := 1; text.Len() < maxSize; field++ {
+				fmt.Fprintf(&text, `,"%x":1`, field)
+			}
+			if c.SendRaw([]byte(text.String()+"}}\n")) != nil {
+				return
+			}
+		}
+	})
+}
+
 // eachConnection opens one connection after the other until the time is over.
 func eachConnection(address string, until time.Time, send func(c *peer.Caller)) {
 	for time.Now().Before(until) {
--- a/internal/callers/setup_rules.go
+++ b/internal/callers/setup_rules.go
@@ -71,6 +71,9 @@
 
 // parseSetUp checks and converts the fields of a set-up. Its token is used only if calls can be resumed on the connection.
 func (rules *SetUpRules) parseSetUp(m *jsonl.Message, at time.Time, resumable bool) (r call.Request, err error) {
+	if m.TooManyFields {
+		return r, errors.New("too many fields")
+	}
 	field := func(name string) string { return string(m.Fields[name]) }
 	class, ok := rules.classes[field("class")]
 	if !ok {
--- a/internal/jsonl/jsonl.go
+++ b/internal/jsonl/jsonl.go
@@ -45,6 +45,8 @@
 	Fields map[string]Value `json:"fields"`
 	Cause  *int             `json:"cause,omitempty"`
 	SDP    *string          `json:"sdp,omitempty"`
+	// TooManyFields is set if the message has so many fields that they, and its description, were not decoded.
+	TooManyFields bool `json:"-"`
 }
 
 // CauseOr returns the cause, or the default value if there is none.
@@ -92,9 +94,9 @@
 
 // Parse decodes a message.
 func Parse(line []byte) (*Message, error) {
-	m := new(Message)
-	if err := api.Unmarshal(line, m); err != nil {
-		return nil, fmt.Errorf("invalid message: %w", err)
+	m, err := decode(line)
+	if err != nil {
+		return nil, err
 	}
 	if m.Type == "" {
 		return nil, errors.New("invalid message: type is missing")
@@ -102,6 +104,19 @@
 	return m, nil
 }
 
+// decode decodes a message, without its fields if it has too many of them.
+func decode(line []byte) (*Message, error) {
+	var o outline
+	if o.scan(line); o.members > maxFields {
+		return o.message()
+	}
+	m := new(Message)
+	if err := api.Unmarshal(line, m); err != nil {
+		return nil, fmt.Errorf("invalid message: %w", err)
+	}
+	return m, nil
+}
+
 // Append appends a message to p, without a line feed.
 func Append(p []byte, m Message) ([]byte, error) {
 	if m.Fields == nil {
--- a/internal/jsonl/jsonl_test.go
+++ b/internal/jsonl/jsonl_test.go
@@ -29,10 +29,16 @@
 		"blank lines":                      {"\n\r\n{\"type\":\"ping\",\"cause\":0}\n\n", []*Message{{Type: "ping", Cause: ptr(0)}}, false},
 		"two messages and part of another": {"{\"type\":\"a\"}\n{\"type\":\"b\"}\n{\"ty", []*Message{{Type: "a"}, {Type: "b"}}, false},
 		"field of another type":            {`{"type":"a","fields":{"x":[1]}}` + "\n", []*Message{{Type: "a", Fields: map[string]Value{"x": "[1]"}}}, false},
-		"not an object":                    {"[]\n", nil, true},
-		"no type":                          {"{}\n", nil, true},
-		"text after the object":            {`{"type":"a"}{}` + "\n", nil, true},
-		"too long":                         {`{"type":"` + strings.Repeat("x", MaxMessageSize), nil, true},
+		"very many fields": {`{"id":"1","fields":{"type":"x","id":"2"` + strings.Repeat(`,"a":"b\\\":"`, maxFields) + `},"type":"setup","sdp":"{\\"type\\":1}","cause":3}` + "\n",
+			[]*Message{{Type: "setup", ID: "1", Cause: ptr(3), TooManyFields: true}}, false},
+		"colons in a description": {`{"type":"a","sdp":"` + strings.Repeat(`\":`, 2*maxFields) + `"}` + "\n",
+			[]*Message{{Type: "a", SDP: ptr(strings.Repeat(`":`, 2*maxFields))}}, false},
+		"very many fields, not complete": {`{"type":"a","fields":{"x":1` + strings.Repeat(`,"x":1`, maxFields) + "\n", nil, true},
+		"very many fields, no type":      {`{"fields":{"x":1` + strings.Repeat(`,"x":1`, maxFields) + "}}\n", nil, true},
+		"not an object":                  {"[]\n", nil, true},
+		"no type":                        {"{}\n", nil, true},
+		"text after the object":          {`{"type":"a"}{}` + "\n", nil, true},
+		"too long":                       {`{"type":"` + strings.Repeat("x", MaxMessageSize), nil, true},
 	} {
 		for _, piece := range []int{1, 7, 1 << 20} {
 			got, err := decodeAll(test.text, piece)
