--- a/deploy/built_test.go
+++ b/deploy/built_test.go
@@ -104,8 +104,8 @@
 	return address
 }
 
-// start starts a controller with the run command, with a single dispatcher on its list.
-func start(t *testing.T, dispatcher string) *process {
+// start starts a controller with the run command and additional environment variables, with a single dispatcher on its list.
+func start(t *testing.T, dispatcher string, environment ...string) *process {
 	t.Helper()
 	dir := t.TempDir()
 	example, err := os.ReadFile("../example/config.json")
@@ -127,6 +127,7 @@
 	p.cmd.Dir = ".."
 	p.cmd.Stdout, p.cmd.Stderr = out, out
 	p.cmd.Env = append(os.Environ(), "LB_CONFIG="+path, "LB_LISTEN="+p.lines, "LB_MANAGEMENT="+p.management, "TMPDIR="+dir)
+	p.cmd.Env = append(p.cmd.Env, environment...)
 	if err := p.cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
--- a/deploy/hostile_callers_test.go
+++ b/deploy/hostile_callers_test.go
@@ -1,8 +1,11 @@
 package deploy
 
 import (
+	"errors"
 	"fmt"
+	"net"
 	"os"
+	"path/filepath"
 	"regexp"
 	"strconv"
 	"strings"
@@ -40,27 +43,33 @@
 	for name, test := range map[string]struct {
 		callers int
 		send    hostileCaller
+		overAPI bool
 	}{
-		"set-ups that are cancelled at once": {1, sendBatches(func(c *peer.Caller, id string) []jsonl.Message {
+		"set-ups that are cancelled at once": {callers: 1, send: sendBatches(func(c *peer.Caller, id string) []jsonl.Message {
 			return []jsonl.Message{c.SetUpMessage(id, politeTimeLeft, 0, "x"), release(id, 16)}
 		})},
-		"releases of unknown calls": {1, sendBatches(func(_ *peer.Caller, id string) []jsonl.Message {
+		"releases of unknown calls": {callers: 1, send: sendBatches(func(_ *peer.Caller, id string) []jsonl.Message {
 			return []jsonl.Message{release(id, 41)}
 		})},
-		"set-ups without fields": {1, sendBatches(func(_ *peer.Caller, id string) []jsonl.Message {
+		"set-ups without fields": {callers: 1, send: sendBatches(func(_ *peer.Caller, id string) []jsonl.Message {
 			return []jsonl.Message{{Type: "setup", ID: id}}
 		})},
-		"set-ups that are written slowly":                  {slowCallers, writeSlowly},
-		"set-ups that stop half way":                       {slowCallers, writeHalf},
-		"set-ups of very many fields, by hundreds at once": {slowCallers, writeManyFields},
+		"set-ups that are written slowly":                  {callers: slowCallers, send: writeSlowly},
+		"set-ups that stop half way":                       {callers: slowCallers, send: writeHalf},
+		"set-ups of very many fields, by hundreds at once": {callers: slowCallers, send: writeManyFields},
+		"handshakes of very many headers, written slowly":  {callers: slowCallers, send: writeManyHeaders, overAPI: true},
 	} {
 		t.Run(name, func(t *testing.T) { // one at a time, as each of them keeps the processors busy
-			p := startWithPoliteCallers(t)
+			p, api := startWithPoliteCallers(t)
+			address := p.lines
+			if test.overAPI {
+				address = api
+			}
 			var ids atomic.Int64
 			var running sync.WaitGroup
 			until := time.Now().Add(hostileTime)
 			for range test.callers {
-				running.Go(func() { test.send(p.lines, &ids, until) })
+				running.Go(func() { test.send(address, &ids, until) })
 			}
 			lost, calls := p.placePoliteCalls(until)
 			running.Wait()
@@ -77,8 +86,8 @@
 	return jsonl.Message{Type: "release", ID: id, Cause: &cause}
 }
 
-// startWithPoliteCallers starts a controller with a dispatcher that answers every set-up.
-func startWithPoliteCallers(t *testing.T) *process {
+// startWithPoliteCallers starts a controller with a dispatcher that answers every set-up. It also returns the address of the API over WebSocket.
+func startWithPoliteCallers(t *testing.T) (p *process, api string) {
 	t.Helper()
 	example, err := os.ReadFile("../example/config.json")
 	if err != nil {
@@ -106,9 +115,14 @@
 			}
 		}
 	}()
-	p := start(t, d.Address())
+	api = freeAddress(t)
+	file := filepath.Join(t.TempDir(), "websocket.ini")
+	if err := os.WriteFile(file, fmt.Appendf(nil, "[websocket]\nlisten = %s\npath = %s\n", api, peer.Path), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	p = start(t, d.Address(), "LB_OPERATOR="+file)
 	p.waitReady()
-	return p
+	return p, api
 }
 
 // placePoliteCalls places one call after the other on a connection of its own, and returns how many have no final answer in time.
@@ -256,10 +270,33 @@
 	})
 }
 
+// writeManyHeaders writes the requests of opening handshakes that consist of very many headers, a few bytes at a time.
+func writeManyHeaders(address string, ids *atomic.Int64, until time.Time) {
+	const maxSize, piece, pause = 8000, 6, time.Millisecond
+	var text strings.Builder
+	text.WriteString("GET " + peer.Path + " HTTP/1.1\r\nHost: h\r\n")
+	for header := 0; text.Len() < maxSize; header++ {
+		fmt.Fprintf(&text, "%x:\n", header)
+	}
+	eachConnection(address, until, func(c *peer.Caller) {
+		ids.Add(1)
+		for rest := text.String(); len(rest) > piece && time.Now().Before(until); rest = rest[piece:] {
+			if c.SendRaw([]byte(rest[:piece])) != nil {
+				return
+			}
+			time.Sleep(pause)
+		}
+	})
+}
+
 // eachConnection opens one connection after the other until the time is over.
 func eachConnection(address string, until time.Time, send func(c *peer.Caller)) {
 	for time.Now().Before(until) {
-		c, err := peer.DialCaller("tcp", address)
+		c, err := peer.DialCaller("tcp", address) // without a handshake
+		var refused *net.OpError
+		if errors.As(err, &refused) {
+			time.Sleep(politeInterval)
+		}
 		if err != nil {
 			continue
 		}
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -15,6 +15,8 @@
 const (
 	// maxHeadSize is the maximum size of a head in bytes. A ring buffer has a larger capacity.
 	maxHeadSize = 8 << 10
+	// maxHeaders is the maximum number of headers in a head. No request that is served here needs more than twenty.
+	maxHeaders = 100
 	// maxBodySize is the maximum size of a body in bytes. No request that is served here needs one.
 	maxBodySize = 4 << 10
 )
@@ -22,6 +24,8 @@
 var (
 	// ErrTooLong means that a head or a body exceeds its maximum size.
 	ErrTooLong = errors.New("too long for a head of 8 KiB or a body of 4 KiB")
+	// ErrTooManyHeaders means that a head has more than maxHeaders headers.
+	ErrTooManyHeaders = errors.New("more than 100 headers")
 	// ErrMalformed means that the input is not valid HTTP/1.1, or uses a feature that is not supported.
 	ErrMalformed = errors.New("no HTTP/1.1")
 )
@@ -30,7 +34,10 @@
 // first line is empty if the head is not complete yet.
 func ReadHead(in *ring.Buffer) (first string, headers map[string]string, err error) {
 	end := -1
-	for from := 0; end < 0; {
+	for from, lines := 0, 0; end < 0; lines++ {
+		if lines > maxHeaders+1 { // the first line, the headers and the empty line
+			return "", nil, ErrTooManyHeaders
+		}
 		length := in.Len() // taken before the search, since more bytes, with a line feed among them, may arrive during it
 		i := in.Index('\n', from)
 		if i < 0 && length <= maxHeadSize {
--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -1,6 +1,7 @@
 package http1
 
 import (
+	"errors"
 	"strings"
 	"testing"
 
@@ -43,3 +44,19 @@
 		}
 	})
 }
+
+// TestHeadsOfVeryManyHeadersAreRefused guards against heads that are searched line by line, thousands of lines at each piece that arrives.
+func TestHeadsOfVeryManyHeadersAreRefused(t *testing.T) {
+	for headers, want := range map[int]error{maxHeaders: nil, maxHeaders + 1: ErrTooManyHeaders} {
+		in := ring.New(16 << 10)
+		in.Write([]byte("GET / HTTP/1.1\r\nHost: h\r\n" + strings.Repeat("a:\n", headers-1) + "\r\n"))
+		if first, _, err := ReadHead(in); !errors.Is(err, want) || (first != "") != (want == nil) {
+			t.Errorf("%d headers: first line %q, error %v; want %v", headers, first, err, want)
+		}
+	}
+	in := ring.New(16 << 10)
+	in.Write([]byte("GET / HTTP/1.1\r\n" + strings.Repeat("a:\n", maxHeaders+1)))
+	if _, _, err := ReadHead(in); !errors.Is(err, ErrTooManyHeaders) {
+		t.Errorf("an incomplete head of %d headers: error %v, want %v", maxHeaders+1, err, ErrTooManyHeaders)
+	}
+}
