Refuse an id at one process of an upgrade that the other one has attempted

Cause: each process knows only the ids that it has attempted itself.

Change: both processes tell each other these ids, those of before in large messages and each later one ahead of its set-up. The new process serves once it has the ids of before, or after 200 ms. Why this works: an id is told before its set-up can leave.

--- a/cmd/cherryrelay/upgrade.go
+++ b/cmd/cherryrelay/upgrade.go
@@ -23,6 +23,8 @@
 	// handoverRetryInterval and handoverTimeout are the interval and the timeout for retries while the predecessor is busy with another
 	// successor.
 	handoverRetryInterval, handoverTimeout = 100 * time.Millisecond, 3 * time.Second
+	// attemptsTimeout is how long a process waits for the calls that its predecessor has attempted. One of an earlier version reports none.
+	attemptsTimeout = 200 * time.Millisecond
 	// connectionReportInterval is the interval at which a process reports its number of connections to its successor.
 	connectionReportInterval = 50 * time.Millisecond
 	// upgradeProcesses is the number of processes that share memory, connections and sockets during an upgrade.
@@ -39,6 +41,7 @@
 	server              *handover.Server
 	successor           *handover.Peer
 	successorReady      bool // whether the successor serves
+	attemptsReceived    bool // whether the calls that the predecessor has attempted are known, or are not awaited any longer
 }
 
 // requestListeners requests the listeners of the process that serves at the address, if there is one.
@@ -88,10 +91,16 @@
 	}
 	n.core.AwaitPredecessor()
 	n.applyLimits()
-	n.core.OnFlush(func() {
-		if n.core.AwaitsPredecessor() && n.core.CanPlaceCalls() {
+	u.predecessor.Send(handover.Message{WantsAttempts: true})
+	u.reportAttempts(func() *handover.Peer { return u.predecessor })
+	serveWhenReady := func() {
+		if n.core.AwaitsPredecessor() && n.core.CanPlaceCalls() && u.attemptsReceived {
 			u.serve()
 		}
+	}
+	n.core.OnFlush(serveWhenReady)
+	n.loop.Post(func() {
+		n.loop.After(attemptsTimeout, func() { u.attemptsReceived = true; serveWhenReady() })
 	})
 	u.predecessor.Run(
 		func(m handover.Message) { n.loop.Post(func() { u.handleMessage(m) }) },
@@ -130,7 +139,10 @@
 // handleMessage handles a message of the predecessor.
 func (u *upgrade) handleMessage(m handover.Message) {
 	n := u.node
+	u.recordAttempts(m)
 	switch {
+	case m.AttemptsSent:
+		u.attemptsReceived = true
 	case m.OpenConnections != nil:
 		u.reportedConnections = *m.OpenConnections
 		n.applyLimits()
@@ -141,11 +153,42 @@
 	}
 }
 
+// reportAttempts reports the calls that were attempted, and those that will be, to the other process. Those known by now are combined in
+// large messages; later ones are reported one by one, ahead of their set-ups.
+func (u *upgrade) reportAttempts(other func() *handover.Peer) {
+	var ids []string
+	send := func() {
+		if p := other(); p != nil && len(ids) > 0 && !p.Send(handover.Message{AttemptedCalls: ids}) {
+			u.node.log.Warn("attempted calls are not reported to the other process", "calls", len(ids))
+		}
+		ids = nil
+	}
+	reporting := false // attempts one by one
+	u.node.core.ReportAttempts(func(id string) {
+		if ids = append(ids, id); reporting || len(ids) == handover.MaxAttemptedCalls {
+			send()
+		}
+	})
+	send()
+	reporting = true
+	if p := other(); p != nil {
+		p.Send(handover.Message{AttemptsSent: true})
+	}
+}
+
+// recordAttempts records the attempted calls that the other process reports.
+func (u *upgrade) recordAttempts(m handover.Message) {
+	for _, id := range m.AttemptedCalls {
+		u.node.core.AttemptedElsewhere(id)
+	}
+}
+
 // predecessorEnded handles the end of the predecessor.
 func (u *upgrade) predecessorEnded() {
 	n := u.node
 	n.log.Info("the predecessor has ended")
 	u.predecessor, u.reportedConnections = nil, 0
+	n.core.ReportAttempts(nil)
 	n.applyLimits()
 	n.inheritLedger()
 	if n.core.AwaitsPredecessor() {
@@ -175,6 +218,10 @@
 		u.successor = p
 		n.applyLimits()
 		p.Run(func(m handover.Message) {
+			n.loop.Post(func() { u.recordAttempts(m) })
+			if m.WantsAttempts {
+				n.loop.Post(func() { u.reportAttempts(func() *handover.Peer { return u.successor }) })
+			}
 			if m.Ready {
 				n.loop.Post(u.supersede)
 			}
@@ -230,6 +277,7 @@
 	}
 	hadServed := u.successorReady
 	u.successor, u.successorReady, u.reportedConnections = nil, false, 0
+	n.core.ReportAttempts(nil)
 	if server := u.server; hadServed && server != nil { // the successor had the path
 		u.acceptSuccessors()
 		_ = server.Close()
--- a/internal/call/core.go
+++ b/internal/call/core.go
@@ -92,6 +92,8 @@
 	pendingByCaller     map[Caller]map[string]*record // pending calls by their callers
 	establishedByCaller map[Caller]int
 	recentlyTerminated  terminatedCalls
+	attemptedElsewhere  attemptedElsewhere
+	reportAttempt       func(id string) // reports the first attempt of a call to the other process of an upgrade; nil without one
 	pendingCount        int
 	descriptionBytes    int // size of the descriptions of pending set-ups
 	maxDescriptionBytes int
--- a/internal/call/module.go
+++ b/internal/call/module.go
@@ -131,6 +131,9 @@
 	timeout = max(timeout, time.Millisecond)
 	k.attemptInProgress, k.server, k.sentAt = true, a.Server, now
 	k.attempts++
+	if k.attempts == 1 && c.reportAttempt != nil {
+		c.reportAttempt(k.ID)
+	}
 	c.countSetUp(a.Server, false)
 	c.recordTried(k, a.Server)
 	c.persistEvent(k, recovery.KindAttemptSent, nil)
--- a/internal/call/requests.go
+++ b/internal/call/requests.go
@@ -32,6 +32,11 @@
 		}
 		return nil
 	}
+	if c.attemptedElsewhere.contains(r.ID) {
+		c.log.Warn("set-up with the id of a call of the other process", "id", r.ID)
+		c.reject(&r, BadRequest)
+		return nil
+	}
 	now := time.Now()
 	k := &record{Request: r}
 	class := c.classIndex(r.Class)
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -29,6 +29,8 @@
 	maxListeners = 4
 	// maxMessageSize bounds the size of a message, in bytes.
 	maxMessageSize = 4 << 10
+	// MaxAttemptedCalls bounds the ids in a message.
+	MaxAttemptedCalls = 100
 	// sendQueueSize bounds the messages that are queued for the other process, which reads continuously.
 	sendQueueSize = 1 << 10
 	// writeTimeout bounds a write, in case the other process does not read.
@@ -49,6 +51,9 @@
 	Cause           int      `json:"cause,omitempty"`     // cause of that end
 	EstablishedCall string   `json:"stands,omitempty"`    // id of a call that is established as the predecessor ends
 	Server          string   `json:"server,omitempty"`    // server at which that call is established
+	AttemptedCalls  []string `json:"tried,omitempty"`     // ids of calls that were sent to a dispatcher, or are about to be
+	WantsAttempts   bool     `json:"wants_tried,omitempty"`
+	AttemptsSent    bool     `json:"tried_sent,omitempty"` // the ids of all calls that were attempted before WantsAttempts have been sent
 }
 
 // Path returns the path of the Unix socket of the process that listens for callers on an address. It returns an empty path if the address has no
