--- a/cmd/cherryrelay/vanished_address_taken_test.go
+++ b/cmd/cherryrelay/vanished_address_taken_test.go
@@ -136,6 +136,23 @@
 	}
 }
 
+// vanish lets the machine of the old dispatcher vanish, and returns when it did.
+func (r *vanishRun) vanish() time.Time {
+	r.Helper()
+	if err := r.net.Vanish("c>old"); err != nil {
+		r.Fatal(err)
+	}
+	return time.Now()
+}
+
+// replace starts the next dispatcher at the address.
+func (r *vanishRun) replace() {
+	r.Helper()
+	if err := r.net.Replace("c>old", r.next.Address()); err != nil {
+		r.Fatal(err)
+	}
+}
+
 // listNext publishes the dispatcher that has the address now, and that the old one is gone.
 func (r *vanishRun) listNext(startedAt time.Time) {
 	gone := endpoint("old", 0, r.address, time.Time{})
@@ -171,19 +188,14 @@
 				t.Parallel()
 				r := newVanishRun(t)
 				r.establish()
-				if err := r.net.Vanish("c>old"); err != nil {
-					t.Fatal(err)
-				}
-				vanishedAt := time.Now()
+				vanishedAt := r.vanish()
 				r.waitLog("no connection")
 				time.Sleep(dialTimeoutAtDispatchers / 2) // by now the next dial has begun
 				startedAt := time.Time{}
 				if started {
 					startedAt = time.Now()
 				}
-				if err := r.net.Replace("c>old", r.next.Address()); err != nil {
-					t.Fatal(err)
-				}
+				r.replace()
 				r.waitLog("connection=2") // the next process is reached under the old name
 				time.Sleep(listDelay)
 				r.listNext(startedAt)
@@ -192,3 +204,36 @@
 		}
 	}
 }
+
+// TestCallsOfAVanishedDispatcherEndWhileTheListIsSilent guards against calls left standing for as long as the list does not tell that
+// another dispatcher has the address of theirs.
+func TestCallsOfAVanishedDispatcherEndWhileTheListIsSilent(t *testing.T) {
+	t.Parallel()
+	r := newVanishRun(t)
+	r.establish()
+	vanishedAt := r.vanish()
+	r.waitLog("no connection")
+	r.replace()
+	r.expectEnds(vanishedAt)
+}
+
+// TestCallsOfAKilledDispatcherEndWhenItsAddressIsTaken guards against calls left standing because another dispatcher accepted connections at
+// the address of theirs right after that was killed.
+func TestCallsOfAKilledDispatcherEndWhenItsAddressIsTaken(t *testing.T) {
+	for name, listDelay := range map[string]time.Duration{"listed at once": 0, "listed late": 6 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := newVanishRun(t)
+			r.establish()
+			r.vanish() // no dial reaches the next process before the old one is killed
+			r.old.Kill()
+			r.net.CloseConns("c>old", true)
+			killedAt := time.Now()
+			r.replace()
+			r.waitLog("connection=2")
+			time.Sleep(listDelay)
+			r.listNext(killedAt)
+			r.expectEnds(killedAt)
+		})
+	}
+}
