Tell a draining process from the next one at its address by when that started

What callers saw: nothing yet. Forced: calls stand on at a process that ran on without listening after another one had its address, and died later, as a connection under its name led to the next one.

Cause: that connection was opened while the former still sent on its own ones, and so counted as one to it.

Change: connections under the old name that were opened since the next one started, by the list, count as those of a separate process.

--- a/internal/dispatchers/list.go
+++ b/internal/dispatchers/list.go
@@ -53,6 +53,9 @@
 			for _, o := range p.byAddress[s.Address] { // a new dispatcher may have the address of a removed one
 				if o != s {
 					o.replaced = true
+					if s.StartedAt > 0 {
+						o.separateNext(time.Unix(0, int64(s.StartedAt)))
+					}
 					p.markActive(o)
 				}
 			}
--- a/internal/dispatchers/remote_process.go
+++ b/internal/dispatchers/remote_process.go
@@ -30,6 +30,7 @@
 	received       bool      // input was received
 	unresponsive   bool      // a connection to it was closed here as unresponsive
 	probedAt       time.Time // when a probe was sent to check whether it responds; zero if none was
+	separate       bool      // it is the next dispatcher at the address, and no earlier process proves to be the same
 }
 
 // identity returns the process that p has proved to be, which is p itself unless an earlier one proved to be the same.
@@ -71,13 +72,29 @@
 		return
 	}
 	same := next
-	for same < len(s.processes) && s.processes[same].connectedAt.Before(at) {
+	for same < len(s.processes) && !s.processes[same].separate && s.processes[same].connectedAt.Before(at) {
 		s.processes[same].mergedInto = from
 		same++
 	}
 	s.processes = slices.Delete(s.processes, next, same)
 }
 
+// separateNext separates the connections that lead to the dispatcher that has the address now, by the time at which its process started
+// according to the list. Without it, a connection to that one would count as one to the former, if the former still runs without listening.
+func (s *server) separateNext(startedAt time.Time) {
+	var next *remoteProcess
+	for _, c := range s.conns {
+		if c.openedAt.Before(startedAt) || c.remote.identity().connectedAt.After(startedAt) {
+			continue
+		}
+		if next == nil {
+			next = &remoteProcess{connectedAt: c.openedAt, lastReceivedAt: c.lastReceivedAt, received: true, separate: true}
+			s.processes = append(s.processes, next)
+		}
+		c.remote = next
+	}
+}
+
 // hasConnTo reports whether an open or abandoned connection leads to a process.
 func (s *server) hasConnTo(p *remoteProcess) bool {
 	leadsTo := func(c *connection) bool { return c.remote.identity() == p }
--- a/internal/dispatchers/remote_process_test.go
+++ b/internal/dispatchers/remote_process_test.go
@@ -4,6 +4,9 @@
 	"slices"
 	"testing"
 	"time"
+
+	"cherryrelay/control"
+	"cherryrelay/internal/call"
 )
 
 // untilDialTimedOut is the time after which a dispatcher that has vanished was dialled, and the dial has timed out.
@@ -91,3 +94,26 @@
 		})
 	}
 }
+
+// TestCallsEndWithADrainingProcessWhoseAddressIsTaken guards against calls left standing because a connection to the next dispatcher at the
+// address was opened while their own process still ran, without listening.
+func TestCallsEndWithADrainingProcessWhoseAddressIsTaken(t *testing.T) {
+	t.Parallel()
+	steps := []scenarioStep{
+		nextProcessStarts(time.Second),
+		newStep("one more connection is opened", settleTime, func(h *harness) { h.pool.Reconnect("first") }),
+		newStep("the list has it", settleTime, func(h *harness) {
+			h.core.Update(call.Update{Servers: []call.Server{
+				{ServerEntry: control.ServerEntry{ID: "first", Status: control.Removed}, Address: "first"},
+				{ServerEntry: control.ServerEntry{ID: "other", Status: control.Active,
+					StartedAt: time.Duration(time.Now().Add(-settleTime - time.Second).UnixNano())}, Address: "first"},
+			}})
+		}),
+		expectNotEnded(),
+		newStep("the former process stops", settleTime, func(h *harness) {
+			h.first.stop()
+			h.calls[testCallID].endedAt = time.Now()
+		}),
+	}
+	reportingCall.playWithoutViolation(t, steps)
+}
