--- a/control/held_calls.go
+++ b/control/held_calls.go
@@ -8,8 +8,8 @@
 
 // This file holds the calls that wait for an attempt, and sends or refuses them.
 
-// maxUnservedCalls limits the calls that were not answered and whose callers' first tries are kept. Callers can make
-// any number of them, each to another number.
+// maxUnservedCalls limits the calls that were not answered and whose callers' first tries are kept. Callers
+// can make any number of them, each to another number.
 const maxUnservedCalls = 1 << 13
 
 // call is a pending call: one without a final answer.
