--- a/review/stand/dispatcher.go
+++ b/review/stand/dispatcher.go
@@ -30,12 +30,14 @@
 	delay   time.Duration // from a set-up to its answer
 	hold    time.Duration // from the answer to the end of the call
 
-	mu      sync.Mutex
-	conns   []*dispatcherConn
-	calls   map[string]*standing
-	setUps  int      // set-ups received
-	repeats []string // ends to be sent also on the next connection that opens
-	closed  bool
+	mu     sync.Mutex
+	conns  []*dispatcherConn
+	calls  map[string]*standing
+	setUps int // set-ups received
+	// setUpTimes are the times at which they arrived.
+	setUpTimes []time.Time
+	repeats    []string // ends to be sent also on the next connection that opens
+	closed     bool
 }
 
 type dispatcherConn struct {
@@ -177,6 +179,7 @@
 		given := make(chan struct{})
 		d.mu.Lock()
 		d.setUps++
+		d.setUpTimes = append(d.setUpTimes, time.Now())
 		c.open[id] = given
 		d.mu.Unlock()
 		go func() {
--- a/review/stand/half_written_file.go
+++ b/review/stand/half_written_file.go
@@ -11,7 +11,7 @@
 	"time"
 )
 
-func init() { cases["8"] = playHalfWrittenFile }
+func init() { cases["9"] = playHalfWrittenFile }
 
 // bufferSize is the size of the writer's buffer: it writes the file in pieces of this many bytes.
 const bufferSize = 4096
--- a/review/stand/release_after_kill.go
+++ b/review/stand/release_after_kill.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-func init() { cases["9"] = playReleaseAfterKill }
+func init() { cases["10"] = playReleaseAfterKill }
 
 // playReleaseAfterKill kills a controller and starts it again while calls stand. Their caller then ends each of them on a new connection:
 // half of them with the cause of a normal end, half with another one.
--- a/review/stand/restart_with_ledger.go
+++ b/review/stand/restart_with_ledger.go
@@ -8,7 +8,7 @@
 	"time"
 )
 
-func init() { cases["6"] = playRestartWithLedger }
+func init() { cases["7"] = playRestartWithLedger }
 
 // callState is what a caller knows of one call.
 type callState struct {
