--- a/review/stand/caller.go
+++ b/review/stand/caller.go
@@ -180,11 +180,6 @@
 	return c.tell(line{Type: "setup", ID: id, Fields: fields, SDP: &sdp})
 }
 
-// release releases a call, or gives up its set-up.
-func (c *caller) release(id string, cause int) error {
-	return c.tell(line{Type: "release", ID: id, Cause: &cause})
-}
-
 // newID returns a new id of a call.
 func newID() string {
 	p := make([]byte, 8)
--- a/review/stand/coordinator.go
+++ b/review/stand/coordinator.go
@@ -43,8 +43,6 @@
 	mu      sync.Mutex
 	events  []event
 	changed chan struct{}
-	broken  chan struct{} // closed when all streams are broken
-	wait    time.Duration // from a request to the head of its response
 }
 
 func startCoordinator(r *record, first []entry) (*coordinator, error) {
@@ -52,7 +50,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &coordinator{record: r, address: ln.Addr().String(), changed: make(chan struct{}), broken: make(chan struct{})}
+	c := &coordinator{record: r, address: ln.Addr().String(), changed: make(chan struct{})}
 	c.events = []event{{number: 1, snapshot: true, entries: first}}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v2/stream", c.stream)
@@ -72,22 +70,6 @@
 	c.record.say("coordinator: event %d: %+v", e.number, entries)
 }
 
-// breakStreams ends all streams. From now on, each request waits in turn for so long before its response begins.
-func (c *coordinator) breakStreams(wait time.Duration) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.wait = wait
-	close(c.broken)
-	c.broken = make(chan struct{})
-}
-
-// setWait sets how long requests wait.
-func (c *coordinator) setWait(wait time.Duration) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.wait = wait
-}
-
 // known returns the events so far.
 func (c *coordinator) known() []event {
 	c.mu.Lock()
@@ -98,15 +80,6 @@
 func (c *coordinator) stream(w http.ResponseWriter, req *http.Request) {
 	last, _ := strconv.Atoi(req.Header.Get("Last-Event-ID"))
 	c.record.say("coordinator: stream asked for after event %d", last)
-	c.mu.Lock()
-	broken, wait := c.broken, c.wait
-	c.mu.Unlock()
-	select {
-	case <-req.Context().Done():
-		c.record.say("coordinator: the request was given up before its response began")
-		return
-	case <-time.After(wait):
-	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	flusher, ok := w.(http.Flusher)
 	if !ok {
@@ -132,8 +105,6 @@
 		select {
 		case <-req.Context().Done():
 			return
-		case <-broken:
-			panic(http.ErrAbortHandler) // closes the connection
 		case <-changed:
 		case <-time.After(time.Second):
 		}
--- a/review/stand/restart_with_ledger.go
+++ b/review/stand/restart_with_ledger.go
@@ -8,24 +8,22 @@
 	"time"
 )
 
-func init() { cases["7"] = playRestartWithLedger }
+func init() { cases["6"] = playRestartWithLedger }
 
 // callState is what a caller knows of one call.
 type callState struct {
 	answeredAt, overAt time.Time
-	releasedByCaller   bool
 }
 
 // desk is a caller that keeps placing calls at one controller, on one connection at a time.
 type desk struct {
-	s        *stage
-	name     string
-	at       *place
-	mu       sync.Mutex
-	calls    map[string]*callState
-	conn     *caller
-	onAnswer func(id string)
-	onOver   func(id string, m line)
+	s      *stage
+	name   string
+	at     *place
+	mu     sync.Mutex
+	calls  map[string]*callState
+	conn   *caller
+	onOver func(id string, m line)
 }
 
 // connect opens a connection, if none is open.
@@ -53,20 +51,17 @@
 func (d *desk) handle(_ *caller, m line) {
 	d.mu.Lock()
 	k := d.calls[m.ID]
-	answered, over := false, false
+	over := false
 	if k != nil {
 		switch m.Type {
 		case "answer":
-			k.answeredAt, answered = time.Now(), true
+			k.answeredAt = time.Now()
 		case "release":
-			over = !k.answeredAt.IsZero() && k.overAt.IsZero() && !k.releasedByCaller
+			over = !k.answeredAt.IsZero() && k.overAt.IsZero()
 			k.overAt = time.Now()
 		}
 	}
 	d.mu.Unlock()
-	if answered && d.onAnswer != nil {
-		d.onAnswer(m.ID)
-	}
 	if over && d.onOver != nil {
 		d.onOver(m.ID, m)
 	}
--- a/review/stand/upgrade_resume.go
+++ b/review/stand/upgrade_resume.go
@@ -7,7 +7,7 @@
 	"time"
 )
 
-func init() { cases["8"] = playUpgradeResume }
+func init() { cases["7"] = playUpgradeResume }
 
 // playUpgradeResume replaces a controller by a second start at the same address while calls of a client of the call-control API stand. The
 // client's connection ends, and it comes back and resumes its calls, as the API asks. Without the disruption the client's connection ends
