Hold recovered calls against all known events of the list

Callers of calls at a dispatcher that a later event had added, moved or restarted were told after a restart with a ledger that these were over, while they stood.

Cause: the events under `known` went to the event loop one by one, and what was recovered was held against the first one alone. The start of a later event ended calls as it came as a change, and a set-up with an unknown outcome was released at the dispatchers of the first event only.

Change: lists.Registry defers the updates of the start and publishes them as one (pool.Fold).

--- a/cmd/cherryrelay/node.go
+++ b/cmd/cherryrelay/node.go
@@ -91,6 +91,7 @@
 	core.OnFlush(pool.Flush)
 	loop.AddIdleCheck(pool.NoUnreadInput)
 	keeper := lists.New(log, func(u call.Update) { loop.Post(func() { core.Update(u) }) })
+	keeper.Defer()
 	if c.Subset != nil {
 		limit := c.Subset.ListLimit(c.Limits.MemoryMB << 20)
 		keeper.SetLimit(limit)
@@ -117,6 +118,7 @@
 			return nil, err
 		}
 	}
+	keeper.Publish()
 	if c.Ledger != nil {
 		n.terms.SetResumeOverLines(c.Ledger.ResumeOverJSONLines)
 		if err := n.startLedger(); err != nil {
--- a/internal/lists/lists.go
+++ b/internal/lists/lists.go
@@ -24,8 +24,10 @@
 	notify func(pool.Update)
 	store  Store // nil if sets are not stored
 
-	mu   sync.Mutex
-	pool *pool.Pool
+	mu        sync.Mutex
+	pool      *pool.Pool
+	deferring bool          // updates are deferred until Publish
+	deferred  []pool.Update // in order
 }
 
 // New starts without an active set. It passes every later change of the active set to notify, in order. notify must not
@@ -34,6 +36,24 @@
 	return &Registry{log: log, notify: notify, pool: pool.New()}
 }
 
+// Defer defers updates until Publish is called, while the sources of the start are read one after the other.
+func (k *Registry) Defer() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.deferring = true
+}
+
+// Publish passes the deferred updates to notify as one, and later ones as they come.
+func (k *Registry) Publish() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	updates := k.deferred
+	k.deferring, k.deferred = false, nil
+	if len(updates) > 0 {
+		k.notify(pool.Fold(updates))
+	}
+}
+
 // SetStore makes s save the accepted sets of files from now on.
 func (k *Registry) SetStore(s Store) { k.store = s }
 
@@ -89,7 +109,11 @@
 }
 
 func (k *Registry) notifyChange(v pool.Verdict) {
-	if v.Changed {
+	switch {
+	case !v.Changed:
+	case k.deferring:
+		k.deferred = append(k.deferred, v.Update)
+	default:
 		k.notify(v.Update)
 	}
 }
