Keep recovered calls whose process the list tells of only now

Callers of a controller that was killed and came back with an older list were told that calls at a restarted dispatcher were over, as the stream told of the restart; the calls were released there too.

Cause: a changed start or address ends all calls of a dispatcher as those of its former process, although the ledger knows that a recovered call is at the new one.

Change: calls whose record names the process that the new entry describes go on (Core.ContinuesAt).

--- a/cmd/cherryrelay/recovered_list_test.go
+++ b/cmd/cherryrelay/recovered_list_test.go
@@ -243,27 +243,53 @@
 // first of several events of the list: their dispatcher was added, moved or restarted by a later one.
 func TestCallsStandAtDispatchersOfLaterEvents(t *testing.T) {
 	for name, change := range changes {
-		for variant, play := range map[string]func(s *listRestart, entry map[string]any){
-			"in the file": func(s *listRestart, _ map[string]any) { s.start(2) },
-		} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			expectCallsStand(t, change, func(s *listRestart, _ map[string]any) { s.start(2) })
+		})
+	}
+}
+
+// TestCallsStandAsTheListCatchesUp guards against calls that are told as over after a restart, because the list of the file is older than
+// they are: the stream tells of the restart of their dispatcher.
+func TestCallsStandAsTheListCatchesUp(t *testing.T) {
+	for _, name := range []string{"restarted"} {
+		for variant, outage := range map[string]time.Duration{"at once": 0, "late": 1500 * time.Millisecond} {
 			t.Run(name+" "+variant, func(t *testing.T) {
 				t.Parallel()
-				s := newListRestart(t)
-				s.start(1)
-				s.establish(id(1), 0)
-				entry := change.apply(s)
-				s.publish(entry)
-				s.waitEntry(entry)
-				s.establish(id(2), change.cell)
-				s.kill()
-				play(s, entry)
-				s.expectStands(id(2), change.key)
-				s.expectStands(id(1), "d0")
+				expectCallsStand(t, changes[name], func(s *listRestart, entry map[string]any) {
+					if outage > 0 {
+						s.stopCoordinator()
+					}
+					s.start(1)
+					if outage > 0 {
+						time.Sleep(outage)
+						s.startCoordinator()
+					}
+					s.waitEntry(entry)
+				})
 			})
 		}
 	}
 }
 
+// expectCallsStand establishes a call at a dispatcher that an event has changed, kills the program and requires that the call goes on after
+// the restart.
+func expectCallsStand(t *testing.T, change change, restart func(s *listRestart, entry map[string]any)) {
+	t.Helper()
+	s := newListRestart(t)
+	s.start(1)
+	s.establish(id(1), 0)
+	entry := change.apply(s)
+	s.publish(entry)
+	s.waitEntry(entry)
+	s.establish(id(2), change.cell)
+	s.kill()
+	restart(s, entry)
+	s.expectStands(id(2), change.key)
+	s.expectStands(id(1), "d0")
+}
+
 // TestCallsEndAtDispatchersOfLaterEvents guards against a call that is kept after a restart although its dispatcher was removed, moved or
 // restarted by the last event that is known: nobody would tell its end.
 func TestCallsEndAtDispatchersOfLaterEvents(t *testing.T) {
--- a/internal/call/outcomes.go
+++ b/internal/call/outcomes.go
@@ -118,16 +118,19 @@
 
 // DispatcherFailed handles the failure of a dispatcher. Its calls were cut, which it cannot report itself.
 func (c *Core) DispatcherFailed(server control.ServerID) {
-	ids := slices.Sorted(c.EstablishedAt(server))
-	if len(ids) > 0 {
-		endlog.Dispatcher(c.log, endlog.DispatcherPresumedGone, string(server), slog.Int("calls", len(ids)))
+	c.CallsFailed(server, slices.Sorted(c.EstablishedAt(server)))
+}
+
+// CallsFailed ends established calls whose dispatcher has failed.
+func (c *Core) CallsFailed(server control.ServerID, ids []string) {
+	if len(ids) == 0 {
+		return
 	}
+	endlog.Dispatcher(c.log, endlog.DispatcherPresumedGone, string(server), slog.Int("calls", len(ids)))
 	for _, id := range ids {
 		c.terminate(c.calls[id], CauseTemporary, nil)
 	}
-	if len(ids) > 0 {
-		c.log.Warn("dispatcher failed with established calls", "server", server, "calls", len(ids))
-	}
+	c.log.Warn("dispatcher failed with established calls", "server", server, "calls", len(ids))
 }
 
 // EstablishedAt returns the ids of the calls that are established at a dispatcher, in no particular order.
--- a/internal/call/recover.go
+++ b/internal/call/recover.go
@@ -129,34 +129,6 @@
 	c.recentlyTerminated.addRecovered(k)
 }
 
-// verifyRecovered checks recovered established calls against the list once there is one, and releases calls that must
-// not be established.
-func (c *Core) verifyRecovered() {
-	if !c.listReceived {
-		return
-	}
-	for _, k := range c.pendingReleases {
-		c.selection.includeForRelease(k.server)
-		c.dispatchers.Release("", k.ID, CauseNormal) // at all dispatchers: the last known one may not be the only one
-	}
-	c.pendingReleases = nil
-	unverified := c.unverified
-	c.unverified = nil
-	for _, k := range unverified {
-		if k.state != established || k.restored == nil {
-			continue
-		}
-		entry, listed := c.listedServer(k.server)
-		if ok, why := k.restored.MayStillBeEstablished(recovery.ListEntry{Address: entry.Address, Started: entry.StartedAt, Listed: listed}); !ok {
-			c.log.Info("call of the previous process is cut", "id", k.ID, "server", k.server, "why", why)
-			c.recovered.Cut++
-			c.terminate(k, CauseTemporary, nil)
-			continue
-		}
-		c.selection.retain(k.server)
-	}
-}
-
 // cancelUnlessResumed cancels a pending call unless its caller resumes it in time.
 func (c *Core) cancelUnlessResumed(k *record, d time.Duration) {
 	// The end is the answer to a later resume request.
--- a/internal/dispatchers/dispatchers.go
+++ b/internal/dispatchers/dispatchers.go
@@ -78,6 +78,11 @@
 	LoadReported(server control.ServerID, report []float64)
 	// DispatcherFailed reports that a dispatcher has stopped or counts as lost.
 	DispatcherFailed(server control.ServerID)
+	// CallsFailed is like DispatcherFailed, for some of the calls that are established at a dispatcher.
+	CallsFailed(server control.ServerID, ids []string)
+	// ContinuesAt reports whether a call is known to be established at the very process of a dispatcher that its new entry of the list
+	// describes.
+	ContinuesAt(entry call.Server, id string) bool
 	// EstablishedCount returns the number of calls established at a dispatcher.
 	EstablishedCount(server control.ServerID) int
 	// EstablishedAt returns the ids of those calls.
--- a/internal/dispatchers/list.go
+++ b/internal/dispatchers/list.go
@@ -41,13 +41,7 @@
 		}
 		s.Server = entry
 		if restarted || moved {
-			// The calls ended with the old process, and its connections may still look open.
-			p.Log.Info("dispatcher restarted", "server", s.ID)
-			s.disconnect(errors.New("dispatcher restarted"))
-			s.releases = nil
-			s.forgetProcesses()
-			s.process++
-			p.core.DispatcherFailed(s.ID)
+			s.endFormerProcess()
 		}
 		if entry.Status != control.Removed {
 			for _, o := range p.byAddress[s.Address] { // a new dispatcher may have the address of a removed one
@@ -80,6 +74,19 @@
 	}
 }
 
+// endFormerProcess ends the calls of a process that the list has replaced, whose connections may still look open. Calls that are known to be
+// at the process which the list has now go on: those of an earlier process of the controller, whose list was newer.
+func (s *server) endFormerProcess() {
+	s.pool.Log.Info("dispatcher restarted", "server", s.ID)
+	core := s.pool.core
+	ended := slices.DeleteFunc(slices.Sorted(core.EstablishedAt(s.ID)), func(id string) bool { return core.ContinuesAt(s.Server, id) })
+	s.abandonAll(errors.New("dispatcher restarted"), ended)
+	s.releases = nil
+	s.forgetProcesses()
+	s.process++
+	core.CallsFailed(s.ID, ended)
+}
+
 // removeAddress removes a dispatcher from the index by address.
 func (p *Pool) removeAddress(s *server) {
 	rest := slices.DeleteFunc(p.byAddress[s.Address], func(o *server) bool { return o == s })
--- a/internal/dispatchers/release.go
+++ b/internal/dispatchers/release.go
@@ -105,11 +105,11 @@
 }
 
 // collectReleases returns the releases of the calls that are known to be at the dispatcher: those that wait for a connection, and those
-// of the established calls, which are about to be reported as ended.
-func (s *server) collectReleases() []release {
+// of the given established calls, which are about to be reported as ended.
+func (s *server) collectReleases(established []string) []release {
 	collected := slices.DeleteFunc(s.releases, func(r release) bool { return !r.knownHere })
 	s.releases = nil
-	for _, id := range slices.Sorted(s.pool.core.EstablishedAt(s.ID)) {
+	for _, id := range established {
 		collected = append(collected, release{id: id, cause: call.CauseTemporary, knownHere: true, process: s.processOf(id)})
 	}
 	return collected
--- a/internal/dispatchers/server.go
+++ b/internal/dispatchers/server.go
@@ -149,8 +149,13 @@
 // disconnect abandons all connections, fails the open attempts and releases the established calls. The dispatcher may still run without
 // listening: its connections are read for a while longer. If no connection is open, the releases wait for one.
 func (s *server) disconnect(reason error) {
+	s.abandonAll(reason, slices.Sorted(s.pool.core.EstablishedAt(s.ID)))
+}
+
+// abandonAll is like disconnect, but releases the given established calls only.
+func (s *server) abandonAll(reason error, established []string) {
 	latest := s.latestConn()
-	toRelease := s.collectReleases()
+	toRelease := s.collectReleases(established)
 	if len(s.conns)+len(toRelease) > 0 {
 		s.logGivenUp(reason, len(toRelease))
 		s.logStep(endlog.AllConnectionsAbandoned, reason)
