Cut no recovered call because of a list that is older than it

After a restart with a ledger, or a takeover, callers were told that calls were over which stood, as the list did not name their dispatcher yet or had it at its former address; releases missed it.

Cause: the first list counted as the whole truth, however old: the known events of a file that nobody wrote anew, or the list of a controller whose source was silent.

Change: sources confirm the time up to which the list is complete (Core.ListConfirmed), and only a list that is current up to the call's last event, a removal or a later start shows that a call is over (recovery.Call.Verify). At an unlisted dispatcher the controller connects to where the call was set up; where another process is in its place, the call waits 5 s for a current list.

Evidence: real processes, each failing on and passing here: TestCallsStandAsTheListCatchesUp (added, moved), TestCallsStandWithoutTheCoordinator, TestReleasesReachDispatchersOfLaterEvents (in the stream), TestATakenOverCallStandsAtAnUnlistedDispatcher. What must still be told as over, also without the coordinator: TestCallsEndAtDispatchersOfLaterEvents, TestVerify, TestMisplacedCalls.

TestMayStillBeEstablished has got a field more in its literals, as the type has one; it checks the same.

--- a/cmd/cherryrelay/fleet.go
+++ b/cmd/cherryrelay/fleet.go
@@ -58,13 +58,16 @@
 	}
 	apply := n.lists.UpdateHandler(decide.FromEtcd)
 	if n.fleet != nil && slices.Equal(c.Etcd.Endpoints, c.Fleet.Endpoints) {
-		go etcd.NewWithClient(n.fleet.client, c.Etcd.Prefix, n.log, apply).Run(ctx)
+		list := etcd.NewWithClient(n.fleet.client, c.Etcd.Prefix, n.log, apply)
+		list.OnCaughtUp(n.confirmList)
+		go list.Run(ctx)
 		return nil
 	}
 	list, err := etcd.New(*c.Etcd, n.log, apply)
 	if err != nil {
 		return err //nolint:wrapcheck // the error names its source
 	}
+	list.OnCaughtUp(n.confirmList)
 	go list.Run(ctx)
 	return nil
 }
--- a/cmd/cherryrelay/fleet_test.go
+++ b/cmd/cherryrelay/fleet_test.go
@@ -27,6 +27,7 @@
 type fleetFixture struct {
 	*testing.T
 	*trial.Cluster
+	directory       string // holds a directory for each controller
 	checker         trial.FleetChecker
 	expectViolation bool // violations are expected
 }
@@ -45,7 +46,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &fleetFixture{T: t, Cluster: g}
+	s := &fleetFixture{T: t, Cluster: g, directory: o.Directory}
 	for _, c := range g.Controllers {
 		s.must(c.Start())
 	}
--- a/cmd/cherryrelay/node.go
+++ b/cmd/cherryrelay/node.go
@@ -8,6 +8,7 @@
 	"net/url"
 	"slices"
 	"sync"
+	"time"
 
 	dto "github.com/prometheus/client_model/go"
 
@@ -113,6 +114,9 @@
 			err = errors.Join(err, incomplete.close())
 		}
 	}()
+	if c.Coordinator != "" || c.Etcd != nil || c.Pool != nil {
+		core.AwaitListConfirmation()
+	}
 	if c.Pool != nil {
 		if err := n.startPoolFile(ctx); err != nil {
 			return nil, err
@@ -148,6 +152,7 @@
 		log.Info("serving operators", "address", n.manage.Address())
 	}
 	n.list = coordinator.New(c.Coordinator, c.Known.Index, log, keeper.UpdateHandler(decide.FromCoordinator))
+	n.list.OnCaughtUp(n.confirmList)
 	loop.AddIdleCheck(n.list.AllDelivered)
 	go n.list.Run(ctx)
 	if err := n.followStore(ctx); err != nil {
@@ -163,7 +168,7 @@
 // startPoolFile activates the pool file, or the last valid set if the file is invalid, and follows the file.
 func (n *node) startPoolFile(ctx context.Context) error {
 	o := *n.config.Pool
-	n.files = files.New(o, n.log, func(c decide.Candidate) { n.lists.Apply(c) })
+	n.files = files.New(o, n.log, func(c decide.Candidate) { n.applyPoolFile(c) })
 	if s := n.config.State; s != nil {
 		// The stored set is restored before a valid file, too: only the servers that the file adds to it get a cold start.
 		switch m, err := stored.Load(s.Directory, o.File); {
@@ -177,7 +182,7 @@
 		n.store = stored.Open(s.Directory, o.File, n.log)
 		n.lists.SetStore(n.store)
 	}
-	v := n.lists.Apply(n.files.ReadInitial())
+	v := n.applyPoolFile(n.files.ReadInitial())
 	switch {
 	case !v.Accepted && !n.lists.HasSet():
 		more := ""
@@ -193,6 +198,21 @@
 	return nil
 }
 
+// applyPoolFile applies a pool file that has just been read. A valid one is the whole list; without one the list may be old.
+func (n *node) applyPoolFile(c decide.Candidate) decide.Verdict {
+	v := n.lists.Apply(c)
+	if v.Accepted {
+		n.confirmList(time.Now())
+	}
+	return v
+}
+
+// confirmList reports to the core that the list contains everything that its source had at a time. Any goroutine may call it, after the
+// updates that it has received by then.
+func (n *node) confirmList(at time.Time) {
+	n.loop.Post(func() { n.core.ListConfirmed(time.Duration(at.UnixNano())) })
+}
+
 func (n *node) openFront(address string, format func() callers.Format) (*callers.Front, error) {
 	listener, err := n.upgrade.listener(address)
 	if err != nil {
--- a/cmd/cherryrelay/recovered_list_test.go
+++ b/cmd/cherryrelay/recovered_list_test.go
@@ -28,13 +28,16 @@
 // listRestart is the program with a ledger on the platform: its list comes from the known events of its file, and from a coordinator.
 type listRestart struct {
 	*process
-	checker     *trial.CallChecker
-	coordinator *eventServer
-	listening   *httptest.Server // the coordinator's; nil while it is down
-	entries     []map[string]any // the first event
-	events      [][]map[string]any
-	d           map[string]*trial.Dispatcher // by name and number of the process, such as d1 and d1b
-	caller      *peer.Caller                 // the one that is told ends after the restart; nil if it has no connection
+	checker           *trial.CallChecker
+	coordinator       *eventServer
+	listening         *httptest.Server // the coordinator's; nil while it is down
+	entries           []map[string]any // the first event
+	events            [][]map[string]any
+	d                 map[string]*trial.Dispatcher // by name and number of the process, such as d1 and d1b
+	handoverDirectory string                       // where the process and its successor meet
+	withoutLedger     bool
+	operator          string       // further sections of the operator's file
+	caller            *peer.Caller // the one that is told ends after the restart; nil if it has no connection
 }
 
 // newListRestart prepares the program with the dispatchers d0 and d1, each in a cell of its own, as the first event.
@@ -47,6 +50,10 @@
 			s.kill()
 		}
 	})
+	var err error
+	s.handoverDirectory, err = os.MkdirTemp("", "handover") // the paths of Unix sockets must be short
+	s.must(err)
+	t.Cleanup(func() { _ = os.RemoveAll(s.handoverDirectory) })
 	for i, name := range []string{"d0", "d1"} {
 		s.entries = append(s.entries, listEntry(name, s.dispatcher(name, name).Address(), "active", i))
 	}
@@ -101,11 +108,20 @@
 	s.coordinator.publish(s.T, changes...)
 }
 
+// change publishes a change of the list, waits until the program has it, and returns its entry.
+func (s *listRestart) change(c change) map[string]any {
+	s.Helper()
+	entry := c.apply(s)
+	s.publish(entry)
+	s.waitEntry(entry)
+	return entry
+}
+
 // start starts the program with the first events of the list in its file, and waits until it is ready.
 func (s *listRestart) start(known int) {
 	s.Helper()
 	s.writeFiles(known)
-	s.launchWith("LB_CONFIG="+filepath.Join(s.directory, platformConfig), "LB_LISTEN="+s.lines, "LB_MANAGEMENT="+s.management)
+	s.launchWith("LB_CONFIG="+filepath.Join(s.directory, platformConfig), "LB_LISTEN="+s.lines, "LB_MANAGEMENT="+s.management, "TMPDIR="+s.handoverDirectory)
 	s.waitReady()
 }
 
@@ -128,7 +144,10 @@
 	text, err = jsoniter.Marshal(c)
 	s.must(err)
 	s.must(os.WriteFile(filepath.Join(s.directory, platformConfig), text, 0o600))
-	operator := "[ledger]\ndirectory = ledger\nlines = true\n"
+	operator := s.operator
+	if !s.withoutLedger {
+		operator += "[ledger]\ndirectory = ledger\nlines = true\n"
+	}
 	s.must(os.WriteFile(filepath.Join(s.directory, "operator.ini"), []byte(operator), 0o600))
 }
 
@@ -245,25 +264,31 @@
 	for name, change := range changes {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			expectCallsStand(t, change, func(s *listRestart, _ map[string]any) { s.start(2) })
+			s := newListRestart(t)
+			s.expectCallsStand(change, func(map[string]any) { s.start(2) })
 		})
 	}
 }
 
 // TestCallsStandAsTheListCatchesUp guards against calls that are told as over after a restart, because the list of the file is older than
-// they are: the stream tells of the restart of their dispatcher.
+// they are: the stream tells of their dispatcher, of its move or of its restart.
 func TestCallsStandAsTheListCatchesUp(t *testing.T) {
-	for _, name := range []string{"restarted"} {
-		for variant, outage := range map[string]time.Duration{"at once": 0, "late": 1500 * time.Millisecond} {
+	for _, name := range []string{"added", "moved", "restarted"} {
+		for variant, play := range map[string]struct {
+			outage   time.Duration // of the coordinator, from before the restart
+			operator string        // a section of the operator's file
+		}{"at once": {}, "late": {outage: 1500 * time.Millisecond}, "late, with a subset": {1500 * time.Millisecond, "[subset]\nsize = 1\n"}} {
 			t.Run(name+" "+variant, func(t *testing.T) {
 				t.Parallel()
-				expectCallsStand(t, changes[name], func(s *listRestart, entry map[string]any) {
-					if outage > 0 {
+				s := newListRestart(t)
+				s.operator = play.operator
+				s.expectCallsStand(changes[name], func(entry map[string]any) {
+					if play.outage > 0 {
 						s.stopCoordinator()
 					}
 					s.start(1)
-					if outage > 0 {
-						time.Sleep(outage)
+					if play.outage > 0 {
+						time.Sleep(play.outage)
 						s.startCoordinator()
 					}
 					s.waitEntry(entry)
@@ -275,17 +300,14 @@
 
 // expectCallsStand establishes a call at a dispatcher that an event has changed, kills the program and requires that the call goes on after
 // the restart.
-func expectCallsStand(t *testing.T, change change, restart func(s *listRestart, entry map[string]any)) {
-	t.Helper()
-	s := newListRestart(t)
+func (s *listRestart) expectCallsStand(change change, restart func(entry map[string]any)) {
+	s.Helper()
 	s.start(1)
 	s.establish(id(1), 0)
-	entry := change.apply(s)
-	s.publish(entry)
-	s.waitEntry(entry)
+	entry := s.change(change)
 	s.establish(id(2), change.cell)
 	s.kill()
-	restart(s, entry)
+	restart(entry)
 	s.expectStands(id(2), change.key)
 	s.expectStands(id(1), "d0")
 }
@@ -299,7 +321,10 @@
 	}}
 	restarted := change{apply: func(s *listRestart) map[string]any { return s.restarted(time.Now()) }}
 	for name, change := range map[string]change{"removed": removed, "moved": changes["moved"], "restarted": restarted} {
-		for variant, known := range map[string]int{"in the file": 3, "in the stream": 2} {
+		for variant, play := range map[string]struct {
+			known              int // events in the file
+			withoutCoordinator bool
+		}{"in the file": {3, false}, "in the stream": {2, false}, "in the file alone": {3, true}} {
 			t.Run(name+" "+variant, func(t *testing.T) {
 				t.Parallel()
 				s := newListRestart(t)
@@ -309,7 +334,10 @@
 				s.establish(id(2), 1)
 				s.kill()
 				s.publish(change.apply(s))
-				s.start(known)
+				if play.withoutCoordinator {
+					s.stopCoordinator()
+				}
+				s.start(play.known)
 				s.expectOver(id(2))
 				s.expectStands(id(1), "d0")
 			})
@@ -332,17 +360,32 @@
 	s.expectStands(id(1), "d0")
 }
 
+// TestCallsStandWithoutTheCoordinator guards against a call that is told as over because its dispatcher is missing from the file, while the
+// coordinator, which knows it, cannot be reached.
+func TestCallsStandWithoutTheCoordinator(t *testing.T) {
+	t.Parallel()
+	s := newListRestart(t)
+	s.start(1)
+	s.change(changes["added"])
+	s.establish(id(1), 2)
+	s.establish(id(2), 2)
+	s.kill()
+	s.stopCoordinator()
+	s.start(1)
+	s.expectStands(id(1), "d2")
+	s.d["d2"].Kill() // its connections are reset, and new ones are refused
+	s.expectOver(id(2))
+}
+
 // TestReleasesReachDispatchersOfLaterEvents guards against a call that stands for good at a dispatcher which a later event has added: its
 // answer was not read before the kill, and after the restart it was released at the dispatchers of the first event alone.
 func TestReleasesReachDispatchersOfLaterEvents(t *testing.T) {
-	for variant, known := range map[string]int{"in the file": 2} {
+	for variant, known := range map[string]int{"in the file": 2, "in the stream": 1} {
 		t.Run(variant, func(t *testing.T) {
 			t.Parallel()
 			s := newListRestart(t)
 			s.start(1)
-			entry := changes["added"].apply(s)
-			s.publish(entry)
-			s.waitEntry(entry)
+			s.change(changes["added"])
 			s.d["d2"].SetBehavior(false, true)
 			s.checker.CallPlaced(id(1), time.Now())
 			s.must(s.connect().SetUp(id(1), 8*time.Second, 2, "x"))
--- a/cmd/cherryrelay/takeover_test.go
+++ b/cmd/cherryrelay/takeover_test.go
@@ -3,11 +3,16 @@
 import (
 	"errors"
 	"os"
+	"path/filepath"
+	"slices"
 	"sync"
 	"testing"
 	"time"
 
+	"cherryrelay/internal/decide/pool"
 	"cherryrelay/internal/jsonl"
+	"cherryrelay/internal/lists"
+	"cherryrelay/internal/lists/poolfile"
 	"cherryrelay/internal/peer"
 	"cherryrelay/internal/takeover"
 	"cherryrelay/internal/trial"
@@ -307,3 +312,52 @@
 		t.Errorf("%d set-ups, want one; violations %v, left %v", setUps, violations, s.checker.Remaining())
 	}
 }
+
+// TestATakenOverCallStandsAtAnUnlistedDispatcher guards against a call that is told as over by the controller that has taken it over, as
+// that one's list does not name its dispatcher yet.
+func TestATakenOverCallStandsAtAnUnlistedDispatcher(t *testing.T) {
+	t.Parallel()
+	s := newTakeoverFixture(t, 2, 0, "tcp")
+	n1, n2, d3 := s.Controllers[0], s.Controllers[1], s.dispatchers[2]
+	for _, d := range s.dispatchers {
+		d.SetBehavior(true, false)
+	}
+	s.removeFromList(n1, d3.Name)
+	var at int
+	s.waitUntil("a call is established at d3", func() bool {
+		at++
+		s.expect(s.placeCall(n2, id(at)), "answer")
+		return s.checker.EstablishedAt(id(at)) == d3.Name
+	})
+	s.must(n2.Kill())
+	s.waitSealed("n2", n1)
+	second := s.resume(n1, id(at), trial.Token(id(at)), true)
+	s.expectNothing(second)
+	d3.EndCall(id(at))
+	if m := s.expect(second, "release"); m.CauseOr(0) != 16 {
+		t.Errorf("the caller got %+v", m)
+	}
+}
+
+// removeFromList removes a dispatcher from the pool file of a controller.
+func (s *takeoverFixture) removeFromList(c *trial.Controller, dispatcher string) {
+	s.Helper()
+	path := filepath.Join(s.directory, c.Name, "pool.ini")
+	text, err := os.ReadFile(path)
+	s.must(err)
+	members := slices.DeleteFunc(poolfile.Parse(text, nil).Servers, func(m pool.Member) bool { return string(m.ID) == dispatcher })
+	s.must(os.WriteFile(path+".new", poolfile.Encode("without "+dispatcher, members), 0o600))
+	s.must(os.Rename(path+".new", path))
+	s.waitUntil(c.Name+" has the new list", func() bool {
+		var state lists.State
+		_, err := c.Get(lists.StatePath, &state)
+		return err == nil && state.Servers == len(members)
+	})
+}
+
+// expectNothing requires that a caller has got no message by the answer to a ping.
+func (s *takeoverFixture) expectNothing(c *peer.Caller) {
+	s.Helper()
+	s.must(c.Send(jsonl.Message{Type: "ping", ID: id(0)}))
+	s.expect(c, "pong")
+}
--- a/internal/call/core.go
+++ b/internal/call/core.go
@@ -77,6 +77,8 @@
 	ambiguous            *ambiguousEnd  // the end of the call or of an earlier attempt
 	heldByEarlierAttempt bool           // the dispatcher of the attempt in progress may hold the call by an earlier attempt
 	restored             *recovery.Call // the call as the recovery has restored it; nil for other calls
+	misplaced            bool           // the list, which may be older than the call, has another process in the place of its dispatcher's
+	undecidedTimer       *Timer         // ends the wait for a current list
 }
 
 // Core is the protocol-independent call controller. Its methods must run on its event loop.
@@ -117,8 +119,10 @@
 	knownServers        map[control.ServerID]Server
 	selection           *selection      // nil if all dispatchers of the list are connected to
 	waitingResumes      []ResumeRequest // received while a predecessor has the ledger
-	pendingReleases     []*record       // calls of the previous process to be released once there is a list
-	unverified          []*record       // established calls of the previous process to be verified once there is a list
+	listConfirmedAt     time.Duration   // the list is known to be complete up to this Unix time
+	pendingReleases     []*pendingRelease
+	unverified          []*record                   // established calls of other processes to be checked against the list
+	adoptedDispatchers  map[control.ServerID]string // addresses of unlisted dispatchers that unverified calls are established at
 	recovered           RecoveryStatus
 	awaitsLedger        bool
 	metricSources       []func() []*dto.MetricFamily // metrics of other components
@@ -142,6 +146,7 @@
 		pendingByCaller: map[Caller]map[string]*record{}, establishedByCaller: map[Caller]int{},
 		serverStatus: map[control.ServerID]control.ServerStatus{}, startedAt: time.Now(),
 		setUpCounts: map[control.ServerID]setUpCount{}, endCounts: map[receivedEnd]uint64{},
+		listConfirmedAt: alwaysConfirmed, adoptedDispatchers: map[control.ServerID]string{},
 	}
 	c.unknownCaller, c.orphanCaller, c.knownServers = &unknownCaller{c}, &orphanCaller{unknownCaller{c}}, map[control.ServerID]Server{}
 	c.LimitMemory(0)
--- a/internal/call/ledger_writer.go
+++ b/internal/call/ledger_writer.go
@@ -256,7 +256,7 @@
 		LastEventAt: now, Attempts: k.attempts, AttemptInProgress: k.attemptInProgress, Server: string(k.server),
 		MayHaveRun: !k.firstRunAt.IsZero(),
 	}
-	if entry, _ := c.listedServer(k.server); entry.Address != "" {
+	if entry, _ := c.listedServer(k.server); entry.Address != "" && !k.misplaced {
 		r.Address, r.ServerStarted = entry.Address, entry.StartedAt
 	} else if k.restored != nil {
 		r.Address, r.ServerStarted = k.restored.Address, k.restored.ServerStarted
--- a/internal/call/list.go
+++ b/internal/call/list.go
@@ -11,39 +11,44 @@
 // Update applies a list of dispatchers, or changes to it.
 func (c *Core) Update(u Update) {
 	if !c.selection.update(u) {
-		c.applyUpdate(u)
+		c.receiveUpdate(u)
 	}
 }
 
-// applyUpdate passes an update on to the module and the connections.
-func (c *Core) applyUpdate(u Update) {
-	named := map[control.ServerID]bool{}
+// receiveUpdate applies an update that the list has received, and checks the calls of other processes against it.
+func (c *Core) receiveUpdate(u Update) { c.verifyRecovered(c.applyUpdate(u)) }
+
+// applyUpdate passes an update on to the module and the connections. It returns the entries that the update names or removes.
+func (c *Core) applyUpdate(u Update) (changed map[control.ServerID]Server) {
+	named := map[control.ServerID]Server{}
 	entries := make([]control.ServerEntry, 0, len(u.Servers))
 	for _, s := range u.Servers {
-		named[s.ID] = true
 		entries = append(entries, s.ServerEntry)
 		if s.Address == "" {
 			s.Address = c.knownServers[s.ID].Address
 		}
+		named[s.ID] = s
 		c.knownServers[s.ID] = s
+		delete(c.adoptedDispatchers, s.ID)
 		c.setStatus(s.ID, s.Status) // also drops the entry of a removed dispatcher
 	}
 	if u.Complete {
 		var removed []control.ServerID
 		for id := range c.serverStatus {
-			if !named[id] {
+			if _, ok := named[id]; !ok {
 				removed = append(removed, id)
 			}
 		}
 		slices.Sort(removed)
 		for _, id := range removed {
 			c.setStatus(id, control.Removed)
+			named[id] = Server{ServerEntry: control.ServerEntry{ID: id, Status: control.Removed}}
 		}
 		c.listReceived = true
 	}
 	c.dispatchers.Update(u)
 	c.queueEvent(control.ListReceived{Entries: entries, Whole: u.Complete})
-	c.verifyRecovered()
+	return named
 }
 
 // setStatus records the status of a dispatcher in the list, and drops what is kept of a removed one.
--- a/internal/call/outcomes.go
+++ b/internal/call/outcomes.go
@@ -133,11 +133,11 @@
 	c.log.Warn("dispatcher failed with established calls", "server", server, "calls", len(ids))
 }
 
-// EstablishedAt returns the ids of the calls that are established at a dispatcher, in no particular order.
+// EstablishedAt returns the ids of the calls that are established at the listed process of a dispatcher, in no particular order.
 func (c *Core) EstablishedAt(server control.ServerID) iter.Seq[string] {
 	return func(yield func(string) bool) {
 		for id, k := range c.calls {
-			if k.state == established && k.server == server && !yield(id) {
+			if k.state == established && k.server == server && !k.misplaced && !yield(id) {
 				return
 			}
 		}
@@ -156,7 +156,7 @@
 // EachEstablished calls f with the dispatcher of each established call, in no particular order.
 func (c *Core) EachEstablished(f func(server control.ServerID)) {
 	for _, k := range c.calls {
-		if k.state == established {
+		if k.state == established && !k.misplaced {
 			f(k.server)
 		}
 	}
--- a/internal/call/recover.go
+++ b/internal/call/recover.go
@@ -58,7 +58,7 @@
 	for _, text := range damage {
 		c.log.Error("the state of calls is damaged", "damage", text)
 	}
-	c.verifyRecovered()
+	c.verifyRecovered(nil)
 }
 
 // recover restores a call of another process by the decision on it.
@@ -87,7 +87,7 @@
 	endlog.Call(c.log, endlog.Recovered, d.ID, endlog.Server(d.Server), slog.String("act", action.String()))
 	c.calls[d.ID] = k
 	if d.MustRelease {
-		c.pendingReleases = append(c.pendingReleases, k)
+		c.pendingReleases = append(c.pendingReleases, &pendingRelease{Call: d.Call})
 	}
 	switch action {
 	case recovery.AwaitResume:
--- a/internal/call/requests.go
+++ b/internal/call/requests.go
@@ -147,7 +147,7 @@
 		c.close(k)
 	case k.state == established:
 		endlog.Call(c.log, endlog.TerminatedByCaller, id, endlog.Server(k.server), slog.Int("cause", cause))
-		c.dispatchers.Release(k.server, id, cause)
+		c.releaseAtDispatcher(k, cause)
 		c.queueEvent(control.AttemptEnded{ID: control.CallID(id), Server: k.server, Attempt: k.attempts - 1,
 			Outcome: control.Cancelled, CallOver: true})
 		if k.Caller != caller {
@@ -254,7 +254,7 @@
 		}
 	}
 	c.stopTimers(k)
-	k.state, k.attemptInProgress, k.terminatedAt = terminated, false, time.Now()
+	k.state, k.attemptInProgress, k.misplaced, k.terminatedAt = terminated, false, false, time.Now()
 	k.Caller, k.Description, k.answer, k.restored, k.tried, k.earlyEnd, k.ambiguous = nil, "", "", nil, nil, nil, nil
 	c.retain(k)
 }
@@ -264,7 +264,8 @@
 	c.loop.Stop(k.attemptTimer)
 	c.loop.Stop(k.deadlineTimer)
 	c.loop.Stop(k.orphanTimer)
-	k.attemptTimer, k.deadlineTimer, k.orphanTimer = nil, nil, nil
+	c.loop.Stop(k.undecidedTimer)
+	k.attemptTimer, k.deadlineTimer, k.orphanTimer, k.undecidedTimer = nil, nil, nil, nil
 	if k.earlyEnd != nil {
 		c.loop.Stop(k.earlyEnd.timer)
 	}
--- a/internal/call/selection.go
+++ b/internal/call/selection.go
@@ -60,6 +60,7 @@
 	named       map[control.ServerID]bool
 	absentKnown bool               // absent has been computed
 	absent      []control.ServerID // listed servers that a complete list does not name
+	applied     func()             // called when the change has been applied and announced, unless it is nil
 }
 
 // UseSubset makes the core connect to a subset of the list only. It must be called before the first list arrives; the
@@ -111,6 +112,28 @@
 	return true
 }
 
+// afterUpdates calls f once the updates that have arrived are applied.
+func (s *selection) afterUpdates(f func()) {
+	if s == nil || len(s.queue) == 0 {
+		f()
+		return
+	}
+	s.queue = append(s.queue, &listChange{applied: f})
+}
+
+// hasAddress reports whether an entry of the list has the address.
+func (s *selection) hasAddress(address string) bool {
+	if s == nil {
+		return false
+	}
+	for _, entry := range s.entries {
+		if entry.Address == address {
+			return true
+		}
+	}
+	return false
+}
+
 // announcedFirst moves the entries of announced dispatchers to the front, so that a drain does not wait behind thousands
 // of others.
 func (s *selection) announcedFirst(servers []Server) []Server {
@@ -164,20 +187,28 @@
 		s.announced[id] = true
 	}
 	s.listApplied = s.listApplied || u.Complete
-	s.core.applyUpdate(u)
+	s.core.receiveUpdate(u)
 	s.updateNodes()
 }
 
 // processQueue applies queued updates for at most sliceTime, and schedules the rest for the next iteration.
 func (s *selection) processQueue() {
 	deadline := time.Now().Add(sliceTime)
+	var applied []func()
 	for len(s.queue) > 0 && s.advance(s.queue[0], deadline) {
 		s.listApplied = s.listApplied || s.queue[0].Complete
+		if f := s.queue[0].applied; f != nil {
+			applied = append(applied, f)
+		}
 		s.queue = s.queue[1:]
 	}
 	if s.core.listReceived || s.listApplied || len(s.queue) == 0 {
 		s.announceChanges()
 	}
+	s.core.verifyRecovered(nil) // of dispatchers outside the subset nothing was announced
+	for _, f := range applied {
+		f()
+	}
 	if len(s.queue) > 0 {
 		s.core.loop.Post(s.processQueue)
 	}
@@ -269,7 +300,7 @@
 		u = s.firstList()
 	}
 	if u.Complete || len(u.Servers) > 0 {
-		s.core.applyUpdate(u)
+		s.core.receiveUpdate(u)
 	}
 	s.updateNodes()
 }
--- a/internal/call/transfer.go
+++ b/internal/call/transfer.go
@@ -135,7 +135,7 @@
 	endlog.Call(c.log, endlog.TransferredIn, id, endlog.Server(k.server))
 	c.persistCall(k)
 	t.persisted = append(t.persisted, id)
-	c.verifyRecovered()
+	c.verifyRecovered(nil)
 	if k.state == established { // its end may have been sent to the failed controller, which notified nobody
 		c.dispatchers.Reconnect(k.server)
 	}
--- a/internal/call/verify.go
+++ b/internal/call/verify.go
@@ -1,34 +1,187 @@
 package call
 
-import "cherryrelay/internal/decide/recovery"
+import (
+	"math"
+	"time"
 
-// This file checks the calls of other processes against the list of dispatchers.
+	"cherryrelay/control"
+	"cherryrelay/internal/decide/recovery"
+)
 
-// verifyRecovered checks recovered established calls against the list once there is one, and releases calls that must
-// not be established.
-func (c *Core) verifyRecovered() {
+// This file checks the calls of other processes against the list of dispatchers. The list may be older than a call: then its source has yet
+// to report the process at which the call is established.
+
+const (
+	// alwaysConfirmed is the confirmation time of a list whose source gives none.
+	alwaysConfirmed time.Duration = math.MaxInt64
+	// undecidedTimeout is how long an undecided call is kept that no dispatcher can be asked about. Its end may stay unreported for 8 s.
+	undecidedTimeout = 5 * time.Second
+)
+
+// pendingRelease is a call of another process that must not be established anywhere.
+type pendingRelease struct {
+	*recovery.Call
+	everywhere bool // it was released at all dispatchers that were listed by then
+}
+
+// AwaitListConfirmation makes calls of other processes wait for ListConfirmed before they count as ended because the list lacks their
+// dispatchers. It must be called before the first list arrives.
+func (c *Core) AwaitListConfirmation() { c.listConfirmedAt = 0 }
+
+// ListConfirmed reports that the list contains everything that its source had at the given Unix time.
+func (c *Core) ListConfirmed(at time.Duration) {
+	c.selection.afterUpdates(func() {
+		c.listConfirmedAt = max(c.listConfirmedAt, at)
+		c.verifyRecovered(nil)
+	})
+}
+
+// verifyRecovered checks recovered established calls against the list once there is one, and releases calls that must not be established.
+// changed holds the entries of the update that the list has just received.
+func (c *Core) verifyRecovered(changed map[control.ServerID]Server) {
 	if !c.listReceived {
 		return
 	}
-	for _, k := range c.pendingReleases {
-		c.selection.includeForRelease(k.server)
-		c.dispatchers.Release("", k.ID, CauseNormal) // at all dispatchers: the last known one may not be the only one
-	}
-	c.pendingReleases = nil
+	c.sendPendingReleases(changed)
 	unverified := c.unverified
 	c.unverified = nil
 	for _, k := range unverified {
-		if k.state != established || k.restored == nil {
-			continue
-		}
-		entry, listed := c.listedServer(k.server)
-		if ok, why := k.restored.MayStillBeEstablished(recovery.ListEntry{Address: entry.Address, Started: entry.StartedAt, Listed: listed}); !ok {
-			c.log.Info("call of the previous process is cut", "id", k.ID, "server", k.server, "why", why)
-			c.recovered.Cut++
-			c.terminate(k, CauseTemporary, nil)
-			continue
+		if k.state == established && k.restored != nil {
+			c.verify(k, changed, c.listConfirmedAt)
 		}
+	}
+	if len(c.unverified) == 0 {
+		clear(c.adoptedDispatchers)
+	}
+}
+
+// verify checks an established call of another process against a list that is complete up to the time confirmedAt.
+func (c *Core) verify(k *record, changed map[control.ServerID]Server, confirmedAt time.Duration) {
+	entry := c.listEntryOf(k.server, changed)
+	verdict, why := k.restored.Verify(entry, confirmedAt)
+	switch verdict {
+	case recovery.StillEstablished:
+		c.setMisplaced(k, false)
 		c.selection.retain(k.server)
+	case recovery.Undecided:
+		c.unverified = append(c.unverified, k)
+		c.setMisplaced(k, entry.Listed || !c.adoptDispatcher(k.restored))
+	case recovery.Gone:
+		c.log.Info("call of the previous process is cut", "id", k.ID, "server", k.server, "why", why)
+		c.recovered.Cut++
+		if _, adopted := c.adoptedDispatchers[k.server]; adopted || entry.Removed {
+			c.dispatchers.Release(k.server, k.ID, CauseTemporary) // its process may run all the same
+		}
+		c.setMisplaced(k, false)
+		c.terminate(k, CauseTemporary, nil)
+	}
+}
+
+// setMisplaced records whether the list has another process in the place of the one at which a call is established. Such a call does not
+// depend on the connections to that process. If the list is not confirmed in time, it is taken to be current.
+func (c *Core) setMisplaced(k *record, misplaced bool) {
+	if k.misplaced == misplaced {
+		return
+	}
+	k.misplaced = misplaced
+	c.loop.Stop(k.undecidedTimer)
+	k.undecidedTimer = nil
+	if misplaced {
+		k.undecidedTimer = c.loop.After(undecidedTimeout, func() { c.verify(k, nil, alwaysConfirmed) })
+	}
+}
+
+// listEntryOf returns what the list, and the update that it has just received, say about a dispatcher.
+func (c *Core) listEntryOf(id control.ServerID, changed map[control.ServerID]Server) recovery.ListEntry {
+	if entry, listed := c.listedServer(id); listed {
+		return listEntry(entry)
+	}
+	entry, named := changed[id]
+	if named && entry.CallsContinue { // an operator has left it out, and its calls go on
+		return listEntry(entry)
+	}
+	return recovery.ListEntry{Removed: named}
+}
+
+// listEntry returns the entry of a dispatcher in the form that the recovery decisions use.
+func listEntry(entry Server) recovery.ListEntry {
+	return recovery.ListEntry{Address: entry.Address, Started: entry.StartedAt, Listed: true}
+}
+
+// adoptDispatcher connects to the dispatcher of a call that the list does not name, where the call was established: its connections show
+// whether the process runs, and bring the ends of its calls. It returns false if the address is not known, or is that of another
+// dispatcher.
+func (c *Core) adoptDispatcher(call *recovery.Call) bool {
+	id := control.ServerID(call.Server)
+	if address, adopted := c.adoptedDispatchers[id]; adopted {
+		return address == call.Address
+	}
+	if call.Address == "" || c.isListedAddress(call.Address) {
+		return false
+	}
+	c.adoptedDispatchers[id] = call.Address
+	c.log.Info("dispatcher of recovered calls is not listed", "server", id, "address", call.Address)
+	c.dispatchers.Update(Update{Servers: []Server{asRetained(Server{
+		ServerEntry: control.ServerEntry{ID: id, StartedAt: call.ServerStarted}, Address: call.Address,
+	})}})
+	return true
+}
+
+// isListedAddress reports whether a listed dispatcher has the address.
+func (c *Core) isListedAddress(address string) bool {
+	for _, entry := range c.knownServers {
+		if entry.Address == address {
+			return true
+		}
+	}
+	return c.selection.hasAddress(address)
+}
+
+// sendPendingReleases releases calls that must not be established: at all listed dispatchers, as the last known one may not be the only one,
+// and at the last known one if the list comes to name it, or does not name it yet.
+func (c *Core) sendPendingReleases(changed map[control.ServerID]Server) {
+	pending := c.pendingReleases
+	c.pendingReleases = nil
+	for _, r := range pending {
+		if c.sendPendingRelease(r, changed) {
+			c.pendingReleases = append(c.pendingReleases, r)
+		}
+	}
+}
+
+// sendPendingRelease releases a call, and reports whether it may have to be released at its last known dispatcher later.
+func (c *Core) sendPendingRelease(r *pendingRelease, changed map[control.ServerID]Server) (later bool) {
+	k, id := c.calls[r.ID], control.ServerID(r.Server)
+	if k == nil || r.everywhere && k.attempts > r.Attempts {
+		return false // a release would end the attempt that was made since
+	}
+	first := !r.everywhere
+	if first {
+		r.everywhere = true
+		c.selection.includeForRelease(id)
+		c.dispatchers.Release("", r.ID, CauseNormal)
+	}
+	if id == "" {
+		return false
+	}
+	entry := c.listEntryOf(id, changed)
+	verdict, _ := r.Verify(entry, c.listConfirmedAt)
+	switch {
+	case verdict == recovery.Gone || verdict == recovery.StillEstablished && first:
+		return false
+	case verdict == recovery.Undecided && (entry.Listed || !c.adoptDispatcher(r.Call)):
+		return true
+	}
+	c.dispatchers.Release(id, r.ID, CauseNormal)
+	return false
+}
+
+// releaseAtDispatcher releases an established call at its dispatcher, and once more if the list comes to name the process that it is
+// established at.
+func (c *Core) releaseAtDispatcher(k *record, cause int) {
+	c.dispatchers.Release(k.server, k.ID, cause)
+	if k.misplaced {
+		c.pendingReleases = append(c.pendingReleases, &pendingRelease{Call: k.restored, everywhere: true})
 	}
 }
 
@@ -42,8 +195,3 @@
 	ok, _ := k.restored.MayStillBeEstablished(listEntry(entry))
 	return ok
 }
-
-// listEntry returns the entry of a listed dispatcher in the form that the recovery decisions use.
-func listEntry(entry Server) recovery.ListEntry {
-	return recovery.ListEntry{Address: entry.Address, Started: entry.StartedAt, Listed: true}
-}
--- a/internal/call/verify_test.go
+++ b/internal/call/verify_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"cherryrelay/control"
 	"cherryrelay/internal/decide/recovery"
 )
@@ -39,3 +42,141 @@
 		}
 	}
 }
+
+// listRecorder is a recorder that also records the entries which the connections are told of without a list.
+type listRecorder struct{ *recorder }
+
+func (r listRecorder) Update(u Update) {
+	for _, e := range u.Servers {
+		if !u.Complete {
+			r.add("dispatcher %s at %s, calls continue: %v", e.ID, e.Address, e.CallsContinue)
+		}
+	}
+}
+
+// unlistedFixture has a recovered call at the dispatcher "b", and has received a list that may be older, with the given entries.
+func unlistedFixture(t *testing.T, id string, servers ...Server) (*Core, *recorder) {
+	t.Helper()
+	core := newFixture(t).core
+	r := &recorder{core: core}
+	core.SetDispatchers(listRecorder{r})
+	core.AddFront(recordingFront{r})
+	core.AwaitListConfirmation()
+	established := event(recovery.KindEstablished, id, core.now())
+	established.Server, established.Address = "b", "127.0.0.1:2"
+	offered := accepted(id, core.now())
+	offered.Token = nil // without one, nobody has to resume the call
+	b := recovery.NewCallTable()
+	b.Apply(offered)
+	b.Apply(event(recovery.KindAttemptSent, id, core.now()))
+	b.Apply(established)
+	core.Recover(b, nil)
+	core.Update(Update{Complete: true, Servers: servers})
+	return core, r
+}
+
+// TestCallsAtUnlistedDispatchers guards against calls that are cut because a list that may be older than they are does not name their
+// dispatcher, and against calls that are kept although a current list does not name it.
+func TestCallsAtUnlistedDispatchers(t *testing.T) {
+	const id = "00000000000000aa"
+	a := Server{ServerEntry: control.ServerEntry{ID: "a"}, Address: "127.0.0.1:1"}
+	b := Server{ServerEntry: control.ServerEntry{ID: "b"}, Address: "127.0.0.1:2"}
+	gone := withStatus(Server{ServerEntry: control.ServerEntry{ID: "b"}}, control.Removed)
+	const adopted, listed = "dispatcher b at 127.0.0.1:2, calls continue: true", "dispatcher b at 127.0.0.1:2, calls continue: false"
+	const released, over = "dispatchers release " + id, "front " + id + " 41 cut"
+	for name, test := range map[string]struct {
+		then func(core *Core)
+		want []string
+	}{
+		"nothing more is known":         {func(*Core) {}, []string{adopted}},
+		"confirmed as of an older time": {func(core *Core) { core.ListConfirmed(core.now() - time.Hour) }, []string{adopted}},
+		"confirmed":                     {func(core *Core) { core.ListConfirmed(core.now()) }, []string{adopted, released, over}},
+		"listed, then confirmed": {func(core *Core) {
+			core.Update(Update{Servers: []Server{b}})
+			core.ListConfirmed(core.now())
+		}, []string{adopted, listed}},
+		"removed":                   {func(core *Core) { core.Update(Update{Servers: []Server{gone}}) }, []string{adopted, "dispatcher b at , calls continue: false", released, over}},
+		"its dispatcher has failed": {func(core *Core) { core.DispatcherFailed("b") }, []string{adopted, over}},
+	} {
+		core, r := unlistedFixture(t, id, a)
+		test.then(core)
+		if diff := cmp.Diff(test.want, r.messages); diff != "" {
+			t.Errorf("%s (-want +got):\n%s", name, diff)
+		}
+	}
+}
+
+// TestMisplacedCalls guards against calls that end with another process that an older list has in the place of theirs, and against calls
+// that are kept for good as no source confirms the list.
+func TestMisplacedCalls(t *testing.T) {
+	const id = "00000000000000aa"
+	elsewhere := Server{ServerEntry: control.ServerEntry{ID: "b"}, Address: "127.0.0.1:3"}
+	taken := Server{ServerEntry: control.ServerEntry{ID: "c"}, Address: "127.0.0.1:2"}
+	moved := Server{ServerEntry: control.ServerEntry{ID: "b"}, Address: "127.0.0.1:2"}
+	over := []string{"front " + id + " 41 cut"}
+	for name, test := range map[string]struct {
+		entry Server
+		then  func(core *Core)
+		want  []string
+	}{
+		"the process in its place fails": {elsewhere, func(core *Core) { core.DispatcherFailed("b") }, nil},
+		"the list tells of its process": {elsewhere, func(core *Core) { core.Update(Update{Servers: []Server{moved}}) },
+			[]string{"dispatcher b at 127.0.0.1:2, calls continue: false"}},
+		"its caller ends it, then the list tells of its process": {elsewhere, func(core *Core) {
+			core.CallerReleased(core.orphanCaller, id, CauseTemporary)
+			core.Update(Update{Servers: []Server{moved}})
+		}, []string{"dispatchers release " + id, "dispatcher b at 127.0.0.1:2, calls continue: false", "dispatchers release " + id}},
+		"the list is current":                             {elsewhere, func(core *Core) { core.ListConfirmed(core.now()) }, over},
+		"the list is current, and its address is taken":   {taken, func(core *Core) { core.ListConfirmed(core.now()) }, over},
+		"its address is taken":                            {taken, func(*Core) {}, nil},
+		"the list is not confirmed in time":               {elsewhere, runUndecidedTimeout, over},
+		"the list is not confirmed, its address is taken": {taken, runUndecidedTimeout, over},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				core, r := unlistedFixture(t, id, test.entry)
+				test.then(core)
+				if diff := cmp.Diff(test.want, r.messages); diff != "" {
+					t.Errorf("messages (-want +got):\n%s", diff)
+				}
+			})
+		})
+	}
+}
+
+// runUndecidedTimeout runs the loop until undecided calls are decided.
+func runUndecidedTimeout(core *Core) {
+	core.loop.After(undecidedTimeout+time.Millisecond, core.loop.Quit)
+	core.loop.Run()
+}
+
+// TestPendingReleasesFollowTheList guards against a release that misses the dispatcher of an attempt, as the list names it only later, and
+// against one that ends a later attempt.
+func TestPendingReleasesFollowTheList(t *testing.T) {
+	const id = "00000000000000aa"
+	core := newFixture(t).core
+	r := &recorder{core: core}
+	core.SetDispatchers(r)
+	core.AwaitListConfirmation()
+	sent := event(recovery.KindAttemptSent, id, core.now())
+	b := recovery.NewCallTable()
+	b.Apply(accepted(id, core.now()))
+	b.Apply(sent)
+	core.Recover(b, nil)
+	entry := Server{ServerEntry: control.ServerEntry{ID: "a"}, Address: "127.0.0.1:9"}
+	core.Update(Update{Complete: true, Servers: []Server{entry}})
+	everywhere := []string{"dispatchers release " + id}
+	if diff := cmp.Diff(everywhere, r.messages); diff != "" {
+		t.Fatalf("with an older list (-want +got):\n%s", diff)
+	}
+	entry.Address = sent.Address
+	core.Update(Update{Servers: []Server{entry}})
+	if diff := cmp.Diff(append(everywhere, everywhere...), r.messages); diff != "" {
+		t.Errorf("with the dispatcher's address (-want +got):\n%s", diff)
+	}
+	core.ListConfirmed(core.now())
+	core.Update(Update{Servers: []Server{entry}})
+	if len(r.messages) != 2 || len(core.pendingReleases) != 0 {
+		t.Errorf("messages %q, %d releases are left", r.messages, len(core.pendingReleases))
+	}
+}
--- a/internal/decide/recovery/recovery_test.go
+++ b/internal/decide/recovery/recovery_test.go
@@ -146,12 +146,12 @@
 		place ListEntry
 		why   string
 	}{
-		{ListEntry{"127.0.0.1:1", base, true}, ""},
-		{ListEntry{"127.0.0.1:1", base - time.Hour, true}, ""},
-		{ListEntry{"127.0.0.1:1", base + time.Second, true}, ""}, // the list reported the start late: the call was established after it
-		{ListEntry{"127.0.0.1:1", base, false}, "its dispatcher is not listed"},
-		{ListEntry{"127.0.0.1:2", base, true}, "its dispatcher has another address"},
-		{ListEntry{"127.0.0.1:1", base + 2*time.Minute, true}, "its dispatcher has restarted"},
+		{ListEntry{"127.0.0.1:1", base, true, false}, ""},
+		{ListEntry{"127.0.0.1:1", base - time.Hour, true, false}, ""},
+		{ListEntry{"127.0.0.1:1", base + time.Second, true, false}, ""}, // the list reported the start late: the call was established after it
+		{ListEntry{"127.0.0.1:1", base, false, false}, "its dispatcher is not listed"},
+		{ListEntry{"127.0.0.1:2", base, true, false}, "its dispatcher has another address"},
+		{ListEntry{"127.0.0.1:1", base + 2*time.Minute, true, false}, "its dispatcher has restarted"},
 	} {
 		if ok, why := c.MayStillBeEstablished(test.place); why != test.why || ok != (why == "") {
 			t.Errorf("%+v: %v, %q, want %q", test.place, ok, why, test.why)
@@ -159,6 +159,40 @@
 	}
 }
 
+// TestVerify guards against calls that are cut because of a list that is older than they are, and against calls that are kept although a
+// current list shows that their dispatcher has been removed or replaced.
+func TestVerify(t *testing.T) {
+	const address = "127.0.0.1:1"
+	last := base + time.Minute
+	c := &Call{Server: "s", Address: address, ServerStarted: base, LastEventAt: last}
+	other := &Call{Server: "s", Address: "127.0.0.1:9", ServerStarted: base, LastEventAt: last, FromOtherController: true}
+	at := func(address string, started time.Duration) ListEntry {
+		return ListEntry{Address: address, Started: started, Listed: true}
+	}
+	for name, test := range map[string]struct {
+		call      *Call
+		entry     ListEntry
+		confirmed time.Duration
+		want      Verdict
+	}{
+		"at its process":                         {c, at(address, base), 0, StillEstablished},
+		"the list has an earlier start":          {c, at(address, base-time.Hour), 0, StillEstablished},
+		"not listed in an older list":            {c, ListEntry{}, last - 1, Undecided},
+		"not listed in a current list":           {c, ListEntry{}, last, Gone},
+		"removed by an event":                    {c, ListEntry{Removed: true}, 0, Gone},
+		"elsewhere in an older list":             {c, at("127.0.0.1:2", base), last - 1, Undecided},
+		"elsewhere in a current list":            {c, at("127.0.0.1:2", base), last, Gone},
+		"restarted since":                        {c, at(address, last+1), 0, Gone},
+		"restarted since, and moved":             {c, at("127.0.0.1:2", last+1), 0, Gone},
+		"elsewhere for another controller":       {other, at(address, base), 0, StillEstablished},
+		"of another controller, not listed here": {other, ListEntry{}, 0, Undecided},
+	} {
+		if got, why := test.call.Verify(test.entry, test.confirmed); got != test.want || (why == "") != (got == StillEstablished) {
+			t.Errorf("%s: verdict %d, %q, want %d", name, got, why, test.want)
+		}
+	}
+}
+
 func TestTokens(t *testing.T) {
 	token := strings.Repeat("t", MinTokenLength)
 	for _, test := range []struct {
--- a/internal/lists/coordinator/coordinator.go
+++ b/internal/lists/coordinator/coordinator.go
@@ -27,6 +27,8 @@
 )
 
 const (
+	// backlogTimeout is the time within which the coordinator has sent the events that it had as the stream began.
+	backlogTimeout = 500 * time.Millisecond
 	// connectTimeout bounds one attempt to connect to the coordinator.
 	connectTimeout = 500 * time.Millisecond
 	// defaultSilenceTimeout is how long the stream may be silent; the coordinator sends a comment each second. Events
@@ -102,6 +104,7 @@
 	client         *http.Client
 	lastIndex      int64             // index of the last event; written by Run's goroutine only
 	onUpdate       func(call.Update) // called in order, by one goroutine
+	onCaughtUp     func(time.Time)   // called by the same goroutine
 	silenceTimeout time.Duration
 
 	latestConn atomic.Pointer[trackedConn] // the most recently opened connection
@@ -115,7 +118,7 @@
 func New(address string, lastIndex int64, log *slog.Logger, onUpdate func(call.Update)) *Stream {
 	dialer := &net.Dialer{Timeout: connectTimeout}
 	s := &Stream{address: address, addressChanged: make(chan struct{}), log: log, lastIndex: lastIndex, onUpdate: onUpdate,
-		silenceTimeout: defaultSilenceTimeout}
+		onCaughtUp: func(time.Time) {}, silenceTimeout: defaultSilenceTimeout}
 	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
 		nc, err := dialer.DialContext(ctx, network, address)
 		if err != nil {
@@ -129,6 +132,10 @@
 	return s
 }
 
+// OnCaughtUp sets a function that is called, between the updates, with times up to which the updates are complete. It must be called before
+// Run.
+func (s *Stream) OnCaughtUp(f func(at time.Time)) { s.onCaughtUp = f }
+
 // trackedConn is a connection that records whether received input is still being processed.
 type trackedConn struct {
 	net.Conn
@@ -253,6 +260,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return false, fmt.Errorf("coordinator returned status %s", resp.Status)
 	}
+	began := time.Now()
 	lines := bufio.NewScanner(&notifyingReader{resp.Body, func() { watchdog.Reset(s.silenceTimeout) }})
 	lines.Buffer(make([]byte, 4096), maxLineBytes)
 	var id string
@@ -272,6 +280,10 @@
 		name, value, _ := bytes.Cut(line, []byte(":"))
 		value = bytes.TrimPrefix(value, []byte(" "))
 		switch string(name) {
+		case "": // a comment, which shows that the coordinator has sent all events
+			if now := time.Now(); now.Sub(began) >= backlogTimeout {
+				s.onCaughtUp(now.Add(-backlogTimeout))
+			}
 		case "id":
 			id = string(value)
 		case "data":
--- a/internal/lists/etcd/etcd.go
+++ b/internal/lists/etcd/etcd.go
@@ -66,6 +66,7 @@
 	prefix     string
 	log        *slog.Logger
 	onUpdate   func(call.Update) // called in order, by one goroutine
+	onCaughtUp func(time.Time)   // called by the same goroutine
 	servers    map[string]call.Server
 }
 
@@ -82,9 +83,13 @@
 
 // NewWithClient follows a prefix with a shared client, which it does not close.
 func NewWithClient(client *clientv3.Client, prefix string, log *slog.Logger, onUpdate func(call.Update)) *Watcher {
-	return &Watcher{client: client, prefix: prefix, log: log, onUpdate: onUpdate, servers: map[string]call.Server{}}
+	return &Watcher{client: client, prefix: prefix, log: log, onUpdate: onUpdate, onCaughtUp: func(time.Time) {}, servers: map[string]call.Server{}}
 }
 
+// OnCaughtUp sets a function that is called, between the updates, with times up to which the updates are complete. It must be called before
+// Run.
+func (l *Watcher) OnCaughtUp(f func(at time.Time)) { l.onCaughtUp = f }
+
 // Run follows the list until the context ends. Whenever the watch cannot resume at its last revision, as after a
 // compaction, Run reads the complete list again; dispatchers that were removed in between are missing from it.
 func (l *Watcher) Run(ctx context.Context) {
@@ -119,6 +124,7 @@
 func (l *Watcher) readAll(ctx context.Context) (int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
+	began := time.Now()
 	resp, err := l.client.Get(ctx, l.prefix, clientv3.WithPrefix())
 	if err != nil {
 		return 0, fmt.Errorf("etcd: reading %s: %w", l.prefix, err)
@@ -132,6 +138,7 @@
 		}
 	}
 	l.onUpdate(u)
+	l.onCaughtUp(began)
 	return resp.Header.Revision, nil
 }
 
