Hand calls over with the process of their dispatcher

After a replacement while the coordinator was away, the end of a call was told to nobody whose dispatcher the successor's list did not name; as the list told of a move or restart, calls were cut.

Cause: the predecessor named the dispatcher of a call that stands, and not its address and start.

Change: it passes these on, in optional keys, and the successor checks the call like one of the ledger. Such a call is not cut because a list does not name its dispatcher.

--- a/cmd/cherryrelay/recovered_list_test.go
+++ b/cmd/cherryrelay/recovered_list_test.go
@@ -386,3 +386,69 @@
 		}
 	}
 }
+
+// TestCallsOfAPredecessorStandAtUnlistedDispatchers guards against a call whose end is told to nobody after a replacement: the list of the
+// successor does not name its dispatcher yet.
+func TestCallsOfAPredecessorStandAtUnlistedDispatchers(t *testing.T) {
+	for variant, withoutLedger := range map[string]bool{"with a ledger": false, "without a ledger": true} {
+		t.Run(variant, func(t *testing.T) {
+			t.Parallel()
+			s := newListRestart(t)
+			s.withoutLedger = withoutLedger
+			s.start(1)
+			s.change(changes["added"])
+			s.establish(id(1), 2)
+			s.establish(id(2), 2)
+			s.establish(id(3), 0)
+			s.stopCoordinator()
+			s.replace(1)
+			s.expectStands(id(1), "d2")
+			s.d["d2"].Kill()
+			s.expectOver(id(2))
+			s.expectStands(id(3), "d0")
+		})
+	}
+}
+
+// TestCallsOfAPredecessorStandAsTheListCatchesUp guards against calls that are cut after a replacement, as the list tells the successor of
+// the process at which the predecessor had them.
+func TestCallsOfAPredecessorStandAsTheListCatchesUp(t *testing.T) {
+	for name, change := range changes {
+		for variant, outage := range map[string]bool{"at once": false, "late": true} {
+			t.Run(name+" "+variant, func(t *testing.T) {
+				t.Parallel()
+				s := newListRestart(t)
+				s.withoutLedger = true
+				s.start(1)
+				entry := s.change(change)
+				s.establish(id(1), change.cell)
+				if outage {
+					s.stopCoordinator()
+				}
+				s.replace(1)
+				if outage {
+					s.startCoordinator()
+				}
+				s.waitEntry(entry)
+				s.expectStands(id(1), change.key)
+			})
+		}
+	}
+}
+
+// replace starts a second process at the addresses of the first, and waits until the first has ended.
+func (s *listRestart) replace(known int) {
+	s.Helper()
+	old := *s.process
+	s.Cleanup(func() {
+		_ = old.cmd.Process.Kill()
+	})
+	s.management = freeAddress(s.T) // two processes cannot share it
+	s.start(known)
+	select {
+	case err := <-old.ended:
+		s.must(err)
+	case <-time.After(peer.Timeout):
+		s.Fatal("the predecessor does not end")
+	}
+}
--- a/cmd/cherryrelay/upgrade.go
+++ b/cmd/cherryrelay/upgrade.go
@@ -149,7 +149,8 @@
 	case m.TerminatedCall != "":
 		n.core.Released("", m.TerminatedCall, -1, m.Cause, nil)
 	case m.EstablishedCall != "":
-		n.core.Adopt(m.EstablishedCall, control.ServerID(m.Server))
+		n.core.Adopt(m.EstablishedCall, call.Server{Address: m.ServerAddress, ServerEntry: control.ServerEntry{
+			ID: control.ServerID(m.Server), StartedAt: time.Duration(m.ServerStartedUs) * time.Microsecond}})
 	}
 }
 
@@ -296,8 +297,9 @@
 func (u *upgrade) finish() error {
 	if u.successor != nil {
 		if u.successorReady {
-			u.node.core.EachEstablishedCall(func(id string, server control.ServerID) {
-				u.successor.SendBlocking(handover.Message{EstablishedCall: id, Server: string(server)})
+			u.node.core.EachEstablishedCall(func(id string, at call.Server) {
+				u.successor.SendBlocking(handover.Message{EstablishedCall: id, Server: string(at.ID), ServerAddress: at.Address,
+					ServerStartedUs: at.StartedAt.Microseconds()})
 			})
 		}
 		u.successor.Finish()
--- a/internal/call/core.go
+++ b/internal/call/core.go
@@ -79,6 +79,7 @@
 	restored             *recovery.Call // the call as the recovery has restored it; nil for other calls
 	misplaced            bool           // the list, which may be older than the call, has another process in the place of its dispatcher's
 	undecidedTimer       *Timer         // ends the wait for a current list
+	fromPredecessor      bool           // a predecessor had the call until it ended, whatever its list said about the dispatcher
 }
 
 // Core is the protocol-independent call controller. Its methods must run on its event loop.
--- a/internal/call/ends_test.go
+++ b/internal/call/ends_test.go
@@ -99,7 +99,7 @@
 			e.core.Released("a", endedID, 0, CauseNormal, nil)
 		}, endsDelivered{Answers: 1, ViaOthers: []string{endedID}}},
 		"it was adopted, and its dispatcher fails": {false, func(e *endRecorder) {
-			e.core.Adopt(unknownID, "b")
+			e.core.Adopt(unknownID, Server{ServerEntry: control.ServerEntry{ID: "b"}})
 			e.core.DispatcherFailed("b")
 		}, endsDelivered{Answers: 1, ViaFront: []string{unknownID}}},
 		"its answer arrives after its caller has disconnected": {true, func(e *endRecorder) {
--- a/internal/call/ledger_writer.go
+++ b/internal/call/ledger_writer.go
@@ -256,11 +256,7 @@
 		LastEventAt: now, Attempts: k.attempts, AttemptInProgress: k.attemptInProgress, Server: string(k.server),
 		MayHaveRun: !k.firstRunAt.IsZero(),
 	}
-	if entry, _ := c.listedServer(k.server); entry.Address != "" && !k.misplaced {
-		r.Address, r.ServerStarted = entry.Address, entry.StartedAt
-	} else if k.restored != nil {
-		r.Address, r.ServerStarted = k.restored.Address, k.restored.ServerStarted
-	}
+	r.Address, r.ServerStarted = c.processOf(k)
 	r.Class, r.Called, r.FirstCell, r.Redial, r.Description = k.Class, k.Called, k.FirstCell, k.Redial, k.Description
 	r.DeadlineUs, r.Repetition = max((now+time.Until(k.Deadline)).Microseconds(), 1), repetitionOf(&k.class)
 	switch k.state {
@@ -283,6 +279,17 @@
 	return r
 }
 
+// processOf returns the address and the start time of the process at which a call was last attempted or is established.
+func (c *Core) processOf(k *record) (address string, started time.Duration) {
+	if entry, _ := c.listedServer(k.server); entry.Address != "" && !k.misplaced {
+		return entry.Address, entry.StartedAt
+	}
+	if k.restored != nil {
+		return k.restored.Address, k.restored.ServerStarted
+	}
+	return "", 0
+}
+
 // metrics returns the metrics of the ledger.
 func (w *ledgerWriter) metrics() []*dto.MetricFamily {
 	f := w.ledger.Metrics()
--- a/internal/call/successor.go
+++ b/internal/call/successor.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cherryrelay/control"
+	"cherryrelay/internal/decide/recovery"
 	"cherryrelay/internal/endlog"
 )
 
@@ -85,8 +86,8 @@
 	return false
 }
 
-// EachEstablishedCall calls f for each established call, in the order of the ids.
-func (c *Core) EachEstablishedCall(f func(id string, server control.ServerID)) {
+// EachEstablishedCall calls f for each established call, in the order of the ids, with the process of its dispatcher as far as it is known.
+func (c *Core) EachEstablishedCall(f func(id string, at Server)) {
 	var ids []string
 	for id, k := range c.calls {
 		if k.state == established {
@@ -95,17 +96,32 @@
 	}
 	slices.Sort(ids)
 	for _, id := range ids {
-		f(id, c.calls[id].server)
+		k := c.calls[id]
+		address, started := c.processOf(k)
+		f(id, Server{Address: address, ServerEntry: control.ServerEntry{ID: k.server, StartedAt: started}})
 	}
 }
 
 // Adopt takes over an established call of a predecessor that ends.
-func (c *Core) Adopt(id string, server control.ServerID) {
-	if c.calls[id] == nil {
-		c.calls[id] = &record{Request: Request{ID: id, Caller: c.unknownCaller}, state: established, server: server, attempts: 1, sentAt: time.Now()}
-		c.establishedByCaller[c.unknownCaller]++
-		c.selection.retain(server)
+func (c *Core) Adopt(id string, at Server) {
+	if c.calls[id] != nil {
+		return
 	}
+	k := &record{Request: Request{ID: id, Caller: c.unknownCaller}, state: established, server: at.ID, attempts: 1, sentAt: time.Now()}
+	c.calls[id] = k
+	c.establishedByCaller[c.unknownCaller]++
+	c.selection.retain(at.ID)
+	if at.Address == "" { // not known to the predecessor, or of an earlier version
+		return
+	}
+	k.fromPredecessor = true
+	k.restored = &recovery.Call{Event: recovery.Event{ID: id}, State: recovery.StateEstablished, Attempts: 1, Server: string(at.ID),
+		Address: at.Address, ServerStarted: at.StartedAt, LastEventAt: c.now()}
+	if !c.listReceived {
+		c.unverified = append(c.unverified, k)
+		return
+	}
+	c.verify(k, nil)
 }
 
 // unknownCaller is the Caller of calls of another process: their callers may be on any connection.
--- a/internal/call/verify.go
+++ b/internal/call/verify.go
@@ -47,7 +47,7 @@
 	c.unverified = nil
 	for _, k := range unverified {
 		if k.state == established && k.restored != nil {
-			c.verify(k, changed, c.listConfirmedAt)
+			c.verify(k, changed)
 		}
 	}
 	if len(c.unverified) == 0 {
@@ -55,21 +55,32 @@
 	}
 }
 
-// verify checks an established call of another process against a list that is complete up to the time confirmedAt.
-func (c *Core) verify(k *record, changed map[control.ServerID]Server, confirmedAt time.Duration) {
+// verify checks an established call of another process against the list.
+func (c *Core) verify(k *record, changed map[control.ServerID]Server) {
 	entry := c.listEntryOf(k.server, changed)
-	verdict, why := k.restored.Verify(entry, confirmedAt)
+	if k.fromPredecessor && !entry.Listed { // calls go on at a dispatcher that is removed while the controller serves
+		c.applyVerdict(k, recovery.Undecided, "", false)
+		return
+	}
+	verdict, why := k.restored.Verify(entry, c.listConfirmedAt)
+	c.applyVerdict(k, verdict, why, entry.Removed)
+}
+
+// applyVerdict continues or ends an established call of another process. removed is set if its dispatcher was removed by a change of the
+// list.
+func (c *Core) applyVerdict(k *record, verdict recovery.Verdict, why string, removed bool) {
 	switch verdict {
 	case recovery.StillEstablished:
 		c.setMisplaced(k, false)
 		c.selection.retain(k.server)
 	case recovery.Undecided:
 		c.unverified = append(c.unverified, k)
-		c.setMisplaced(k, entry.Listed || !c.adoptDispatcher(k.restored))
+		_, listed := c.listedServer(k.server)
+		c.setMisplaced(k, listed || !c.adoptDispatcher(k.restored))
 	case recovery.Gone:
 		c.log.Info("call of the previous process is cut", "id", k.ID, "server", k.server, "why", why)
 		c.recovered.Cut++
-		if _, adopted := c.adoptedDispatchers[k.server]; adopted || entry.Removed {
+		if _, adopted := c.adoptedDispatchers[k.server]; adopted || removed {
 			c.dispatchers.Release(k.server, k.ID, CauseTemporary) // its process may run all the same
 		}
 		c.setMisplaced(k, false)
@@ -77,6 +88,12 @@
 	}
 }
 
+// decideMisplaced decides a misplaced call by the list, as if that were current.
+func (c *Core) decideMisplaced(k *record) {
+	verdict, why := k.restored.Verify(c.listEntryOf(k.server, nil), alwaysConfirmed)
+	c.applyVerdict(k, verdict, why, false)
+}
+
 // setMisplaced records whether the list has another process in the place of the one at which a call is established. Such a call does not
 // depend on the connections to that process. If the list is not confirmed in time, it is taken to be current.
 func (c *Core) setMisplaced(k *record, misplaced bool) {
@@ -87,7 +104,7 @@
 	c.loop.Stop(k.undecidedTimer)
 	k.undecidedTimer = nil
 	if misplaced {
-		k.undecidedTimer = c.loop.After(undecidedTimeout, func() { c.verify(k, nil, alwaysConfirmed) })
+		k.undecidedTimer = c.loop.After(undecidedTimeout, func() { c.decideMisplaced(k) })
 	}
 }
 
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -51,7 +51,9 @@
 	Cause           int      `json:"cause,omitempty"`     // cause of that end
 	EstablishedCall string   `json:"stands,omitempty"`    // id of a call that is established as the predecessor ends
 	Server          string   `json:"server,omitempty"`    // server at which that call is established
-	AttemptedCalls  []string `json:"tried,omitempty"`     // ids of calls that were sent to a dispatcher, or are about to be
+	ServerAddress   string   `json:"address,omitempty"`   // its address; empty if it is not known
+	ServerStartedUs int64    `json:"started_us,omitempty"`
+	AttemptedCalls  []string `json:"tried,omitempty"` // ids of calls that were sent to a dispatcher, or are about to be
 	WantsAttempts   bool     `json:"wants_tried,omitempty"`
 	AttemptsSent    bool     `json:"tried_sent,omitempty"` // the ids of all calls that were attempted before WantsAttempts have been sent
 }
