Confirm no list in which an entry could not be read

Callers were told after a restart with a ledger that calls were over, whose dispatcher had a value in etcd that could not be read.

Cause: the list lacked the dispatcher, and counted as current since it had been read whole.

Change: a read with an invalid value that is not known from before confirms nothing, nor does the coordinator's stream after a skipped event, until the next complete list.

TestNotCaughtUpWithoutASkippedEvent is new with the change.

--- a/cmd/cherryrelay/recovered_list_test.go
+++ b/cmd/cherryrelay/recovered_list_test.go
@@ -15,6 +15,7 @@
 
 	"cherryrelay/internal/lists"
 	"cherryrelay/internal/peer"
+	"cherryrelay/internal/store"
 	"cherryrelay/internal/trial"
 )
 
@@ -32,8 +33,9 @@
 	d                 map[string]*trial.Dispatcher // by name and number of the process, such as d1 and d1b
 	handoverDirectory string                       // where the process and its successor meet
 	withoutLedger     bool
-	operator          string      // further sections of the operator's file
-	ends              endListener // after the restart
+	etcd              *store.Store // the list is followed there; nil with the coordinator
+	operator          string       // further sections of the operator's file
+	ends              endListener  // after the restart
 }
 
 // newListRestart prepares the program with the dispatchers d0 and d1, each in a cell of its own, as the first event.
@@ -131,7 +133,11 @@
 	for i, changes := range s.events[:known-1] {
 		updates = append(updates, listEvent(i+2, false, changes...))
 	}
-	c["coordinator"], c["known"] = s.coordinator.address, map[string]any{"index": known, "updates": updates}
+	c["coordinator"] = s.coordinator.address
+	if s.etcd != nil { // only one of them is possible
+		c["coordinator"] = ""
+	}
+	c["known"] = map[string]any{"index": known, "updates": updates}
 	settings, ok := c["settings"].(map[string]any)
 	if !ok {
 		s.Fatal("the example has no settings")
--- a/internal/lists/coordinator/caught_up_test.go
+++ b/internal/lists/coordinator/caught_up_test.go
@@ -45,3 +45,37 @@
 		t.Errorf("the list is complete up to %v after the beginning", at.Sub(began))
 	}
 }
+
+// TestNotCaughtUpWithoutASkippedEvent guards against a list that counts as current although it lacks what an invalid event would have
+// changed.
+func TestNotCaughtUpWithoutASkippedEvent(t *testing.T) {
+	const whole = "id: 4\ndata: {\"index\":4,\"endpoints\":{\"snapshot\":true,\"endpoints\":[]}}\n\n"
+	comments := make(chan string)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		text := event(2, "a", "odd") + event(3, "b", "active")
+		for {
+			fmt.Fprint(w, text)
+			_ = http.NewResponseController(w).Flush()
+			select {
+			case text = <-comments:
+			case <-r.Context().Done():
+				return
+			}
+		}
+	}))
+	t.Cleanup(server.Close)
+	t.Cleanup(server.CloseClientConnections)
+	updates, caughtUp := make(chan call.Update, 8), make(chan time.Time, 8)
+	s := New(strings.TrimPrefix(server.URL, "http://"), 1, slog.New(slog.DiscardHandler), func(u call.Update) { updates <- u })
+	s.OnCaughtUp(func(at time.Time) { caughtUp <- at })
+	go s.Run(t.Context())
+	<-updates // event 3
+	time.Sleep(backlogTimeout)
+	comments <- ": comment\n\n" + whole
+	<-updates // the complete list, behind the comment
+	if len(caughtUp) > 0 {
+		t.Error("the list counts as current without an event")
+	}
+	comments <- ": comment\n\n"
+	<-caughtUp
+}
--- a/internal/lists/coordinator/coordinator.go
+++ b/internal/lists/coordinator/coordinator.go
@@ -105,6 +105,7 @@
 	lastIndex      int64             // index of the last event; written by Run's goroutine only
 	onUpdate       func(call.Update) // called in order, by one goroutine
 	onCaughtUp     func(time.Time)   // called by the same goroutine
+	eventSkipped   bool              // an event was skipped since the last complete list
 	silenceTimeout time.Duration
 
 	latestConn atomic.Pointer[trackedConn] // the most recently opened connection
@@ -281,7 +282,7 @@
 		value = bytes.TrimPrefix(value, []byte(" "))
 		switch string(name) {
 		case "": // a comment, which shows that the coordinator has sent all events
-			if now := time.Now(); now.Sub(began) >= backlogTimeout {
+			if now := time.Now(); now.Sub(began) >= backlogTimeout && !s.eventSkipped {
 				s.onCaughtUp(now.Add(-backlogTimeout))
 			}
 		case "id":
@@ -339,8 +340,10 @@
 	u, err := e.Update()
 	if err != nil {
 		s.log.Error("event is invalid and skipped", "id", id, "err", err)
+		s.eventSkipped = true
 		return nil
 	}
+	s.eventSkipped = s.eventSkipped && !u.Complete
 	s.onUpdate(u)
 	return nil
 }
--- a/internal/lists/etcd/etcd.go
+++ b/internal/lists/etcd/etcd.go
@@ -132,13 +132,19 @@
 	u := call.Update{Complete: true}
 	previous := l.servers
 	l.servers = map[string]call.Server{}
+	allRead := true
 	for _, kv := range resp.Kvs {
-		if s, ok := l.applyPut(kv, previous); ok {
-			u.Servers = append(u.Servers, s)
+		s, ok := l.applyPut(kv, previous)
+		if !ok {
+			allRead = false
+			continue
 		}
+		u.Servers = append(u.Servers, s)
 	}
 	l.onUpdate(u)
-	l.onCaughtUp(began)
+	if allRead { // otherwise the list lacks a dispatcher that etcd has
+		l.onCaughtUp(began)
+	}
 	return resp.Header.Revision, nil
 }
 
