Release calls of unknown dispatchers at those that the list names later

A dispatcher held a call for good that its caller had ended after a restart without a ledger.

Cause: such a call is released at all dispatchers that the list names by then, and the list of the start may be older than the call.

--- a/cmd/cherryrelay/recovered_list_test.go
+++ b/cmd/cherryrelay/recovered_list_test.go
@@ -13,6 +13,7 @@
 
 	jsoniter "github.com/json-iterator/go"
 
+	"cherryrelay/internal/jsonl"
 	"cherryrelay/internal/lists"
 	"cherryrelay/internal/peer"
 	"cherryrelay/internal/store"
@@ -383,6 +384,30 @@
 	}
 }
 
+// TestCallersReleasesReachDispatchersOfLaterEvents guards against a call that stands for good although its caller has ended it after a
+// restart without a ledger: it was released at the dispatchers that the list named by then, and the stream told of the others later.
+func TestCallersReleasesReachDispatchersOfLaterEvents(t *testing.T) {
+	t.Parallel()
+	s := newListRestart(t)
+	s.withoutLedger = true
+	s.start(1)
+	s.change(changes["added"])
+	s.establish(id(1), 2)
+	s.kill()
+	s.stopCoordinator()
+	s.start(1)
+	c := s.connect()
+	s.must(c.Release(id(1), 31))
+	s.must(c.Send(jsonl.Message{Type: "ping", ID: id(0)}))
+	m, err := c.Next()
+	s.must(err)
+	if m.Type != "pong" { // the release has been read
+		t.Fatalf("the caller got %s", m.Type)
+	}
+	s.startCoordinator()
+	s.waitUntil("the call is released", func() bool { return s.checker.EstablishedAt(id(1)) == "" })
+}
+
 // waitUntil waits until a condition holds.
 func (s *listRestart) waitUntil(what string, holds func() bool) {
 	s.Helper()
--- a/internal/call/core.go
+++ b/internal/call/core.go
@@ -122,6 +122,7 @@
 	waitingResumes      []ResumeRequest // received while a predecessor has the ledger
 	listConfirmedAt     time.Duration   // the list is known to be complete up to this Unix time
 	pendingReleases     []*pendingRelease
+	unplacedReleases    []unplacedRelease           // in the order of their times
 	unverified          []*record                   // established calls of other processes to be checked against the list
 	adoptedDispatchers  map[control.ServerID]string // addresses of unlisted dispatchers that unverified calls are established at
 	recovered           RecoveryStatus
--- a/internal/call/list.go
+++ b/internal/call/list.go
@@ -22,10 +22,15 @@
 func (c *Core) applyUpdate(u Update) (changed map[control.ServerID]Server) {
 	named := map[control.ServerID]Server{}
 	entries := make([]control.ServerEntry, 0, len(u.Servers))
+	var added []control.ServerID // at an address of which the list did not know
 	for _, s := range u.Servers {
 		entries = append(entries, s.ServerEntry)
+		old := c.knownServers[s.ID]
 		if s.Address == "" {
-			s.Address = c.knownServers[s.ID].Address
+			s.Address = old.Address
+		}
+		if s.Status != control.Removed && s.Address != old.Address {
+			added = append(added, s.ID)
 		}
 		named[s.ID] = s
 		c.knownServers[s.ID] = s
@@ -47,6 +52,7 @@
 		c.listReceived = true
 	}
 	c.dispatchers.Update(u)
+	c.sendUnplacedReleases(added)
 	c.queueEvent(control.ListReceived{Entries: entries, Whole: u.Complete})
 	return named
 }
--- a/internal/call/recover.go
+++ b/internal/call/recover.go
@@ -241,7 +241,7 @@
 		c.log.Error("caller has the answer to a call that is pending here", "id", id)
 		c.assignCaller(k, caller)
 		c.cancelCall(k)
-		c.dispatchers.Release("", id, CauseNormal)
+		c.releaseEverywhere(id, CauseNormal)
 		c.rejectCall(k, End{Cause: CauseTemporary, Reason: ReasonCut})
 	default:
 		if k.Caller != caller {
@@ -298,7 +298,7 @@
 	c.recovered.Unknown++
 	if noHolder && ValidID(id) {
 		// The call is unknown, so nobody will be notified of its end: it must not stay established anywhere.
-		c.dispatchers.Release("", id, CauseNormal)
+		c.releaseEverywhere(id, CauseNormal)
 		c.recordTerminated(id)
 		c.calls[id].Token, c.calls[id].end = recovery.HashToken(token), End{Cause: CauseTemporary, Reason: ReasonUnknown}
 	}
--- a/internal/call/requests.go
+++ b/internal/call/requests.go
@@ -126,18 +126,18 @@
 	k := c.calls[id]
 	switch {
 	case k != nil && k.transferring:
-		c.dispatchers.Release("", id, cause)
+		c.releaseEverywhere(id, cause)
 		c.transfers.finder.Terminated(id, cause)
 	case k == nil:
 		// A call that was established before a restart: the dispatcher that holds it releases it. A pending set-up that
 		// was lost with the restart needs no release.
 		if c.transfers != nil && ValidID(id) {
-			c.dispatchers.Release("", id, cause)
+			c.releaseEverywhere(id, cause)
 			c.transfers.finder.Terminated(id, cause)
 			return
 		}
 		if cause != CauseNormal && ValidID(id) && time.Since(c.startedAt) < previousCallsWindow {
-			c.dispatchers.Release("", id, cause)
+			c.releaseEverywhere(id, cause)
 			c.recordTerminated(id) // its caller need not be notified
 		}
 	case k.state == pending && k.Caller != caller: // only the caller that waits for the answer can cancel the set-up
--- a/internal/call/verify.go
+++ b/internal/call/verify.go
@@ -32,6 +32,7 @@
 func (c *Core) ListConfirmed(at time.Duration) {
 	c.selection.afterUpdates(func() {
 		c.listConfirmedAt = max(c.listConfirmedAt, at)
+		c.dropUnplacedReleases(c.now())
 		c.verifyRecovered(nil)
 	})
 }
--- a/internal/mutants/list_calls.go
+++ b/internal/mutants/list_calls.go
@@ -179,7 +179,7 @@
 			Text:        "\t\tc.releaseAtDispatcher(k, cause)\n",
 			Replacement: ``},
 		{Name: "giveUp-releases-before-a-restart", File: "internal/call/requests.go", Row: "crossings.md, a controller ends: killed, and back under its name", Tests: callTests,
-			Text:        "\t\t\tc.dispatchers.Release(\"\", id, cause)\n\t\t\tc.recordTerminated(id)",
+			Text:        "\t\t\tc.releaseEverywhere(id, cause)\n\t\t\tc.recordTerminated(id)",
 			Replacement: "\t\t\tc.recordTerminated(id)"},
 		{Name: "close-forgets-the-answer-wait", File: "internal/call/requests.go", Row: "end-before-its-answer.md", Tests: callTests,
 			Equivalent:  "the timer finds no attempt in progress",
