Submit an unchanged pool file once

Operators saw an error, pool_refused at 1 and trouble at /api/pool after each start with a pool file that had not changed for a second: "the file is empty". The right set was in force.

Cause: the read of the start and the follower each had a poller; the follower's first poll found the file unchanged, did not read it, and submitted no content.

Change: both use one poller.

--- a/internal/lists/files/files.go
+++ b/internal/lists/files/files.go
@@ -41,6 +41,7 @@
 	log             *slog.Logger
 	submit          func(pool.Candidate)
 	start           time.Time
+	poller          *pool.FilePoller
 	lastFile        fileID      // the file at the last poll that read it
 	submittedDigest string      // digest of the last candidate
 	submittedFile   fingerprint // state of the file when the content of the last candidate was read; zero if unknown
@@ -53,7 +54,9 @@
 
 // New returns a Watcher that passes new candidates to submit, from one goroutine. Run starts to follow the file.
 func New(o Options, log *slog.Logger, submit func(pool.Candidate)) *Watcher {
-	return &Watcher{Options: o, log: log, submit: submit, start: time.Now(), newNotifier: newFSNotifyNotifier, pollRequests: make(chan struct{}, 1)}
+	w := &Watcher{Options: o, log: log, submit: submit, start: time.Now(), newNotifier: newFSNotifyNotifier, pollRequests: make(chan struct{}, 1)}
+	w.poller = pool.NewFilePoller(w.now(), false)
+	return w
 }
 
 // now returns the time since the start, by a monotonic clock.
@@ -70,13 +73,12 @@
 // ReadInitial reads the file at startup. It waits briefly for a file that is missing or incomplete, since it may still be
 // being written.
 func (w *Watcher) ReadInitial() pool.Candidate {
-	poller := pool.NewFilePoller(w.now(), false)
 	for {
-		if f := w.poll(); poller.Observe(w.now(), f.Observation) {
+		if f := w.poll(); w.poller.Observe(w.now(), f.Observation) {
 			w.markSubmitted(f)
 			return f.candidate()
 		}
-		time.Sleep(max(poller.NextPoll()-w.now(), 0))
+		time.Sleep(max(w.poller.NextPoll()-w.now(), 0))
 	}
 }
 
@@ -265,7 +267,7 @@
 		events, errs = notify.EventChan(), notify.ErrorChan()
 	}
 	watched := map[string]fileID{}
-	poller := pool.NewFilePoller(w.now(), false)
+	poller := w.poller // a file that ReadInitial has submitted is not submitted again
 	pollTimer := time.NewTimer(0)
 	defer pollTimer.Stop()
 	for {
