Check each received call by itself, and no call that was transferred

While the list is not confirmed, calls of other controllers stay to be checked. Each call that was received in a takeover had all of them checked again, which is quadratic in a large takeover; and one that had gone on to another controller would have been ended here as the list was confirmed.

Of an update only the removed entries are kept for the check.

--- a/internal/call/list.go
+++ b/internal/call/list.go
@@ -16,11 +16,15 @@
 }
 
 // receiveUpdate applies an update that the list has received, and checks the calls of other processes against it.
-func (c *Core) receiveUpdate(u Update) { c.verifyRecovered(c.applyUpdate(u)) }
+func (c *Core) receiveUpdate(u Update) {
+	c.verifyRecovered(c.applyUpdate(u))
+	c.forgetAdoptedDispatchers()
+}
 
-// applyUpdate passes an update on to the module and the connections. It returns the entries that the update names or removes.
-func (c *Core) applyUpdate(u Update) (changed map[control.ServerID]Server) {
-	named := map[control.ServerID]Server{}
+// applyUpdate passes an update on to the module and the connections. It returns the entries that the update removes.
+func (c *Core) applyUpdate(u Update) (removed map[control.ServerID]Server) {
+	removed = map[control.ServerID]Server{}
+	named := map[control.ServerID]bool{}
 	entries := make([]control.ServerEntry, 0, len(u.Servers))
 	var added []control.ServerID // at an address of which the list did not know
 	for _, s := range u.Servers {
@@ -32,29 +36,32 @@
 		if s.Status != control.Removed && s.Address != old.Address {
 			added = append(added, s.ID)
 		}
-		named[s.ID] = s
+		if s.Status == control.Removed {
+			removed[s.ID] = s
+		}
+		named[s.ID] = true
 		c.knownServers[s.ID] = s
 		delete(c.adoptedDispatchers, s.ID)
 		c.setStatus(s.ID, s.Status) // also drops the entry of a removed dispatcher
 	}
 	if u.Complete {
-		var removed []control.ServerID
+		var missing []control.ServerID
 		for id := range c.serverStatus {
-			if _, ok := named[id]; !ok {
-				removed = append(removed, id)
+			if !named[id] {
+				missing = append(missing, id)
 			}
 		}
-		slices.Sort(removed)
-		for _, id := range removed {
+		slices.Sort(missing)
+		for _, id := range missing {
 			c.setStatus(id, control.Removed)
-			named[id] = Server{ServerEntry: control.ServerEntry{ID: id, Status: control.Removed}}
+			removed[id] = Server{ServerEntry: control.ServerEntry{ID: id, Status: control.Removed}}
 		}
 		c.listReceived = true
 	}
 	c.dispatchers.Update(u)
 	c.sendUnplacedReleases(added)
 	c.queueEvent(control.ListReceived{Entries: entries, Whole: u.Complete})
-	return named
+	return removed
 }
 
 // setStatus records the status of a dispatcher in the list, and drops what is kept of a removed one.
--- a/internal/call/transfer.go
+++ b/internal/call/transfer.go
@@ -117,25 +117,13 @@
 		c.serveResumes(id)
 		return
 	}
-	rules := recovery.Rules{Guard: c.decisions.ReleaseGuard, MaxAttempts: c.decisions.MaxAttempts}
-	for _, d := range received.CallTable().Plan(c.now(), rules) {
-		d = decide.AdjustForLiveOwner(d, received.OwnerMayLive)
-		d.Call.FromOtherController = true
-		if c.recovered.Actions == nil {
-			c.recovered.Actions, c.recovered.Reasons = map[string]int{}, map[string]int{}
-		}
-		c.recover(d)
-	}
+	c.recoverAndVerify(func() { c.recoverReceived(received) })
+	t.persisted = append(t.persisted, id)
 	k := c.calls[id]
-	if k == nil {
-		t.persisted = append(t.persisted, id) // no answer is due
+	if k == nil { // no answer is due
 		c.CallNotFound(id, false)
 		return
 	}
-	endlog.Call(c.log, endlog.TransferredIn, id, endlog.Server(k.server))
-	c.persistCall(k)
-	t.persisted = append(t.persisted, id)
-	c.verifyRecovered(nil)
 	if k.state == established { // its end may have been sent to the failed controller, which notified nobody
 		c.dispatchers.Reconnect(k.server)
 	}
@@ -145,6 +133,23 @@
 	}
 }
 
+// recoverReceived restores a call of another controller and persists it.
+func (c *Core) recoverReceived(received *takeover.Call) {
+	rules := recovery.Rules{Guard: c.decisions.ReleaseGuard, MaxAttempts: c.decisions.MaxAttempts}
+	for _, d := range received.CallTable().Plan(c.now(), rules) {
+		d = decide.AdjustForLiveOwner(d, received.OwnerMayLive)
+		d.Call.FromOtherController = true
+		if c.recovered.Actions == nil {
+			c.recovered.Actions, c.recovered.Reasons = map[string]int{}, map[string]int{}
+		}
+		c.recover(d)
+	}
+	if k := c.calls[received.ID()]; k != nil {
+		endlog.Call(c.log, endlog.TransferredIn, k.ID, endlog.Server(k.server))
+		c.persistCall(k)
+	}
+}
+
 // persistCall appends the events that replay to the current state of a call to the ledger.
 func (c *Core) persistCall(k *record) {
 	if c.ledgerWriter == nil {
--- a/internal/call/verify.go
+++ b/internal/call/verify.go
@@ -34,31 +34,40 @@
 		c.listConfirmedAt = max(c.listConfirmedAt, at)
 		c.dropUnplacedReleases(c.now())
 		c.verifyRecovered(nil)
+		c.forgetAdoptedDispatchers()
 	})
 }
 
+// forgetAdoptedDispatchers forgets the unlisted dispatchers once no call needs them.
+func (c *Core) forgetAdoptedDispatchers() {
+	if len(c.unverified) == 0 {
+		clear(c.adoptedDispatchers)
+	}
+}
+
 // verifyRecovered checks recovered established calls against the list once there is one, and releases calls that must not be established.
-// changed holds the entries of the update that the list has just received.
-func (c *Core) verifyRecovered(changed map[control.ServerID]Server) {
+// removed holds the entries that the list has just removed.
+func (c *Core) verifyRecovered(removed map[control.ServerID]Server) {
 	if !c.listReceived {
 		return
 	}
-	c.sendPendingReleases(changed)
+	c.sendPendingReleases(removed)
 	unverified := c.unverified
 	c.unverified = nil
 	for _, k := range unverified {
-		if k.state == established && k.restored != nil {
-			c.verify(k, changed)
+		switch {
+		case c.calls[k.ID] != k || k.state != established || k.restored == nil: // it has ended, or is held by another controller
+		case k.transferring:
+			c.unverified = append(c.unverified, k)
+		default:
+			c.verify(k, removed)
 		}
 	}
-	if len(c.unverified) == 0 {
-		clear(c.adoptedDispatchers)
-	}
 }
 
 // verify checks an established call of another process against the list.
-func (c *Core) verify(k *record, changed map[control.ServerID]Server) {
-	entry := c.listEntryOf(k.server, changed)
+func (c *Core) verify(k *record, removed map[control.ServerID]Server) {
+	entry := c.listEntryOf(k.server, removed)
 	if k.fromPredecessor && !entry.Listed { // calls go on at a dispatcher that is removed while the controller serves
 		c.applyVerdict(k, recovery.Undecided, "", false)
 		return
@@ -109,12 +118,12 @@
 	}
 }
 
-// listEntryOf returns what the list, and the update that it has just received, say about a dispatcher.
-func (c *Core) listEntryOf(id control.ServerID, changed map[control.ServerID]Server) recovery.ListEntry {
+// listEntryOf returns what the list says about a dispatcher, and about those that it has just removed.
+func (c *Core) listEntryOf(id control.ServerID, removed map[control.ServerID]Server) recovery.ListEntry {
 	if entry, listed := c.listedServer(id); listed {
 		return listEntry(entry)
 	}
-	entry, named := changed[id]
+	entry, named := removed[id]
 	if named && entry.CallsContinue { // an operator has left it out, and its calls go on
 		return listEntry(entry)
 	}
@@ -159,20 +168,29 @@
 	return c.selection.hasAddress(address)
 }
 
+// recoverAndVerify runs f, which recovers calls, and checks these calls only: a lost controller may have had very many.
+func (c *Core) recoverAndVerify(f func()) {
+	earlier := c.unverified
+	c.unverified = nil
+	f()
+	c.verifyRecovered(nil)
+	c.unverified = append(earlier, c.unverified...)
+}
+
 // sendPendingReleases releases calls that must not be established: at all listed dispatchers, as the last known one may not be the only one,
 // and at the last known one if the list comes to name it, or does not name it yet.
-func (c *Core) sendPendingReleases(changed map[control.ServerID]Server) {
+func (c *Core) sendPendingReleases(removed map[control.ServerID]Server) {
 	pending := c.pendingReleases
 	c.pendingReleases = nil
 	for _, r := range pending {
-		if c.sendPendingRelease(r, changed) {
+		if c.sendPendingRelease(r, removed) {
 			c.pendingReleases = append(c.pendingReleases, r)
 		}
 	}
 }
 
 // sendPendingRelease releases a call, and reports whether it may have to be released at its last known dispatcher later.
-func (c *Core) sendPendingRelease(r *pendingRelease, changed map[control.ServerID]Server) (later bool) {
+func (c *Core) sendPendingRelease(r *pendingRelease, removed map[control.ServerID]Server) (later bool) {
 	k, id := c.calls[r.ID], control.ServerID(r.Server)
 	if k == nil || r.everywhere && k.attempts > r.Attempts {
 		return false // a release would end the attempt that was made since
@@ -186,7 +204,7 @@
 	if id == "" {
 		return false
 	}
-	entry := c.listEntryOf(id, changed)
+	entry := c.listEntryOf(id, removed)
 	verdict, _ := r.Verify(entry, c.listConfirmedAt)
 	switch {
 	case verdict == recovery.Gone || verdict == recovery.StillEstablished && first:
--- a/internal/call/verify_test.go
+++ b/internal/call/verify_test.go
@@ -1,6 +1,7 @@
 package call
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -9,6 +10,7 @@
 
 	"cherryrelay/control"
 	"cherryrelay/internal/decide/recovery"
+	"cherryrelay/internal/takeover"
 )
 
 // TestContinuesAt guards against recovered calls that end as the list tells of the process which they were established at.
@@ -180,3 +182,43 @@
 		t.Errorf("messages %q, %d releases are left", r.messages, len(core.pendingReleases))
 	}
 }
+
+// TestATransferredCallIsNotCut guards against the end of a call at another controller, which has resumed it: the list was confirmed here
+// only afterwards.
+func TestATransferredCallIsNotCut(t *testing.T) {
+	const id = "00000000000000aa"
+	core, r := unlistedFixture(t, id, Server{ServerEntry: control.ServerEntry{ID: "a"}, Address: "127.0.0.1:1"})
+	core.UseFinder(&transferCounter{}, func() bool { return true }, func(error) {})
+	core.calls[id].Token = recovery.HashToken(callToken)
+	core.TransferRequested(map[string]takeover.Query{id: {Token: recovery.HashToken(callToken), FirstSeen: time.Now()}})
+	r.messages = nil
+	core.ListConfirmed(core.now())
+	if len(r.messages) > 0 || len(core.unverified) != 1 {
+		t.Errorf("while it is transferred: messages %q, %d unverified calls", r.messages, len(core.unverified))
+	}
+	core.TransferWritten(id)
+	core.ListConfirmed(core.now())
+	if len(r.messages) > 0 || len(core.unverified) != 0 {
+		t.Errorf("after it was transferred: messages %q, %d unverified calls", r.messages, len(core.unverified))
+	}
+}
+
+// TestUndecidedCallsAreReceived guards against undecided calls that are forgotten as later ones are received, of which each is checked by
+// itself.
+func TestUndecidedCallsAreReceived(t *testing.T) {
+	const calls = 200
+	core, _ := unlistedFixture(t, "00000000000000aa", Server{ServerEntry: control.ServerEntry{ID: "a"}, Address: "127.0.0.1:1"})
+	core.UseFinder(&transferCounter{}, func() bool { return true }, func(error) {})
+	for n := range calls {
+		id := fmt.Sprintf("%016x", n+1000)
+		established := event(recovery.KindEstablished, id, core.now())
+		established.Server, established.Address = "b", "127.0.0.1:2"
+		core.CallReceived(&takeover.Call{Events: []recovery.Event{accepted(id, core.now()), event(recovery.KindAttemptSent, id, core.now()), established}}, -1)
+	}
+	if n := len(core.unverified); n != calls+1 {
+		t.Errorf("%d calls are undecided, want %d", n, calls+1)
+	}
+	if len(core.adoptedDispatchers) != 1 {
+		t.Errorf("connected to %v", core.adoptedDispatchers)
+	}
+}
