--- a/cmd/cherryrelay/recovered_list_test.go
+++ b/cmd/cherryrelay/recovered_list_test.go
@@ -384,6 +384,35 @@
 	}
 }
 
+// TestAStartDialsNoFormerAddress guards against a start that acts on the first of several events: it connects to a process that a later one
+// has replaced.
+func TestAStartDialsNoFormerAddress(t *testing.T) {
+	t.Parallel()
+	s := newListRestart(t)
+	former, err := net.Listen("tcp", "127.0.0.1:0")
+	s.must(err)
+	accepted := make(chan struct{}, 8)
+	go func() {
+		for {
+			c, err := former.Accept()
+			if err != nil {
+				close(accepted)
+				return
+			}
+			_ = c.Close()
+			accepted <- struct{}{}
+		}
+	}()
+	s.entries[1]["address"] = former.Addr().String()
+	s.publish(changes["moved"].apply(s))
+	s.start(2)
+	s.establish(id(1), 1)
+	s.must(former.Close())
+	if _, dialled := <-accepted; dialled {
+		t.Error("the former address was dialled")
+	}
+}
+
 // TestCallersReleasesReachDispatchersOfLaterEvents guards against a call that stands for good although its caller has ended it after a
 // restart without a ledger: it was released at the dispatchers that the list named by then, and the stream told of the others later.
 func TestCallersReleasesReachDispatchersOfLaterEvents(t *testing.T) {
--- /dev/null
+++ b/internal/mutants/list_recovery.go
@@ -0,0 +1,43 @@
+package mutants
+
+// recoveredCallMutants returns the mutants of the checks of recovered calls against the list of dispatchers.
+func recoveredCallMutants() []Mutant {
+	return []Mutant{
+		{Name: "list-fold-removed", File: "internal/decide/pool/fold.go", Row: "held-against-the-first-event.md", Tests: Tests{"./internal/decide/pool", "Fold"},
+			Text:        "m.Status, m.CallsContinue = control.Removed, false",
+			Replacement: "m.CallsContinue = false"},
+		{Name: "list-defer", File: "cmd/cherryrelay/node.go", Row: "held-against-the-first-event.md", Tests: Tests{"./cmd/cherryrelay", "AStartDialsNoFormerAddress"},
+			Text:        "\tkeeper.Defer()\n",
+			Replacement: ``},
+		{Name: "list-survivors", File: "internal/dispatchers/list.go", Row: "ended-by-a-restart-told-late.md", Tests: Tests{"./cmd/cherryrelay", "CallsStandAsTheListCatchesUp"},
+			Text:        "return core.ContinuesAt(s.Server, id) })",
+			Replacement: "return false })"},
+		{Name: "list-undecided", File: "internal/decide/recovery/verify.go", Row: "held-against-an-older-list.md", Tests: recoveredCallTests,
+			Text:        "\tcase confirmedAt < c.LastEventAt:\n\t\treturn Undecided, why\n",
+			Replacement: ``},
+		{Name: "list-removed", File: "internal/decide/recovery/verify.go", Row: "held-against-an-older-list.md", Tests: recoveredCallTests,
+			Text:        "case entry.Removed, entry.Listed",
+			Replacement: "case entry.Listed"},
+		{Name: "list-misplaced", File: "internal/call/outcomes.go", Row: "held-against-an-older-list.md", Tests: recoveredCallTests,
+			Text:        "k.server == server && !k.misplaced && !yield(id)",
+			Replacement: "k.server == server && !yield(id)"},
+		{Name: "list-undecided-timeout", File: "internal/call/verify.go", Row: "held-against-an-older-list.md", Tests: recoveredCallTests,
+			Text:        "\t\tk.undecidedTimer = c.loop.After(undecidedTimeout, func() { c.decideMisplaced(k) })\n",
+			Replacement: ``},
+		{Name: "list-transferred", File: "internal/call/verify.go", Row: "held-against-an-older-list.md", Tests: recoveredCallTests,
+			Text:        "\t\tcase k.transferring:\n\t\t\tc.unverified = append(c.unverified, k)\n",
+			Replacement: ``},
+		{Name: "list-release-misplaced", File: "internal/call/verify.go", Row: "held-against-an-older-list.md", Tests: recoveredCallTests,
+			Text:        "\tif k.misplaced {\n\t\tc.pendingReleases =",
+			Replacement: "\tif false {\n\t\tc.pendingReleases ="},
+		{Name: "list-unplaced", File: "internal/call/list.go", Row: "release-at-a-later-dispatcher.md", Tests: recoveredCallTests,
+			Text:        "\tc.sendUnplacedReleases(added)\n",
+			Replacement: "\t_ = added\n"},
+		{Name: "list-assumed-start", File: "internal/call/verify.go", Row: "assumed-start-of-a-dispatcher.md", Tests: Tests{"./cmd/cherryrelay", "OlderStoredSet"},
+			Text:        "\tif entry.StartAssumed {\n\t\tknown.Started = 0\n\t}\n",
+			Replacement: ``},
+		{Name: "list-unread-entry", File: "internal/lists/etcd/etcd.go", Row: "held-against-an-unread-entry.md", Tests: Tests{"./cmd/cherryrelay", "WithAListInEtcd"},
+			Text:        "\t\t\tallRead = false\n",
+			Replacement: ``},
+	}
+}
