--- a/internal/mutants/list_calls.go
+++ b/internal/mutants/list_calls.go
@@ -228,7 +228,7 @@
 		{Name: "refuse-class-of-the-call", File: "internal/call/final_answer.go", Row: "refused-by-a-changed-class.md", Tests: refusalTests,
 			Text:        "return k.class.MayResendAnywhere(untilDeadline) && class.MayResendAnywhere(untilDeadline)",
 			Replacement: "return class.MayResendAnywhere(untilDeadline)"},
-		{Name: "refuse-class-of-now", File: "internal/call/recover.go", Row: "refused-by-a-changed-class.md", Tests: refusalTests,
+		{Name: "refuse-class-of-now", File: "internal/call/resume.go", Row: "refused-by-a-changed-class.md", Tests: refusalTests,
 			Text:        "if class < 0 || !k.mayBeOfferedAgain(&c.decisions.Classes[class]) {",
 			Replacement: "if class < 0 {"},
 		{Name: "refuse-class-of-the-ledger", File: "internal/call/recover.go", Row: "refused-by-settings-of-another-process.md", Tests: refusalTests,
