Tell a call as over whose address a later dispatcher has taken

Where the list does not name the dispatcher of a recovered call, and another one at its address, the call waited for a current list, 5 s at most. Where that one has started since the call's last event, the call's process is gone, whatever else the list lacks: it is told as over at once (TestMisplacedCalls).

The addresses of the list are indexed once for each check, as there may be many such calls.

--- a/internal/call/core.go
+++ b/internal/call/core.go
@@ -124,6 +124,7 @@
 	pendingReleases     []*pendingRelease
 	unplacedReleases    []unplacedRelease           // in the order of their times
 	unverified          []*record                   // established calls of other processes to be checked against the list
+	listedByAddress     map[string][]Server         // the list, while calls are checked against it; nil until it is needed
 	adoptedDispatchers  map[control.ServerID]string // addresses of unlisted dispatchers that unverified calls are established at
 	recovered           RecoveryStatus
 	awaitsLedger        bool
--- a/internal/call/selection.go
+++ b/internal/call/selection.go
@@ -1,6 +1,7 @@
 package call
 
 import (
+	"iter"
 	"slices"
 	"time"
 
@@ -115,17 +116,18 @@
 	s.queue = append(s.queue, &listChange{applied: f})
 }
 
-// hasAddress reports whether an entry of the list has the address.
-func (s *selection) hasAddress(address string) bool {
-	if s == nil {
-		return false
-	}
-	for _, entry := range s.entries {
-		if entry.Address == address {
-			return true
+// unannounced returns the listed dispatchers that are not announced, in no particular order.
+func (s *selection) unannounced() iter.Seq[Server] {
+	return func(yield func(Server) bool) {
+		if s == nil {
+			return
+		}
+		for id, entry := range s.entries {
+			if !s.announced[id] && !yield(entry) {
+				return
+			}
 		}
 	}
-	return false
 }
 
 // announcedFirst moves the entries of announced dispatchers to the front, so that a drain does not wait behind thousands
--- a/internal/call/successor.go
+++ b/internal/call/successor.go
@@ -117,11 +117,7 @@
 	k.fromPredecessor = true
 	k.restored = &recovery.Call{Event: recovery.Event{ID: id}, State: recovery.StateEstablished, Attempts: 1, Server: string(at.ID),
 		Address: at.Address, ServerStarted: at.StartedAt, LastEventAt: c.now()}
-	if !c.listReceived {
-		c.unverified = append(c.unverified, k)
-		return
-	}
-	c.verify(k, nil)
+	c.recoverAndVerify(func() { c.unverified = append(c.unverified, k) })
 }
 
 // unknownCaller is the Caller of calls of another process: their callers may be on any connection.
--- a/internal/call/verify.go
+++ b/internal/call/verify.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"cherryrelay/control"
@@ -51,6 +52,7 @@
 	if !c.listReceived {
 		return
 	}
+	defer func() { c.listedByAddress = nil }()
 	c.sendPendingReleases(removed)
 	unverified := c.unverified
 	c.unverified = nil
@@ -73,6 +75,9 @@
 		return
 	}
 	verdict, why := k.restored.Verify(entry, c.listConfirmedAt)
+	if verdict == recovery.Undecided && c.isAddressTakenSince(k.restored) {
+		verdict = recovery.Gone
+	}
 	c.applyVerdict(k, verdict, why, entry.Removed)
 }
 
@@ -147,7 +152,7 @@
 	if address, adopted := c.adoptedDispatchers[id]; adopted {
 		return address == call.Address
 	}
-	if call.Address == "" || c.isListedAddress(call.Address) {
+	if call.Address == "" || len(c.listedAt(call.Address)) > 0 {
 		return false
 	}
 	c.adoptedDispatchers[id] = call.Address
@@ -158,14 +163,26 @@
 	return true
 }
 
-// isListedAddress reports whether a listed dispatcher has the address.
-func (c *Core) isListedAddress(address string) bool {
-	for _, entry := range c.knownServers {
-		if entry.Address == address {
-			return true
+// isAddressTakenSince reports whether the list shows that another dispatcher has started at the address of a call's process since the last
+// event of the call.
+func (c *Core) isAddressTakenSince(call *recovery.Call) bool {
+	return slices.ContainsFunc(c.listedAt(call.Address), func(entry Server) bool {
+		return string(entry.ID) != call.Server && listEntry(entry).Started > call.LastEventAt
+	})
+}
+
+// listedAt returns the listed dispatchers at an address. It must be called during verifyRecovered.
+func (c *Core) listedAt(address string) []Server {
+	if c.listedByAddress == nil {
+		c.listedByAddress = map[string][]Server{}
+		for _, entry := range c.knownServers {
+			c.listedByAddress[entry.Address] = append(c.listedByAddress[entry.Address], entry)
+		}
+		for entry := range c.selection.unannounced() {
+			c.listedByAddress[entry.Address] = append(c.listedByAddress[entry.Address], entry)
 		}
 	}
-	return c.selection.hasAddress(address)
+	return c.listedByAddress[address]
 }
 
 // recoverAndVerify runs f, which recovers calls, and checks these calls only: a lost controller may have had very many.
--- a/internal/call/verify_test.go
+++ b/internal/call/verify_test.go
@@ -114,6 +114,8 @@
 	const id = "00000000000000aa"
 	elsewhere := Server{ServerEntry: control.ServerEntry{ID: "b"}, Address: "127.0.0.1:3"}
 	taken := Server{ServerEntry: control.ServerEntry{ID: "c"}, Address: "127.0.0.1:2"}
+	takenSince := taken
+	takenSince.StartedAt = time.Duration(time.Now().Add(time.Hour).UnixNano()) // a bubble has a clock of its own
 	moved := Server{ServerEntry: control.ServerEntry{ID: "b"}, Address: "127.0.0.1:2"}
 	over := []string{"front " + id + " 41 cut"}
 	for name, test := range map[string]struct {
@@ -130,6 +132,7 @@
 		}, []string{"dispatchers release " + id, "dispatcher b at 127.0.0.1:2, calls continue: false", "dispatchers release " + id}},
 		"the list is current":                             {elsewhere, func(core *Core) { core.ListConfirmed(core.now()) }, over},
 		"the list is current, and its address is taken":   {taken, func(core *Core) { core.ListConfirmed(core.now()) }, over},
+		"its address is taken by a later process":         {takenSince, func(*Core) {}, over},
 		"its address is taken":                            {taken, func(*Core) {}, nil},
 		"the list is not confirmed in time":               {elsewhere, runUndecidedTimeout, over},
 		"the list is not confirmed, its address is taken": {taken, runUndecidedTimeout, over},
